Lay down the build, the core types and the ports

Cause: the repository was empty, and the parts wait for shared messages. Ruled out: one large library (a change of one folder would rebuild all), and a precompiled header per target (each costs seconds; one is reused). Conclusion: the parts can be written side by side against these headers.

--- /dev/null
+++ b/src/bench/main.cpp
@@ -0,0 +1,5 @@
+/// \file
+/// Entry point of stoneport-bench.
+int main() {
+  return 2;
+}
--- /dev/null
+++ b/src/core/time.hpp
@@ -0,0 +1,61 @@
+/// \file
+/// Time types. Decision code takes a MonotonicTime as input and never reads a
+/// clock; only daemons, programs and tests own a TimeSource.
+#pragma once
+
+#include <chrono>
+
+namespace stoneport::core {
+
+using Duration = std::chrono::microseconds;
+using MonotonicClock = std::chrono::steady_clock;
+/// Point on the process's monotonic clock, at microsecond resolution.
+using MonotonicTime = std::chrono::time_point<MonotonicClock, Duration>;
+/// Milliseconds since the Unix epoch; for records and scheduled starts only,
+/// never for leases or deadlines.
+using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+/// Source of both clocks, so that tests can supply virtual time.
+class TimeSource {
+ public:
+  virtual ~TimeSource() = default;
+  virtual MonotonicTime now() const = 0;
+  virtual WallTime wall_now() const = 0;
+};
+
+/// Clocks of the operating system.
+class SystemTimeSource : public TimeSource {
+ public:
+  MonotonicTime now() const override {
+    return std::chrono::time_point_cast<Duration>(MonotonicClock::now());
+  }
+  WallTime wall_now() const override {
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+  }
+};
+
+/// Clock that a test moves by hand.
+class ManualTimeSource : public TimeSource {
+ public:
+  MonotonicTime now() const override { return now_; }
+  WallTime wall_now() const override { return wall_now_; }
+  void advance(Duration step) {
+    now_ += step;
+    wall_now_ += std::chrono::duration_cast<std::chrono::milliseconds>(step);
+  }
+  void set_wall(WallTime value) { wall_now_ = value; }
+
+ private:
+  MonotonicTime now_{};
+  WallTime wall_now_{};
+};
+
+inline double to_seconds(Duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+inline Duration from_seconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace stoneport::core
--- /dev/null
+++ b/src/ctl/main.cpp
@@ -0,0 +1,5 @@
+/// \file
+/// Entry point of stoneportctl.
+int main() {
+  return 2;
+}
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,5 @@
+/// \file
+/// Entry point of stoneportd.
+int main() {
+  return 2;
+}
--- /dev/null
+++ b/src/emulator/main.cpp
@@ -0,0 +1,5 @@
+/// \file
+/// Entry point of stoneport-emulator.
+int main() {
+  return 2;
+}
--- /dev/null
+++ b/src/http/client.hpp
@@ -0,0 +1,89 @@
+/// \file
+/// HTTP/1.1 client with kept-alive connections. One per thread; never shared.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/system/result.hpp>
+#include <memory>
+#include <optional>
+
+#include "core/error.hpp"
+#include "core/identifiers.hpp"
+#include "core/metrics.hpp"
+#include "core/time.hpp"
+#include "http/body.hpp"
+#include "http/message.hpp"
+
+namespace stoneport::http {
+
+/// How much of a request may have reached the other side.
+enum class RequestProgress {
+  kNothingSent,  ///< no byte was handed to the socket: truly not run
+  kMaybeSent,    ///< at least one byte was: it may have run
+};
+
+struct ClientError {
+  core::Error error;
+  RequestProgress progress = RequestProgress::kNothingSent;
+};
+
+[[noreturn]] inline void throw_exception_from_error(const ClientError& error,
+                                                    const boost::source_location&) {
+  throw std::logic_error("value() taken from a failed exchange: " + error.error.message);
+}
+
+template <class T>
+using ClientResult = boost::system::result<T, ClientError>;
+
+/// A response whose head has arrived. Destroying it before the body's end
+/// closes the connection; after the end the connection is kept for reuse.
+class ClientResponse {
+ public:
+  virtual ~ClientResponse() = default;
+  virtual const ResponseHead& head() const = 0;
+  virtual BodySource& body() = 0;
+  /// Closes the connection; a pending body read ends with kCancelled.
+  virtual void cancel() = 0;
+};
+
+struct SendOptions {
+  /// The exchange, body included, ends with kDeadlineExceeded at this point.
+  core::MonotonicTime deadline;
+  /// Longest time for the connection alone.
+  core::Duration connect_timeout = std::chrono::seconds(2);
+  /// Never use a kept connection. For requests that must not be sent twice: a
+  /// kept connection may turn out closed only after the request was written.
+  bool fresh_connection = false;
+  std::uint64_t max_body_bytes = std::uint64_t{1} << 30;
+  std::uint32_t max_header_bytes = 64 * 1024;
+};
+
+class Client {
+ public:
+  /// \param name label of the client's metrics, such as "engine"
+  Client(boost::asio::any_io_executor executor, std::string name, core::Metrics& metrics);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// Sends a request and reads the response's head. The body is read by the
+  /// caller. A request is sent once: a retry is the caller's decision.
+  /// Without \p content_length the body goes out chunked; 0 means no body.
+  boost::asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
+      core::Address address, RequestHead head, BodySource& body,
+      std::optional<std::uint64_t> content_length, SendOptions options);
+
+  /// Sends a whole request and reads the whole response.
+  boost::asio::awaitable<ClientResult<Response>> fetch(core::Address address, Request request,
+                                                       SendOptions options);
+
+  /// Closes kept connections to \p address, for example when it is leaving.
+  void forget(const core::Address& address);
+
+ private:
+  class Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+}  // namespace stoneport::http
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,97 @@
+/// \file
+/// HTTP/1.1 server on one io_context. Each traffic thread owns one Server for
+/// the same address (SO_REUSEPORT); a Server and its connections live on that
+/// thread alone and take no lock.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/error.hpp"
+#include "core/identifiers.hpp"
+#include "core/metrics.hpp"
+#include "http/body.hpp"
+#include "http/message.hpp"
+
+namespace stoneport::http {
+
+/// Writes one response. A handler that returns before finish() has succeeded
+/// aborts the connection, so that the client sees a cut and never a short body
+/// that looks whole.
+class ResponseWriter {
+ public:
+  virtual ~ResponseWriter() = default;
+  /// Sends the head. Without \p content_length the body goes out chunked.
+  /// Content-Length, Transfer-Encoding and Connection are set here and removed
+  /// from \p head where the handler put them.
+  virtual boost::asio::awaitable<core::Result<void>> start(
+      ResponseHead head, std::optional<std::uint64_t> content_length) = 0;
+  virtual boost::asio::awaitable<core::Result<void>> write(std::string_view piece) = 0;
+  virtual boost::asio::awaitable<core::Result<void>> finish() = 0;
+  /// \return whether start() was called.
+  virtual bool started() const = 0;
+  /// \return whether the client is known to have closed its connection; turns
+  /// true while the handler runs (the server watches the socket).
+  virtual bool client_gone() const = 0;
+};
+
+/// Answers the requests of one server, one call per request, on its thread.
+class RequestHandler {
+ public:
+  virtual ~RequestHandler() = default;
+  virtual boost::asio::awaitable<void> handle(const RequestHead& request, BodySource& body,
+                                              ResponseWriter& response) = 0;
+};
+
+/// Sends a whole response in one go.
+boost::asio::awaitable<core::Result<void>> respond(ResponseWriter& response, Response message);
+/// Sends \p json with status \p status and content type application/json.
+boost::asio::awaitable<core::Result<void>> respond_json(ResponseWriter& response, unsigned status,
+                                                        std::string json);
+/// \return the JSON error document of the callers' interface:
+/// {"code","message","retry_after_ms"}, with a Retry-After header (whole
+/// seconds, rounded up) when the error says when to come back.
+Response error_response(unsigned status, const core::Error& error);
+/// \return the HTTP status that a refusal with \p code carries.
+unsigned status_for(core::ErrorCode code);
+
+struct ServerLimits {
+  std::uint32_t max_header_bytes = 16 * 1024;
+  std::uint64_t max_body_bytes = std::uint64_t{1} << 30;
+  core::Duration head_timeout = std::chrono::seconds(10);  ///< from the first byte of a head
+  core::Duration idle_timeout = std::chrono::seconds(60);  ///< between requests
+  std::uint32_t max_connections = 4096;
+};
+
+class Server {
+ public:
+  /// \param name label of the server's metrics, such as "caller"
+  Server(boost::asio::any_io_executor executor, std::string name, ServerLimits limits,
+         RequestHandler& handler, core::Metrics& metrics);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// Binds and accepts. Port 0 takes any free one.
+  core::Result<void> listen(const core::Address& address);
+  core::Address local_address() const;
+  /// Closes the listener; connections between requests close, those within one
+  /// finish it with "Connection: close".
+  void stop_accepting();
+  /// Waits until no request is in flight.
+  /// \return whether that happened within \p limit.
+  boost::asio::awaitable<bool> wait_until_idle(core::Duration limit);
+  /// Resets every connection and closes the listener at once.
+  void abort();
+  std::size_t requests_in_flight() const;
+
+ private:
+  class Implementation;
+  std::shared_ptr<Implementation> implementation_;
+};
+
+}  // namespace stoneport::http
--- /dev/null
+++ b/src/platform/machine_list.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// Port to the platform's list of live and leaving machines. It lags behind
+/// reality: a hint of who may be there, never proof of life.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <string>
+#include <vector>
+
+#include "core/error.hpp"
+#include "core/identifiers.hpp"
+
+namespace stoneport::platform {
+
+enum class MachineRole { kNode, kEngine, kService };
+enum class MachineState { kLive, kLeaving };
+
+struct Machine {
+  std::string id;  ///< a NodeId or a ReplicaId, by role
+  MachineRole role = MachineRole::kNode;
+  std::string serves;     ///< model or service name; empty for a node
+  core::Address address;  ///< HTTP for back ends, gossip (UDP) for nodes
+  core::ZoneName zone;
+  core::RegionName region;
+  core::Incarnation incarnation;
+  MachineState state = MachineState::kLive;
+};
+
+class MachineList {
+ public:
+  virtual ~MachineList() = default;
+  virtual boost::asio::awaitable<core::Result<std::vector<Machine>>> list() = 0;
+};
+
+}  // namespace stoneport::platform
