Add the HTTP clients of the platform's ports

Cause: the ports had no client that speaks the platform's protocols. Ruled out: exceptions of the JSON library as the way to report a bad answer; a missing or wrong-typed field is a value, kProtocol. Change: one endpoint maps failures (a lost answer of an effect is an unknown outcome, a refusal took no effect), one strict field reader, one client a port. A stream's events are checked for their own identifier, offsets without a hole and the end mark, so that a cut stream never passes as whole.

--- /dev/null
+++ b/src/platform/engine_codec.hpp
@@ -0,0 +1,37 @@
+/// \file
+/// The JSON dialect of a model engine (docs/EMULATOR.md): requests to text,
+/// answers and stream events to typed values. Plain functions.
+#pragma once
+
+#include <string>
+#include <variant>
+
+#include "core/error.hpp"
+#include "platform/model_engine.hpp"
+
+namespace stoneport::platform {
+
+core::Result<std::string> encode_generation(const GenerationRequest& request);
+core::Result<std::string> encode_order(const EngineOrder& order, core::Epoch epoch);
+core::Result<std::string> encode_import(const KvExport& exported, const core::Address& source);
+
+core::Result<EngineReport> parse_report(const std::string& body);
+core::Result<CacheEvents> parse_cache_events(const std::string& body);
+core::Result<std::vector<StreamStatus>> parse_streams(const std::string& body);
+core::Result<KvExport> parse_export(const core::StreamId& stream, const std::string& body);
+
+/// Checks the events of one stream in their order: its own identifier, offsets
+/// without a hole, a total that matches.
+class StreamEventParser {
+ public:
+  StreamEventParser(core::StreamId stream, std::uint64_t offset)
+      : stream_(std::move(stream)), next_offset_(offset) {}
+  /// \return kProtocol for an event that does not continue the stream.
+  core::Result<StreamItem> parse(const std::string& data);
+
+ private:
+  core::StreamId stream_;
+  std::uint64_t next_offset_;
+};
+
+}  // namespace stoneport::platform
--- /dev/null
+++ b/src/platform/http_machine_list.cpp
@@ -0,0 +1,72 @@
+#include "platform/http_machine_list.hpp"
+
+#include "platform/json_fields.hpp"
+
+namespace stoneport::platform {
+namespace {
+
+MachineRole decode_role(const JsonFields& fields) {
+  const std::string role = fields.text("role");
+  if (role == "node") {
+    return MachineRole::kNode;
+  }
+  if (role == "engine") {
+    return MachineRole::kEngine;
+  }
+  if (role != "service") {
+    fields.reject("role", "node, engine or service is expected");
+  }
+  return MachineRole::kService;
+}
+
+MachineState decode_state(const JsonFields& fields) {
+  const std::string state = fields.text("state");
+  if (state != "live" && state != "leaving") {
+    fields.reject("state", "live or leaving is expected");
+  }
+  return state == "live" ? MachineState::kLive : MachineState::kLeaving;
+}
+
+std::uint16_t decode_port(const JsonFields& fields) {
+  const std::uint64_t port = fields.whole("port");
+  if (port == 0 || port > std::numeric_limits<std::uint16_t>::max()) {
+    fields.reject("port", "a port number is expected");
+    return 0;
+  }
+  return static_cast<std::uint16_t>(port);
+}
+
+Machine decode_machine(const JsonFields& fields) {
+  Machine machine;
+  machine.id = fields.text("id");
+  machine.role = decode_role(fields);
+  machine.serves = fields.text("serves");
+  machine.address = core::Address{fields.text("ip"), decode_port(fields)};
+  machine.zone = core::ZoneName(fields.text("zone"));
+  machine.region = core::RegionName(fields.text("region"));
+  machine.incarnation = core::Incarnation(fields.whole("incarnation"));
+  machine.state = decode_state(fields);
+  return machine;
+}
+
+core::Result<std::vector<Machine>> parse_machines(const std::string& body) {
+  return decode_json(body, [](const JsonFields& fields) {
+    std::vector<Machine> machines;
+    for (const JsonFields& element : fields.objects("machines")) {
+      machines.push_back(decode_machine(element));
+    }
+    return machines;
+  });
+}
+
+}  // namespace
+
+boost::asio::awaitable<core::Result<std::vector<Machine>>> HttpMachineList::list() {
+  auto body = co_await endpoint_.get("/v1/machines");
+  if (!body) {
+    co_return body.error();
+  }
+  co_return parse_machines(*body);
+}
+
+}  // namespace stoneport::platform
--- /dev/null
+++ b/src/platform/http_model_engine.hpp
@@ -0,0 +1,57 @@
+/// \file
+/// The HTTP client of one model engine and the factory that keeps one client
+/// for each address. Both live on the thread of their http::Client.
+#pragma once
+
+#include <map>
+
+#include "platform/http_endpoint.hpp"
+#include "platform/model_engine.hpp"
+
+namespace stoneport::platform {
+
+class HttpModelEngine : public ModelEngine {
+ public:
+  explicit HttpModelEngine(HttpEndpoint endpoint) : endpoint_(std::move(endpoint)) {}
+
+  boost::asio::awaitable<core::Result<std::unique_ptr<TokenStream>>> generate(
+      GenerationRequest request, core::MonotonicTime deadline) override;
+  boost::asio::awaitable<core::Result<std::unique_ptr<TokenStream>>> resume(
+      core::StreamId stream, std::uint64_t offset, core::MonotonicTime deadline) override;
+  boost::asio::awaitable<core::Result<void>> cancel_stream(core::StreamId stream) override;
+  boost::asio::awaitable<core::Result<void>> set_priority(core::StreamId stream,
+                                                          std::int32_t priority) override;
+  boost::asio::awaitable<core::Result<std::vector<StreamStatus>>> list_streams(
+      std::string prefix) override;
+  boost::asio::awaitable<core::Result<KvExport>> export_kv(core::StreamId stream) override;
+  boost::asio::awaitable<core::Result<std::unique_ptr<TokenStream>>> import_kv(
+      KvExport exported, core::Address source, core::MonotonicTime deadline) override;
+  boost::asio::awaitable<core::Result<EngineReport>> report() override;
+  boost::asio::awaitable<core::Result<CacheEvents>> cache_events(std::uint64_t after) override;
+  boost::asio::awaitable<core::Result<void>> order(EngineOrder order, core::Epoch epoch) override;
+
+ private:
+  boost::asio::awaitable<core::Result<std::unique_ptr<TokenStream>>> open_stream(
+      http::Request request, CallKind kind, core::StreamId stream, std::uint64_t offset,
+      core::MonotonicTime deadline);
+
+  HttpEndpoint endpoint_;
+};
+
+class HttpModelEngineFactory : public ModelEngineFactory {
+ public:
+  /// \p client and \p time outlive the factory and the engines it gave out.
+  HttpModelEngineFactory(http::Client& client, const core::TimeSource& time,
+                         EndpointSettings settings = {})
+      : client_(&client), time_(&time), settings_(settings) {}
+
+  std::shared_ptr<ModelEngine> engine_at(core::Address address) override;
+
+ private:
+  http::Client* client_;
+  const core::TimeSource* time_;
+  EndpointSettings settings_;
+  std::map<core::Address, std::weak_ptr<ModelEngine>> engines_;
+};
+
+}  // namespace stoneport::platform
--- /dev/null
+++ b/src/platform/http_scoring_service.hpp
@@ -0,0 +1,22 @@
+/// \file
+/// The HTTP client of a scoring service (docs/EMULATOR.md).
+#pragma once
+
+#include "platform/http_endpoint.hpp"
+#include "platform/scoring_service.hpp"
+
+namespace stoneport::platform {
+
+class HttpScoringService : public ScoringService {
+ public:
+  explicit HttpScoringService(HttpEndpoint endpoint) : endpoint_(std::move(endpoint)) {}
+
+  boost::asio::awaitable<core::Result<double>> score(core::ServiceName scorer,
+                                                     ScoringRequest request,
+                                                     core::MonotonicTime deadline) override;
+
+ private:
+  HttpEndpoint endpoint_;
+};
+
+}  // namespace stoneport::platform
--- /dev/null
+++ b/src/platform/http_weight_store.hpp
@@ -0,0 +1,21 @@
+/// \file
+/// The HTTP client of the weight store (docs/EMULATOR.md).
+#pragma once
+
+#include "platform/http_endpoint.hpp"
+#include "platform/weight_store.hpp"
+
+namespace stoneport::platform {
+
+class HttpWeightStore : public WeightStore {
+ public:
+  explicit HttpWeightStore(HttpEndpoint endpoint) : endpoint_(std::move(endpoint)) {}
+
+  boost::asio::awaitable<core::Result<WeightStoreStatus>> status(core::PolicyName policy) override;
+  boost::asio::awaitable<core::Result<void>> publish(WeightSet set) override;
+
+ private:
+  HttpEndpoint endpoint_;
+};
+
+}  // namespace stoneport::platform
