Add leases with fencing

Cause: controllers need one holder for each job, though holders pause, answers are lost and the store may be down for an hour. Ruled out: comparing clocks of machines (an observer counts on its own monotonic clock since it first saw the row); stopping all work of a holder that cannot renew (an outage would stop weight changes), and going on without limit. Change: LeaseState in plain code, LeaseKeeper on the table service. A holder that only the store's silence keeps from renewing may go on with fenced, repeatable effects. Red with an observer that does not wait: 5 of 9 fail. With both: 9 passed, 0 failed; 300 schedules, 296 take-overs. Conclusion: never two holders in the schedules run.

--- /dev/null
+++ b/src/controllers/lease_keeper.cpp
@@ -0,0 +1,191 @@
+#include "controllers/lease_keeper.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::controllers {
+namespace {
+using core::ErrorCode;
+
+constexpr const char* kTable = "leases";
+/// Rounds within one duration: three renewals may fail before a lease lapses.
+constexpr int kRoundsPerDuration = 4;
+
+core::Result<std::optional<ObservedLease>> observed_lease(
+    const core::Result<std::optional<platform::Row>>& answer) {
+  if (!answer) {
+    return answer.error();
+  }
+  if (!*answer) {
+    return std::optional<ObservedLease>();
+  }
+  auto record = parse_lease((*answer)->value);
+  if (!record) {
+    return record.error();
+  }
+  return std::optional<ObservedLease>(ObservedLease{std::move(*record), (*answer)->revision});
+}
+
+}  // namespace
+
+struct LeaseKeeper::Counters {
+  explicit Counters(core::Metrics& metrics) : metrics_(metrics) {}
+  prometheus::Counter& end(const char* end) {
+    return metrics_.counter("stoneport_lease_attempts_total",
+                            "Attempts to read or write a lease by end", {{"end", end}});
+  }
+  core::Metrics& metrics_;
+  prometheus::Counter& committed = end("committed");
+  prometheus::Counter& conflict = end("conflict");
+  prometheus::Counter& refused = end("refused");
+  prometheus::Counter& unknown = end("unknown");
+  prometheus::Counter& read_failed = end("read_failed");
+};
+
+LeaseKeeper::LeaseKeeper(platform::TableService& table, const core::TimeSource& time,
+                         LeaseHolder self, LeaseSettings settings, std::uint64_t seed,
+                         core::Metrics& metrics)
+    : table_(table),
+      time_(time),
+      self_(std::move(self)),
+      settings_(settings),
+      random_(seed),
+      counters_(std::make_unique<Counters>(metrics)) {}
+
+LeaseKeeper::~LeaseKeeper() = default;
+
+void LeaseKeeper::set_wanted(std::set<std::string> names) {
+  wanted_ = std::move(names);
+  for (const std::string& name : wanted_) {
+    leases_.try_emplace(name, self_, settings_);
+  }
+}
+
+LeaseStanding LeaseKeeper::standing(const std::string& name) const {
+  const auto lease = leases_.find(name);
+  if (lease == leases_.end() || !wanted_.contains(name)) {
+    return LeaseStanding::kNone;
+  }
+  return lease->second.standing(time_.now());
+}
+
+std::optional<core::Epoch> LeaseKeeper::held_epoch(const std::string& name) const {
+  if (standing(name) != LeaseStanding::kHeld) {
+    return std::nullopt;
+  }
+  return leases_.at(name).epoch();
+}
+
+std::optional<core::Epoch> LeaseKeeper::fenced_epoch(const std::string& name) const {
+  if (standing(name) == LeaseStanding::kNone) {
+    return std::nullopt;
+  }
+  return leases_.at(name).epoch();
+}
+
+std::optional<LeaseHolder> LeaseKeeper::observed_holder(const std::string& name) const {
+  const auto lease = leases_.find(name);
+  return lease == leases_.end() ? std::nullopt : lease->second.observed_holder();
+}
+
+core::WriteId LeaseKeeper::next_write_id() {
+  ++writes_;
+  return core::WriteId("lease/" + self_.node.value() + "/" +
+                       std::to_string(self_.incarnation.value()) + "/" + std::to_string(writes_));
+}
+
+void LeaseKeeper::log_change(const std::string& name, core::Epoch before) {
+  const core::Epoch now = leases_.at(name).epoch();
+  if (now == before) {
+    return;
+  }
+  if (now == core::Epoch()) {
+    spdlog::info("lease {} given up or lost, epoch was {}", name, before.value());
+  } else {
+    spdlog::info("lease {} acquired, epoch {}", name, now.value());
+  }
+}
+
+boost::asio::awaitable<void> LeaseKeeper::read(std::string name) {
+  const core::MonotonicTime sent_at = time_.now();
+  platform::RowKey key{kTable, name};
+  const auto answer = co_await table_.read(std::move(key), platform::TablePriority::kOwnership);
+  const core::MonotonicTime now = time_.now();
+  auto observed = observed_lease(answer);
+  LeaseState& lease = leases_.at(name);
+  if (!observed) {
+    counters_->read_failed.Increment();
+    lease.on_read_failed(sent_at, now);
+    co_return;
+  }
+  lease.on_read(std::move(*observed), now);
+}
+
+boost::asio::awaitable<void> LeaseKeeper::write(std::string name, LeaseWrite write) {
+  platform::Transaction transaction;
+  transaction.write_id = next_write_id();
+  const platform::RowKey key{kTable, name};
+  transaction.conditions.push_back({key, write.condition});
+  transaction.writes.push_back({key, encode_lease(write.record)});
+  const core::MonotonicTime sent_at = time_.now();
+  const auto answer =
+      co_await table_.commit(std::move(transaction), platform::TablePriority::kOwnership);
+  LeaseState& lease = leases_.at(name);
+  if (answer) {
+    counters_->committed.Increment();
+    lease.on_write_committed(write, *answer, sent_at);
+    co_return;
+  }
+  const ErrorCode code = answer.error().code;
+  if (code == ErrorCode::kConflict) {
+    counters_->conflict.Increment();
+    lease.on_write_conflict();
+    co_return;
+  }
+  const bool refused = code == ErrorCode::kUnavailable || code == ErrorCode::kRateLimited;
+  (refused ? counters_->refused : counters_->unknown).Increment();
+  lease.on_write_failed(sent_at, time_.now(), !refused);
+}
+
+boost::asio::awaitable<void> LeaseKeeper::advance(std::string name, bool wanted) {
+  LeaseState& lease = leases_.at(name);
+  const core::Epoch before = lease.epoch();
+  lease.begin_round();
+  LeasePlan plan = lease.plan(time_.now(), wanted);
+  if (plan.step == LeaseStep::kRead) {
+    co_await read(name);
+    plan = lease.plan(time_.now(), wanted);
+  }
+  if (plan.step == LeaseStep::kWrite) {
+    co_await write(name, std::move(*plan.write));
+  }
+  log_change(name, before);
+}
+
+boost::asio::awaitable<void> LeaseKeeper::run_round() {
+  std::vector<std::string> names;
+  for (const auto& [name, lease] : leases_) {
+    names.push_back(name);
+  }
+  for (const std::string& name : names) {
+    const bool wanted = wanted_.contains(name);
+    co_await advance(name, wanted);
+  }
+}
+
+boost::asio::awaitable<void> LeaseKeeper::run() {
+  while (!stopping_) {
+    co_await run_round();
+    const double jitter = 0.9 + 0.2 * random_.fraction();
+    const double seconds = core::to_seconds(settings_.duration) / kRoundsPerDuration * jitter;
+    co_await runtime::sleep_for(core::from_seconds(seconds));
+  }
+}
+
+boost::asio::awaitable<void> LeaseKeeper::release_all() {
+  set_wanted({});
+  co_await run_round();
+}
+
+}  // namespace stoneport::controllers
