--- a/scripts/lint-one.sh
+++ b/scripts/lint-one.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 build=$1
 file=$2
-cache=$build/lint-cache
+cache=$build/clean
 mkdir -p "$cache"
 # The key covers the rules, the file and all headers of the project.
 headers=$(git ls-files -s 'src/*.hpp' 'tests/*.hpp'; git diff HEAD -- 'src/*.hpp' 'tests/*.hpp')
--- /dev/null
+++ b/tests/support/child_process.hpp
@@ -0,0 +1,33 @@
+/// \file
+/// A program started by a system test. Ends it when the test forgets to.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace stoneport::tests {
+
+class ChildProcess {
+ public:
+  /// Starts \p arguments[0] with its output appended to \p log_path.
+  ChildProcess(const std::vector<std::string>& arguments, const std::string& log_path);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  void send_signal(int signal_number);
+  /// Waits for the end.
+  /// \return the exit status, or 128 + the signal that ended it.
+  int wait();
+  /// \return whether the process has not ended yet.
+  bool running();
+
+ private:
+  pid_t process_id_ = -1;
+  bool ended_ = false;
+  int status_ = 0;
+};
+
+}  // namespace stoneport::tests
