--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -27,6 +27,11 @@
   std::vector<Field> fields_;
 };
 
+/// Removes the fields that concern one connection alone: Connection and those
+/// that it names, Keep-Alive, TE, Trailer, Transfer-Encoding, Upgrade, Proxy-*.
+/// For whoever passes a message on to another connection.
+void remove_hop_by_hop(HeaderMap& headers);
+
 struct RequestHead {
   std::string method = "GET";
   std::string target = "/";  ///< origin form, with the query as it came
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,254 @@
+#include "http/server.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "http/server_connection.hpp"
+#include "http/task_start.hpp"
+
+namespace stoneport::http {
+namespace asio = boost::asio;
+namespace {
+
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+/// Pause after a failed accept, most likely for want of file descriptors.
+constexpr core::Duration kAcceptPause = std::chrono::milliseconds(50);
+
+constexpr std::string_view kTooManyConnections =
+    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
+    "Retry-After: 1\r\n\r\n";
+
+std::string metric_name(std::string_view suffix) {
+  return "stoneport_http_server_" + std::string(suffix);
+}
+
+prometheus::Counter& refusal_counter(core::Metrics& metrics, const std::string& server,
+                                     const std::string& reason) {
+  return metrics.counter(metric_name("refused_total"), "Requests refused by the HTTP server itself",
+                         {{"server", server}, {"reason", reason}});
+}
+
+}  // namespace
+
+ServerCounters::ServerCounters(core::Metrics& metrics, const std::string& server)
+    : connections_opened(metrics.counter(metric_name("connections_opened_total"),
+                                         "Connections accepted", {{"server", server}})),
+      connections_closed(metrics.counter(metric_name("connections_closed_total"),
+                                         "Connections closed in order", {{"server", server}})),
+      connections_reset(metrics.counter(metric_name("connections_reset_total"),
+                                        "Connections reset by the server", {{"server", server}})),
+      requests(metrics.counter(metric_name("requests_total"), "Requests whose head was read",
+                               {{"server", server}})),
+      request_body_bytes(metrics.counter(metric_name("request_body_bytes_total"),
+                                         "Bytes of request bodies read", {{"server", server}})),
+      response_body_bytes(metrics.counter(metric_name("response_body_bytes_total"),
+                                          "Bytes of response bodies written",
+                                          {{"server", server}})),
+      clients_gone(metrics.counter(metric_name("clients_gone_total"),
+                                   "Clients that closed while their request was handled",
+                                   {{"server", server}})),
+      responses_cut(metrics.counter(metric_name("responses_cut_total"),
+                                    "Responses that their handler did not finish",
+                                    {{"server", server}})),
+      refused_malformed_head(refusal_counter(metrics, server, "malformed_head")),
+      refused_large_head(refusal_counter(metrics, server, "large_head")),
+      refused_slow_head(refusal_counter(metrics, server, "slow_head")),
+      refused_malformed_body(refusal_counter(metrics, server, "malformed_body")),
+      refused_large_body(refusal_counter(metrics, server, "large_body")),
+      refused_connection_limit(refusal_counter(metrics, server, "connection_limit")),
+      truncated_requests(metrics.counter(metric_name("truncated_requests_total"),
+                                         "Requests whose connection ended first",
+                                         {{"server", server}})),
+      accept_errors(metrics.counter(metric_name("accept_errors_total"), "Failed accepts",
+                                    {{"server", server}})) {}
+
+class Server::Implementation : public std::enable_shared_from_this<Server::Implementation> {
+ public:
+  Implementation(asio::any_io_executor executor, std::string name, ServerLimits limits,
+                 RequestHandler& handler, core::Metrics& metrics)
+      : acceptor_(executor),
+        changed_(executor, asio::steady_timer::time_point::max()),
+        state_(std::make_shared<ServerState>(std::move(name), limits, handler, metrics)) {}
+
+  void begin() {
+    state_->on_change = [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->changed_.cancel();
+      }
+    };
+  }
+
+  core::Result<void> listen(const core::Address& address) {
+    boost::system::error_code error;
+    const asio::ip::address ip = asio::ip::make_address(address.ip, error);
+    if (error) {
+      return core::make_error(core::ErrorCode::kInvalidArgument, "not an IP number: " + address.ip);
+    }
+    const asio::ip::tcp::endpoint endpoint(ip, address.port);
+    open_listener(endpoint, error);
+    if (error) {
+      boost::system::error_code ignored;
+      acceptor_.close(ignored);
+      return core::make_error(
+          core::ErrorCode::kUnavailable,
+          "cannot listen on " + core::to_string(address) + ": " + error.message());
+    }
+    start_task(acceptor_.get_executor(), "http server accept", accept_loop());
+    return {};
+  }
+
+  core::Address local_address() const {
+    boost::system::error_code error;
+    const asio::ip::tcp::endpoint endpoint = acceptor_.local_endpoint(error);
+    return error ? last_address_ : core::Address{endpoint.address().to_string(), endpoint.port()};
+  }
+
+  void stop_accepting() {
+    if (state_->stopping) {
+      return;
+    }
+    state_->stopping = true;
+    accept_pending();
+    close_listener();
+    for (ServerConnection* connection : state_->connections) {
+      connection->begin_drain();
+    }
+  }
+
+  void abort() {
+    state_->stopping = true;
+    close_listener();
+    // A reset does not end the connection's coroutine at once, so the set stays.
+    for (ServerConnection* connection : state_->connections) {
+      connection->reset();
+    }
+  }
+
+  bool idle() const {
+    const bool drained = !state_->stopping || state_->connections.empty();
+    return state_->requests_in_flight == 0 && drained;
+  }
+
+  asio::awaitable<bool> wait_until_idle(core::Duration limit) {
+    const std::shared_ptr<Implementation> self = shared_from_this();
+    const core::MonotonicTime deadline = monotonic_now() + limit;
+    while (!idle() && monotonic_now() < deadline) {
+      changed_.expires_at(deadline);
+      co_await changed_.async_wait(kAwaitTuple);
+    }
+    co_return idle();
+  }
+
+  std::size_t requests_in_flight() const { return state_->requests_in_flight; }
+
+ private:
+  void open_listener(const asio::ip::tcp::endpoint& endpoint, boost::system::error_code& error) {
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) {
+      acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+      acceptor_.set_option(ReusePort(true), error);
+    }
+    if (!error) {
+      acceptor_.bind(endpoint, error);
+    }
+    if (!error) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (!error) {
+      acceptor_.non_blocking(true, error);
+    }
+  }
+
+  void close_listener() {
+    last_address_ = local_address();
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  }
+
+  asio::awaitable<void> accept_loop() {
+    const std::shared_ptr<Implementation> self = shared_from_this();
+    while (acceptor_.is_open()) {
+      auto [error, socket] = co_await acceptor_.async_accept(kAwaitTuple);
+      if (!error) {
+        serve(std::move(socket));
+        continue;
+      }
+      if (acceptor_.is_open()) {
+        state_->counters.accept_errors.Increment();
+        asio::steady_timer pause(acceptor_.get_executor(), kAcceptPause);
+        co_await pause.async_wait(kAwaitTuple);
+      }
+    }
+  }
+
+  /// Takes in the connections that the kernel has completed already: closing
+  /// the listener would reset them.
+  void accept_pending() {
+    boost::system::error_code error;
+    while (acceptor_.is_open() && !error) {
+      asio::ip::tcp::socket socket(acceptor_.get_executor());
+      acceptor_.accept(socket, error);
+      if (!error) {
+        serve(std::move(socket));
+      }
+    }
+  }
+
+  void serve(asio::ip::tcp::socket socket) {
+    if (state_->connections.size() >= state_->limits.max_connections) {
+      refuse(std::move(socket));
+      return;
+    }
+    const auto connection = std::make_shared<ServerConnection>(state_, std::move(socket));
+    start_task(acceptor_.get_executor(), "http server connection", connection->run());
+  }
+
+  void refuse(asio::ip::tcp::socket socket) {
+    state_->counters.refused_connection_limit.Increment();
+    boost::system::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(kTooManyConnections), ignored);
+  }
+
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer changed_;
+  std::shared_ptr<ServerState> state_;
+  core::Address last_address_;
+};
+
+Server::Server(asio::any_io_executor executor, std::string name, ServerLimits limits,
+               RequestHandler& handler, core::Metrics& metrics)
+    : implementation_(std::make_shared<Implementation>(std::move(executor), std::move(name), limits,
+                                                       handler, metrics)) {
+  implementation_->begin();
+}
+
+Server::~Server() {
+  implementation_->abort();
+}
+
+core::Result<void> Server::listen(const core::Address& address) {
+  return implementation_->listen(address);
+}
+core::Address Server::local_address() const {
+  return implementation_->local_address();
+}
+void Server::stop_accepting() {
+  implementation_->stop_accepting();
+}
+asio::awaitable<bool> Server::wait_until_idle(core::Duration limit) {
+  return implementation_->wait_until_idle(limit);
+}
+void Server::abort() {
+  implementation_->abort();
+}
+std::size_t Server::requests_in_flight() const {
+  return implementation_->requests_in_flight();
+}
+
+}  // namespace stoneport::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,11 +33,17 @@
       ResponseHead head, std::optional<std::uint64_t> content_length) = 0;
   virtual boost::asio::awaitable<core::Result<void>> write(std::string_view piece) = 0;
   virtual boost::asio::awaitable<core::Result<void>> finish() = 0;
+  /// Sends a whole response in one go: start(), write() and finish().
+  virtual boost::asio::awaitable<core::Result<void>> send(Response message);
   /// \return whether start() was called.
   virtual bool started() const = 0;
   /// \return whether the client is known to have closed its connection; turns
   /// true while the handler runs (the server watches the socket).
   virtual bool client_gone() const = 0;
+  /// Calls \p callback once when client_gone() turns true, at once if it is.
+  /// Replaces the callback before it; an empty one removes it. It is dropped
+  /// when the handler returns.
+  virtual void when_client_gone(std::function<void()> callback) { (void)callback; }
 };
 
 /// Answers the requests of one server, one call per request, on its thread.
@@ -62,11 +69,16 @@
 struct ServerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
   std::uint64_t max_body_bytes = std::uint64_t{1} << 30;
-  core::Duration head_timeout = std::chrono::seconds(10);  ///< from the first byte of a head
-  core::Duration idle_timeout = std::chrono::seconds(60);  ///< between requests
+  core::Duration head_timeout = std::chrono::seconds(10);      ///< from the first byte of a head
+  core::Duration idle_timeout = std::chrono::seconds(60);      ///< between requests
+  core::Duration transfer_timeout = std::chrono::seconds(60);  ///< without progress in a body
+  /// How long a connection between requests stays after stop_accepting(), so
+  /// that a request already on its way is answered and not cut.
+  core::Duration drain_grace = std::chrono::milliseconds(200);
   std::uint32_t max_connections = 4096;
 };
 
+/// The handler must outlive the server and the last turn of its executor.
 class Server {
  public:
   /// \param name label of the server's metrics, such as "caller"
@@ -79,10 +91,11 @@
   /// Binds and accepts. Port 0 takes any free one.
   core::Result<void> listen(const core::Address& address);
   core::Address local_address() const;
-  /// Closes the listener; connections between requests close, those within one
-  /// finish it with "Connection: close".
+  /// Closes the listener; connections between requests close after the grace of
+  /// ServerLimits, those within one finish it with "Connection: close".
   void stop_accepting();
-  /// Waits until no request is in flight.
+  /// Waits until no request is in flight, and after stop_accepting() until no
+  /// connection is left.
   /// \return whether that happened within \p limit.
   boost::asio::awaitable<bool> wait_until_idle(core::Duration limit);
   /// Resets every connection and closes the listener at once.
--- /dev/null
+++ b/src/http/server_connection.cpp
@@ -0,0 +1,259 @@
+#include "http/server_connection.hpp"
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "http/server_exchange.hpp"
+
+namespace stoneport::http {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace {
+
+constexpr std::size_t kReadBytes = 4096;
+/// Room in the buffer beyond the longest head: for what follows it in one read.
+constexpr std::size_t kBufferSpareBytes = 64 * 1024;
+/// Longest time that a closing connection still reads and drops what arrives,
+/// so that a reset does not destroy the response on its way.
+constexpr core::Duration kLingerTime = std::chrono::seconds(1);
+
+/// \return the origin form of \p target, which may come in absolute form.
+std::string origin_form(std::string_view target) {
+  constexpr std::string_view kScheme = "http://";
+  if (!beast::iequals(target.substr(0, kScheme.size()), kScheme)) {
+    return std::string(target);
+  }
+  const std::size_t path = target.find('/', kScheme.size());
+  return path == std::string_view::npos ? "/" : std::string(target.substr(path));
+}
+
+RequestHead to_request_head(const RequestParser& parser) {
+  RequestHead head;
+  head.method = std::string(parser.get().method_string());
+  const auto target = parser.get().target();
+  head.target = origin_form(std::string_view(target.data(), target.size()));
+  head.headers = to_header_map(parser.get());
+  return head;
+}
+
+/// \return what makes a well-formed head unservable.
+std::optional<Response> objection_to(const RequestParser& parser) {
+  constexpr auto kInvalid = core::ErrorCode::kInvalidArgument;
+  const auto& message = parser.get();
+  if (message.version() != 10 && message.version() != 11) {
+    return error_response(505, core::make_error(kInvalid, "only HTTP/1.0 and HTTP/1.1"));
+  }
+  if (message.method() == beast::http::verb::connect) {
+    return error_response(501, core::make_error(kInvalid, "CONNECT is not served"));
+  }
+  if (message.version() == 11 && message.count(beast::http::field::host) != 1) {
+    return error_response(400, core::make_error(kInvalid, "exactly one Host field is required"));
+  }
+  return std::nullopt;
+}
+
+/// \return the bytes of a response after which the connection closes.
+std::string closing_response(const Response& response) {
+  beast::http::response<beast::http::empty_body> message;
+  message.version(11);
+  message.result(response.head.status);
+  copy_headers(response.head.headers, message).value();
+  message.content_length(response.body.size());
+  message.keep_alive(false);
+  return serialize_head(message) + response.body;
+}
+
+}  // namespace
+
+ServerSocket::ServerSocket(asio::ip::tcp::socket accepted, std::size_t buffer_limit)
+    : socket(std::move(accepted)),
+      buffer(buffer_limit),
+      read_timer(socket.get_executor(),
+                 [this] {
+                   boost::system::error_code ignored;
+                   socket.cancel(ignored);
+                 }),
+      write_timer(socket.get_executor(), [this] {
+        boost::system::error_code ignored;
+        socket.cancel(ignored);
+      }) {}
+
+ServerConnection::ServerConnection(std::shared_ptr<ServerState> state, asio::ip::tcp::socket socket)
+    : state_(std::move(state)),
+      io_(std::make_shared<ServerSocket>(std::move(socket),
+                                         state_->limits.max_header_bytes + kBufferSpareBytes)),
+      watch_(std::make_shared<ClientWatch>(io_, state_->counters.clients_gone)) {
+  boost::system::error_code ignored;
+  io_->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  io_->socket.non_blocking(true, ignored);
+  state_->connections.insert(this);
+  state_->counters.connections_opened.Increment();
+}
+
+ServerConnection::~ServerConnection() {
+  state_->connections.erase(this);
+  if (state_->on_change) {
+    state_->on_change();
+  }
+}
+
+asio::awaitable<void> ServerConnection::run() {
+  const std::shared_ptr<ServerConnection> self = shared_from_this();
+  After after = After::kNextRequest;
+  while (after == After::kNextRequest) {
+    const bool has_request = co_await wait_for_request();
+    if (has_request) {
+      after = co_await serve_one();
+    } else {
+      after = After::kClose;
+    }
+  }
+  co_await end(after);
+}
+
+void ServerConnection::begin_drain() {
+  if (waiting_) {
+    io_->read_timer.arm(state_->limits.drain_grace);
+  }
+}
+
+void ServerConnection::reset() {
+  if (!io_->socket.is_open()) {
+    return;
+  }
+  state_->counters.connections_reset.Increment();
+  boost::system::error_code ignored;
+  io_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  io_->socket.close(ignored);
+}
+
+asio::awaitable<bool> ServerConnection::wait_for_request() {
+  while (io_->buffer.size() == 0) {
+    const ServerLimits& limits = state_->limits;
+    waiting_ = true;
+    io_->read_timer.arm(state_->stopping ? limits.drain_grace : limits.idle_timeout);
+    auto [error, size] =
+        co_await io_->socket.async_read_some(io_->buffer.prepare(kReadBytes), kAwaitTuple);
+    io_->read_timer.disarm();
+    waiting_ = false;
+    io_->buffer.commit(size);
+    if (!error) {
+      continue;
+    }
+    boost::system::error_code closed;
+    const bool has_arrived = io_->read_timer.expired() && io_->socket.available(closed) > 0;
+    if (!has_arrived) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<ServerConnection::After> ServerConnection::serve_one() {
+  RequestParser parser;
+  parser.eager(false);
+  parser.header_limit(state_->limits.max_header_bytes);
+  parser.body_limit(state_->limits.max_body_bytes);
+  io_->read_timer.arm(state_->limits.head_timeout);
+  auto [error, size] =
+      co_await beast::http::async_read_header(io_->socket, io_->buffer, parser, kAwaitTuple);
+  io_->read_timer.disarm();
+  if (error) {
+    co_return co_await refuse_head(error);
+  }
+  co_return co_await handle(parser);
+}
+
+asio::awaitable<ServerConnection::After> ServerConnection::refuse_head(
+    boost::system::error_code error) {
+  ServerCounters& counters = state_->counters;
+  core::Error refusal = parse_error(error);
+  unsigned status = 400;
+  if (error == beast::http::error::body_limit) {
+    counters.refused_large_body.Increment();
+    status = 413;
+  } else if (refusal.code == core::ErrorCode::kTooLarge) {
+    counters.refused_large_head.Increment();
+    status = 431;
+  } else if (io_->read_timer.expired()) {
+    counters.refused_slow_head.Increment();
+    refusal = core::make_error(core::ErrorCode::kDeadlineExceeded, "the head took too long");
+    status = 408;
+  } else if (refusal.code == core::ErrorCode::kTruncated) {
+    counters.truncated_requests.Increment();
+    co_return After::kClose;
+  } else {
+    counters.refused_malformed_head.Increment();
+  }
+  const std::string text = closing_response(error_response(status, refusal));
+  io_->write_timer.arm(state_->limits.transfer_timeout);
+  co_await asio::async_write(io_->socket, asio::buffer(text), kAwaitTuple);
+  io_->write_timer.disarm();
+  co_return After::kLingeringClose;
+}
+
+asio::awaitable<ServerConnection::After> ServerConnection::handle(RequestParser& parser) {
+  ServerRequestBody body(*state_, *io_, *watch_, parser);
+  ServerResponseWriter response(*state_, *io_, *watch_, parser, body);
+  if (parser.is_done()) {
+    watch_->start();
+  }
+  state_->counters.requests.Increment();
+  ++state_->requests_in_flight;
+  std::optional<Response> objection = objection_to(parser);
+  if (objection) {
+    state_->counters.refused_malformed_head.Increment();
+    co_await response.send(std::move(*objection));
+  } else {
+    const RequestHead head = to_request_head(parser);
+    co_await state_->handler.handle(head, body, response);
+  }
+  --state_->requests_in_flight;
+  watch_->stop();
+  if (state_->on_change) {
+    state_->on_change();
+  }
+  if (!response.finished()) {
+    state_->counters.responses_cut.Increment();
+    co_return After::kReset;
+  }
+  if (watch_->gone()) {
+    co_return After::kClose;
+  }
+  if (!response.keep_alive()) {
+    co_return After::kLingeringClose;
+  }
+  const bool skipped = co_await body.skip();
+  watch_->stop();
+  co_return skipped ? After::kNextRequest : After::kLingeringClose;
+}
+
+asio::awaitable<void> ServerConnection::linger() {
+  boost::system::error_code error;
+  io_->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+  std::array<char, kReadBytes> dropped;
+  io_->read_timer.arm(kLingerTime);
+  while (!error) {
+    std::size_t size = 0;
+    std::tie(error, size) =
+        co_await io_->socket.async_read_some(asio::buffer(dropped), kAwaitTuple);
+  }
+  io_->read_timer.disarm();
+}
+
+asio::awaitable<void> ServerConnection::end(After after) {
+  if (after == After::kReset) {
+    reset();
+    co_return;
+  }
+  if (after == After::kLingeringClose) {
+    co_await linger();
+  }
+  if (io_->socket.is_open()) {
+    state_->counters.connections_closed.Increment();
+    boost::system::error_code ignored;
+    io_->socket.close(ignored);
+  }
+}
+
+}  // namespace stoneport::http
--- /dev/null
+++ b/src/http/server_exchange.hpp
@@ -0,0 +1,73 @@
+/// \file
+/// The two halves of one exchange on a server's connection: the request's body
+/// and the response. Private to src/http.
+#pragma once
+
+#include "http/server_connection.hpp"
+
+namespace stoneport::http {
+
+class ServerRequestBody : public BodySource {
+ public:
+  ServerRequestBody(ServerState& state, ServerSocket& io, ClientWatch& watch,
+                    RequestParser& parser);
+  boost::asio::awaitable<core::Result<std::optional<std::string>>> next() override;
+
+  bool complete() const { return parser_.is_done(); }
+  /// \return whether what is left unread is small enough to be read and dropped.
+  bool can_be_skipped() const;
+  /// Reads the rest. \return whether the body's end was reached.
+  boost::asio::awaitable<bool> skip();
+
+ private:
+  boost::asio::awaitable<core::Result<void>> send_continue();
+  core::Error fail(const boost::system::error_code& error);
+
+  ServerState& state_;
+  ServerSocket& io_;
+  ClientWatch& watch_;
+  RequestParser& parser_;
+  bool must_send_continue_;
+  std::optional<core::Error> failure_;
+};
+
+class ServerResponseWriter : public ResponseWriter {
+ public:
+  ServerResponseWriter(ServerState& state, ServerSocket& io, ClientWatch& watch,
+                       const RequestParser& parser, const ServerRequestBody& body);
+
+  boost::asio::awaitable<core::Result<void>> start(
+      ResponseHead head, std::optional<std::uint64_t> content_length) override;
+  boost::asio::awaitable<core::Result<void>> write(std::string_view piece) override;
+  boost::asio::awaitable<core::Result<void>> finish() override;
+  boost::asio::awaitable<core::Result<void>> send(Response message) override;
+  bool started() const override { return started_; }
+  bool client_gone() const override { return watch_.gone(); }
+  void when_client_gone(std::function<void()> callback) override;
+
+  bool finished() const { return finished_; }
+  bool keep_alive() const { return keep_alive_; }
+
+ private:
+  enum class Framing { kNoBody, kSized, kChunked, kUntilClose };
+
+  core::Result<std::string> begin(const ResponseHead& head,
+                                  std::optional<std::uint64_t> content_length);
+  core::Result<void> count_bytes(std::size_t size);
+  template <class Buffers>
+  boost::asio::awaitable<core::Result<void>> transmit(const Buffers& buffers);
+
+  ServerState& state_;
+  ServerSocket& io_;
+  ClientWatch& watch_;
+  const RequestParser& parser_;
+  const ServerRequestBody& body_;
+  Framing framing_ = Framing::kNoBody;
+  std::uint64_t remaining_ = 0;
+  bool started_ = false;
+  bool finished_ = false;
+  bool failed_ = false;
+  bool keep_alive_ = false;
+};
+
+}  // namespace stoneport::http
