Add the HTTP client and its connection pool

A request is written by a sender that can be stopped and resumed, so that a response which comes early is read while the request's body is still on its way, and no coroutine touches the caller's body after send() or next() has returned. Progress counts bytes handed to the socket, which makes 'nothing sent' exact. A response that does not tell its length is refused: a cut could not be told from its end.

--- a/src/http/beast_conversion.cpp
+++ b/src/http/beast_conversion.cpp
@@ -24,14 +24,6 @@
   }
 }
 
-bool is_token(std::string_view text) {
-  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
-  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char character) {
-    const auto byte = static_cast<unsigned char>(character);
-    return (byte < 0x80 && std::isalnum(byte) != 0) || kMarks.find(character) != kMarks.npos;
-  });
-}
-
 bool is_field_value(std::string_view text) {
   return std::none_of(text.begin(), text.end(), [](char character) {
     return character == '\r' || character == '\n' || character == '\0';
@@ -40,6 +32,14 @@
 
 }  // namespace
 
+bool is_token(std::string_view text) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return !text.empty() && std::all_of(text.begin(), text.end(), [&](char character) {
+    const auto byte = static_cast<unsigned char>(character);
+    return (byte < 0x80 && std::isalnum(byte) != 0) || kMarks.find(character) != kMarks.npos;
+  });
+}
+
 HeaderMap to_header_map(const BeastFields& fields) {
   HeaderMap headers;
   for (const auto& field : fields) {
--- a/src/http/beast_conversion.hpp
+++ b/src/http/beast_conversion.hpp
@@ -28,6 +28,9 @@
 /// Most bytes that one read of a body hands on.
 inline constexpr std::size_t kPieceBytes = 64 * 1024;
 
+/// \return whether \p text can stand as a method or a field's name.
+bool is_token(std::string_view text);
+
 HeaderMap to_header_map(const BeastFields& fields);
 
 /// Copies \p headers except the fields that frame the message on its connection.
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,202 @@
+#include "http/client.hpp"
+
+#include "http/client_exchange.hpp"
+
+namespace stoneport::http {
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace {
+
+constexpr core::Duration kLongestConnect = std::chrono::hours(1);
+
+ClientError not_sent(core::ErrorCode code, std::string message) {
+  return ClientError{core::make_error(code, std::move(message)), RequestProgress::kNothingSent};
+}
+
+std::string host_field(const core::Address& address) {
+  const bool is_version_6 = address.ip.find(':') != std::string::npos;
+  const std::string ip = is_version_6 ? "[" + address.ip + "]" : address.ip;
+  return ip + ":" + std::to_string(address.port);
+}
+
+bool is_target(std::string_view target) {
+  const bool has_form = target.starts_with('/') || target == "*";
+  return has_form && std::all_of(target.begin(), target.end(), [](char character) {
+           const auto byte = static_cast<unsigned char>(character);
+           return byte > 0x20 && byte != 0x7f;
+         });
+}
+
+bool announces_empty_body(beast::http::verb method) {
+  return method == beast::http::verb::post || method == beast::http::verb::put ||
+         method == beast::http::verb::patch;
+}
+
+class PooledResponse : public ClientResponse {
+ public:
+  explicit PooledResponse(std::shared_ptr<ClientExchange> exchange)
+      : exchange_(std::move(exchange)) {}
+  ~PooledResponse() override { exchange_->abandon(); }
+
+  const ResponseHead& head() const override { return exchange_->head(); }
+  BodySource& body() override { return *exchange_; }
+  void cancel() override { exchange_->cancel(); }
+
+ private:
+  std::shared_ptr<ClientExchange> exchange_;
+};
+
+}  // namespace
+
+core::Result<WireRequest> to_wire(const core::Address& address, const RequestHead& head,
+                                  std::optional<std::uint64_t> content_length) {
+  if (!is_token(head.method) || !is_target(head.target)) {
+    return core::make_error(core::ErrorCode::kInvalidArgument,
+                            "not a valid request line: " + head.method + " " + head.target);
+  }
+  beast::http::request<beast::http::empty_body> message;
+  message.version(11);
+  message.method_string(head.method);
+  message.target(head.target);
+  core::Result<void> copied = copy_headers(head.headers, message);
+  if (!copied) {
+    return copied.error();
+  }
+  if (message.count(beast::http::field::host) == 0) {
+    message.set(beast::http::field::host, host_field(address));
+  }
+  // The body follows at once, whatever the original client was waiting for.
+  message.erase(beast::http::field::expect);
+  if (!content_length) {
+    message.chunked(true);
+  } else if (*content_length > 0 || announces_empty_body(message.method())) {
+    message.content_length(*content_length);
+  }
+  WireRequest wire;
+  wire.head = serialize_head(message);
+  wire.content_length = content_length;
+  wire.is_head_method = message.method() == beast::http::verb::head;
+  return wire;
+}
+
+class Client::Implementation : public std::enable_shared_from_this<Client::Implementation> {
+ public:
+  Implementation(asio::any_io_executor executor, const std::string& name, core::Metrics& metrics)
+      : executor_(std::move(executor)),
+        counters_(std::make_shared<ClientCounters>(metrics, name)),
+        pool_(std::make_shared<ConnectionPool>(counters_)) {}
+
+  asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
+      core::Address address, RequestHead head, BodySource& body,
+      std::optional<std::uint64_t> content_length, SendOptions options, bool body_in_memory) {
+    const std::shared_ptr<Implementation> self = shared_from_this();
+    counters_->requests.Increment();
+    core::Result<WireRequest> wire = to_wire(address, head, content_length);
+    if (!wire) {
+      co_return ClientError{wire.error(), RequestProgress::kNothingSent};
+    }
+    wire->body_in_memory = body_in_memory || content_length == std::uint64_t{0};
+    ClientResult<std::unique_ptr<ClientConnection>> connection = co_await open(address, options);
+    if (!connection) {
+      co_return connection.error();
+    }
+    (*connection)->timer().arm(options.deadline);
+    const auto exchange = std::make_shared<ClientExchange>(pool_, std::move(*connection),
+                                                           std::move(*wire), body, options);
+    std::optional<ClientError> error = co_await exchange->run();
+    if (error) {
+      co_return std::move(*error);
+    }
+    co_return std::unique_ptr<ClientResponse>(std::make_unique<PooledResponse>(exchange));
+  }
+
+  void forget(const core::Address& address) { pool_->forget(address); }
+
+ private:
+  /// Takes a kept connection, or makes one.
+  asio::awaitable<ClientResult<std::unique_ptr<ClientConnection>>> open(core::Address address,
+                                                                        SendOptions options) {
+    if (options.deadline <= monotonic_now()) {
+      counters_->deadlines_exceeded.Increment();
+      co_return not_sent(core::ErrorCode::kDeadlineExceeded, "the deadline had passed");
+    }
+    std::unique_ptr<ClientConnection> connection;
+    if (!options.fresh_connection) {
+      connection = pool_->take(address);
+    }
+    if (connection) {
+      co_return std::move(connection);
+    }
+    connection = std::make_unique<ClientConnection>(executor_, address, counters_);
+    const core::Duration longest = std::min(options.connect_timeout, kLongestConnect);
+    connection->timer().arm(std::min(options.deadline, monotonic_now() + longest));
+    const boost::system::error_code error = co_await connection->connect();
+    if (error) {
+      co_return connect_failure(*connection, error, options);
+    }
+    co_return std::move(connection);
+  }
+
+  ClientError connect_failure(ClientConnection& connection, const boost::system::error_code& error,
+                              const SendOptions& options) {
+    const std::string target = core::to_string(connection.address());
+    if (error == asio::error::invalid_argument) {
+      return not_sent(core::ErrorCode::kInvalidArgument, "not an IP number: " + target);
+    }
+    if (connection.timer().expired() && options.deadline <= monotonic_now()) {
+      counters_->deadlines_exceeded.Increment();
+      return not_sent(core::ErrorCode::kDeadlineExceeded, "no connection in time to " + target);
+    }
+    if (error == asio::error::operation_aborted && !connection.timer().expired()) {
+      return not_sent(core::ErrorCode::kCancelled, "connecting was cancelled");
+    }
+    counters_->connect_failures.Increment();
+    return not_sent(core::ErrorCode::kUnavailable,
+                    "cannot connect to " + target + ": " + error.message());
+  }
+
+  asio::any_io_executor executor_;
+  std::shared_ptr<ClientCounters> counters_;
+  std::shared_ptr<ConnectionPool> pool_;
+};
+
+Client::Client(asio::any_io_executor executor, std::string name, core::Metrics& metrics)
+    : implementation_(std::make_shared<Implementation>(std::move(executor), name, metrics)) {}
+
+Client::~Client() = default;
+
+asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> Client::send(
+    core::Address address, RequestHead head, BodySource& body,
+    std::optional<std::uint64_t> content_length, SendOptions options) {
+  return implementation_->send(std::move(address), std::move(head), body, content_length, options,
+                               false);
+}
+
+asio::awaitable<ClientResult<Response>> Client::fetch(core::Address address, Request request,
+                                                      SendOptions options) {
+  // Kept alive by this frame: the client itself may be destroyed meanwhile.
+  const std::shared_ptr<Implementation> implementation = implementation_;
+  const std::uint64_t length = request.body.size();
+  StringBody body(std::move(request.body));
+  const bool sent_before_reading = length <= kPieceBytes;
+  ClientResult<std::unique_ptr<ClientResponse>> response = co_await implementation->send(
+      std::move(address), std::move(request.head), body, length, options, sent_before_reading);
+  if (!response) {
+    co_return response.error();
+  }
+  core::Result<std::string> text =
+      co_await read_whole((*response)->body(), static_cast<std::size_t>(options.max_body_bytes));
+  if (!text) {
+    co_return ClientError{text.error(), RequestProgress::kMaybeSent};
+  }
+  Response whole;
+  whole.head = (*response)->head();
+  whole.body = std::move(*text);
+  co_return whole;
+}
+
+void Client::forget(const core::Address& address) {
+  implementation_->forget(address);
+}
+
+}  // namespace stoneport::http
