Load stoneportd's settings from TOML and flags

Every problem is reported at once with file, line, key, what was found and what is allowed; an unknown key names the nearest known one.

--- /dev/null
+++ b/src/config/schema.cpp
@@ -0,0 +1,48 @@
+#include "config/schema.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "config/nearest_name.hpp"
+
+namespace stoneport::config {
+namespace {
+
+std::vector<std::string> keys_of(const std::vector<FieldDescription>& fields) {
+  std::vector<std::string> keys;
+  for (const FieldDescription& field : fields) {
+    keys.push_back(field.key);
+  }
+  return keys;
+}
+
+}  // namespace
+
+Problems check_keys(const SourceDocument& source, const std::vector<FieldDescription>& fields) {
+  const std::vector<std::string> known = keys_of(fields);
+  Problems problems;
+  for (const SourceEntry& entry : source.entries) {
+    if (std::find(known.begin(), known.end(), entry.key) == known.end()) {
+      const std::string allowed =
+          fmt::format("a known key; the nearest is '{}'", nearest_name(entry.key, known));
+      problems.push_back({entry.file, entry.line, entry.key, "an unknown key", allowed});
+    }
+  }
+  for (const FieldDescription& field : fields) {
+    if (field.presence == Presence::kRequired && source.find(field.key) == nullptr) {
+      problems.push_back({source.name, 0, field.key, "nothing", field.allowed});
+    }
+  }
+  return problems;
+}
+
+Problem value_problem(const SourceEntry& entry, const FieldDescription& field) {
+  return Problem{entry.file, entry.line, entry.key, entry.value.dump(), field.allowed};
+}
+
+std::string toml_line(const std::string& key, const nlohmann::json& value) {
+  return fmt::format("{} = {}\n", key, value.dump());
+}
+
+}  // namespace stoneport::config
