--- /dev/null
+++ b/src/config/configuration_adoption.cpp
@@ -0,0 +1,78 @@
+#include "config/configuration_adoption.hpp"
+
+#include <algorithm>
+
+namespace stoneport::config {
+namespace {
+
+constexpr std::size_t kZonesToVouch = 2;
+
+std::optional<ConfigurationPeer> pick(const std::vector<ConfigurationPeer>& candidates,
+                                      core::RandomSource& random) {
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  return candidates[random.uniform(0, candidates.size() - 1)];
+}
+
+std::vector<ConfigurationPeer> in_zone(const std::vector<ConfigurationPeer>& peers,
+                                       const core::ZoneName& zone) {
+  std::vector<ConfigurationPeer> chosen;
+  std::copy_if(peers.begin(), peers.end(), std::back_inserter(chosen),
+               [&zone](const ConfigurationPeer& peer) { return peer.zone == zone; });
+  return chosen;
+}
+
+}  // namespace
+
+AdoptionVerdict ConfigurationAdoption::consider(const ConfigurationOffer& offer) {
+  if (offer.revision < in_force_.revision) {
+    return AdoptionVerdict::kOlder;
+  }
+  if (offer.revision > in_force_.revision) {
+    in_force_ = offer;
+    return AdoptionVerdict::kAdopt;
+  }
+  const bool nothing_yet = offer.revision == core::Revision();
+  const bool same = nothing_yet || offer.hash == in_force_.hash;
+  return same ? AdoptionVerdict::kSame : AdoptionVerdict::kFork;
+}
+
+bool ConfigurationAdoption::update_ready(const std::vector<ConfigurationPeer>& peers) {
+  const bool vouched = heard_store_ || zones_heard_.size() >= kZonesToVouch;
+  const bool behind = std::any_of(
+      peers.begin(), peers.end(),
+      [this](const ConfigurationPeer& peer) { return peer.revision > in_force_.revision; });
+  ready_ = ready_ || (vouched && !behind);
+  return ready_;
+}
+
+std::optional<ConfigurationPeer> ConfigurationAdoption::newer_peer(
+    const std::vector<ConfigurationPeer>& peers, core::RandomSource& random) const {
+  std::vector<ConfigurationPeer> newer;
+  std::copy_if(
+      peers.begin(), peers.end(), std::back_inserter(newer),
+      [this](const ConfigurationPeer& peer) { return peer.revision > in_force_.revision; });
+  const std::vector<ConfigurationPeer> near = in_zone(newer, own_zone_);
+  return pick(near.empty() ? newer : near, random);
+}
+
+std::optional<ConfigurationPeer> ConfigurationAdoption::vouching_peer(
+    const std::vector<ConfigurationPeer>& peers, core::RandomSource& random) const {
+  if (ready_) {
+    return std::nullopt;
+  }
+  std::vector<ConfigurationPeer> candidates;
+  std::copy_if(peers.begin(), peers.end(), std::back_inserter(candidates),
+               [this](const ConfigurationPeer& peer) { return !zones_heard_.contains(peer.zone); });
+  return pick(candidates, random);
+}
+
+core::Duration next_store_poll(std::size_t member_count, double fleet_rate, core::Duration shortest,
+                               core::RandomSource& random) {
+  const double spread = 0.5 + random.fraction();
+  const core::Duration fair = core::from_seconds(static_cast<double>(member_count) / fleet_rate);
+  return core::from_seconds(core::to_seconds(std::max(fair, shortest)) * spread);
+}
+
+}  // namespace stoneport::config
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -41,6 +41,14 @@
   return Problem{entry.file, entry.line, entry.key, entry.value.dump(), field.allowed};
 }
 
+Problem problem_at(const SourceDocument& source, const std::string& key, std::string found,
+                   std::string allowed) {
+  const SourceEntry* entry = source.find(key);
+  const std::string file = entry == nullptr ? source.name : entry->file;
+  const std::uint32_t line = entry == nullptr ? 0 : entry->line;
+  return Problem{file, line, key, std::move(found), std::move(allowed)};
+}
+
 std::string toml_line(const std::string& key, const nlohmann::json& value) {
   return fmt::format("{} = {}\n", key, value.dump());
 }
--- a/src/config/schema.hpp
+++ b/src/config/schema.hpp
@@ -31,6 +31,9 @@
 Problems check_keys(const SourceDocument& source, const std::vector<FieldDescription>& fields);
 /// \return the problem of an entry whose value \p field does not allow.
 Problem value_problem(const SourceEntry& entry, const FieldDescription& field);
+/// \return a problem at the place of \p key in \p source.
+Problem problem_at(const SourceDocument& source, const std::string& key, std::string found,
+                   std::string allowed);
 /// \return \p value as TOML, which takes JSON's scalars and lists as they are.
 std::string toml_line(const std::string& key, const nlohmann::json& value);
 
--- a/src/config/settings_schema.cpp
+++ b/src/config/settings_schema.cpp
@@ -149,14 +149,6 @@
   return listeners;
 }
 
-Problem problem_at(const SourceDocument& source, const std::string& key, std::string found,
-                   std::string allowed) {
-  const SourceEntry* entry = source.find(key);
-  const std::string file = entry == nullptr ? source.name : entry->file;
-  const std::uint32_t line = entry == nullptr ? 0 : entry->line;
-  return Problem{file, line, key, std::move(found), std::move(allowed)};
-}
-
 void check_distinct_listeners(const DaemonSettings& settings, const SourceDocument& source,
                               Problems& problems) {
   const std::vector<NamedListener> listeners = http_listeners(settings);
--- a/src/config/value_codec.hpp
+++ b/src/config/value_codec.hpp
@@ -144,6 +144,15 @@
   return codec;
 }
 
+/// A name that may be left out; an empty one is written as null.
+template <class Name>
+ValueCodec<Name> unset_when_empty(ValueCodec<Name> inner) {
+  inner.write = [write = inner.write](const Name& name) {
+    return name.empty() ? nlohmann::json(nullptr) : write(name);
+  };
+  return inner;
+}
+
 /// A list of values without repeats.
 template <class T>
 ValueCodec<std::vector<T>> list_codec(ValueCodec<T> inner) {
