--- /dev/null
+++ b/src/rollout/stragglers.cpp
@@ -0,0 +1,142 @@
+#include "rollout/stragglers.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace stoneport::rollout {
+namespace {
+
+struct Prediction {
+  const RunningSample* sample = nullptr;
+  double remaining_tokens = 0;
+  double seconds = 0;
+};
+
+double median_rate(const std::vector<RunningSample>& running) {
+  std::vector<double> rates;
+  for (const RunningSample& sample : running) {
+    if (sample.tokens_per_second > 0) {
+      rates.push_back(sample.tokens_per_second);
+    }
+  }
+  if (rates.empty()) {
+    return 0;
+  }
+  const auto middle = rates.begin() + static_cast<std::ptrdiff_t>(rates.size() / 2);
+  std::nth_element(rates.begin(), middle, rates.end());
+  return *middle;
+}
+
+/// \return predictions, the latest end first.
+std::vector<Prediction> predict(const StragglerInput& input, const LengthDistribution& lengths,
+                                const StragglerSettings& settings) {
+  const double usual_rate = median_rate(input.running);
+  std::vector<Prediction> predictions;
+  for (const RunningSample& sample : input.running) {
+    const double rate = sample.tokens_per_second > 0 ? sample.tokens_per_second : usual_rate;
+    if (rate <= 0) {
+      continue;
+    }
+    const auto remaining =
+        static_cast<double>(lengths.remaining(sample.tokens_so_far, settings.quantile));
+    predictions.push_back(Prediction{&sample, remaining, remaining / rate});
+  }
+  std::sort(predictions.begin(), predictions.end(), [](const auto& left, const auto& right) {
+    return left.seconds != right.seconds ? left.seconds > right.seconds
+                                         : left.sample->slot < right.sample->slot;
+  });
+  return predictions;
+}
+
+void raise_latest(const std::vector<Prediction>& predictions, const StragglerSettings& settings,
+                  StragglerDecision& decision) {
+  const auto raised = std::count_if(predictions.begin(), predictions.end(),
+                                    [](const auto& one) { return one.sample->raised; });
+  const auto allowed = static_cast<std::ptrdiff_t>(
+      std::ceil(settings.raised_share * static_cast<double>(predictions.size())));
+  const double median = predictions[predictions.size() / 2].seconds;
+  std::ptrdiff_t left = allowed - raised;
+  for (const Prediction& one : predictions) {
+    const bool is_late = predictions.size() == 1 || one.seconds > settings.late_factor * median;
+    if (left <= 0 || !is_late) {
+      return;
+    }
+    if (!one.sample->raised) {
+      decision.raises.push_back(PriorityRaise{one.sample->slot, settings.priority_raise});
+      --left;
+    }
+  }
+}
+
+double migration_seconds(const RunningSample& sample, const StragglerSettings& settings) {
+  return core::to_seconds(settings.migration_fixed_cost) +
+         core::to_seconds(settings.migration_cost_per_token) *
+             static_cast<double>(sample.context_tokens);
+}
+
+MigrationTarget* fastest_other(std::vector<MigrationTarget>& targets,
+                               const core::ReplicaId& engine) {
+  MigrationTarget* best = nullptr;
+  for (MigrationTarget& target : targets) {
+    const bool is_open = target.free_places > 0 && target.engine != engine;
+    if (is_open && (best == nullptr || target.tokens_per_second > best->tokens_per_second)) {
+      best = &target;
+    }
+  }
+  return best;
+}
+
+std::optional<Migration> plan_migration(const Prediction& one,
+                                        std::vector<MigrationTarget>& targets,
+                                        const StragglerSettings& settings) {
+  MigrationTarget* target = fastest_other(targets, one.sample->engine);
+  if (target == nullptr || target->tokens_per_second <= 0) {
+    return std::nullopt;
+  }
+  const double there =
+      migration_seconds(*one.sample, settings) + one.remaining_tokens / target->tokens_per_second;
+  const double gain = one.seconds - there;
+  if (gain < settings.migration_gain * one.seconds ||
+      gain < core::to_seconds(settings.migration_least_gain)) {
+    return std::nullopt;
+  }
+  --target->free_places;
+  return Migration{one.sample->slot, target->engine, core::from_seconds(gain)};
+}
+
+}  // namespace
+
+StragglerDecision decide_stragglers(const StragglerInput& input, const LengthDistribution& lengths,
+                                    const StragglerSettings& settings) {
+  StragglerDecision decision;
+  const double needed = settings.finished_share * static_cast<double>(input.slot_count);
+  if (static_cast<double>(input.finished_count) < needed) {
+    return decision;
+  }
+  const std::vector<Prediction> predictions = predict(input, lengths, settings);
+  if (predictions.empty()) {
+    return decision;
+  }
+  raise_latest(predictions, settings, decision);
+  if (!settings.migrate) {
+    return decision;
+  }
+  const double median = predictions[predictions.size() / 2].seconds;
+  std::vector<MigrationTarget> targets = input.targets;
+  for (const Prediction& one : predictions) {
+    const bool is_late = predictions.size() <= 2 || one.seconds > settings.late_factor * median;
+    if (!is_late) {
+      break;
+    }
+    if (one.sample->migrations >= settings.most_migrations_per_sample) {
+      continue;
+    }
+    if (const auto migration = plan_migration(one, targets, settings)) {
+      decision.migrations.push_back(*migration);
+    }
+  }
+  return decision;
+}
+
+}  // namespace stoneport::rollout
