Claim idempotency keys in the table service

Cause: a keyed request that must not run twice may be repeated through another daemon, while the claim's write is ambiguous or the store is down. Ruled out: granting on a lost answer, and releasing by key alone. Change: ClaimProcess decides in plain code, TableClaimRegistry drives it on the control thread. A claim is granted only when its row is surely ours; one that may stand in the store ungranted is remembered and released by revision.

--- a/src/controllers/lease_keeper.cpp
+++ b/src/controllers/lease_keeper.cpp
@@ -50,6 +50,7 @@
       time_(time),
       self_(std::move(self)),
       settings_(settings),
+      write_ids_("lease", self_.node, self_.incarnation),
       random_(seed),
       counters_(std::make_unique<Counters>(metrics)) {}
 
@@ -89,12 +90,6 @@
   return lease == leases_.end() ? std::nullopt : lease->second.observed_holder();
 }
 
-core::WriteId LeaseKeeper::next_write_id() {
-  ++writes_;
-  return core::WriteId("lease/" + self_.node.value() + "/" +
-                       std::to_string(self_.incarnation.value()) + "/" + std::to_string(writes_));
-}
-
 void LeaseKeeper::log_change(const std::string& name, core::Epoch before) {
   const core::Epoch now = leases_.at(name).epoch();
   if (now == before) {
@@ -124,7 +119,7 @@
 
 boost::asio::awaitable<void> LeaseKeeper::write(std::string name, LeaseWrite write) {
   platform::Transaction transaction;
-  transaction.write_id = next_write_id();
+  transaction.write_id = write_ids_.next();
   const platform::RowKey key{kTable, name};
   transaction.conditions.push_back({key, write.condition});
   transaction.writes.push_back({key, encode_lease(write.record)});
--- a/src/controllers/lease_keeper.hpp
+++ b/src/controllers/lease_keeper.hpp
@@ -13,6 +13,7 @@
 #include "core/metrics.hpp"
 #include "core/random.hpp"
 #include "platform/table_service.hpp"
+#include "platform/write_id_source.hpp"
 
 namespace stoneport::controllers {
 
@@ -54,17 +55,16 @@
   boost::asio::awaitable<void> read(std::string name);
   boost::asio::awaitable<void> write(std::string name, LeaseWrite write);
   void log_change(const std::string& name, core::Epoch before);
-  core::WriteId next_write_id();
 
   platform::TableService& table_;
   const core::TimeSource& time_;
   LeaseHolder self_;
   LeaseSettings settings_;
+  platform::WriteIdSource write_ids_;
   core::RandomSource random_;
   std::unique_ptr<Counters> counters_;
   std::map<std::string, LeaseState> leases_;
   std::set<std::string> wanted_;
-  std::uint64_t writes_ = 0;
   bool stopping_ = false;
 };
 
--- /dev/null
+++ b/src/controllers/table_claim_registry.hpp
@@ -0,0 +1,82 @@
+/// \file
+/// Claims of idempotency keys as rows of the table service. Called from any
+/// thread; all state and all store calls are on the control thread.
+/// docs/design/claims.md
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+
+#include "controllers/claim_memory.hpp"
+#include "controllers/claim_process.hpp"
+#include "core/metrics.hpp"
+#include "filters/claim_registry.hpp"
+#include "platform/object_store.hpp"
+#include "platform/table_service.hpp"
+#include "platform/write_id_source.hpp"
+
+namespace stoneport::controllers {
+
+class TableClaimRegistry : public filters::ClaimRegistry {
+ public:
+  /// \p table, \p objects and \p time outlive the registry and live on the thread
+  /// of \p control.
+  /// \param incarnation differs from that of every earlier process of \p node
+  TableClaimRegistry(boost::asio::any_io_executor control, platform::TableService& table,
+                     platform::ObjectStore& objects, const core::TimeSource& time,
+                     const core::NodeId& node, core::Incarnation incarnation,
+                     core::Metrics& metrics);
+  ~TableClaimRegistry() override;
+
+  boost::asio::awaitable<core::Result<filters::ClaimAnswer>> claim(filters::ClaimKey key) override;
+  boost::asio::awaitable<core::Result<void>> record(filters::ClaimKey key, core::WriteId claim,
+                                                    filters::RecordedOutcome outcome) override;
+  boost::asio::awaitable<core::Result<void>> release(filters::ClaimKey key,
+                                                     core::WriteId claim) override;
+
+  /// Releases abandoned claims every few seconds until stop(). Start once, on
+  /// the control thread.
+  boost::asio::awaitable<void> run();
+  void stop() { stopping_ = true; }
+  /// One pass over the abandoned claims; control thread only.
+  boost::asio::awaitable<void> release_abandoned();
+
+ private:
+  struct Counters;
+  using ClaimResult = core::Result<filters::ClaimAnswer>;
+
+  boost::asio::awaitable<ClaimResult> claim_here(filters::ClaimKey key);
+  boost::asio::awaitable<core::Result<void>> record_here(filters::ClaimKey key, core::WriteId claim,
+                                                         filters::RecordedOutcome outcome);
+  boost::asio::awaitable<core::Result<void>> release_here(filters::ClaimKey key,
+                                                          core::WriteId claim);
+
+  boost::asio::awaitable<core::Result<core::Revision>> write(const std::string& row_key,
+                                                             const ClaimRecord& record,
+                                                             core::WriteId write_id,
+                                                             core::Revision condition);
+  boost::asio::awaitable<core::Result<std::optional<StoredClaim>>> read(
+      const std::string& row_key, platform::TablePriority priority);
+  boost::asio::awaitable<void> drive(ClaimProcess& process, const std::string& row_key,
+                                     const ClaimRecord& ours);
+  boost::asio::awaitable<filters::ClaimTaken> describe(ClaimRecord record,
+                                                       std::uint64_t fingerprint);
+  boost::asio::awaitable<core::Result<void>> erase(std::string row_key, core::WriteId claim,
+                                                   core::Revision revision,
+                                                   platform::TablePriority priority);
+  boost::asio::awaitable<void> release_one(AbandonedClaim abandoned);
+  void abandon(const std::string& row_key, const core::WriteId& claim);
+
+  boost::asio::any_io_executor control_;
+  platform::TableService& table_;
+  platform::ObjectStore& objects_;
+  const core::TimeSource& time_;
+  platform::WriteIdSource claim_ids_;
+  platform::WriteIdSource write_ids_;
+  GrantedClaims granted_;
+  AbandonedClaims abandoned_;
+  std::unique_ptr<Counters> counters_;
+  bool stopping_ = false;
+};
+
+}  // namespace stoneport::controllers
--- a/src/platform/json_fields.cpp
+++ b/src/platform/json_fields.cpp
@@ -122,4 +122,8 @@
   }
 }
 
+bool is_utf8(const std::string& text) {
+  return encode_json(text).has_value();
+}
+
 }  // namespace stoneport::platform
--- /dev/null
+++ b/tests/unit/controllers/claim_registry_test.cpp
@@ -0,0 +1,191 @@
+/// \file
+/// The claim registry by cases: what a first request and its repeats are told.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "controllers/table_claim_registry.hpp"
+#include "support/fake_object_store.hpp"
+#include "support/fake_table_service.hpp"
+#include "support/run_task.hpp"
+
+namespace stoneport::controllers {
+namespace {
+using core::ErrorCode;
+using filters::ClaimGranted;
+using filters::ClaimTaken;
+
+/// Two daemons before one store.
+struct World {
+  World()
+      : first(context.get_executor(), table, objects, clock, core::NodeId("a"),
+              core::Incarnation(1), metrics),
+        second(context.get_executor(), table, objects, clock, core::NodeId("b"),
+               core::Incarnation(1), metrics) {}
+
+  core::Result<filters::ClaimAnswer> claim(TableClaimRegistry& registry,
+                                           std::uint64_t fingerprint = 7) {
+    return support::run_task(context, registry.claim(key(fingerprint)));
+  }
+  core::WriteId granted(TableClaimRegistry& registry) {
+    const auto answer = claim(registry);
+    CPPUNIT_ASSERT(answer && std::holds_alternative<ClaimGranted>(*answer));
+    return std::get<ClaimGranted>(*answer).claim;
+  }
+  ClaimTaken taken(TableClaimRegistry& registry, std::uint64_t fingerprint = 7) {
+    const auto answer = claim(registry, fingerprint);
+    CPPUNIT_ASSERT(answer && std::holds_alternative<ClaimTaken>(*answer));
+    return std::get<ClaimTaken>(*answer);
+  }
+  core::Result<void> record(TableClaimRegistry& registry, const core::WriteId& claim,
+                            std::string body) {
+    filters::RecordedOutcome outcome{201, "text/plain", std::move(body)};
+    return support::run_task(context, registry.record(key(7), claim, std::move(outcome)));
+  }
+  core::Result<void> release(TableClaimRegistry& registry, const core::WriteId& claim) {
+    return support::run_task(context, registry.release(key(7), claim));
+  }
+  static filters::ClaimKey key(std::uint64_t fingerprint) {
+    return {core::TenantName("desk"), core::ServiceName("top-up"), "k/1", fingerprint};
+  }
+  std::size_t rows() const { return table.tables.scan("claims", "", core::Revision()).size(); }
+  static boost::asio::awaitable<bool> release_abandoned(TableClaimRegistry& registry) {
+    co_await registry.release_abandoned();
+    co_return true;
+  }
+
+  boost::asio::io_context context;
+  support::FakeTableService table;
+  support::FakeObjectStore objects;
+  core::ManualTimeSource clock;
+  core::Metrics metrics;
+  TableClaimRegistry first;
+  TableClaimRegistry second;
+};
+
+class ClaimRegistryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ClaimRegistryTest);
+  CPPUNIT_TEST(store_faults);
+  CPPUNIT_TEST(bodies_come_back_whole);
+  CPPUNIT_TEST(another_request_under_the_key);
+  CPPUNIT_TEST(body_out_of_reach_is_unknown);
+  CPPUNIT_TEST(released_key_is_free);
+  CPPUNIT_TEST(abandoned_claim_is_released_later);
+  CPPUNIT_TEST(repeat_in_an_outage_is_not_called_not_run);
+  CPPUNIT_TEST(keys_are_bounded);
+  CPPUNIT_TEST_SUITE_END();
+
+  void store_faults() {
+    struct Case {
+      const char* name;
+      support::TableFaults faults;
+      bool granted;
+      std::size_t rows;
+    };
+    support::TableFaults none, down, lost_before, lost_after, lost_and_unreadable;
+    down.unavailable = true;
+    lost_before.answers_lost_before_write = 1;
+    lost_after.answers_lost_after_write = 1;
+    lost_and_unreadable.answers_lost_after_write = 1;
+    lost_and_unreadable.failed_reads = 1;
+    const Case cases[] = {
+        {"no fault", none, true, 1},
+        {"store down", down, false, 0},
+        {"answer lost before the write", lost_before, false, 0},
+        {"answer lost after the write", lost_after, true, 1},
+        {"answer lost and the read fails", lost_and_unreadable, false, 1},
+    };
+    for (const Case& test : cases) {
+      World world;
+      world.table.faults = test.faults;
+      const auto answer = world.claim(world.first);
+      const bool granted = answer && std::holds_alternative<ClaimGranted>(*answer);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.granted, granted);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.granted, answer.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(test.name, test.rows, world.rows());
+    }
+  }
+
+  void bodies_come_back_whole() {
+    struct Case {
+      std::string body;
+      std::size_t objects;
+    };
+    const Case cases[] = {{"", 0},
+                          {"done", 0},
+                          {std::string(kMostInlineBytes, 'x'), 0},
+                          {std::string(kMostInlineBytes + 1, 'x'), 1},
+                          {std::string("\xff\x00\xfe", 3), 1}};
+    for (const Case& test : cases) {
+      World world;
+      const core::WriteId claim = world.granted(world.first);
+      CPPUNIT_ASSERT(world.record(world.first, claim, test.body));
+      CPPUNIT_ASSERT_EQUAL(test.objects, world.objects.objects.size());
+      for (TableClaimRegistry* registry : {&world.first, &world.second}) {
+        const ClaimTaken taken = world.taken(*registry);
+        CPPUNIT_ASSERT(taken.outcome && taken.outcome->body == test.body);
+        CPPUNIT_ASSERT(taken.outcome->status == 201);
+        CPPUNIT_ASSERT(taken.outcome->content_type == "text/plain");
+      }
+    }
+  }
+
+  void another_request_under_the_key() {
+    World world;
+    CPPUNIT_ASSERT(world.record(world.first, world.granted(world.first), "done"));
+    for (TableClaimRegistry* registry : {&world.first, &world.second}) {
+      const ClaimTaken taken = world.taken(*registry, 8);
+      CPPUNIT_ASSERT(taken.fingerprint_differs && !taken.outcome);
+    }
+  }
+
+  void body_out_of_reach_is_unknown() {
+    World world;
+    const core::WriteId claim = world.granted(world.first);
+    CPPUNIT_ASSERT(world.record(world.first, claim, std::string(kMostInlineBytes + 1, 'x')));
+    world.objects.unavailable = true;
+    CPPUNIT_ASSERT(!world.taken(world.second).outcome);
+  }
+
+  void released_key_is_free() {
+    World world;
+    const core::WriteId claim = world.granted(world.first);
+    CPPUNIT_ASSERT(!world.taken(world.second).outcome);
+    CPPUNIT_ASSERT(world.release(world.first, claim));
+    world.granted(world.second);
+    CPPUNIT_ASSERT(!world.release(world.first, claim));
+    CPPUNIT_ASSERT(!world.record(world.first, claim, "late"));
+  }
+
+  void abandoned_claim_is_released_later() {
+    World world;
+    world.table.faults.answers_lost_after_write = 1;
+    world.table.faults.failed_reads = 1;
+    CPPUNIT_ASSERT(!world.claim(world.first));
+    CPPUNIT_ASSERT(!world.taken(world.second).outcome);
+    support::run_task(world.context, World::release_abandoned(world.first));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.rows());
+    world.granted(world.second);
+  }
+
+  /// Its first sending may have run, so that "not run" would mislead.
+  void repeat_in_an_outage_is_not_called_not_run() {
+    World world;
+    world.granted(world.first);
+    world.table.faults.unavailable = true;
+    CPPUNIT_ASSERT(!world.taken(world.first).outcome);
+  }
+
+  void keys_are_bounded() {
+    World world;
+    for (const std::size_t size : {std::size_t{0}, std::size_t{513}}) {
+      filters::ClaimKey key = World::key(1);
+      key.idempotency_key = std::string(size, 'k');
+      const auto answer = support::run_task(world.context, world.first.claim(std::move(key)));
+      CPPUNIT_ASSERT(!answer && answer.error().code == ErrorCode::kInvalidArgument);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, world.table.commits);
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimRegistryTest);
+
+}  // namespace
+}  // namespace stoneport::controllers
