Answer an unknown HTTP version with 505; test the server's refusals

Beast refuses versions other than 1.0 and 1.1 before the head is complete, so the check for them after it could never run; its error is mapped instead.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -40,9 +40,6 @@
 std::optional<Response> objection_to(const RequestParser& parser) {
   constexpr auto kInvalid = core::ErrorCode::kInvalidArgument;
   const auto& message = parser.get();
-  if (message.version() != 10 && message.version() != 11) {
-    return error_response(505, core::make_error(kInvalid, "only HTTP/1.0 and HTTP/1.1"));
-  }
   if (message.method() == beast::http::verb::connect) {
     return error_response(501, core::make_error(kInvalid, "CONNECT is not served"));
   }
@@ -184,6 +181,9 @@
     co_return After::kClose;
   } else {
     counters.refused_malformed_head.Increment();
+    if (error == beast::http::error::bad_version) {
+      status = 505;
+    }
   }
   const std::string text = closing_response(error_response(status, refusal));
   io_->write_timer.arm(state_->limits.transfer_timeout);
