--- /dev/null
+++ b/src/routing/replica_load.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// What one thread knows of the replicas by its own exchanges with them. It
+/// outlives routing tables: a new table changes the replicas' states and
+/// digests, not what we have in flight. Owned by one thread.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "routing/adaptive_limit.hpp"
+#include "routing/prefix_affinity.hpp"
+#include "routing/routing_table.hpp"
+
+namespace stoneport::routing {
+
+/// How long a replica stays suspect after our own failure to reach it.
+inline constexpr core::Duration kLocalSuspicion = std::chrono::seconds(5);
+
+class ReplicaLoad {
+ public:
+  explicit ReplicaLoad(AdaptiveLimitOptions limit = {}) : limit_(limit) {}
+
+  void started(core::MonotonicTime now);
+  void finished(LoadSignal signal, core::MonotonicTime now);
+  std::uint32_t in_flight() const { return in_flight_; }
+  /// \return requests in flight at \p time, as far back as the history goes.
+  std::uint32_t in_flight_at(core::MonotonicTime time) const;
+
+  bool has_room() const { return in_flight_ < limit_.value(); }
+  AdaptiveLimit& limit() { return limit_; }
+  const AdaptiveLimit& limit() const { return limit_; }
+
+  /// Marks the replica as out of reach for a while, in this incarnation.
+  void suspect(core::Incarnation incarnation, core::MonotonicTime now);
+  /// Ends a suspicion at once, after an answer.
+  void trust() { suspect_until_ = {}; }
+  bool is_suspect(core::Incarnation incarnation, core::MonotonicTime now) const;
+
+  RecentPrefixes& recent_prefixes() { return recent_prefixes_; }
+  const RecentPrefixes& recent_prefixes() const { return recent_prefixes_; }
+
+ private:
+  struct Sample {
+    core::MonotonicTime time;
+    std::uint32_t in_flight = 0;
+  };
+  void record(core::MonotonicTime now);
+
+  static constexpr core::Duration kSampleInterval = std::chrono::milliseconds(250);
+  std::uint32_t in_flight_ = 0;
+  AdaptiveLimit limit_;
+  core::MonotonicTime suspect_until_{};
+  core::Incarnation suspect_incarnation_;
+  RecentPrefixes recent_prefixes_;
+  std::array<Sample, 16> history_{};
+  std::size_t newest_ = 0;
+};
+
+/// A replica together with our own load on it. Valid as long as both are.
+struct Candidate {
+  const Replica* replica = nullptr;
+  ReplicaLoad* load = nullptr;
+};
+
+/// \return the state to go by: the table's, or suspect where our own exchanges
+/// say so before the table does.
+ReplicaState effective_state(const Candidate& candidate, core::MonotonicTime now);
+
+/// The loads of every replica that this thread has used.
+class ReplicaLoads {
+ public:
+  explicit ReplicaLoads(AdaptiveLimitOptions limit = {}) : limit_(limit) {}
+  /// \return the load of \p replica, made at the first call; its address is stable.
+  ReplicaLoad& of(const core::ReplicaId& replica);
+  /// \return one candidate a replica, in the same order.
+  std::vector<Candidate> candidates(std::span<const Replica> replicas);
+
+ private:
+  AdaptiveLimitOptions limit_;
+  std::unordered_map<core::ReplicaId, std::unique_ptr<ReplicaLoad>> loads_;
+};
+
+}  // namespace stoneport::routing
