--- a/src/routing/replica_load.cpp
+++ b/src/routing/replica_load.cpp
@@ -63,6 +63,15 @@
   return *load;
 }
 
+std::vector<Candidate> ReplicaLoads::candidates(std::span<const Replica* const> replicas) {
+  std::vector<Candidate> result;
+  result.reserve(replicas.size());
+  for (const Replica* replica : replicas) {
+    result.push_back({replica, &of(replica->id)});
+  }
+  return result;
+}
+
 std::vector<Candidate> ReplicaLoads::candidates(std::span<const Replica> replicas) {
   std::vector<Candidate> result;
   result.reserve(replicas.size());
--- a/src/routing/replica_load.hpp
+++ b/src/routing/replica_load.hpp
@@ -77,6 +77,7 @@
   /// \return the load of \p replica, made at the first call; its address is stable.
   ReplicaLoad& of(const core::ReplicaId& replica);
   /// \return one candidate a replica, in the same order.
+  std::vector<Candidate> candidates(std::span<const Replica* const> replicas);
   std::vector<Candidate> candidates(std::span<const Replica> replicas);
 
  private:
--- a/src/routing/subset.cpp
+++ b/src/routing/subset.cpp
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-std::vector<Replica> choose_subset(const SubsetOwner& owner, std::span<const Replica> replicas,
-                                   std::size_t size) {
+std::vector<const Replica*> choose_subset(const SubsetOwner& owner,
+                                          std::span<const Replica> replicas, std::size_t size) {
   std::vector<Ranked> local;
   std::vector<Ranked> remote;
   for (const Replica& replica : replicas) {
@@ -45,16 +45,16 @@
   const std::size_t from_remote = std::min(remote.size(), wanted - from_local);
   from_local = wanted - from_remote;
 
-  std::vector<Replica> subset;
+  std::vector<const Replica*> subset;
   subset.reserve(wanted);
   for (std::size_t rank = 0; rank < from_local; ++rank) {
-    subset.push_back(*local[rank].replica);
+    subset.push_back(local[rank].replica);
   }
   for (std::size_t rank = 0; rank < from_remote; ++rank) {
-    subset.push_back(*remote[rank].replica);
+    subset.push_back(remote[rank].replica);
   }
   std::sort(subset.begin(), subset.end(),
-            [](const Replica& left, const Replica& right) { return left.id < right.id; });
+            [](const Replica* left, const Replica* right) { return left->id < right->id; });
   return subset;
 }
 
--- a/src/routing/subset.hpp
+++ b/src/routing/subset.hpp
@@ -20,8 +20,8 @@
 /// from the owner's zone and the rest from the others, either side filled up
 /// from the other where it is short. Replicas that are leaving or down are not
 /// picked; when one of them goes, only its place changes hands.
-/// \return at most \p size replicas, in order of id.
-std::vector<Replica> choose_subset(const SubsetOwner& owner, std::span<const Replica> replicas,
-                                   std::size_t size);
+/// \return at most \p size of \p replicas, in order of id; valid as long as they are.
+std::vector<const Replica*> choose_subset(const SubsetOwner& owner,
+                                          std::span<const Replica> replicas, std::size_t size);
 
 }  // namespace stoneport::routing
