Add the callers' interface as a filter chain

What was weighed: a filter as an object with a nested coroutine against a list of callbacks before and after the request. The nested coroutine holds what must be given back (a place in the queue, a claim) on its own frame.

--- /dev/null
+++ b/src/filters/claim_filter.cpp
@@ -0,0 +1,122 @@
+#include "filters/claim_filter.hpp"
+
+#include <boost/asio/this_coro.hpp>
+
+#include "core/hash.hpp"
+#include "filters/caller_headers.hpp"
+#include "filters/recording_writer.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::filters {
+namespace asio = boost::asio;
+namespace {
+
+constexpr unsigned kUnprocessable = 422;
+constexpr unsigned kConflict = 409;
+
+std::uint64_t fingerprint(const RequestContext& request, const std::string& body) {
+  const std::uint64_t head = core::hash64(request.target, core::hash64(request.head->method));
+  return core::hash64(body, head);
+}
+
+}  // namespace
+
+asio::awaitable<Outcome> ClaimFilter::handle(RequestContext& request, FilterChain rest) {
+  if (request.repeatable || !request.caller.idempotency_key) {
+    co_return co_await rest.proceed(request);
+  }
+  core::Result<std::string> body = co_await http::read_whole(*request.body, kLongestClaimedBody);
+  if (!body) {
+    if (request.response->client_gone()) {
+      co_return caller_left(OutcomeKind::kNotRun);
+    }
+    co_return not_run(body.error());
+  }
+  ClaimKey key;
+  key.tenant = request.caller.tenant;
+  key.service = request.service;
+  key.idempotency_key = *request.caller.idempotency_key;
+  key.fingerprint = fingerprint(request, *body);
+  request.content_length = body->size();
+  http::StringBody whole_body(std::move(*body));
+  request.body = &whole_body;
+
+  core::Result<ClaimAnswer> answer = co_await claims_.claim(key);
+  if (!answer) {
+    co_return not_run(answer.error());
+  }
+  if (auto* taken = std::get_if<ClaimTaken>(&*answer)) {
+    ClaimTaken earlier = std::move(*taken);
+    co_return co_await answer_repeat(request, std::move(earlier));
+  }
+  core::WriteId claim = std::get<ClaimGranted>(*answer).claim;
+  co_return co_await run_claimed(request, rest, std::move(key), std::move(claim));
+}
+
+/// Recording and releasing run on their own: the caller's answer does not wait
+/// for the table service.
+asio::awaitable<Outcome> ClaimFilter::run_claimed(RequestContext& request, FilterChain rest,
+                                                  ClaimKey key, core::WriteId claim) {
+  http::ResponseWriter& response = *request.response;
+  RecordingWriter writer(response, kLongestRecordedBody);
+  request.response = &writer;
+  Outcome outcome = co_await rest.proceed(request);
+  request.response = &response;
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  if (surely_not_run(outcome)) {
+    runtime::start(executor, "release claim", release(std::move(key), std::move(claim)));
+  } else if (std::optional<RecordedOutcome> recorded = writer.take_recorded()) {
+    runtime::start(executor, "record outcome",
+                   record(std::move(key), std::move(claim), std::move(*recorded)));
+  }
+  co_return outcome;
+}
+
+asio::awaitable<Outcome> ClaimFilter::answer_repeat(RequestContext& request, ClaimTaken taken) {
+  if (taken.fingerprint_differs) {
+    metrics_.claims_mismatched.Increment();
+    Refused refusal = not_run(core::make_error(core::ErrorCode::kConflict,
+                                               "the idempotency key was used for another request"));
+    refusal.status = kUnprocessable;
+    co_return refusal;
+  }
+  if (!taken.outcome) {
+    metrics_.claims_without_outcome.Increment();
+    Refused refusal = unknown(
+        core::make_error(core::ErrorCode::kOutcomeUnknown,
+                         "a request with this idempotency key was sent; its outcome is not known"));
+    refusal.status = kConflict;
+    co_return refusal;
+  }
+  metrics_.claims_replayed.Increment();
+  http::Response recorded;
+  recorded.head.status = taken.outcome->status;
+  if (!taken.outcome->content_type.empty()) {
+    recorded.head.headers.set("Content-Type", taken.outcome->content_type);
+  }
+  recorded.head.headers.set(kReplayedHeader, "true");
+  recorded.body = std::move(taken.outcome->body);
+  core::Result<void> sent = co_await request.response->send(std::move(recorded));
+  if (!sent) {
+    co_return caller_left(OutcomeKind::kCompleted);
+  }
+  co_return Responded{};
+}
+
+asio::awaitable<void> ClaimFilter::record(ClaimKey key, core::WriteId claim,
+                                          RecordedOutcome outcome) {
+  core::Result<void> recorded =
+      co_await claims_.record(std::move(key), std::move(claim), std::move(outcome));
+  if (!recorded) {
+    metrics_.outcomes_not_recorded.Increment();
+  }
+}
+
+asio::awaitable<void> ClaimFilter::release(ClaimKey key, core::WriteId claim) {
+  core::Result<void> released = co_await claims_.release(std::move(key), std::move(claim));
+  if (!released) {
+    metrics_.outcomes_not_recorded.Increment();
+  }
+}
+
+}  // namespace stoneport::filters
--- /dev/null
+++ b/src/filters/replica_pools.cpp
@@ -0,0 +1,58 @@
+#include "filters/replica_pools.hpp"
+
+#include "routing/replica_choice.hpp"
+
+namespace stoneport::filters {
+
+routing::ReplicaPool& ReplicaPools::of_service(const config::ServiceTemplate& service) {
+  routing::ReplicaPool& pool =
+      updated(services_, service.service, &routing::RoutingTable::services);
+  pool.set_largest_limit(service.max_in_flight_per_replica);
+  pool.retry_budget().set_ratio(service.retry_budget);
+  return pool;
+}
+
+routing::ReplicaPool& ReplicaPools::of_model(const core::ModelName& model) {
+  return updated(models_, model, &routing::RoutingTable::models);
+}
+
+bool ReplicaPools::knows_model(const core::ModelName& model) const {
+  return view_->get()->models.contains(model);
+}
+
+template <class Name>
+routing::ReplicaPool& ReplicaPools::updated(
+    Pools<Name>& pools, const Name& name,
+    std::map<Name, std::vector<routing::Replica>> routing::RoutingTable::*replicas) {
+  std::unique_ptr<routing::ReplicaPool>& pool = pools[name];
+  if (pool == nullptr) {
+    pool = make_pool();
+  }
+  std::shared_ptr<const routing::RoutingTable> newest = view_->get();
+  if (pool->table() == newest.get()) {
+    return *pool;
+  }
+  const auto& by_name = (*newest).*replicas;
+  const auto found = by_name.find(name);
+  std::span<const routing::Replica> known;
+  if (found != by_name.end()) {
+    known = found->second;
+  }
+  for (const core::Address& unused : pool->update(std::move(newest), known)) {
+    client_.forget(unused);
+  }
+  return *pool;
+}
+
+std::unique_ptr<routing::ReplicaPool> ReplicaPools::make_pool() {
+  routing::CostOptions costs;
+  costs.zone = options_.zone;
+  costs.region = options_.region;
+  const std::uint64_t seed = options_.seed + ++pools_made_;
+  return std::make_unique<routing::ReplicaPool>(
+      routing::SubsetOwner{options_.node, options_.zone}, options_.subset_size,
+      routing::AdaptiveLimitOptions{},
+      std::make_unique<routing::CostChooser>(std::move(costs), seed));
+}
+
+}  // namespace stoneport::filters
