--- a/src/routing/deadline.cpp
+++ b/src/routing/deadline.cpp
@@ -44,9 +44,4 @@
   return std::to_string(std::max<std::int64_t>(1, left.count()));
 }
 
-bool leaves_time_for(core::MonotonicTime deadline, core::Duration typical,
-                     core::MonotonicTime now) {
-  return remaining(deadline, now) > typical;
-}
-
 }  // namespace stoneport::routing
--- a/src/routing/deadline.hpp
+++ b/src/routing/deadline.hpp
@@ -32,8 +32,4 @@
 /// end: whole milliseconds, rounded down, at least 1.
 std::string remaining_milliseconds(core::MonotonicTime deadline, core::MonotonicTime now);
 
-/// \return whether another attempt still makes sense: at least \p typical is
-/// left, the time that an attempt usually takes.
-bool leaves_time_for(core::MonotonicTime deadline, core::Duration typical, core::MonotonicTime now);
-
 }  // namespace stoneport::routing
