Add gossip messages, their codec and the membership state machine

The daemons need one picture of who is there without any machine set aside for it. Records merge by life, incarnation and state, in any order; failure detection is by probes, suspicion and refutation; differences left over are found by comparing hashes of 32 buckets. Sending the whole member list at each exchange was ruled out: 330 records are 20 KB.

The state machine takes packets and a time and returns packets, so that a virtual network can run hundreds of them in one process.

--- /dev/null
+++ b/src/controllers/gossip_records.hpp
@@ -0,0 +1,59 @@
+/// \file
+/// What gossip spreads: member records, policy versions and drain marks of
+/// replicas, each with its merge rule. Plain state without clock or socket;
+/// owned by one GossipState.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <variant>
+#include <vector>
+
+#include "core/identifiers.hpp"
+#include "wire/gossip_messages.hpp"
+
+namespace stoneport::controllers {
+
+/// Names one record.
+using RecordKey = std::variant<core::NodeId, core::PolicyName, core::ReplicaId>;
+
+/// Anti-entropy compares this many hashes.
+inline constexpr std::size_t kSyncBuckets = 32;
+using BucketHashes = std::array<std::uint32_t, kSyncBuckets>;
+
+class GossipRecords {
+ public:
+  const std::map<core::NodeId, wire::Member>& members() const { return members_; }
+  const std::map<core::PolicyName, core::WeightVersion>& policy_versions() const {
+    return policy_versions_;
+  }
+  const std::map<core::ReplicaId, core::Incarnation>& drain_marks() const { return drain_marks_; }
+
+  /// \return the record of \p node, or null.
+  const wire::Member* find(const core::NodeId& node) const;
+  /// Each merge returns whether anything changed.
+  bool merge(const wire::Member& member);
+  bool merge(const wire::PolicyVersion& version);
+  bool merge(const wire::ReplicaDrainMark& mark);
+  /// Overwrites a record past the merge rule; for what only its owner decides.
+  void replace(const wire::Member& member);
+  void erase(const core::NodeId& node);
+
+  /// Hashes over all records but the dead ones, which may be forgotten at
+  /// different times, and without suspicions, which pass.
+  BucketHashes bucket_hashes() const;
+  /// \return the keys of every record in \p bucket, dead ones included.
+  std::vector<RecordKey> keys_in_bucket(std::size_t bucket) const;
+
+  /// Puts the record of \p key into \p packet when it fits into \p space bytes.
+  /// \return the bytes used; 0 when it does not fit or is gone.
+  std::size_t append(const RecordKey& key, wire::GossipPacket& packet, std::size_t space) const;
+
+ private:
+  std::map<core::NodeId, wire::Member> members_;
+  std::map<core::PolicyName, core::WeightVersion> policy_versions_;
+  std::map<core::ReplicaId, core::Incarnation> drain_marks_;
+};
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/controllers/gossip_state.cpp
@@ -0,0 +1,290 @@
+#include "controllers/gossip_state.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace stoneport::controllers {
+namespace {
+
+using wire::MemberState;
+
+/// Within this share of the probe interval a direct answer is expected.
+constexpr int kAckShare = 2;
+/// A probe has failed after this many intervals.
+constexpr int kFailureIntervals = 2;
+/// Budget that may be saved up, in seconds of its rate.
+constexpr double kBurstSeconds = 0.5;
+
+NewsPriority priority_of(const wire::Member* before, const wire::Member& after) {
+  if (before == nullptr) {
+    return after.leaving ? NewsPriority::kDrain : NewsPriority::kLiveness;
+  }
+  if (after.leaving && !before->leaving) {
+    return NewsPriority::kDrain;
+  }
+  const bool same_life = after.incarnation == before->incarnation && after.state == before->state;
+  return same_life ? NewsPriority::kConfiguration : NewsPriority::kLiveness;
+}
+
+}  // namespace
+
+GossipState::GossipState(wire::Member self, GossipSettings settings, std::uint64_t random_seed)
+    : self_(self.node),
+      settings_(settings),
+      random_(random_seed),
+      probes_(settings.probe_interval, settings.probe_interval / kAckShare,
+              settings.probe_interval * kFailureIntervals),
+      budget_(settings.bytes_per_second, settings.bytes_per_second * kBurstSeconds) {
+  records_.replace(self);
+  news_.add(self_, NewsPriority::kLiveness);
+}
+
+void GossipState::set_seeds(std::vector<core::Address> seeds) {
+  seeds_ = std::move(seeds);
+}
+
+void GossipState::update_self(const wire::Member& member, NewsPriority priority) {
+  records_.replace(member);
+  news_.add(self_, priority);
+  ++members_version_;
+}
+
+void GossipState::announce_configuration(core::Revision revision) {
+  wire::Member member = self();
+  if (revision <= member.configuration_revision) {
+    return;
+  }
+  member.configuration_revision = revision;
+  update_self(member, NewsPriority::kConfiguration);
+}
+
+void GossipState::announce_leaving() {
+  wire::Member member = self();
+  if (member.leaving) {
+    return;
+  }
+  member.leaving = true;
+  member.state = MemberState::kLeaving;
+  update_self(member, NewsPriority::kDrain);
+}
+
+bool GossipState::mark_leaving(const core::NodeId& node) {
+  if (node == self_) {
+    announce_leaving();
+    return true;
+  }
+  const wire::Member* known = records_.find(node);
+  if (known == nullptr) {
+    return false;
+  }
+  wire::Member marked = *known;
+  marked.leaving = true;
+  if (records_.merge(marked)) {
+    news_.add(node, NewsPriority::kDrain);
+    ++members_version_;
+  }
+  return true;
+}
+
+void GossipState::announce_policy_version(const wire::PolicyVersion& version) {
+  merge_policy(version);
+}
+
+void GossipState::mark_replica_draining(const wire::ReplicaDrainMark& mark) {
+  merge_drain_mark(mark);
+}
+
+void GossipState::merge_packet(const wire::GossipPacket& packet, core::MonotonicTime now) {
+  merge_member(packet.sender, now);
+  for (const wire::Member& member : packet.members) {
+    merge_member(member, now);
+  }
+  for (const wire::PolicyVersion& version : packet.policy_versions) {
+    merge_policy(version);
+  }
+  for (const wire::ReplicaDrainMark& mark : packet.drain_marks) {
+    merge_drain_mark(mark);
+  }
+}
+
+void GossipState::merge_member(const wire::Member& member, core::MonotonicTime now) {
+  if (member.node == self_) {
+    merge_about_self(member);
+    return;
+  }
+  const wire::Member* known = records_.find(member.node);
+  if (known == nullptr && member.state == MemberState::kDead) {
+    return;  // forgotten here already, or never known
+  }
+  wire::Member offered = member;
+  // Death is believed on our own evidence or on the member's own farewell.
+  // Otherwise both sides of a healed cut would talk each other into it.
+  if (offered.state == MemberState::kDead && !offered.leaving &&
+      known->state != MemberState::kDead) {
+    offered.state = MemberState::kSuspect;
+  }
+  const std::optional<wire::Member> before =
+      known == nullptr ? std::nullopt : std::make_optional(*known);
+  if (!records_.merge(offered)) {
+    return;
+  }
+  ++members_version_;
+  const wire::Member& after = *records_.find(member.node);
+  news_.add(member.node, priority_of(before ? &*before : nullptr, after));
+  if (!before) {
+    next_sync_ = std::min(next_sync_, now + settings_.catch_up_interval);
+  }
+  const bool refuted = before && after.incarnation != before->incarnation;
+  if (after.state == MemberState::kAlive || refuted) {
+    suspicion_ends_.erase(member.node);
+  }
+  if (after.state == MemberState::kSuspect) {
+    suspicion_ends_.try_emplace(member.node, now + suspicion_length());
+  }
+  if (after.state == MemberState::kDead) {
+    suspicion_ends_.erase(member.node);
+    dead_since_.try_emplace(member.node, now);
+  } else {
+    dead_since_.erase(member.node);
+  }
+}
+
+void GossipState::merge_about_self(const wire::Member& member) {
+  wire::Member updated = self();
+  const std::uint64_t life = wire::life_of(member.incarnation);
+  const std::uint64_t own_life = wire::life_of(updated.incarnation);
+  if (life < own_life) {
+    return;  // about an earlier process under our name
+  }
+  if (life > own_life) {
+    // An earlier process under our name had a clock ahead of ours.
+    updated.incarnation = wire::first_incarnation(life + 1);
+    update_self(updated, NewsPriority::kLiveness);
+    return;
+  }
+  if (member.leaving && !updated.leaving) {
+    updated.leaving = true;
+    updated.state = MemberState::kLeaving;
+    update_self(updated, NewsPriority::kDrain);
+  }
+  const bool doubted = member.state == MemberState::kSuspect || member.state == MemberState::kDead;
+  if (doubted && !updated.leaving && member.incarnation >= updated.incarnation) {
+    updated.incarnation = member.incarnation.next();
+    ++counts_.refutations;
+    update_self(updated, NewsPriority::kLiveness);
+  }
+}
+
+void GossipState::merge_policy(const wire::PolicyVersion& version) {
+  if (records_.merge(version)) {
+    news_.add(version.policy, NewsPriority::kDrain);
+    ++policies_version_;
+  }
+}
+
+void GossipState::merge_drain_mark(const wire::ReplicaDrainMark& mark) {
+  if (records_.merge(mark)) {
+    news_.add(mark.replica, NewsPriority::kDrain);
+    ++drain_marks_version_;
+  }
+}
+
+void GossipState::suspect(const core::NodeId& node, core::MonotonicTime now) {
+  const wire::Member* known = records_.find(node);
+  if (known == nullptr || known->state == MemberState::kDead) {
+    return;
+  }
+  suspicion_ends_.try_emplace(node, now + suspicion_length());
+  probes_.retry(node);
+  if (known->state != MemberState::kAlive) {
+    return;
+  }
+  wire::Member suspected = *known;
+  suspected.state = MemberState::kSuspect;
+  records_.merge(suspected);
+  news_.add(node, NewsPriority::kLiveness);
+  ++members_version_;
+}
+
+void GossipState::expire_suspicions(core::MonotonicTime now) {
+  std::vector<core::NodeId> expired;
+  for (const auto& [node, end] : suspicion_ends_) {
+    if (now >= end) {
+      expired.push_back(node);
+    }
+  }
+  for (const core::NodeId& node : expired) {
+    suspicion_ends_.erase(node);
+    wire::Member dead = *records_.find(node);
+    dead.state = MemberState::kDead;
+    records_.merge(dead);
+    dead_since_.try_emplace(node, now);
+    news_.add(node, NewsPriority::kLiveness);
+    ++members_version_;
+  }
+}
+
+void GossipState::forget_dead(core::MonotonicTime now) {
+  std::erase_if(dead_since_, [&](const auto& entry) {
+    if (now - entry.second < settings_.dead_retention) {
+      return false;
+    }
+    records_.erase(entry.first);
+    ++members_version_;
+    return true;
+  });
+}
+
+void GossipState::check_for_pause(core::MonotonicTime now) {
+  const core::Duration gap = last_tick_ ? now - *last_tick_ : core::Duration::zero();
+  last_tick_ = now;
+  if (gap <= settings_.longest_tick_gap) {
+    return;
+  }
+  // Answers that came while we were paused were not late, and neither were
+  // refutations of what we suspected.
+  ++counts_.pauses;
+  probes_.clear();
+  for (auto& [node, end] : suspicion_ends_) {
+    end += gap;
+  }
+}
+
+std::vector<OutgoingPacket> GossipState::on_tick(core::MonotonicTime now) {
+  std::vector<OutgoingPacket> packets;
+  budget_.refill(now);
+  check_for_pause(now);
+  run_probes(now, packets);
+  expire_suspicions(now);
+  forget_dead(now);
+  send_news(now, packets);
+  run_sync(now, packets);
+  reconnect(now, packets);
+  return packets;
+}
+
+std::vector<core::NodeId> GossipState::other_members() const {
+  std::vector<core::NodeId> nodes;
+  for (const auto& [node, member] : records_.members()) {
+    if (node != self_ && member.state != MemberState::kDead) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
+std::uint32_t GossipState::transmission_limit() const {
+  const double members = static_cast<double>(records_.members().size());
+  const double rounds = std::ceil(std::log10(members + 1));
+  return settings_.transmission_multiplier * std::max(1u, static_cast<std::uint32_t>(rounds));
+}
+
+core::Duration GossipState::suspicion_length() const {
+  const double members = static_cast<double>(records_.members().size());
+  const double intervals = settings_.suspicion_multiplier * std::log10(members + 1);
+  const core::Duration scaled =
+      core::from_seconds(intervals * core::to_seconds(settings_.probe_interval));
+  return std::max(settings_.shortest_suspicion, scaled);
+}
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/controllers/gossip_state_packets.cpp
@@ -0,0 +1,288 @@
+// The part of GossipState that takes in and makes packets.
+#include <algorithm>
+
+#include "controllers/gossip_state.hpp"
+
+namespace stoneport::controllers {
+namespace {
+
+using wire::MemberState;
+
+/// Lengths of the packet's lists, beyond what an empty list takes.
+constexpr std::size_t kListHeaderBytes = 8;
+/// News that goes into a packet even when the budget is spent, so that a node
+/// that many ask at once (a seed) still introduces them to one another.
+constexpr std::size_t kReservedNewsBytes = 200;
+/// Share of an interval by which regular work is spread out at random.
+constexpr std::uint64_t kJitterPercent = 20;
+/// Members that a leaving process tells of its end.
+constexpr std::size_t kFarewellPackets = 8;
+
+core::Duration with_jitter(core::Duration interval, core::RandomSource& random) {
+  return interval * (100 - kJitterPercent / 2 + random.uniform(0, kJitterPercent)) / 100;
+}
+
+std::vector<core::NodeId> pick(std::vector<core::NodeId> nodes, std::size_t count,
+                               core::RandomSource& random) {
+  shuffle(nodes, random);
+  if (nodes.size() > count) {
+    nodes.resize(count);
+  }
+  return nodes;
+}
+
+}  // namespace
+
+OutgoingPacket GossipState::finish_packet(const core::Address& to,
+                                          const wire::GossipPacket& packet) {
+  OutgoingPacket outgoing{to, wire::encode_packet(packet)};
+  budget_.spend(outgoing.bytes.size());
+  counts_.bytes_sent += outgoing.bytes.size();
+  ++counts_.packets_sent;
+  return outgoing;
+}
+
+OutgoingPacket GossipState::make_packet(const core::Address& to, wire::GossipMessage message,
+                                        const core::NodeId* about) {
+  wire::GossipPacket packet;
+  packet.sender = self();
+  packet.message = std::move(message);
+  const std::size_t base = wire::encode_packet(packet).size() + kListHeaderBytes;
+  const std::size_t room = settings_.packet_bytes > base ? settings_.packet_bytes - base : 0;
+  const std::size_t affordable = budget_.available() > base ? budget_.available() - base : 0;
+  std::size_t space = std::min(room, std::max(affordable, kReservedNewsBytes));
+  if (about != nullptr) {
+    space -= std::min(space, records_.append(*about, packet, room));
+  }
+  news_.fill(records_, packet, space, transmission_limit());
+  return finish_packet(to, packet);
+}
+
+OutgoingPacket GossipState::wrap(const core::Address& to, wire::GossipMessage message) {
+  wire::GossipPacket packet;
+  packet.sender = self();
+  packet.message = std::move(message);
+  OutgoingPacket outgoing{to, wire::encode_packet(packet)};
+  counts_.bytes_sent += outgoing.bytes.size();
+  ++counts_.packets_sent;
+  return outgoing;
+}
+
+GossipOutput GossipState::on_packet(const core::Address& from, std::string_view bytes,
+                                    core::MonotonicTime now) {
+  GossipOutput output;
+  budget_.refill(now);
+  ++counts_.packets_received;
+  counts_.bytes_received += bytes.size();
+  const core::Result<wire::GossipPacket> packet = wire::decode_packet(bytes);
+  if (!packet) {
+    ++counts_.malformed;
+    return output;
+  }
+  merge_packet(*packet, now);
+  answer(*packet, from, now, output);
+  return output;
+}
+
+bool GossipState::must_correct(const wire::Member& sender) const {
+  const wire::Member* known = records_.find(sender.node);
+  if (known == nullptr || (known->leaving && sender.leaving)) {
+    return false;
+  }
+  return known->incarnation != sender.incarnation || known->state != sender.state;
+}
+
+void GossipState::answer(const wire::GossipPacket& packet, const core::Address& from,
+                         core::MonotonicTime now, GossipOutput& output) {
+  if (const auto* ping = std::get_if<wire::Ping>(&packet.message)) {
+    answer_ping(*ping, packet, from, output);
+    return;
+  }
+  if (const auto* acknowledgement = std::get_if<wire::Acknowledgement>(&packet.message)) {
+    const auto relay = probes_.acknowledge(acknowledgement->sequence, acknowledgement->target);
+    const wire::Member* target = records_.find(acknowledgement->target);
+    if (target != nullptr && target->state == MemberState::kLeaving) {
+      suspicion_ends_.erase(acknowledgement->target);
+    }
+    if (relay) {
+      output.packets.push_back(make_packet(
+          relay->asking, wire::Acknowledgement{relay->sequence, acknowledgement->target}));
+    }
+    if (must_correct(packet.sender)) {
+      output.packets.push_back(make_packet(from, wire::News{}, &packet.sender.node));
+    }
+    return;
+  }
+  if (const auto* indirect = std::get_if<wire::IndirectPing>(&packet.message)) {
+    const std::uint32_t sequence = probes_.add_relay({indirect->sequence, from}, now);
+    output.packets.push_back(make_packet(
+        indirect->target_address, wire::Ping{sequence, indirect->target}, &indirect->target));
+    return;
+  }
+  if (const auto* sync = std::get_if<wire::SyncRequest>(&packet.message)) {
+    if (must_correct(packet.sender)) {
+      output.packets.push_back(make_packet(from, wire::News{}, &packet.sender.node));
+    }
+    answer_sync(*sync, from, now, output);
+    return;
+  }
+  if (!std::holds_alternative<wire::News>(packet.message)) {
+    output.received = ReceivedMessage{packet.sender.node, from, packet.message};
+  }
+}
+
+void GossipState::answer_ping(const wire::Ping& ping, const wire::GossipPacket& packet,
+                              const core::Address& from, GossipOutput& output) {
+  if (ping.target != self_) {
+    ++counts_.misdirected;
+    return;
+  }
+  const core::NodeId* about = must_correct(packet.sender) ? &packet.sender.node : nullptr;
+  output.packets.push_back(make_packet(from, wire::Acknowledgement{ping.sequence, self_}, about));
+}
+
+wire::SyncRequest GossipState::sync_request(bool is_answer) const {
+  const BucketHashes hashes = records_.bucket_hashes();
+  return wire::SyncRequest{{hashes.begin(), hashes.end()}, is_answer};
+}
+
+void GossipState::answer_sync(const wire::SyncRequest& sync, const core::Address& from,
+                              core::MonotonicTime now, GossipOutput& output) {
+  if (sync.bucket_hashes.size() != kSyncBuckets) {
+    ++counts_.malformed;
+    return;
+  }
+  const BucketHashes own = records_.bucket_hashes();
+  std::vector<RecordKey> differing;
+  for (std::size_t bucket = 0; bucket < kSyncBuckets; ++bucket) {
+    if (own[bucket] != sync.bucket_hashes[bucket]) {
+      const std::vector<RecordKey> keys = records_.keys_in_bucket(bucket);
+      differing.insert(differing.end(), keys.begin(), keys.end());
+    }
+  }
+  const bool same = std::equal(own.begin(), own.end(), sync.bucket_hashes.begin());
+  if (same || budget_.available() < settings_.packet_bytes) {
+    return;  // the asking side tries another member next time
+  }
+  if (sync.is_answer) {
+    next_sync_ = std::min(next_sync_, now + settings_.catch_up_interval);
+  }
+  shuffle(differing, random_);
+  std::size_t position = 0;
+  for (std::uint32_t count = 0; count < settings_.sync_packets; ++count) {
+    if (position == differing.size() || budget_.available() < settings_.packet_bytes) {
+      break;
+    }
+    wire::GossipPacket packet;
+    packet.sender = self();
+    const std::size_t base = wire::encode_packet(packet).size() + kListHeaderBytes;
+    std::size_t space = settings_.packet_bytes - base;
+    while (position < differing.size()) {
+      const std::size_t used = records_.append(differing[position], packet, space);
+      if (used == 0) {
+        break;
+      }
+      space -= used;
+      ++position;
+    }
+    output.packets.push_back(finish_packet(from, packet));
+  }
+  if (!sync.is_answer) {
+    output.packets.push_back(make_packet(from, sync_request(true)));
+  }
+}
+
+void GossipState::run_probes(core::MonotonicTime now, std::vector<OutgoingPacket>& packets) {
+  for (const core::NodeId& node : probes_.take_failed(now)) {
+    suspect(node, now);
+  }
+  for (const GossipProbes::Probe& late : probes_.take_late(now)) {
+    const wire::Member* target = records_.find(late.target);
+    if (target == nullptr) {
+      continue;
+    }
+    std::vector<core::NodeId> helpers = other_members();
+    std::erase(helpers, late.target);
+    const core::Address target_address = target->gossip_address;
+    for (const core::NodeId& helper :
+         pick(std::move(helpers), settings_.indirect_probes, random_)) {
+      packets.push_back(
+          make_packet(records_.find(helper)->gossip_address,
+                      wire::IndirectPing{late.sequence, late.target, target_address}));
+    }
+  }
+  const auto probe = probes_.next(other_members(), random_, now);
+  if (!probe) {
+    return;
+  }
+  const wire::Member& target = *records_.find(probe->target);
+  const bool doubted = target.state != MemberState::kAlive;
+  packets.push_back(make_packet(target.gossip_address, wire::Ping{probe->sequence, probe->target},
+                                doubted ? &probe->target : nullptr));
+}
+
+void GossipState::send_news(core::MonotonicTime now, std::vector<OutgoingPacket>& packets) {
+  if (now < next_news_ || news_.empty()) {
+    return;
+  }
+  next_news_ = now + settings_.news_interval;
+  for (const core::NodeId& node : pick(other_members(), settings_.news_fanout, random_)) {
+    if (news_.empty() || budget_.available() < settings_.packet_bytes) {
+      return;
+    }
+    packets.push_back(make_packet(records_.find(node)->gossip_address, wire::News{}));
+  }
+}
+
+void GossipState::run_sync(core::MonotonicTime now, std::vector<OutgoingPacket>& packets) {
+  if (now < next_sync_ || budget_.available() < settings_.packet_bytes) {
+    return;
+  }
+  for (const core::NodeId& node : pick(other_members(), 1, random_)) {
+    next_sync_ = now + with_jitter(settings_.sync_interval, random_);
+    packets.push_back(make_packet(records_.find(node)->gossip_address, sync_request(false)));
+  }
+}
+
+std::vector<core::Address> GossipState::unreached_addresses() const {
+  std::set<core::Address> reached;
+  std::set<core::Address> unreached(seeds_.begin(), seeds_.end());
+  for (const auto& [node, member] : records_.members()) {
+    (member.state == MemberState::kDead ? unreached : reached).insert(member.gossip_address);
+  }
+  std::vector<core::Address> addresses;
+  std::set_difference(unreached.begin(), unreached.end(), reached.begin(), reached.end(),
+                      std::back_inserter(addresses));
+  return addresses;
+}
+
+void GossipState::reconnect(core::MonotonicTime now, std::vector<OutgoingPacket>& packets) {
+  if (now < next_reconnect_) {
+    return;
+  }
+  const std::vector<core::Address> addresses = unreached_addresses();
+  if (addresses.empty()) {
+    return;
+  }
+  const bool alone = other_members().empty();
+  next_reconnect_ =
+      now +
+      with_jitter(alone ? settings_.catch_up_interval : settings_.reconnect_interval, random_);
+  const core::Address& address = addresses[random_.uniform(0, addresses.size() - 1)];
+  packets.push_back(make_packet(address, sync_request(false)));
+}
+
+std::vector<OutgoingPacket> GossipState::farewell() {
+  announce_leaving();
+  wire::Member gone = self();
+  gone.state = MemberState::kDead;
+  std::vector<OutgoingPacket> packets;
+  for (const core::NodeId& node : pick(other_members(), kFarewellPackets, random_)) {
+    wire::GossipPacket packet;
+    packet.sender = gone;
+    packets.push_back(finish_packet(records_.find(node)->gossip_address, packet));
+  }
+  return packets;
+}
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/wire/gossip_codec.cpp
@@ -0,0 +1,409 @@
+#include "wire/gossip_codec.hpp"
+
+#include <limits>
+#include <nlohmann/json.hpp>
+
+namespace stoneport::wire {
+namespace {
+
+using Json = nlohmann::json;
+
+enum class MessageKind : std::uint8_t {
+  kNews,
+  kPing,
+  kAcknowledgement,
+  kIndirectPing,
+  kSyncRequest,
+  kDigestSubscription,
+  kDigestPush,
+};
+
+/// Reads the elements of one array in order. After the first error every
+/// further read gives a zero value, and ok() stays false.
+class ArrayReader {
+ public:
+  ArrayReader(const Json& array, std::size_t expected_size)
+      : array_(array), ok_(array.is_array() && array.size() == expected_size) {}
+
+  bool ok() const { return ok_; }
+  void fail() { ok_ = false; }
+
+  const Json& next() {
+    static const Json kNull;
+    return ok_ ? array_[position_++] : kNull;
+  }
+  std::uint64_t next_unsigned(std::uint64_t limit = std::numeric_limits<std::uint64_t>::max()) {
+    const Json& value = next();
+    if (!value.is_number_unsigned() || value.get<std::uint64_t>() > limit) {
+      fail();
+      return 0;
+    }
+    return value.get<std::uint64_t>();
+  }
+  std::uint32_t next_unsigned32() {
+    return static_cast<std::uint32_t>(next_unsigned(std::numeric_limits<std::uint32_t>::max()));
+  }
+  bool next_bool() { return next_unsigned(1) == 1; }
+  std::string next_string(std::size_t shortest) {
+    const Json& value = next();
+    if (!value.is_string()) {
+      fail();
+      return {};
+    }
+    const auto& text = value.get_ref<const std::string&>();
+    if (text.size() < shortest || text.size() > kMaxNameBytes) {
+      fail();
+      return {};
+    }
+    return text;
+  }
+  template <class Name>
+  Name next_name() {
+    return Name(next_string(1));
+  }
+  template <class Counter>
+  Counter next_counter() {
+    return Counter(next_unsigned());
+  }
+  core::Address next_address() {
+    core::Address address;
+    address.ip = next_string(1);
+    address.port =
+        static_cast<std::uint16_t>(next_unsigned(std::numeric_limits<std::uint16_t>::max()));
+    return address;
+  }
+  /// Reads an array of any length, each element by \p read_item.
+  template <class Item, class ReadItem>
+  std::vector<Item> next_list(ReadItem read_item) {
+    std::vector<Item> items;
+    const Json& list = next();
+    if (!list.is_array()) {
+      fail();
+      return items;
+    }
+    for (const Json& element : list) {
+      Item item;
+      if (!read_item(element, item)) {
+        fail();
+        return {};
+      }
+      items.push_back(std::move(item));
+    }
+    return items;
+  }
+
+ private:
+  const Json& array_;
+  std::size_t position_ = 0;
+  bool ok_;
+};
+
+bool read_unsigned32(const Json& json, std::uint32_t& value) {
+  if (!json.is_number_unsigned() ||
+      json.get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max()) {
+    return false;
+  }
+  value = json.get<std::uint32_t>();
+  return true;
+}
+
+bool read_unsigned64(const Json& json, std::uint64_t& value) {
+  if (!json.is_number_unsigned()) {
+    return false;
+  }
+  value = json.get<std::uint64_t>();
+  return true;
+}
+
+bool read_replica_id(const Json& json, core::ReplicaId& replica) {
+  if (!json.is_string()) {
+    return false;
+  }
+  const auto& text = json.get_ref<const std::string&>();
+  replica = core::ReplicaId(text);
+  return !text.empty() && text.size() <= kMaxNameBytes;
+}
+
+Json write_member(const Member& member) {
+  return Json::array({member.node.value(), member.incarnation.value(),
+                      static_cast<std::uint64_t>(member.state), member.leaving ? 1u : 0u,
+                      member.zone.value(), member.region.value(), member.gossip_address.ip,
+                      member.gossip_address.port, member.peer_address.ip, member.peer_address.port,
+                      member.configuration_revision.value()});
+}
+
+bool read_member(const Json& json, Member& member) {
+  ArrayReader reader(json, 11);
+  member.node = reader.next_name<core::NodeId>();
+  member.incarnation = reader.next_counter<core::Incarnation>();
+  member.state = static_cast<MemberState>(
+      reader.next_unsigned(static_cast<std::uint64_t>(MemberState::kLeaving)));
+  member.leaving = reader.next_bool();
+  member.zone = core::ZoneName(reader.next_string(0));
+  member.region = core::RegionName(reader.next_string(0));
+  member.gossip_address = reader.next_address();
+  member.peer_address = reader.next_address();
+  member.configuration_revision = reader.next_counter<core::Revision>();
+  if (member.state == MemberState::kLeaving && !member.leaving) {
+    reader.fail();
+  }
+  return reader.ok();
+}
+
+Json write_policy_version(const PolicyVersion& version) {
+  return Json::array({version.policy.value(), version.version.value()});
+}
+
+bool read_policy_version(const Json& json, PolicyVersion& version) {
+  ArrayReader reader(json, 2);
+  version.policy = reader.next_name<core::PolicyName>();
+  version.version = reader.next_counter<core::WeightVersion>();
+  return reader.ok();
+}
+
+Json write_drain_mark(const ReplicaDrainMark& mark) {
+  return Json::array({mark.replica.value(), mark.incarnation.value()});
+}
+
+bool read_drain_mark(const Json& json, ReplicaDrainMark& mark) {
+  ArrayReader reader(json, 2);
+  mark.replica = reader.next_name<core::ReplicaId>();
+  mark.incarnation = reader.next_counter<core::Incarnation>();
+  return reader.ok();
+}
+
+Json write_report(const ReplicaReport& report) {
+  Json prefixes;
+  if (report.cached_prefixes) {
+    prefixes = *report.cached_prefixes;
+  }
+  const std::uint64_t flags =
+      (report.reachable ? 1u : 0u) | (report.leaving ? 2u : 0u) | (report.swapping ? 4u : 0u);
+  return Json::array({report.replica.value(), report.incarnation.value(), report.age_ms, flags,
+                      report.running, report.waiting, report.max_running, report.tokens_per_second,
+                      report.kv_used_permille, report.version.value(), std::move(prefixes)});
+}
+
+bool read_report(const Json& json, ReplicaReport& report) {
+  ArrayReader reader(json, 11);
+  report.replica = reader.next_name<core::ReplicaId>();
+  report.incarnation = reader.next_counter<core::Incarnation>();
+  report.age_ms = reader.next_unsigned32();
+  const std::uint64_t flags = reader.next_unsigned(7);
+  report.reachable = (flags & 1) != 0;
+  report.leaving = (flags & 2) != 0;
+  report.swapping = (flags & 4) != 0;
+  report.running = reader.next_unsigned32();
+  report.waiting = reader.next_unsigned32();
+  report.max_running = reader.next_unsigned32();
+  report.tokens_per_second = reader.next_unsigned32();
+  report.kv_used_permille = static_cast<std::uint32_t>(reader.next_unsigned(1000));
+  report.version = reader.next_counter<core::WeightVersion>();
+  if (!reader.ok()) {
+    return false;
+  }
+  if (json.back().is_null()) {
+    report.cached_prefixes = std::nullopt;
+    return true;
+  }
+  report.cached_prefixes = reader.next_list<std::uint64_t>(read_unsigned64);
+  return reader.ok();
+}
+
+std::uint64_t kind_number(MessageKind kind) {
+  return static_cast<std::uint64_t>(kind);
+}
+
+struct MessageWriter {
+  Json operator()(const News&) const { return Json::array({kind_number(MessageKind::kNews)}); }
+  Json operator()(const Ping& ping) const {
+    return Json::array({kind_number(MessageKind::kPing), ping.sequence, ping.target.value()});
+  }
+  Json operator()(const Acknowledgement& acknowledgement) const {
+    return Json::array({kind_number(MessageKind::kAcknowledgement), acknowledgement.sequence,
+                        acknowledgement.target.value()});
+  }
+  Json operator()(const IndirectPing& ping) const {
+    return Json::array({kind_number(MessageKind::kIndirectPing), ping.sequence, ping.target.value(),
+                        ping.target_address.ip, ping.target_address.port});
+  }
+  Json operator()(const SyncRequest& sync) const {
+    return Json::array({kind_number(MessageKind::kSyncRequest), Json(sync.bucket_hashes),
+                        sync.is_answer ? 1u : 0u});
+  }
+  Json operator()(const DigestSubscription& subscription) const {
+    Json replicas = Json::array();
+    for (const core::ReplicaId& replica : subscription.replicas) {
+      replicas.push_back(replica.value());
+    }
+    return Json::array({kind_number(MessageKind::kDigestSubscription), std::move(replicas)});
+  }
+  Json operator()(const DigestPush& push) const {
+    Json reports = Json::array();
+    for (const ReplicaReport& report : push.reports) {
+      reports.push_back(write_report(report));
+    }
+    return Json::array({kind_number(MessageKind::kDigestPush), std::move(reports)});
+  }
+};
+
+bool read_ping(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 3);
+  reader.next();
+  Ping ping;
+  ping.sequence = reader.next_unsigned32();
+  ping.target = reader.next_name<core::NodeId>();
+  message = std::move(ping);
+  return reader.ok();
+}
+
+bool read_acknowledgement(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 3);
+  reader.next();
+  Acknowledgement acknowledgement;
+  acknowledgement.sequence = reader.next_unsigned32();
+  acknowledgement.target = reader.next_name<core::NodeId>();
+  message = std::move(acknowledgement);
+  return reader.ok();
+}
+
+bool read_indirect_ping(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 5);
+  reader.next();
+  IndirectPing ping;
+  ping.sequence = reader.next_unsigned32();
+  ping.target = reader.next_name<core::NodeId>();
+  ping.target_address = reader.next_address();
+  message = std::move(ping);
+  return reader.ok();
+}
+
+bool read_sync_request(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 3);
+  reader.next();
+  SyncRequest sync;
+  sync.bucket_hashes = reader.next_list<std::uint32_t>(read_unsigned32);
+  sync.is_answer = reader.next_bool();
+  message = std::move(sync);
+  return reader.ok();
+}
+
+bool read_digest_subscription(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 2);
+  reader.next();
+  DigestSubscription subscription;
+  subscription.replicas = reader.next_list<core::ReplicaId>(read_replica_id);
+  message = std::move(subscription);
+  return reader.ok();
+}
+
+bool read_digest_push(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 2);
+  reader.next();
+  DigestPush push;
+  push.reports = reader.next_list<ReplicaReport>(read_report);
+  message = std::move(push);
+  return reader.ok();
+}
+
+bool read_message(const Json& json, GossipMessage& message) {
+  if (!json.is_array() || json.empty() || !json.front().is_number_unsigned()) {
+    return false;
+  }
+  const auto kind = json.front().get<std::uint64_t>();
+  if (kind > kind_number(MessageKind::kDigestPush)) {
+    return false;
+  }
+  switch (static_cast<MessageKind>(kind)) {
+    case MessageKind::kNews:
+      message = News{};
+      return json.size() == 1;
+    case MessageKind::kPing:
+      return read_ping(json, message);
+    case MessageKind::kAcknowledgement:
+      return read_acknowledgement(json, message);
+    case MessageKind::kIndirectPing:
+      return read_indirect_ping(json, message);
+    case MessageKind::kSyncRequest:
+      return read_sync_request(json, message);
+    case MessageKind::kDigestSubscription:
+      return read_digest_subscription(json, message);
+    case MessageKind::kDigestPush:
+      return read_digest_push(json, message);
+  }
+  return false;
+}
+
+template <class Item, class WriteItem>
+Json write_list(const std::vector<Item>& items, WriteItem write_item) {
+  Json list = Json::array();
+  for (const Item& item : items) {
+    list.push_back(write_item(item));
+  }
+  return list;
+}
+
+std::string to_bytes(const Json& json) {
+  std::string bytes;
+  Json::to_cbor(json, bytes);
+  return bytes;
+}
+
+/// \return the parsed bytes, or a discarded value. The library reports an
+/// absurd length by an exception even when exceptions are switched off.
+Json parse_cbor(std::string_view bytes) {
+  try {
+    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  } catch (const Json::exception&) {
+    return Json(Json::value_t::discarded);
+  }
+}
+
+}  // namespace
+
+std::string encode_packet(const GossipPacket& packet) {
+  return to_bytes(Json::array({kGossipProtocolVersion, write_member(packet.sender),
+                               std::visit(MessageWriter{}, packet.message),
+                               write_list(packet.members, write_member),
+                               write_list(packet.policy_versions, write_policy_version),
+                               write_list(packet.drain_marks, write_drain_mark)}));
+}
+
+core::Result<GossipPacket> decode_packet(std::string_view bytes) {
+  if (bytes.size() > kMaxPacketBytes) {
+    return core::make_error(core::ErrorCode::kTooLarge, "gossip packet is too long");
+  }
+  const Json json = parse_cbor(bytes);
+  if (json.is_discarded()) {
+    return core::make_error(core::ErrorCode::kProtocol, "gossip packet is not CBOR");
+  }
+  ArrayReader reader(json, 6);
+  if (reader.next_unsigned() != kGossipProtocolVersion) {
+    return core::make_error(core::ErrorCode::kProtocol, "gossip packet of another version");
+  }
+  GossipPacket packet;
+  const bool head_ok =
+      read_member(reader.next(), packet.sender) && read_message(reader.next(), packet.message);
+  packet.members = reader.next_list<Member>(read_member);
+  packet.policy_versions = reader.next_list<PolicyVersion>(read_policy_version);
+  packet.drain_marks = reader.next_list<ReplicaDrainMark>(read_drain_mark);
+  if (!head_ok || !reader.ok()) {
+    return core::make_error(core::ErrorCode::kProtocol, "gossip packet breaks its format");
+  }
+  return packet;
+}
+
+std::size_t encoded_size(const Member& member) {
+  return to_bytes(write_member(member)).size();
+}
+std::size_t encoded_size(const PolicyVersion& version) {
+  return to_bytes(write_policy_version(version)).size();
+}
+std::size_t encoded_size(const ReplicaDrainMark& mark) {
+  return to_bytes(write_drain_mark(mark)).size();
+}
+std::size_t encoded_size(const ReplicaReport& report) {
+  return to_bytes(write_report(report)).size();
+}
+
+}  // namespace stoneport::wire
--- /dev/null
+++ b/src/wire/gossip_messages.hpp
@@ -0,0 +1,110 @@
+/// \file
+/// Messages that daemons exchange over UDP. A packet carries its sender's own
+/// record, one message, and whatever news fits beside it. Plain values.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "core/identifiers.hpp"
+#include "wire/member.hpp"
+
+namespace stoneport::wire {
+
+/// News alone, without a probe.
+struct News {
+  bool operator==(const News&) const = default;
+};
+
+/// Asks \p target for an Acknowledgement. Another node at the same address (the
+/// machine was replaced) does not answer.
+struct Ping {
+  std::uint32_t sequence = 0;
+  core::NodeId target;
+  bool operator==(const Ping&) const = default;
+};
+
+/// Answers a Ping, or hands on the answer to an IndirectPing.
+struct Acknowledgement {
+  std::uint32_t sequence = 0;
+  core::NodeId target;  ///< the node that is alive
+  bool operator==(const Acknowledgement&) const = default;
+};
+
+/// Asks the receiver to ping \p target on the sender's behalf.
+struct IndirectPing {
+  std::uint32_t sequence = 0;
+  core::NodeId target;
+  core::Address target_address;
+  bool operator==(const IndirectPing&) const = default;
+};
+
+/// Anti-entropy: hashes of the sender's state, by bucket. The receiver answers
+/// with what it has in the buckets that differ.
+struct SyncRequest {
+  std::vector<std::uint32_t> bucket_hashes;
+  /// Whether this answers a SyncRequest; then no further one follows.
+  bool is_answer = false;
+  bool operator==(const SyncRequest&) const = default;
+};
+
+/// Asks a watcher to push digests of these replicas for a while.
+struct DigestSubscription {
+  std::vector<core::ReplicaId> replicas;
+  bool operator==(const DigestSubscription&) const = default;
+};
+
+/// The load of one replica as its watcher read it.
+struct ReplicaReport {
+  core::ReplicaId replica;
+  core::Incarnation incarnation;
+  std::uint32_t age_ms = 0;  ///< when sent
+  bool reachable = false;
+  bool leaving = false;
+  bool swapping = false;
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t max_running = 0;
+  std::uint32_t tokens_per_second = 0;
+  std::uint32_t kv_used_permille = 0;
+  core::WeightVersion version;
+  /// Cached prompt prefixes; nothing when this report leaves them out.
+  std::optional<std::vector<std::uint64_t>> cached_prefixes;
+  bool operator==(const ReplicaReport&) const = default;
+};
+
+/// Answers a DigestSubscription, again and again.
+struct DigestPush {
+  std::vector<ReplicaReport> reports;
+  bool operator==(const DigestPush&) const = default;
+};
+
+using GossipMessage = std::variant<News, Ping, Acknowledgement, IndirectPing, SyncRequest,
+                                   DigestSubscription, DigestPush>;
+
+/// The newest published version of a policy; the highest wins.
+struct PolicyVersion {
+  core::PolicyName policy;
+  core::WeightVersion version;
+  bool operator==(const PolicyVersion&) const = default;
+};
+
+/// A replica is to get no new work for this incarnation and all below it.
+struct ReplicaDrainMark {
+  core::ReplicaId replica;
+  core::Incarnation incarnation;
+  bool operator==(const ReplicaDrainMark&) const = default;
+};
+
+struct GossipPacket {
+  Member sender;
+  GossipMessage message;
+  std::vector<Member> members;
+  std::vector<PolicyVersion> policy_versions;
+  std::vector<ReplicaDrainMark> drain_marks;
+  bool operator==(const GossipPacket&) const = default;
+};
+
+}  // namespace stoneport::wire
--- /dev/null
+++ b/src/wire/member.cpp
@@ -0,0 +1,72 @@
+#include "wire/member.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace stoneport::wire {
+namespace {
+
+/// Within one incarnation a higher rank wins.
+int liveness_rank(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+    case MemberState::kLeaving:
+      return 0;
+    case MemberState::kSuspect:
+      return 1;
+    case MemberState::kDead:
+      return 2;
+  }
+  return 0;
+}
+
+auto precedence(const Member& member) {
+  return std::make_tuple(member.incarnation, liveness_rank(member.state));
+}
+
+/// Decides between records that differ only in what should never differ.
+auto tie_break(const Member& member) {
+  return std::tie(member.zone, member.region, member.gossip_address, member.peer_address);
+}
+
+const Member& newer(const Member& left, const Member& right) {
+  if (precedence(left) != precedence(right)) {
+    return precedence(left) > precedence(right) ? left : right;
+  }
+  return tie_break(left) < tie_break(right) ? right : left;
+}
+
+}  // namespace
+
+std::string_view to_string(MemberState state) {
+  switch (state) {
+    case MemberState::kAlive:
+      return "alive";
+    case MemberState::kSuspect:
+      return "suspect";
+    case MemberState::kDead:
+      return "dead";
+    case MemberState::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
+Member merge_members(const Member& left, const Member& right) {
+  const std::uint64_t left_life = life_of(left.incarnation);
+  const std::uint64_t right_life = life_of(right.incarnation);
+  if (left_life != right_life) {
+    return left_life > right_life ? left : right;
+  }
+  Member merged = newer(left, right);
+  merged.configuration_revision =
+      std::max(left.configuration_revision, right.configuration_revision);
+  merged.leaving = left.leaving || right.leaving || left.state == MemberState::kLeaving ||
+                   right.state == MemberState::kLeaving;
+  if (merged.leaving && merged.state != MemberState::kDead) {
+    merged.state = MemberState::kLeaving;
+  }
+  return merged;
+}
+
+}  // namespace stoneport::wire
