Add the gossip controller, machine list, watchers and routing table

Traffic needs one table of replicas that reacts to the first sign of leaving. The list, an engine's own report, an operator's mark and a refused connection each take a replica out; a sign seen by one daemon is spread as a drain mark that sticks per incarnation, so a lagging list cannot take it back.

Reports travel by subscription from a replica's first watcher; spreading all 600 by gossip was ruled out by its bytes.

--- /dev/null
+++ b/src/controllers/gossip_controller.cpp
@@ -0,0 +1,226 @@
+#include "controllers/gossip_controller.hpp"
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::controllers {
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr core::Duration kTick = std::chrono::milliseconds(50);
+/// Of ten parts of the byte rate, how many are the membership's.
+constexpr std::uint32_t kMembershipTenths = 6;
+constexpr std::uint32_t kTenths = 10;
+
+}  // namespace
+
+GossipSettings gossip_settings(const config::DaemonSettings& settings) {
+  GossipSettings gossip;
+  gossip.probe_interval = settings.gossip_interval;
+  gossip.bytes_per_second = settings.gossip_bytes_per_second * kMembershipTenths / kTenths;
+  return gossip;
+}
+
+std::uint32_t digest_bytes_per_second(const config::DaemonSettings& settings) {
+  return settings.gossip_bytes_per_second * (kTenths - kMembershipTenths) / kTenths;
+}
+
+wire::Member make_self(const config::DaemonSettings& settings, core::Address gossip_address,
+                       core::Address peer_address, core::WallTime start) {
+  wire::Member self;
+  self.node = settings.node;
+  const auto milliseconds = static_cast<std::uint64_t>(start.time_since_epoch().count());
+  self.incarnation = wire::first_incarnation(milliseconds);
+  self.zone = settings.zone;
+  self.region = settings.region;
+  self.gossip_address = std::move(gossip_address);
+  self.peer_address = std::move(peer_address);
+  return self;
+}
+
+/// Copies the state's counts into the process's metrics.
+struct GossipController::Meters {
+  explicit Meters(core::Metrics& metrics)
+      : packets_sent(packets(metrics, "sent")),
+        packets_received(packets(metrics, "received")),
+        bytes_sent(bytes(metrics, "sent")),
+        bytes_received(bytes(metrics, "received")),
+        malformed(dropped(metrics, "malformed")),
+        misdirected(dropped(metrics, "misdirected")),
+        refutations(metrics.counter("stoneport_gossip_refutations_total",
+                                    "Suspicions of this node that it refuted")),
+        pauses(metrics.counter("stoneport_gossip_pauses_total",
+                               "Times that this process stood still for longer than a tick")) {}
+
+  static prometheus::Counter& packets(core::Metrics& metrics, const std::string& direction) {
+    return metrics.counter("stoneport_gossip_packets_total", "Gossip packets",
+                           {{"direction", direction}});
+  }
+  static prometheus::Counter& bytes(core::Metrics& metrics, const std::string& direction) {
+    return metrics.counter("stoneport_gossip_bytes_total", "Bytes of gossip packets",
+                           {{"direction", direction}});
+  }
+  static prometheus::Counter& dropped(core::Metrics& metrics, const std::string& reason) {
+    return metrics.counter("stoneport_gossip_dropped_total", "Gossip packets dropped",
+                           {{"reason", reason}});
+  }
+  static void raise(prometheus::Counter& counter, std::uint64_t now, std::uint64_t& before) {
+    counter.Increment(static_cast<double>(now - before));
+    before = now;
+  }
+  void update(const GossipCounts& counts) {
+    raise(packets_sent, counts.packets_sent, seen.packets_sent);
+    raise(packets_received, counts.packets_received, seen.packets_received);
+    raise(bytes_sent, counts.bytes_sent, seen.bytes_sent);
+    raise(bytes_received, counts.bytes_received, seen.bytes_received);
+    raise(malformed, counts.malformed, seen.malformed);
+    raise(misdirected, counts.misdirected, seen.misdirected);
+    raise(refutations, counts.refutations, seen.refutations);
+    raise(pauses, counts.pauses, seen.pauses);
+  }
+
+  prometheus::Counter& packets_sent;
+  prometheus::Counter& packets_received;
+  prometheus::Counter& bytes_sent;
+  prometheus::Counter& bytes_received;
+  prometheus::Counter& malformed;
+  prometheus::Counter& misdirected;
+  prometheus::Counter& refutations;
+  prometheus::Counter& pauses;
+  GossipCounts seen;
+};
+
+GossipController::GossipController(asio::any_io_executor executor, GossipTransport& transport,
+                                   wire::Member self, GossipSettings settings,
+                                   std::uint64_t random_seed, const core::TimeSource& time,
+                                   core::Metrics& metrics)
+    : executor_(std::move(executor)),
+      transport_(transport),
+      state_(std::move(self), settings, random_seed),
+      time_(time),
+      meters_(std::make_unique<Meters>(metrics)) {}
+
+GossipController::~GossipController() {
+  if (alive_) {
+    transport_.set_receiver(nullptr);
+  }
+}
+
+void GossipController::start() {
+  alive_ = std::make_shared<bool>(true);
+  transport_.set_receiver(
+      [this](const core::Address& from, std::string_view bytes) { receive(from, bytes); });
+  runtime::start(executor_, "gossip ticks", run(alive_));
+}
+
+void GossipController::stop() {
+  if (!alive_) {
+    return;
+  }
+  send(state_.farewell());
+  transport_.set_receiver(nullptr);
+  alive_.reset();
+}
+
+asio::awaitable<void> GossipController::run(std::weak_ptr<bool> alive) {
+  while (!alive.expired()) {
+    send(state_.on_tick(time_.now()));
+    meters_->update(state_.counts());
+    tell_listeners();
+    co_await runtime::sleep_for(kTick);
+  }
+}
+
+void GossipController::receive(const core::Address& from, std::string_view bytes) {
+  const GossipOutput output = state_.on_packet(from, bytes, time_.now());
+  send(output.packets);
+  if (output.received && message_listener_) {
+    message_listener_(*output.received);
+  }
+  tell_listeners();
+}
+
+void GossipController::send(const std::vector<OutgoingPacket>& packets) {
+  for (const OutgoingPacket& packet : packets) {
+    transport_.send(packet);
+  }
+}
+
+bool GossipController::tell(Topic& topic, std::uint64_t version) {
+  if (topic.told == version) {
+    return false;
+  }
+  topic.told = version;
+  for (const Listener& listener : topic.listeners) {
+    listener();
+  }
+  return true;
+}
+
+void GossipController::tell_listeners() {
+  if (telling_) {
+    return;  // the call below us goes round again
+  }
+  telling_ = true;
+  bool told = true;
+  while (told) {
+    told = tell(member_topic_, state_.members_version());
+    told = tell(policy_topic_, state_.policies_version()) || told;
+    told = tell(drain_mark_topic_, state_.drain_marks_version()) || told;
+  }
+  telling_ = false;
+}
+
+std::vector<wire::Member> GossipController::members() const {
+  std::vector<wire::Member> members;
+  for (const auto& [node, member] : state_.records().members()) {
+    members.push_back(member);
+  }
+  return members;
+}
+
+void GossipController::announce_configuration(core::Revision revision) {
+  state_.announce_configuration(revision);
+  tell_listeners();
+}
+
+void GossipController::announce_leaving() {
+  state_.announce_leaving();
+  tell_listeners();
+}
+
+bool GossipController::mark_leaving(const core::NodeId& node) {
+  const bool known = state_.mark_leaving(node);
+  tell_listeners();
+  return known;
+}
+
+void GossipController::announce_policy_version(const wire::PolicyVersion& version) {
+  state_.announce_policy_version(version);
+  tell_listeners();
+}
+
+void GossipController::mark_replica_draining(const wire::ReplicaDrainMark& mark) {
+  state_.mark_replica_draining(mark);
+  tell_listeners();
+}
+
+void GossipController::on_change(Listener listener) {
+  member_topic_.listeners.push_back(std::move(listener));
+}
+
+void GossipController::on_policy_change(Listener listener) {
+  policy_topic_.listeners.push_back(std::move(listener));
+}
+
+void GossipController::on_drain_mark_change(Listener listener) {
+  drain_mark_topic_.listeners.push_back(std::move(listener));
+}
+
+std::size_t GossipController::send_message(const core::Address& to, wire::GossipMessage message) {
+  const OutgoingPacket packet = state_.wrap(to, std::move(message));
+  transport_.send(packet);
+  return packet.bytes.size();
+}
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/controllers/gossip_controller.hpp
@@ -0,0 +1,103 @@
+/// \file
+/// Runs one GossipState on a transport: ticks it, hands packets over, tells
+/// listeners of changes, counts. Owned by the control thread.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "controllers/gossip_transport.hpp"
+#include "controllers/membership.hpp"
+#include "core/metrics.hpp"
+
+namespace stoneport::controllers {
+
+/// \return gossip's settings out of the daemon's: membership gets three fifths
+/// of the byte rate, the watchers' digests the rest.
+GossipSettings gossip_settings(const config::DaemonSettings& settings);
+/// \return the digests' share of the byte rate.
+std::uint32_t digest_bytes_per_second(const config::DaemonSettings& settings);
+/// \return this process's own record, with the first incarnation of the life
+/// that starts at \p start.
+wire::Member make_self(const config::DaemonSettings& settings, core::Address gossip_address,
+                       core::Address peer_address, core::WallTime start);
+
+class GossipController : public Membership {
+ public:
+  using Listener = std::function<void()>;
+  using MessageListener = std::function<void(const ReceivedMessage&)>;
+
+  GossipController(boost::asio::any_io_executor executor, GossipTransport& transport,
+                   wire::Member self, GossipSettings settings, std::uint64_t random_seed,
+                   const core::TimeSource& time, core::Metrics& metrics);
+  ~GossipController() override;
+  GossipController(const GossipController&) = delete;
+  GossipController& operator=(const GossipController&) = delete;
+
+  /// Starts receiving and ticking.
+  void start();
+  /// Tells some members of our end, then stops. Call after announce_leaving().
+  void stop();
+
+  wire::Member self() const override { return state_.self(); }
+  std::vector<wire::Member> members() const override;
+  void announce_configuration(core::Revision revision) override;
+  void announce_leaving() override;
+  void on_change(Listener listener) override;
+
+  /// Marks another daemon as leaving. \return whether it is known.
+  bool mark_leaving(const core::NodeId& node);
+  void set_seeds(std::vector<core::Address> seeds) { state_.set_seeds(std::move(seeds)); }
+
+  void announce_policy_version(const wire::PolicyVersion& version);
+  const std::map<core::PolicyName, core::WeightVersion>& policy_versions() const {
+    return state_.records().policy_versions();
+  }
+  void on_policy_change(Listener listener);
+
+  void mark_replica_draining(const wire::ReplicaDrainMark& mark);
+  /// \return the highest drained incarnation of each marked replica.
+  const std::map<core::ReplicaId, core::Incarnation>& drain_marks() const {
+    return state_.records().drain_marks();
+  }
+  void on_drain_mark_change(Listener listener);
+
+  /// Sends a watcher's message; its bytes are the caller's to limit.
+  /// \return the bytes sent.
+  std::size_t send_message(const core::Address& to, wire::GossipMessage message);
+  void on_message(MessageListener listener) { message_listener_ = std::move(listener); }
+
+  const GossipCounts& counts() const { return state_.counts(); }
+
+ private:
+  struct Meters;
+  struct Topic {
+    std::uint64_t told = 0;
+    std::vector<Listener> listeners;
+  };
+  boost::asio::awaitable<void> run(std::weak_ptr<bool> alive);
+  void receive(const core::Address& from, std::string_view bytes);
+  void send(const std::vector<OutgoingPacket>& packets);
+  /// Calls the listeners of what changed since the last call. A listener may
+  /// change the state again.
+  void tell_listeners();
+  static bool tell(Topic& topic, std::uint64_t version);
+
+  boost::asio::any_io_executor executor_;
+  GossipTransport& transport_;
+  GossipState state_;
+  const core::TimeSource& time_;
+  std::unique_ptr<Meters> meters_;
+  Topic member_topic_;
+  Topic policy_topic_;
+  Topic drain_mark_topic_;
+  MessageListener message_listener_;
+  bool telling_ = false;
+  std::shared_ptr<bool> alive_;  ///< reset by stop(); ends run()
+};
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/controllers/machine_list_controller.cpp
@@ -0,0 +1,87 @@
+#include "controllers/machine_list_controller.hpp"
+
+#include <tuple>
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::controllers {
+namespace asio = boost::asio;
+
+namespace {
+
+/// Until the list has been read once, it is asked for at this pace.
+constexpr core::Duration kFirstInterval = std::chrono::milliseconds(200);
+/// Polls of many daemons are spread out by this share of the interval.
+constexpr double kJitter = 0.25;
+
+bool same(const platform::Machine& left, const platform::Machine& right) {
+  const auto fields = [](const platform::Machine& machine) {
+    return std::tie(machine.id, machine.role, machine.serves, machine.address, machine.zone,
+                    machine.region, machine.incarnation, machine.state);
+  };
+  return fields(left) == fields(right);
+}
+
+}  // namespace
+
+MachineListController::MachineListController(asio::any_io_executor executor,
+                                             platform::MachineList& list, GossipController& gossip,
+                                             core::Duration interval, std::uint64_t random_seed,
+                                             core::Metrics& metrics)
+    : executor_(std::move(executor)),
+      list_(list),
+      gossip_(gossip),
+      interval_(interval),
+      random_(random_seed),
+      failures_(metrics.counter("stoneport_machine_list_failures_total",
+                                "Polls of the machine list that failed")),
+      empty_lists_(metrics.counter("stoneport_machine_list_empty_total",
+                                   "Empty machine lists, not believed after a filled one")),
+      machines_(std::make_shared<const std::vector<platform::Machine>>()) {}
+
+void MachineListController::start() {
+  alive_ = std::make_shared<bool>(true);
+  runtime::start(executor_, "machine list", run(alive_));
+}
+
+asio::awaitable<void> MachineListController::run(std::weak_ptr<bool> alive) {
+  while (!alive.expired()) {
+    core::Result<std::vector<platform::Machine>> machines = co_await list_.list();
+    if (alive.expired()) {
+      co_return;
+    }
+    if (machines) {
+      take(std::move(*machines));
+    } else {
+      failures_.Increment();
+    }
+    const core::Duration whole =
+        loaded_ ? poll_interval(interval_, machines_->size()) : kFirstInterval;
+    const double share = 1 - kJitter / 2 + kJitter * random_.fraction();
+    co_await runtime::sleep_for(core::from_seconds(core::to_seconds(whole) * share));
+  }
+}
+
+void MachineListController::take(std::vector<platform::Machine> machines) {
+  if (machines.empty() && !machines_->empty()) {
+    empty_lists_.Increment();
+    return;
+  }
+  const bool unchanged = loaded_ && std::equal(machines.begin(), machines.end(), machines_->begin(),
+                                               machines_->end(), same);
+  loaded_ = true;
+  if (unchanged) {
+    return;
+  }
+  const auto before = machines_;
+  machines_ = std::make_shared<const std::vector<platform::Machine>>(std::move(machines));
+  gossip_.set_seeds(seed_addresses(*machines_, gossip_.self().node));
+  for (const core::NodeId& node : newly_leaving_nodes(*before, *machines_)) {
+    gossip_.mark_leaving(node);
+  }
+  for (const auto& listener : listeners_) {
+    listener();
+  }
+}
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/controllers/policy_versions_controller.cpp
@@ -0,0 +1,155 @@
+#include "controllers/policy_versions_controller.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "core/backoff.hpp"
+#include "core/random.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::controllers {
+namespace asio = boost::asio;
+
+namespace {
+
+const std::string kTable = "policies";
+constexpr std::string_view kVersionField = "version";
+constexpr core::BackoffSettings kRetryBackoff{std::chrono::milliseconds(500),
+                                              std::chrono::seconds(10)};
+constexpr core::Duration kIdleInterval = std::chrono::milliseconds(500);
+
+std::string encode_version(core::WeightVersion version) {
+  return nlohmann::json{{kVersionField, version.value()}}.dump();
+}
+
+/// \return the row's version; nothing when the row is not ours to understand.
+std::optional<core::WeightVersion> decode_version(const std::string& value) {
+  const auto json = nlohmann::json::parse(value, nullptr, false);
+  if (!json.is_object() || !json.contains(kVersionField) ||
+      !json.at(kVersionField).is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return core::WeightVersion(json.at(kVersionField).get<std::uint64_t>());
+}
+
+}  // namespace
+
+PolicyVersionsController::PolicyVersionsController(asio::any_io_executor executor,
+                                                   GossipController& gossip,
+                                                   platform::TableService& table,
+                                                   core::Metrics& metrics)
+    : executor_(std::move(executor)),
+      gossip_(gossip),
+      table_(table),
+      write_failures_(metrics.counter("stoneport_policy_write_failures_total",
+                                      "Attempts to write a policy's version that failed")) {}
+
+void PolicyVersionsController::start() {
+  alive_ = std::make_shared<bool>(true);
+  runtime::start(executor_, "policy versions", run(alive_));
+}
+
+core::WeightVersion PolicyVersionsController::newest(const core::PolicyName& policy) const {
+  const auto found = gossip_.policy_versions().find(policy);
+  return found == gossip_.policy_versions().end() ? core::WeightVersion{} : found->second;
+}
+
+asio::awaitable<core::Result<void>> PolicyVersionsController::publish(core::PolicyName policy,
+                                                                      core::WeightVersion version) {
+  if (version <= newest(policy)) {
+    co_return core::Result<void>{};
+  }
+  gossip_.announce_policy_version({policy, version});
+  unwritten_[policy] = std::max(unwritten_[policy], version);
+  // A failed write stays in unwritten_ and run() repeats it.
+  const core::Result<void> written = co_await write(policy, version);
+  if (!written) {
+    write_failures_.Increment();
+  }
+  co_return core::Result<void>{};
+}
+
+asio::awaitable<core::Result<void>> PolicyVersionsController::write(core::PolicyName policy,
+                                                                    core::WeightVersion version) {
+  const platform::RowKey key{kTable, policy.value()};
+  const auto row = co_await table_.read(key, platform::TablePriority::kInteractive);
+  if (!row) {
+    co_return row.error();
+  }
+  core::Revision revision;
+  if (*row) {
+    const auto stored = decode_version((*row)->value);
+    if (stored && *stored >= version) {
+      confirm(policy, version);
+      co_return core::Result<void>{};
+    }
+    revision = (*row)->revision;
+  }
+  platform::Transaction transaction;
+  // The same write after a lost answer carries the same id.
+  transaction.write_id =
+      core::WriteId("policy:" + gossip_.self().node.value() + ":" + policy.value() + ":" +
+                    std::to_string(version.value()) + ":" + std::to_string(revision.value()));
+  transaction.conditions.push_back({key, revision});
+  transaction.writes.push_back({key, encode_version(version)});
+  const auto committed =
+      co_await table_.commit(std::move(transaction), platform::TablePriority::kInteractive);
+  if (!committed) {
+    co_return committed.error();
+  }
+  confirm(policy, version);
+  co_return core::Result<void>{};
+}
+
+void PolicyVersionsController::confirm(const core::PolicyName& policy,
+                                       core::WeightVersion version) {
+  const auto found = unwritten_.find(policy);
+  if (found != unwritten_.end() && found->second <= version) {
+    unwritten_.erase(found);
+  }
+}
+
+asio::awaitable<core::Result<void>> PolicyVersionsController::load() {
+  const auto rows =
+      co_await table_.scan(kTable, "", core::Revision{}, platform::TablePriority::kBackground);
+  if (!rows) {
+    co_return rows.error();
+  }
+  for (const platform::Row& row : *rows) {
+    const auto version = decode_version(row.value);
+    if (version) {
+      gossip_.announce_policy_version({core::PolicyName(row.key.key), *version});
+    }
+  }
+  co_return core::Result<void>{};
+}
+
+asio::awaitable<void> PolicyVersionsController::run(std::weak_ptr<bool> alive) {
+  core::RandomSource random(gossip_.self().incarnation.value());
+  std::uint32_t failures = 0;
+  bool loaded = false;
+  while (!alive.expired()) {
+    bool failed = false;
+    if (!loaded) {
+      const core::Result<void> outcome = co_await load();
+      loaded = outcome.has_value();
+      failed = !loaded;
+    }
+    const auto unwritten = unwritten_;
+    for (const auto& [policy, version] : unwritten) {
+      if (alive.expired()) {
+        co_return;
+      }
+      const core::Result<void> outcome = co_await write(policy, version);
+      if (!outcome) {
+        write_failures_.Increment();
+        failed = true;
+      }
+    }
+    failures = failed ? failures + 1 : 0;
+    const core::Duration wait =
+        failed ? core::backoff_delay(kRetryBackoff, failures - 1, random) : kIdleInterval;
+    co_await runtime::sleep_for(wait);
+  }
+}
+
+}  // namespace stoneport::controllers
