--- /dev/null
+++ b/src/controllers/configuration_controller.cpp
@@ -0,0 +1,410 @@
+#include "controllers/configuration_controller.hpp"
+
+#include <fmt/format.h>
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/as_tuple.hpp>
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::controllers {
+namespace {
+
+namespace asio = boost::asio;
+using config::AdoptionVerdict;
+using platform::TablePriority;
+
+constexpr int kMostAttempts = 8;
+constexpr int kMostReadings = 3;
+constexpr core::Duration kRetryPause = std::chrono::milliseconds(50);
+constexpr core::Duration kRetryAfterRaces = std::chrono::seconds(1);
+constexpr core::Duration kPauseAfterAsking = std::chrono::milliseconds(150);
+
+std::string write_prefix(const wire::Member& self, std::uint64_t seed) {
+  return fmt::format("configuration/{}/{}/{}", self.node.value(), self.incarnation.value(), seed);
+}
+
+asio::awaitable<void> wait(asio::steady_timer& timer, core::Duration length) {
+  timer.expires_after(length);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+core::Error unknown_outcome(const config::PublishCommit& commit, const std::string& cause) {
+  return core::make_error(
+      core::ErrorCode::kOutcomeUnknown,
+      fmt::format("whether {} was accepted as revision {} is not known ({}); publish the same "
+                  "document again: if it was accepted, that changes nothing",
+                  to_string(commit.key), commit.record.revision.value(), cause));
+}
+
+}  // namespace
+
+ConfigurationController::ConfigurationController(asio::any_io_executor executor,
+                                                 platform::TableService& table,
+                                                 Membership& membership, http::Client& client,
+                                                 const core::TimeSource& time,
+                                                 core::Metrics& metrics,
+                                                 ConfigurationOptions options)
+    : executor_(executor),
+      membership_(membership),
+      time_(time),
+      metrics_(metrics),
+      self_(membership.self()),
+      options_(options),
+      random_(options.seed),
+      store_(table, write_prefix(self_, options.seed)),
+      peer_client_(client, time),
+      adoption_(self_.zone),
+      peer_timer_(executor),
+      store_timer_(executor),
+      revision_gauge_(metrics.gauge("stoneport_configuration_revision",
+                                    "Revision of the configuration in force")) {}
+
+void ConfigurationController::start() {
+  membership_.on_change([this] {
+    members_changed_ = true;
+    peer_timer_.cancel();
+  });
+  runtime::start(executor_, "configuration peers", run_peer_loop());
+  runtime::start(executor_, "configuration store", run_store_loop());
+}
+
+void ConfigurationController::stop() {
+  stopping_ = true;
+  peer_timer_.cancel();
+  store_timer_.cancel();
+}
+
+asio::awaitable<void> ConfigurationController::run_peer_loop() {
+  while (!stopping_) {
+    members_changed_ = false;
+    co_await look_at_peers();
+    if (!members_changed_ && !stopping_) {
+      co_await wait(peer_timer_, jittered(options_.peer_interval));
+    }
+  }
+}
+
+asio::awaitable<void> ConfigurationController::run_store_loop() {
+  while (!stopping_) {
+    core::Result<void> asked = co_await ask_store(TablePriority::kBackground);
+    count("store_read", asked.has_value() ? "ok" : "failed");
+    const core::Duration shortest =
+        ready() ? options_.shortest_store_poll : options_.starting_store_poll;
+    const core::Duration pause = config::next_store_poll(
+        membership_.members().size(), options_.fleet_store_polls_per_second, shortest, random_);
+    if (!stopping_) {
+      co_await wait(store_timer_, pause);
+    }
+  }
+}
+
+/// Asks until nobody is known to have a newer configuration, or nobody answers.
+asio::awaitable<void> ConfigurationController::look_at_peers() {
+  while (!stopping_) {
+    const std::vector<config::ConfigurationPeer> known = peers();
+    std::optional<config::ConfigurationPeer> chosen = adoption_.newer_peer(known, random_);
+    if (!chosen) {
+      chosen = adoption_.vouching_peer(known, random_);
+    }
+    if (!chosen) {
+      check_ready();
+      co_return;
+    }
+    const std::vector<wire::Member> members = other_members();
+    const auto member = std::find_if(
+        members.begin(), members.end(),
+        [&chosen](const wire::Member& candidate) { return candidate.node == chosen->node; });
+    const core::Revision before = record_.revision;
+    core::Result<void> asked = co_await ask_peer(*member);
+    count("peer_fetch", asked.has_value() ? "ok" : "failed");
+    if (record_.revision == before && !stopping_) {
+      co_await runtime::sleep_for(jittered(kPauseAfterAsking));
+    }
+  }
+}
+
+asio::awaitable<core::Result<void>> ConfigurationController::ask_peer(wire::Member peer) {
+  core::Result<PeerConfiguration> answer =
+      co_await peer_client_.fetch(peer, record_.revision, options_.exchange_timeout);
+  if (answer.has_error()) {
+    co_return answer.error();
+  }
+  core::Result<void> taken = take(*answer);
+  if (taken.has_error()) {
+    co_return taken.error();
+  }
+  if (answer->ready) {
+    adoption_.heard_ready_peer(answer->zone);
+  }
+  check_ready();
+  co_return core::Result<void>();
+}
+
+asio::awaitable<core::Result<void>> ConfigurationController::ask_store(TablePriority priority) {
+  core::Result<void> outcome;
+  for (int reading = 0; reading < kMostReadings; ++reading) {
+    core::Result<ConfigurationHead> head = co_await store_.read_head(priority);
+    if (head.has_error()) {
+      co_return head.error();
+    }
+    outcome = core::Result<void>();
+    if (head->revision > record_.revision) {
+      outcome = co_await read_newer(*head, priority);
+    } else {
+      accepts(head->revision, head->hash);
+    }
+    if (outcome.has_value()) {
+      remember(*head);
+      adoption_.heard_store();
+      check_ready();
+      co_return outcome;
+    }
+    if (outcome.error().code != core::ErrorCode::kProtocol) {
+      co_return outcome;
+    }
+  }
+  co_return outcome;
+}
+
+/// Reads the documents that changed. A publication between the two readings
+/// shows as a hash that does not match: kProtocol, and the caller reads again.
+asio::awaitable<core::Result<void>> ConfigurationController::read_newer(ConfigurationHead head,
+                                                                        TablePriority priority) {
+  core::Result<std::map<config::DocumentKey, config::DocumentRecord>> documents =
+      co_await store_.read_documents(known_head_.row, priority);
+  if (documents.has_error()) {
+    co_return documents.error();
+  }
+  if (record_.revision >= head.revision) {
+    co_return core::Result<void>();
+  }
+  config::ConfigurationDelta delta;
+  delta.since = record_.revision;
+  delta.whole_hash = head.hash;
+  delta.changed.revision = head.revision;
+  delta.changed.documents = std::move(*documents);
+  core::Result<config::ConfigurationRecord> whole = config::apply_delta(record_, delta);
+  if (whole.has_error()) {
+    co_return whole.error();
+  }
+  co_return adopt(std::move(*whole));
+}
+
+asio::awaitable<core::Result<PublishOutcome>> ConfigurationController::publish(
+    config::PublishRequest request) {
+  core::Result<PublishOutcome> outcome =
+      core::make_error(core::ErrorCode::kUnavailable, "not tried");
+  for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+    outcome = co_await try_publish(request);
+    const bool raced = outcome.has_error() && outcome.error().code == core::ErrorCode::kConflict;
+    if (!raced) {
+      break;
+    }
+    co_await runtime::sleep_for(jittered(kRetryPause));
+  }
+  count("publish", outcome.has_value() ? "answered" : "failed");
+  if (outcome.has_error() && outcome.error().code == core::ErrorCode::kConflict) {
+    co_return core::make_error(
+        core::ErrorCode::kUnavailable,
+        "not accepted, other publications came first each time: " + outcome.error().message,
+        kRetryAfterRaces);
+  }
+  co_return outcome;
+}
+
+/// One reading of the newest whole and one attempt to commit on top of it.
+asio::awaitable<core::Result<PublishOutcome>> ConfigurationController::try_publish(
+    config::PublishRequest request) {
+  core::Result<void> fresh = co_await ask_store(TablePriority::kInteractive);
+  if (fresh.has_error()) {
+    co_return core::make_error(
+        core::ErrorCode::kUnavailable,
+        "not accepted: the newest configuration could not be read: " + fresh.error().message);
+  }
+  if (known_head_.revision != record_.revision) {
+    co_return core::make_error(core::ErrorCode::kConflict,
+                               "the store holds another configuration than the one in force");
+  }
+  config::PublishPlan plan = config::plan_publish(record_, request, time_.wall_now());
+  if (auto* commit = std::get_if<config::PublishCommit>(&plan)) {
+    co_return co_await carry_out(std::move(*commit), known_head_);
+  }
+  if (const auto* unchanged = std::get_if<config::PublishUnchanged>(&plan)) {
+    co_return PublishOutcome(PublishAccepted{unchanged->key, unchanged->revision, true, 0});
+  }
+  if (auto* conflict = std::get_if<config::PublishConflict>(&plan)) {
+    co_return PublishOutcome(std::move(*conflict));
+  }
+  co_return PublishOutcome(std::get<config::PublishInvalid>(std::move(plan)));
+}
+
+asio::awaitable<core::Result<PublishOutcome>> ConfigurationController::carry_out(
+    config::PublishCommit commit, ConfigurationHead head) {
+  core::Result<ConfigurationHead> committed = co_await store_.commit(commit, head);
+  if (committed.has_error()) {
+    const core::Error error = committed.error();
+    const bool unsettled = error.code == core::ErrorCode::kOutcomeUnknown ||
+                           error.code == core::ErrorCode::kDeadlineExceeded;
+    co_return unsettled ? unknown_outcome(commit, error.message) : error;
+  }
+  const core::Revision revision = commit.record.revision;
+  if (accepts(revision, committed->hash)) {
+    put_in_force(std::move(commit.record), std::move(commit.configuration));
+  }
+  remember(*committed);
+  adoption_.heard_store();
+  check_ready();
+  const std::uint32_t copies = co_await push_to_zones(head.revision);
+  co_return PublishOutcome(PublishAccepted{commit.key, revision, false, copies});
+}
+
+/// Hands what changed after \p since to one member of each other zone, so that a
+/// revision that was accepted outlives this process though the store be down.
+asio::awaitable<std::uint32_t> ConfigurationController::push_to_zones(core::Revision since) {
+  std::uint32_t copies = 0;
+  const std::vector<wire::Member> targets = one_member_of_each_other_zone();
+  for (const wire::Member& target : targets) {
+    core::Result<void> pushed =
+        co_await peer_client_.push(target, offer_since(since), options_.push_timeout);
+    copies += pushed.has_value() ? 1 : 0;
+    count("peer_push", pushed.has_value() ? "ok" : "failed");
+  }
+  co_return copies;
+}
+
+PeerConfiguration ConfigurationController::offer_since(core::Revision since) const {
+  return PeerConfiguration{self_.node, self_.zone, ready(), config::delta_since(record_, since)};
+}
+
+core::Result<void> ConfigurationController::take(const PeerConfiguration& offer) {
+  const core::Revision revision = offer.delta.changed.revision;
+  if (revision <= record_.revision) {
+    accepts(revision, offer.delta.whole_hash);
+    return core::Result<void>();
+  }
+  if (offer.delta.since > record_.revision) {
+    return core::make_error(core::ErrorCode::kConflict,
+                            "the offer builds on a newer configuration than the one in force");
+  }
+  core::Result<config::ConfigurationRecord> whole = config::apply_delta(record_, offer.delta);
+  if (whole.has_error()) {
+    count("refused", "hash");
+    return whole.error();
+  }
+  return adopt(std::move(*whole));
+}
+
+core::Result<void> ConfigurationController::adopt(config::ConfigurationRecord record) {
+  config::Checked<config::Configuration> configuration = config::build_configuration(record);
+  if (configuration.has_error()) {
+    count("refused", "invalid");
+    return config::to_error(configuration.error());
+  }
+  if (accepts(record.revision, config::hash_of(record))) {
+    put_in_force(std::move(record), std::move(*configuration));
+  }
+  return core::Result<void>();
+}
+
+/// \return whether that revision is to be taken into force now.
+bool ConfigurationController::accepts(core::Revision revision, std::uint64_t hash) {
+  const AdoptionVerdict verdict = adoption_.consider({revision, hash});
+  if (verdict == AdoptionVerdict::kOlder) {
+    count("refused", "older");
+  }
+  if (verdict == AdoptionVerdict::kFork) {
+    count("refused", "fork");
+  }
+  return verdict == AdoptionVerdict::kAdopt;
+}
+
+void ConfigurationController::put_in_force(config::ConfigurationRecord record,
+                                           config::Configuration configuration) {
+  record_ = std::move(record);
+  snapshots_.publish(std::make_shared<const config::Configuration>(std::move(configuration)));
+  membership_.announce_configuration(record_.revision);
+  revision_gauge_.Set(static_cast<double>(record_.revision.value()));
+  spdlog::info("configuration {} in force", record_.revision.value());
+  tell_listeners();
+}
+
+/// Keeps \p head when the configuration in force holds all that it stands for.
+void ConfigurationController::remember(const ConfigurationHead& head) {
+  if (head.row >= known_head_.row && head.revision <= record_.revision) {
+    known_head_ = head;
+  }
+}
+
+void ConfigurationController::check_ready() {
+  const bool before = ready();
+  if (adoption_.update_ready(peers()) && !before) {
+    spdlog::info("ready with configuration {}", record_.revision.value());
+    tell_listeners();
+  }
+}
+
+void ConfigurationController::tell_listeners() {
+  for (const std::function<void()>& listener : listeners_) {
+    listener();
+  }
+}
+
+void ConfigurationController::count(const char* what, const char* outcome) {
+  metrics_
+      .counter("stoneport_configuration_events_total", "What the configuration controller did",
+               {{"event", what}, {"outcome", outcome}})
+      .Increment();
+}
+
+std::vector<wire::Member> ConfigurationController::other_members() const {
+  std::vector<wire::Member> members = membership_.members();
+  std::erase_if(members, [this](const wire::Member& member) {
+    return member.node == self_.node || member.state == wire::MemberState::kDead;
+  });
+  return members;
+}
+
+std::vector<config::ConfigurationPeer> ConfigurationController::peers() const {
+  std::vector<config::ConfigurationPeer> known;
+  for (const wire::Member& member : other_members()) {
+    known.push_back({member.node, member.zone, member.configuration_revision});
+  }
+  return known;
+}
+
+std::vector<wire::Member> ConfigurationController::one_member_of_each_other_zone() {
+  std::map<core::ZoneName, std::vector<wire::Member>> zones;
+  for (wire::Member& member : other_members()) {
+    if (member.zone != self_.zone && member.state == wire::MemberState::kAlive) {
+      zones[member.zone].push_back(std::move(member));
+    }
+  }
+  std::vector<wire::Member> chosen;
+  for (const auto& [zone, members] : zones) {
+    chosen.push_back(members[random_.uniform(0, members.size() - 1)]);
+  }
+  return chosen;
+}
+
+InForceCounts ConfigurationController::count_in_force(core::Revision revision) const {
+  InForceCounts counts;
+  for (const wire::Member& member : membership_.members()) {
+    if (member.state == wire::MemberState::kDead) {
+      continue;
+    }
+    ++counts.total;
+    if (member.configuration_revision >= revision) {
+      ++counts.in_force;
+    } else {
+      counts.missing.push_back(member.node);
+    }
+  }
+  return counts;
+}
+
+core::Duration ConfigurationController::jittered(core::Duration length) {
+  return core::from_seconds(core::to_seconds(length) * (0.5 + random_.fraction()));
+}
+
+}  // namespace stoneport::controllers
