Add the step runner and the trainer interface

A step lives in the memory of the daemon beside its trainer, on one thread. Attempts read their streams over cuts: first by resuming at the same engine, else as a new attempt elsewhere. A replacement daemon finds its predecessor's streams by their identifiers and resumes them; the identifier carries a digest of the step's content, so that a stream left by another step under the same number is not taken for this one's.

A daemon that an engine fenced gives up its epoch for the event: without that, a trainer that never saw the higher epoch would open the step under the fenced one again and again.

The runner itself is not tested yet.

--- a/src/rollout/event_ownership.cpp
+++ b/src/rollout/event_ownership.cpp
@@ -9,13 +9,22 @@
 }
 
 EventOwnership::Opening EventOwnership::open(const core::EventName& event, core::Epoch epoch_seen) {
-  const core::Epoch ours = epoch_of(event);
-  if (ours != core::Epoch() && epoch_seen <= ours) {
-    return Opening{ours, false};
+  Entry& entry = owned_[event];
+  const bool is_ours = entry.epoch != core::Epoch() && !entry.lost && epoch_seen <= entry.epoch;
+  if (is_ours) {
+    return Opening{entry.epoch, false};
+  }
+  const bool may_be_begun = entry.lost || epoch_seen != core::Epoch();
+  entry.epoch = std::max(granted_, std::max(epoch_seen, entry.epoch).next());
+  entry.lost = false;
+  return Opening{entry.epoch, may_be_begun};
+}
+
+void EventOwnership::lose(const core::EventName& event) {
+  const auto found = owned_.find(event);
+  if (found != owned_.end()) {
+    found->second.lost = true;
   }
-  const core::Epoch taken = std::max(granted_, epoch_seen.next());
-  owned_[event] = taken;
-  return Opening{taken, epoch_seen != core::Epoch()};
 }
 
 bool EventOwnership::is_fenced(const core::EventName& event, core::Epoch epoch_seen) const {
@@ -24,7 +33,7 @@
 
 core::Epoch EventOwnership::epoch_of(const core::EventName& event) const {
   const auto found = owned_.find(event);
-  return found == owned_.end() ? core::Epoch() : found->second;
+  return found == owned_.end() ? core::Epoch() : found->second.epoch;
 }
 
 }  // namespace stoneport::rollout
--- a/src/rollout/event_ownership.hpp
+++ b/src/rollout/event_ownership.hpp
@@ -25,6 +25,10 @@
   /// another daemon served since, is taken under max(granted, epoch_seen + 1).
   Opening open(const core::EventName& event, core::Epoch epoch_seen);
 
+  /// An engine or the trainer showed that a higher epoch than ours exists for
+  /// \p event: the next open takes a new one, above ours.
+  void lose(const core::EventName& event);
+
   /// \return whether the trainer has seen a higher epoch than ours for \p event.
   bool is_fenced(const core::EventName& event, core::Epoch epoch_seen) const;
   /// \return zero when the event was never opened here.
@@ -32,7 +36,11 @@
 
  private:
   core::Epoch granted_;
-  std::map<core::EventName, core::Epoch> owned_;
+  struct Entry {
+    core::Epoch epoch;
+    bool lost = false;
+  };
+  std::map<core::EventName, Entry> owned_;
 };
 
 }  // namespace stoneport::rollout
--- a/src/rollout/group_placement.cpp
+++ b/src/rollout/group_placement.cpp
@@ -34,7 +34,7 @@
   for (const EngineCandidate& candidate : input.candidates) {
     AdmissionInput question{input.rule, candidate.version, input.now, input.expected_run};
     const Admission admission = predict_admission(question, rhythm);
-    if (!candidate.backing_off && admission != Admission::kTooOld) {
+    if (!candidate.closed && admission != Admission::kTooOld) {
       classes[{candidate.suspect, admission}].push_back(candidate);
     }
   }
--- a/src/rollout/group_placement.hpp
+++ b/src/rollout/group_placement.hpp
@@ -20,8 +20,8 @@
   std::uint32_t reported = 0;     ///< running and waiting as reported, lagging
   std::uint32_t max_running = 0;  ///< zero when unknown
   std::optional<core::WeightVersion> version;
-  bool suspect = false;      ///< used only when nothing else is left
-  bool backing_off = false;  ///< refused a stream a moment ago
+  bool suspect = false;  ///< used only when nothing else is left
+  bool closed = false;   ///< takes nothing for now: refused a stream lately, or is full
 };
 
 struct PlacementSettings {
@@ -61,7 +61,7 @@
       : chooser_(chooser), settings_(settings) {}
 
   /// \return the engine for the next sample of that prompt, or nothing when all
-  /// engines are too old, backing off or gone: ask again later.
+  /// engines are too old, closed or gone: ask again later.
   std::optional<core::ReplicaId> place(const PlacementInput& input,
                                        const PublicationRhythm& rhythm);
   /// The engine of \p prompt failed: its next sample is placed anew.
--- a/src/rollout/stream_name.cpp
+++ b/src/rollout/stream_name.cpp
@@ -28,7 +28,8 @@
 core::StreamId to_stream_id(const StreamName& name) {
   return core::StreamId(stream_prefix(name.event, name.step) + std::to_string(name.slot.prompt) +
                         "." + std::to_string(name.slot.sample) + "." +
-                        std::to_string(name.attempt) + "." + std::to_string(name.epoch.value()));
+                        std::to_string(name.attempt) + "." + std::to_string(name.epoch.value()) +
+                        "." + std::to_string(name.content));
 }
 
 std::optional<StreamName> parse_stream_id(const core::StreamId& stream) {
@@ -45,7 +46,8 @@
   const auto sample = take_number(rest, '.');
   const auto attempt = take_number(rest, '.');
   const auto epoch = take_number(rest, '.');
-  if (!step || !prompt || !sample || !attempt || !epoch || !rest.empty()) {
+  const auto content = take_number(rest, '.');
+  if (!step || !prompt || !sample || !attempt || !epoch || !content || !rest.empty()) {
     return std::nullopt;
   }
   name.step = core::StepNumber(*step);
@@ -53,6 +55,7 @@
       core::SlotId{static_cast<std::uint32_t>(*prompt), static_cast<std::uint32_t>(*sample)};
   name.attempt = static_cast<std::uint32_t>(*attempt);
   name.epoch = core::Epoch(*epoch);
+  name.content = static_cast<std::uint32_t>(*content);
   if (to_stream_id(name) != stream) {
     return std::nullopt;
   }
--- a/src/rollout/stream_name.hpp
+++ b/src/rollout/stream_name.hpp
@@ -20,10 +20,13 @@
   core::SlotId slot;
   std::uint32_t attempt = 0;
   core::Epoch epoch;
+  /// Digest of what the step asks for, so that a stream left over from another
+  /// step under the same number is never taken for this one's.
+  std::uint32_t content = 0;
   auto operator<=>(const StreamName&) const = default;
 };
 
-/// \return "event/step/prompt.sample.attempt.epoch". The event must not hold a
+/// \return "event/step/prompt.sample.attempt.epoch.content". The event must not hold a
 /// '/'; is_valid_event_name() says so.
 core::StreamId to_stream_id(const StreamName& name);
 /// \return nothing for identifiers that to_stream_id() does not produce.
--- /dev/null
+++ b/src/steps/engine_directory.hpp
@@ -0,0 +1,57 @@
+/// \file
+/// The engines as the steps of this daemon see them: the routing table plus what
+/// the steps know first-hand, their own streams and refusals. Steps thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/random.hpp"
+#include "rollout/group_placement.hpp"
+#include "rollout/stragglers.hpp"
+#include "steps/dependencies.hpp"
+
+namespace stoneport::steps {
+
+class EngineDirectory {
+ public:
+  EngineDirectory(const StepDependencies& dependencies, core::RandomSource& random);
+
+  /// \return every engine of \p model that may get new streams.
+  std::vector<rollout::EngineCandidate> candidates(const core::ModelName& model) const;
+  /// \return engines of \p model with room for a moved stream and weights that
+  /// \p rule allows, given their reports.
+  std::vector<rollout::MigrationTarget> migration_targets(const core::ModelName& model,
+                                                          const rollout::AgeRule& rule) const;
+  /// \return every engine of \p model that is not down, leaving ones included.
+  std::vector<routing::Replica> all(const core::ModelName& model) const;
+  std::optional<routing::Replica> find(const core::ModelName& model,
+                                       const core::ReplicaId& replica) const;
+  std::shared_ptr<platform::ModelEngine> client(const core::Address& address) const;
+
+  void stream_started(const core::ReplicaId& replica);
+  void stream_ended(const core::ReplicaId& replica);
+  /// \p replica refused or failed a stream: nothing new goes there for a while.
+  void refused(const core::ReplicaId& replica, std::optional<core::Duration> retry_after);
+  void worked(const core::ReplicaId& replica);
+
+ private:
+  struct Usage {
+    std::uint32_t in_flight = 0;
+    std::uint32_t failures = 0;
+    core::MonotonicTime closed_until{};
+  };
+
+  const std::vector<routing::Replica>* replicas(const routing::RoutingTable& table,
+                                                const core::ModelName& model) const;
+  const Usage& usage(const core::ReplicaId& replica) const;
+  bool is_full(const routing::Replica& replica) const;
+
+  const StepDependencies& dependencies_;
+  core::RandomSource& random_;
+  std::map<core::ReplicaId, Usage> usage_;
+};
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_metrics.hpp
@@ -0,0 +1,42 @@
+/// \file
+/// Counters of the steps, looked up once.
+#pragma once
+
+#include "core/metrics.hpp"
+
+namespace stoneport::steps {
+
+struct StepMetrics {
+  explicit StepMetrics(core::Metrics& metrics);
+
+  prometheus::Counter& steps_opened;
+  prometheus::Counter& steps_completed;
+  prometheus::Counter& steps_fenced;
+  prometheus::Counter& steps_cancelled;
+  prometheus::Counter& steps_abandoned;
+  prometheus::Gauge& steps_open;
+  prometheus::Counter& polls;
+  prometheus::Counter& polls_replaced;
+  prometheus::Counter& samples_accepted;
+  prometheus::Counter& samples_handed_over;  ///< repeats after lost answers included
+  prometheus::Counter& samples_duplicate;
+  prometheus::Counter& samples_too_old;
+  prometheus::Counter& samples_unfit;
+  prometheus::Counter& attempts_started;
+  prometheus::Counter& attempts_adopted;
+  prometheus::Counter& attempts_refused;
+  prometheus::Counter& attempts_failed;
+  prometheus::Counter& attempts_cancelled_too_old;
+  prometheus::Counter& attempts_cancelled_unneeded;
+  prometheus::Counter& streams_resumed;
+  prometheus::Counter& streams_migrated;
+  prometheus::Counter& migrations_failed;
+  prometheus::Counter& priority_raises;
+  prometheus::Counter& scoring_retries;
+  prometheus::Counter& placements_deferred;
+  prometheus::Counter& orders_failed;  ///< cancels and priorities that engines did not take
+  prometheus::Counter& tokens_received;
+  prometheus::Counter& tokens_dropped;  ///< of attempts that gave no sample
+};
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_runner.cpp
@@ -0,0 +1,206 @@
+#include "steps/step_runner.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::steps {
+namespace asio = boost::asio;
+namespace {
+
+/// After the last samples were handed over, how long a trainer that does not
+/// come back is waited for.
+constexpr core::Duration kRepeatWindow = std::chrono::seconds(2);
+
+const char* name_of(StepStop reason) {
+  switch (reason) {
+    case StepStop::kCancelled:
+      return "cancelled";
+    case StepStop::kClosed:
+      return "closed";
+    case StepStop::kFenced:
+      return "fenced";
+    case StepStop::kAbandoned:
+      return "abandoned";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+StepRunner::StepRunner(StepContext& context, StepPlan plan, EventRules rules)
+    : context_(context),
+      plan_(std::move(plan)),
+      work_(std::make_shared<StepWork>(context, plan_, std::move(rules), listener())),
+      changed_(context.dependencies.executor),
+      last_heard_(context.now()) {}
+
+StepWork::Listener StepRunner::listener() {
+  // The work calls only until it is stopped, and stop() is called before this
+  // object goes: its sweeps hold it until then.
+  return StepWork::Listener{[this] { changed_.notify(); }, [this] { stop(StepStop::kFenced); }};
+}
+
+void StepRunner::start() {
+  spdlog::info("step {}/{}: opened, epoch {}, {} prompts of {} samples{}", plan_.event.value(),
+               plan_.step.value(), plan_.epoch.value(), plan_.content.prompts.size(),
+               plan_.content.samples_per_prompt, plan_.taken_over ? ", taken over" : "");
+  runtime::start(context_.dependencies.executor, "step sweeps", sweep_until_stopped());
+  runtime::start(context_.dependencies.executor, "step grace", start_after_grace());
+}
+
+asio::awaitable<void> StepRunner::start_after_grace() {
+  const auto self = shared_from_this();
+  co_await runtime::sleep_for(context_.settings().start_grace);
+  begin_once();
+  work_->resume_starts();
+}
+
+void StepRunner::begin_once() {
+  if (begun_ || stopped_) {
+    return;
+  }
+  begun_ = true;
+  runtime::start(context_.dependencies.executor, "step work", work_->begin());
+}
+
+asio::awaitable<void> StepRunner::sweep_until_stopped() {
+  const auto self = shared_from_this();
+  while (!stopped_) {
+    co_await runtime::sleep_for(context_.settings().sweep_interval);
+    if (stopped_) {
+      co_return;
+    }
+    work_->sweep();
+    const core::Duration silence = context_.now() - last_heard_;
+    const core::Duration limit =
+        work_->rules().parameters.step_deadline * context_.settings().abandon_after_deadlines;
+    if (silence > limit) {
+      stop(StepStop::kAbandoned);
+    }
+  }
+}
+
+asio::awaitable<core::Result<PollAnswer>> StepRunner::poll(PollRequest request) {
+  const auto self = shared_from_this();
+  context_.metrics.polls.Increment();
+  const std::uint64_t number = ++newest_poll_;
+  const core::MonotonicTime end =
+      context_.now() + std::min(request.wait, context_.settings().longest_wait);
+  heard_of_trainer();
+  work_->ledger().acknowledge(request.held);
+  work_->resume_starts();
+  changed_.notify();
+  begin_once();
+  while (true) {
+    if (stopped_) {
+      co_return stop_error();
+    }
+    if (number != newest_poll_) {
+      context_.metrics.polls_replaced.Increment();
+      PollAnswer replaced;
+      replaced.epoch = plan_.epoch;
+      co_return replaced;
+    }
+    PollAnswer answer = hand_over(request);
+    const core::Duration left = end - context_.now();
+    if (answer.complete || !answer.samples.empty() || left.count() <= 0) {
+      co_return answer;
+    }
+    co_await changed_.wait_for(left);
+  }
+}
+
+PollAnswer StepRunner::hand_over(const PollRequest& request) {
+  rollout::HandOverLimit limit;
+  limit.samples = request.max_samples;
+  rollout::HandOver handed = work_->ledger().hand_over(request.held, limit, work_->age_rule());
+  heard_of_trainer();
+  context_.metrics.samples_handed_over.Increment(static_cast<double>(handed.samples.size()));
+  if (handed.complete) {
+    note_completion();
+  }
+  PollAnswer answer;
+  answer.epoch = plan_.epoch;
+  answer.complete = handed.complete;
+  answer.samples = std::move(handed.samples);
+  return answer;
+}
+
+void StepRunner::note_completion() {
+  completed_at_ = context_.now();
+  if (counted_complete_) {
+    return;
+  }
+  counted_complete_ = true;
+  context_.metrics.steps_completed.Increment();
+  work_->leave_history();
+  spdlog::info("step {}/{}: complete", plan_.event.value(), plan_.step.value());
+}
+
+core::Result<void> StepRunner::acknowledge(const rollout::SlotBitmap& held) {
+  if (stopped_) {
+    return stop_error();
+  }
+  heard_of_trainer();
+  work_->ledger().acknowledge(held);
+  if (work_->ledger().all_held()) {
+    note_completion();
+  }
+  changed_.notify();
+  return {};
+}
+
+void StepRunner::reopened() {
+  heard_of_trainer();
+  completed_at_.reset();
+  work_->ledger().forget_acknowledgements();
+  work_->pause_starts();
+  runtime::start(context_.dependencies.executor, "step grace", start_after_grace());
+}
+
+void StepRunner::stop(StepStop reason) {
+  if (stopped_) {
+    return;
+  }
+  stopped_ = reason;
+  spdlog::info("step {}/{}: {}", plan_.event.value(), plan_.step.value(), name_of(reason));
+  switch (reason) {
+    case StepStop::kCancelled:
+      context_.metrics.steps_cancelled.Increment();
+      work_->cancel();
+      break;
+    case StepStop::kClosed:
+      work_->cancel();
+      break;
+    case StepStop::kFenced:
+      context_.metrics.steps_fenced.Increment();
+      work_->detach();
+      break;
+    case StepStop::kAbandoned:
+      context_.metrics.steps_abandoned.Increment();
+      work_->detach();
+      break;
+  }
+  changed_.notify();
+}
+
+void StepRunner::heard_of_trainer() {
+  last_heard_ = context_.now();
+}
+
+bool StepRunner::is_finished() const {
+  if (stopped_ || work_->ledger().all_held()) {
+    return true;
+  }
+  return completed_at_ && context_.now() - *completed_at_ > kRepeatWindow;
+}
+
+core::Error StepRunner::stop_error() const {
+  if (stopped_ == StepStop::kFenced) {
+    return core::make_error(core::ErrorCode::kFenced, "a higher epoch is in force for this step");
+  }
+  return core::make_error(core::ErrorCode::kNotFound, "no such step is open here");
+}
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_service.cpp
@@ -0,0 +1,196 @@
+#include "steps/step_service.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "rollout/stream_name.hpp"
+#include "runtime/tasks.hpp"
+#include "steps/backoff.hpp"
+
+namespace stoneport::steps {
+namespace asio = boost::asio;
+using core::ErrorCode;
+namespace {
+
+constexpr core::Duration kEpochRetryFirst = std::chrono::milliseconds(500);
+constexpr core::Duration kEpochRetryLongest = std::chrono::seconds(30);
+
+core::Error not_open() {
+  return core::make_error(ErrorCode::kNotFound, "no such step is open here");
+}
+
+}  // namespace
+
+StepService::StepService(StepDependencies dependencies) : context_(std::move(dependencies)) {}
+
+void StepService::start() {
+  runtime::start(context_.dependencies.executor, "steps epoch", acquire_epoch());
+}
+
+asio::awaitable<void> StepService::acquire_epoch() {
+  std::uint32_t failures = 0;
+  while (true) {
+    const core::Result<core::Epoch> granted = co_await context_.dependencies.epochs.acquire();
+    if (granted) {
+      ownership_.grant(*granted);
+      spdlog::info("steps: granted epoch {}", granted->value());
+      co_return;
+    }
+    const core::Duration pause =
+        backoff_after(++failures, kEpochRetryFirst, kEpochRetryLongest, context_.random);
+    co_await runtime::sleep_for(pause);
+  }
+}
+
+asio::awaitable<core::Result<void>> StepService::publish(core::PolicyName policy,
+                                                         core::WeightVersion version,
+                                                         std::uint64_t size_bytes) {
+  // First of all: a sample handed over from now on is judged against it.
+  context_.policies.observe(policy, version);
+  co_return co_await context_.dependencies.policies.publish(std::move(policy), version, size_bytes);
+}
+
+core::Result<void> StepService::admit(const StepKey& key) const {
+  const StepSettings& settings = context_.settings();
+  if (!rollout::is_valid_event_name(key.event)) {
+    return core::make_error(ErrorCode::kInvalidArgument, "an event's name holds no '/'");
+  }
+  if (draining_) {
+    return core::make_error(ErrorCode::kUnavailable, "this daemon is leaving",
+                            settings.retry_after);
+  }
+  if (runners_.size() >= settings.most_open_steps) {
+    return core::make_error(ErrorCode::kRateLimited, "too many steps are open",
+                            settings.retry_after);
+  }
+  return {};
+}
+
+core::Result<OpenAnswer> StepService::open(const StepKey& key, StepContent content,
+                                           core::Epoch epoch_seen) {
+  forget_stopped();
+  const std::optional<EventRules> rules = find_rules(context_.dependencies, key.event);
+  if (!rules) {
+    return core::make_error(ErrorCode::kNotFound, "no such event is in force");
+  }
+  const std::size_t expected = content.shape().slot_count();
+  if (const auto runner = live(key)) {
+    if (runner->plan().content != content) {
+      return core::make_error(ErrorCode::kConflict, "the step is open with another body");
+    }
+    if (epoch_seen <= runner->plan().epoch) {
+      runner->reopened();
+      return OpenAnswer{runner->plan().epoch, expected};
+    }
+    // Another daemon had it in the meantime and the trainer came back.
+    forget(key, StepStop::kFenced);
+    ownership_.lose(key.event);
+  }
+  if (const auto admitted = admit(key); !admitted) {
+    return admitted.error();
+  }
+  close_completed_before(key);
+  const rollout::EventOwnership::Opening opening = ownership_.open(key.event, epoch_seen);
+  context_.policies.observe(rules->parameters.policy, content.policy_version);
+  StepPlan plan{key.event, key.step, opening.epoch, opening.taken_over, std::move(content)};
+  const auto runner = std::make_shared<StepRunner>(context_, std::move(plan), *rules);
+  runners_[key] = runner;
+  context_.metrics.steps_opened.Increment();
+  context_.metrics.steps_open.Set(static_cast<double>(runners_.size()));
+  runner->start();
+  return OpenAnswer{opening.epoch, expected};
+}
+
+core::Result<std::shared_ptr<StepRunner>> StepService::find(const StepKey& key,
+                                                            core::Epoch epoch_seen) {
+  const auto found = runners_.find(key);
+  if (found == runners_.end()) {
+    return not_open();
+  }
+  const std::shared_ptr<StepRunner> runner = found->second;
+  if (epoch_seen > runner->plan().epoch) {
+    runner->stop(StepStop::kFenced);
+  }
+  if (runner->stopped() == StepStop::kFenced) {
+    return core::make_error(ErrorCode::kFenced, "a higher epoch is in force for this step");
+  }
+  if (runner->stopped()) {
+    return not_open();
+  }
+  return runner;
+}
+
+void StepService::observe_version(const StepKey& key, core::WeightVersion version) {
+  if (const auto rules = find_rules(context_.dependencies, key.event)) {
+    context_.policies.observe(rules->parameters.policy, version);
+  }
+}
+
+core::Result<void> StepService::cancel(const StepKey& key) {
+  if (!live(key)) {
+    return not_open();
+  }
+  forget(key, StepStop::kCancelled);
+  return {};
+}
+
+std::shared_ptr<StepRunner> StepService::live(const StepKey& key) {
+  const auto found = runners_.find(key);
+  if (found == runners_.end() || found->second->stopped()) {
+    return nullptr;
+  }
+  return found->second;
+}
+
+void StepService::close_completed_before(const StepKey& key) {
+  std::vector<StepKey> completed;
+  for (const auto& [other, runner] : runners_) {
+    if (other.event == key.event && other.step < key.step && runner->all_held()) {
+      completed.push_back(other);
+    }
+  }
+  for (const StepKey& other : completed) {
+    forget(other, StepStop::kClosed);
+  }
+}
+
+void StepService::forget(const StepKey& key, StepStop reason) {
+  const auto found = runners_.find(key);
+  found->second->stop(reason);
+  runners_.erase(found);
+  context_.metrics.steps_open.Set(static_cast<double>(runners_.size()));
+}
+
+void StepService::forget_stopped() {
+  std::erase_if(runners_, [this](const auto& entry) {
+    const std::optional<StepStop> stopped = entry.second->stopped();
+    const bool is_current = entry.second->plan().epoch == ownership_.epoch_of(entry.first.event);
+    if (stopped == StepStop::kFenced && is_current) {
+      ownership_.lose(entry.first.event);
+    }
+    return stopped.has_value();
+  });
+  context_.metrics.steps_open.Set(static_cast<double>(runners_.size()));
+}
+
+void StepService::begin_drain() {
+  if (!draining_) {
+    draining_ = true;
+    spdlog::info("steps: draining, {} open", runners_.size());
+  }
+}
+
+asio::awaitable<bool> StepService::wait_until_idle(core::Duration limit) {
+  const core::MonotonicTime end = context_.now() + limit;
+  while (true) {
+    const bool is_idle = std::all_of(runners_.begin(), runners_.end(),
+                                     [](const auto& entry) { return entry.second->is_finished(); });
+    if (is_idle || context_.now() >= end) {
+      co_return is_idle;
+    }
+    co_await runtime::sleep_for(context_.settings().sweep_interval);
+  }
+}
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_work.cpp
@@ -0,0 +1,364 @@
+#include "steps/step_work.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "core/hash.hpp"
+#include "rollout/over_sampling.hpp"
+#include "runtime/tasks.hpp"
+#include "steps/backoff.hpp"
+
+namespace stoneport::steps {
+namespace asio = boost::asio;
+using core::SlotId;
+namespace {
+
+/// Ends a found stream that nobody needs; it was cancelled before.
+asio::awaitable<void> run_unneeded(std::shared_ptr<Attempt> attempt) {
+  co_await attempt->run();
+}
+
+}  // namespace
+
+StepWork::StepWork(StepContext& context, StepPlan plan, EventRules rules, Listener listener)
+    : context_(context),
+      plan_(std::move(plan)),
+      rules_(std::move(rules)),
+      listener_(std::move(listener)),
+      ledger_(plan_.content.shape()),
+      placement_(chooser_, {}) {}
+
+const EventRules& StepWork::rules() {
+  if (auto in_force = find_rules(context_.dependencies, plan_.event)) {
+    rules_ = std::move(*in_force);
+  }
+  return rules_;
+}
+
+rollout::AgeRule StepWork::age_rule() {
+  const config::TenantParameters& parameters = rules().parameters;
+  return {context_.policies.current(parameters.policy), parameters.age_bound};
+}
+
+asio::awaitable<void> StepWork::begin() {
+  const auto self = shared_from_this();
+  if (plan_.taken_over) {
+    const std::vector<FoundStream> found = co_await find_streams(
+        context_, rules_.event_template.model, plan_.event, plan_.step, plan_.content.digest());
+    if (!stopped_) {
+      adopt(found);
+    }
+  }
+  begun_ = true;
+  sweep();
+}
+
+void StepWork::adopt(const std::vector<FoundStream>& found) {
+  for (const FoundStream& stream : found) {
+    const SlotId slot = stream.name.slot;
+    if (slot.prompt >= ledger_.shape().prompts) {
+      continue;
+    }
+    const bool is_taken = std::any_of(attempts_.begin(), attempts_.end(),
+                                      [&](const auto& one) { return one.first.first == slot; });
+    Attempt::Order order = order_for(slot, stream.name.attempt, stream.engine);
+    order.name = stream.name;
+    order.adopted = true;
+    const auto attempt = std::make_shared<Attempt>(context_, std::move(order));
+    if (is_taken || !is_needed(slot)) {
+      attempt->cancel();
+      context_.metrics.attempts_cancelled_unneeded.Increment();
+      runtime::start(context_.dependencies.executor, "cancel found stream", run_unneeded(attempt));
+      continue;
+    }
+    if (is_spare(slot)) {
+      spares_started_.insert(slot);
+    } else {
+      ledger_.adopt_attempt(slot, stream.name.attempt);
+    }
+    context_.metrics.attempts_adopted.Increment();
+    start_run(attempt);
+  }
+}
+
+void StepWork::sweep() {
+  if (stopped_ || !begun_) {
+    return;
+  }
+  const rollout::AgeRule rule = age_rule();
+  const std::size_t discarded = ledger_.discard_too_old(rule);
+  context_.metrics.samples_too_old.Increment(static_cast<double>(discarded));
+  end_unneeded();
+  end_too_old(rule);
+  start_idle();
+  if (context_.now() >= next_straggler_check_) {
+    next_straggler_check_ = context_.now() + context_.settings().straggler_interval;
+    look_after_stragglers();
+  }
+}
+
+bool StepWork::group_is_open(std::uint32_t prompt) const {
+  for (std::uint32_t sample = 0; sample < ledger_.shape().samples_per_prompt; ++sample) {
+    if (ledger_.is_missing(SlotId{prompt, sample})) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool StepWork::is_needed(SlotId slot) const {
+  return is_spare(slot) ? group_is_open(slot.prompt) : ledger_.is_missing(slot);
+}
+
+void StepWork::end_unneeded() {
+  for (const auto& [key, attempt] : attempts_) {
+    if (!attempt->is_stopping() && !is_needed(key.first)) {
+      attempt->cancel();
+      context_.metrics.attempts_cancelled_unneeded.Increment();
+    }
+  }
+}
+
+void StepWork::end_too_old(const rollout::AgeRule& rule) {
+  for (const auto& [key, attempt] : attempts_) {
+    const auto oldest = attempt->content().oldest();
+    if (!attempt->is_stopping() && oldest && !rule.allows(*oldest)) {
+      attempt->cancel();
+      context_.metrics.attempts_cancelled_too_old.Increment();
+    }
+  }
+}
+
+std::vector<SlotId> StepWork::wanted_slots() {
+  std::vector<SlotId> wanted = ledger_.idle_slots();
+  const rollout::StepShape shape = ledger_.shape();
+  const std::uint32_t spares =
+      rollout::spare_count(shape.samples_per_prompt, rules_.event_template.over_sampling);
+  for (std::uint32_t prompt = 0; spares > 0 && prompt < shape.prompts; ++prompt) {
+    for (std::uint32_t spare = 0; spare < spares; ++spare) {
+      const SlotId slot{prompt, shape.samples_per_prompt + spare};
+      if (!spares_started_.contains(slot) && group_is_open(prompt)) {
+        wanted.push_back(slot);
+      }
+    }
+  }
+  const core::MonotonicTime now = context_.now();
+  std::erase_if(wanted, [&](SlotId slot) {
+    const auto pause = pauses_.find(slot);
+    return pause != pauses_.end() && now < pause->second.until;
+  });
+  return wanted;
+}
+
+void StepWork::start_idle() {
+  if (starts_paused_) {
+    return;
+  }
+  const rollout::AgeRule rule = age_rule();
+  const EventHistory& history = context_.events[plan_.event];
+  for (const SlotId slot : wanted_slots()) {
+    if (history.in_flight >= rules_.parameters.concurrency) {
+      return;
+    }
+    if (!start_attempt(slot, rule)) {
+      context_.metrics.placements_deferred.Increment();
+      return;
+    }
+  }
+}
+
+bool StepWork::start_attempt(SlotId slot, const rollout::AgeRule& rule) {
+  const core::ModelName& model = rules_.event_template.model;
+  rollout::PlacementInput input;
+  input.prompt = slot.prompt;
+  input.candidates = context_.engines.candidates(model);
+  input.rule = rule;
+  input.now = context_.now();
+  input.expected_run = context_.events[plan_.event].run_length;
+  const auto chosen = placement_.place(input, context_.policies.rhythm(rules_.parameters.policy));
+  if (!chosen) {
+    return false;
+  }
+  const auto engine = context_.engines.find(model, *chosen);
+  std::uint32_t number = 1;
+  if (is_spare(slot)) {
+    spares_started_.insert(slot);
+  } else {
+    number = ledger_.begin_attempt(slot);
+  }
+  context_.metrics.attempts_started.Increment();
+  start_run(std::make_shared<Attempt>(context_, order_for(slot, number, *engine)));
+  return true;
+}
+
+Attempt::Order StepWork::order_for(SlotId slot, std::uint32_t number, routing::Replica engine) {
+  Attempt::Order order;
+  order.name = rollout::StreamName{plan_.event, plan_.step,  slot,
+                                   number,      plan_.epoch, plan_.content.digest()};
+  order.engine = std::move(engine);
+  order.deadline = context_.now() + rules_.parameters.step_deadline;
+  platform::GenerationRequest& request = order.request;
+  request.model = rules_.event_template.model;
+  request.prompt = plan_.content.prompts[slot.prompt];
+  request.max_tokens = rules_.event_template.max_tokens;
+  request.priority = rules_.parameters.priority;
+  request.temperature = rules_.event_template.temperature;
+  request.seed =
+      core::hash64(rollout::to_stream_id(order.name).value(), context_.dependencies.seed);
+  request.epoch = plan_.epoch;
+  return order;
+}
+
+void StepWork::start_run(std::shared_ptr<Attempt> attempt) {
+  ++context_.events[plan_.event].in_flight;
+  attempts_[{attempt->slot(), attempt->name().attempt}] = attempt;
+  runtime::start(context_.dependencies.executor, "attempt", run_attempt(std::move(attempt)));
+}
+
+asio::awaitable<void> StepWork::run_attempt(std::shared_ptr<Attempt> attempt) {
+  const auto self = shared_from_this();
+  // The caller may be in the middle of a loop over the attempts.
+  co_await asio::post(asio::use_awaitable);
+  const AttemptEnd end = co_await attempt->run();
+  --context_.events[plan_.event].in_flight;
+  if (end == AttemptEnd::kFinished && !stopped_) {
+    co_await finish(attempt);
+  } else {
+    attempt_failed(*attempt, end);
+  }
+  attempts_.erase({attempt->slot(), attempt->name().attempt});
+  if (end == AttemptEnd::kFenced && !stopped_) {
+    spdlog::warn("step {}/{}: fenced by an engine, epoch {}", plan_.event.value(),
+                 plan_.step.value(), plan_.epoch.value());
+    listener_.on_fenced();
+  }
+  sweep();
+}
+
+void StepWork::attempt_failed(const Attempt& attempt, AttemptEnd end) {
+  if (!is_spare(attempt.slot())) {
+    ledger_.abandon_attempt(attempt.slot());
+  }
+  switch (end) {
+    case AttemptEnd::kRefused:
+      context_.metrics.attempts_refused.Increment();
+      placement_.forget(attempt.slot().prompt);
+      return;  // the engine is closed for a while; the slot may go elsewhere at once
+    case AttemptEnd::kUnfit:
+      context_.metrics.samples_unfit.Increment();
+      break;
+    case AttemptEnd::kFailed:
+      context_.metrics.attempts_failed.Increment();
+      placement_.forget(attempt.slot().prompt);
+      break;
+    case AttemptEnd::kFinished:
+    case AttemptEnd::kFenced:
+    case AttemptEnd::kCancelled:
+      return;
+  }
+  Pause& pause = pauses_[attempt.slot()];
+  ++pause.failures;
+  pause.until =
+      context_.now() + backoff_after(pause.failures, context_.settings().backoff_first,
+                                     context_.settings().backoff_longest, context_.random);
+}
+
+asio::awaitable<void> StepWork::finish(std::shared_ptr<Attempt> attempt) {
+  note_run_length(*attempt);
+  std::string prompt = plan_.content.prompts[attempt->slot().prompt];
+  std::string completion = attempt->content().text();
+  const std::optional<double> scored = co_await score(std::move(prompt), std::move(completion));
+  const bool is_wanted = scored && !stopped_ && !attempt->is_stopping();
+  if (!is_wanted) {
+    attempt_failed(*attempt, AttemptEnd::kCancelled);
+    co_return;
+  }
+  if (enter(*attempt, *scored)) {
+    listener_.on_sample();
+  }
+}
+
+std::optional<SlotId> StepWork::slot_for(const Attempt& attempt) const {
+  if (!is_spare(attempt.slot())) {
+    return attempt.slot();
+  }
+  std::vector<rollout::OpenSlot> open;
+  for (std::uint32_t sample = 0; sample < ledger_.shape().samples_per_prompt; ++sample) {
+    const SlotId slot{attempt.slot().prompt, sample};
+    if (!ledger_.is_missing(slot)) {
+      continue;
+    }
+    rollout::OpenSlot one{slot, 0, ledger_.running_attempts(slot) > 0};
+    for (const auto& [key, other] : attempts_) {
+      if (key.first == slot) {
+        one.tokens_so_far = std::max(one.tokens_so_far, other->content().token_count());
+      }
+    }
+    open.push_back(one);
+  }
+  return rollout::slot_for_spare(open);
+}
+
+bool StepWork::enter(const Attempt& attempt, double score) {
+  const std::optional<SlotId> slot = slot_for(attempt);
+  if (!slot) {
+    context_.metrics.samples_duplicate.Increment();
+    return false;
+  }
+  rollout::Sample sample;
+  sample.slot = *slot;
+  sample.text = attempt.content().text();
+  sample.token_count = attempt.content().token_count();
+  sample.spans = attempt.content().spans();
+  sample.score = score;
+  sample.engine = attempt.engine().id;
+  const rollout::AgeRule rule = age_rule();
+  const rollout::FinishOutcome outcome = is_spare(attempt.slot())
+                                             ? ledger_.finish_spare(std::move(sample), rule)
+                                             : ledger_.finish_attempt(std::move(sample), rule);
+  switch (outcome) {
+    case rollout::FinishOutcome::kAccepted:
+      context_.metrics.samples_accepted.Increment();
+      finished_lengths_.push_back(attempt.content().token_count());
+      return true;
+    case rollout::FinishOutcome::kDuplicate:
+      context_.metrics.samples_duplicate.Increment();
+      return false;
+    case rollout::FinishOutcome::kTooOld:
+      context_.metrics.samples_too_old.Increment();
+      return false;
+  }
+  return false;
+}
+
+void StepWork::note_run_length(const Attempt& attempt) {
+  constexpr double kNewestWeight = 0.1;
+  core::Duration& known = context_.events[plan_.event].run_length;
+  const core::Duration length = context_.now() - attempt.started_at();
+  known = known.count() == 0 ? length
+                             : core::from_seconds(kNewestWeight * core::to_seconds(length) +
+                                                  (1 - kNewestWeight) * core::to_seconds(known));
+}
+
+void StepWork::leave_history() {
+  if (!finished_lengths_.empty()) {
+    context_.events[plan_.event].lengths = finished_lengths_;
+  }
+}
+
+void StepWork::cancel() {
+  stopped_ = true;
+  for (const auto& [key, attempt] : attempts_) {
+    attempt->cancel();
+  }
+}
+
+void StepWork::detach() {
+  stopped_ = true;
+  for (const auto& [key, attempt] : attempts_) {
+    attempt->detach();
+  }
+}
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_work.hpp
@@ -0,0 +1,103 @@
+/// \file
+/// Makes the samples of one step: places attempts on engines, keeps them in
+/// bounds, scores what finishes and enters it in the ledger. Steps thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "rollout/step_ledger.hpp"
+#include "steps/attempt.hpp"
+#include "steps/step_context.hpp"
+#include "steps/step_plan.hpp"
+#include "steps/stream_search.hpp"
+
+namespace stoneport::steps {
+
+class StepWork : public std::enable_shared_from_this<StepWork> {
+ public:
+  struct Listener {
+    std::function<void()> on_sample;  ///< the ledger has something new to hand over
+    std::function<void()> on_fenced;  ///< an engine has seen a higher epoch
+  };
+
+  StepWork(StepContext& context, StepPlan plan, EventRules rules, Listener listener);
+
+  /// Looks for an earlier owner's streams where the plan says so, then starts.
+  boost::asio::awaitable<void> begin();
+  /// Drops what became too old, ends work that is not needed any more, looks
+  /// after stragglers and starts what is idle. Called at intervals and after
+  /// each change.
+  void sweep();
+  /// Starts no attempts until resumed: what the trainer holds is not known.
+  void pause_starts() { starts_paused_ = true; }
+  void resume_starts() { starts_paused_ = false; }
+  /// Leaves the lengths of this step's samples to the event's later steps.
+  void leave_history();
+  /// Ends all attempts, on the engines as well.
+  void cancel();
+  /// Ends all attempts and leaves their streams to the step's new owner.
+  void detach();
+
+  rollout::StepLedger& ledger() { return ledger_; }
+  /// \return the age rule in force at this moment.
+  rollout::AgeRule age_rule();
+  const EventRules& rules();
+  std::size_t running_attempts() const { return attempts_.size(); }
+
+ private:
+  using AttemptKey = std::pair<core::SlotId, std::uint32_t>;
+
+  bool is_spare(core::SlotId slot) const {
+    return slot.sample >= ledger_.shape().samples_per_prompt;
+  }
+  bool is_needed(core::SlotId slot) const;
+  bool group_is_open(std::uint32_t prompt) const;
+
+  void adopt(const std::vector<FoundStream>& found);
+  void end_unneeded();
+  void end_too_old(const rollout::AgeRule& rule);
+  void start_idle();
+  std::vector<core::SlotId> wanted_slots();
+  bool start_attempt(core::SlotId slot, const rollout::AgeRule& rule);
+  void start_run(std::shared_ptr<Attempt> attempt);
+  Attempt::Order order_for(core::SlotId slot, std::uint32_t number, routing::Replica engine);
+
+  boost::asio::awaitable<void> run_attempt(std::shared_ptr<Attempt> attempt);
+  boost::asio::awaitable<void> finish(std::shared_ptr<Attempt> attempt);
+  boost::asio::awaitable<std::optional<double>> score(std::string prompt, std::string completion);
+  bool enter(const Attempt& attempt, double score);
+  void attempt_failed(const Attempt& attempt, AttemptEnd end);
+  void note_run_length(const Attempt& attempt);
+  std::optional<core::SlotId> slot_for(const Attempt& attempt) const;
+
+  void look_after_stragglers();
+  rollout::StragglerInput straggler_input();
+  Attempt* running_at(core::SlotId slot);
+
+  StepContext& context_;
+  const StepPlan plan_;
+  EventRules rules_;
+  Listener listener_;
+  rollout::StepLedger ledger_;
+  rollout::LeastLoadedChooser chooser_;
+  rollout::GroupPlacement placement_;
+  std::map<AttemptKey, std::shared_ptr<Attempt>> attempts_;
+  std::set<core::SlotId> spares_started_;
+  struct Pause {
+    std::uint32_t failures = 0;
+    core::MonotonicTime until{};
+  };
+  std::map<core::SlotId, Pause> pauses_;
+  std::vector<std::uint64_t> finished_lengths_;
+  core::MonotonicTime next_straggler_check_{};
+  bool begun_ = false;
+  bool starts_paused_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_work_scoring.cpp
@@ -0,0 +1,42 @@
+/// \file
+/// Scoring of finished samples.
+#include "runtime/tasks.hpp"
+#include "steps/backoff.hpp"
+#include "steps/step_work.hpp"
+
+namespace stoneport::steps {
+namespace asio = boost::asio;
+
+/// \return the mean over the tenant's scorers, zero without any; nothing when
+/// the step stopped before all had answered. A refused or lost call is made
+/// again: scoring twice gives the same score.
+asio::awaitable<std::optional<double>> StepWork::score(std::string prompt, std::string completion) {
+  const std::vector<core::ServiceName> scorers = rules().parameters.scorers;
+  const StepSettings& settings = context_.settings();
+  double sum = 0;
+  for (const core::ServiceName& scorer : scorers) {
+    std::uint32_t failures = 0;
+    while (true) {
+      if (stopped_) {
+        co_return std::nullopt;
+      }
+      platform::ScoringRequest request;
+      request.prompt = prompt;
+      request.completion = completion;
+      const core::MonotonicTime deadline = context_.now() + settings.score_timeout;
+      const core::Result<double> scored =
+          co_await context_.dependencies.scoring.score(scorer, std::move(request), deadline);
+      if (scored) {
+        sum += *scored;
+        break;
+      }
+      context_.metrics.scoring_retries.Increment();
+      const core::Duration pause = backoff_after(++failures, settings.backoff_first,
+                                                 settings.backoff_longest, context_.random);
+      co_await runtime::sleep_for(pause);
+    }
+  }
+  co_return scorers.empty() ? 0 : sum / static_cast<double>(scorers.size());
+}
+
+}  // namespace stoneport::steps
--- /dev/null
+++ b/src/steps/step_work_stragglers.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// Applies the straggler decisions to the running attempts of a step.
+#include "rollout/stragglers.hpp"
+#include "steps/step_work.hpp"
+
+namespace stoneport::steps {
+namespace {
+/// Estimate for the size of a prompt's cache.
+constexpr std::uint64_t kBytesPerToken = 4;
+}  // namespace
+
+Attempt* StepWork::running_at(core::SlotId slot) {
+  for (const auto& [key, attempt] : attempts_) {
+    if (key.first == slot && attempt->is_reading() && !attempt->is_stopping()) {
+      return attempt.get();
+    }
+  }
+  return nullptr;
+}
+
+rollout::StragglerInput StepWork::straggler_input() {
+  rollout::StragglerInput input;
+  input.slot_count = ledger_.shape().slot_count();
+  input.finished_count = ledger_.held_count() + ledger_.ready_count();
+  input.targets = context_.engines.migration_targets(rules_.event_template.model, age_rule());
+  for (const auto& [key, attempt] : attempts_) {
+    if (!attempt->is_reading() || attempt->is_stopping()) {
+      continue;
+    }
+    rollout::RunningSample sample;
+    sample.slot = key.first;
+    sample.engine = attempt->engine().id;
+    sample.tokens_so_far = attempt->content().token_count();
+    sample.context_tokens = sample.tokens_so_far + attempt->prompt_bytes() / kBytesPerToken;
+    sample.tokens_per_second = attempt->tokens_per_second();
+    sample.raised = attempt->is_raised();
+    sample.migrations = attempt->migrations();
+    input.running.push_back(std::move(sample));
+  }
+  return input;
+}
+
+void StepWork::look_after_stragglers() {
+  const rollout::StragglerInput input = straggler_input();
+  if (input.running.empty()) {
+    return;
+  }
+  std::vector<std::uint64_t> finished = finished_lengths_;
+  const std::vector<std::uint64_t>& earlier = context_.events[plan_.event].lengths;
+  finished.insert(finished.end(), earlier.begin(), earlier.end());
+  std::vector<std::uint64_t> running;
+  for (const rollout::RunningSample& sample : input.running) {
+    running.push_back(sample.tokens_so_far);
+  }
+  const rollout::LengthDistribution lengths(std::move(finished), std::move(running),
+                                            rules_.event_template.max_tokens);
+  rollout::StragglerSettings settings;
+  settings.migrate = rules_.event_template.allow_migration;
+  const rollout::StragglerDecision decision = rollout::decide_stragglers(input, lengths, settings);
+  for (const rollout::PriorityRaise& raise : decision.raises) {
+    if (Attempt* attempt = running_at(raise.slot)) {
+      attempt->raise_priority(raise.by);
+    }
+  }
+  for (const rollout::Migration& migration : decision.migrations) {
+    Attempt* attempt = running_at(migration.slot);
+    const auto target = context_.engines.find(rules_.event_template.model, migration.target);
+    if (attempt != nullptr && target) {
+      attempt->migrate_to(*target);
+    }
+  }
+}
+
+}  // namespace stoneport::steps
--- a/tests/unit/rollout/decisions_test.cpp
+++ b/tests/unit/rollout/decisions_test.cpp
@@ -123,7 +123,7 @@
     own.in_flight = 6;
     CPPUNIT_ASSERT(groups.place(placement(7, engines), {}) != home);
     own.in_flight = 0;
-    own.backing_off = true;
+    own.closed = true;
     CPPUNIT_ASSERT(groups.place(placement(7, engines), {}) != home);
     CPPUNIT_ASSERT(!groups.place(placement(7, {}), {}));
   }
--- a/tests/unit/rollout/provenance_test.cpp
+++ b/tests/unit/rollout/provenance_test.cpp
@@ -60,16 +60,16 @@
 
   void stream_names_round_trip() {
     const StreamName name{
-        core::EventName("abay.props"), core::StepNumber(12), {3, 4}, 2, core::Epoch(7)};
+        core::EventName("abay.props"), core::StepNumber(12), {3, 4}, 2, core::Epoch(7), 99};
     const core::StreamId stream = to_stream_id(name);
-    CPPUNIT_ASSERT_EQUAL(std::string("abay.props/12/3.4.2.7"), stream.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("abay.props/12/3.4.2.7.99"), stream.value());
     CPPUNIT_ASSERT(parse_stream_id(stream) == name);
   }
 
   void foreign_stream_names_are_refused() {
     for (const std::string text :
-         {"", "a", "a/1", "/1/0.0.1.1", "a/x/0.0.1.1", "a/1/0.0.1", "a/1/0.0.1.1.1", "a/1/0.0.1.1/",
-          "a/1/00.0.1.1", "a/1/-1.0.1.1", "a/1/4294967296.0.1.1"}) {
+         {"", "a", "a/1", "/1/0.0.1.1.5", "a/x/0.0.1.1.5", "a/1/0.0.1.1", "a/1/0.0.1.1.5.1",
+          "a/1/0.0.1.1.5/", "a/1/00.0.1.1.5", "a/1/-1.0.1.1.5", "a/1/4294967296.0.1.1.5"}) {
       CPPUNIT_ASSERT_MESSAGE(text, !parse_stream_id(core::StreamId(text)));
     }
     CPPUNIT_ASSERT(!is_valid_event_name(core::EventName("a/b")));
@@ -87,6 +87,11 @@
     const auto again = ownership.open(event, core::Epoch(12));
     CPPUNIT_ASSERT(again.epoch == core::Epoch(13));
     CPPUNIT_ASSERT(again.taken_over);
+    ownership.lose(event);
+    const auto after_loss = ownership.open(event, core::Epoch(0));
+    CPPUNIT_ASSERT(after_loss.epoch == core::Epoch(14));
+    CPPUNIT_ASSERT(after_loss.taken_over);
+    CPPUNIT_ASSERT(!ownership.open(event, core::Epoch(0)).taken_over);
     CPPUNIT_ASSERT(ownership.open(core::EventName("f"), core::Epoch(3)).epoch == core::Epoch(9));
   }
 };
