Assemble the daemon: control plane, traffic workers, steps worker

Cause: the parts stood side by side without a process that runs them. Change: src/daemon builds the control plane on one thread, a traffic worker on each traffic thread and the steps worker beside a trainer; bridges carry calls from traffic and steps to control; listeners open once the daemon is ready; SIGTERM drains workers, then gives up leases, then leaves. Ruled out: serving before a configuration is known (every service would be unknown), and destroying suspended coroutine frames at exit (no safe order).

--- a/src/controllers/replica_watcher.cpp
+++ b/src/controllers/replica_watcher.cpp
@@ -77,6 +77,8 @@
       publisher_(settings.digest_bytes_per_second, kPushBytes),
       subscriber_(gossip.self().node) {}
 
+ReplicaWatcher::~ReplicaWatcher() = default;
+
 void ReplicaWatcher::start() {
   alive_ = std::make_shared<bool>(true);
   const auto mark_stale = [this] { choice_is_stale_ = true; };
--- a/src/controllers/replica_watcher.hpp
+++ b/src/controllers/replica_watcher.hpp
@@ -32,6 +32,7 @@
                  GossipController& gossip, platform::ModelEngineFactory& engines,
                  http::Client& client, ReplicaWatcherSettings settings,
                  const core::TimeSource& time, core::Metrics& metrics);
+  ~ReplicaWatcher();
 
   /// Without an interest, reports of all listed replicas are asked for.
   void set_interest(Interest interest) { interest_ = std::move(interest); }
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,154 @@
+#include "daemon/daemon.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <boost/asio/use_future.hpp>
+#include <csignal>
+
+#include "core/hash.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::daemon {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr core::Duration kReadyPollInterval = std::chrono::milliseconds(50);
+
+}  // namespace
+
+Daemon::Daemon(config::DaemonSettings settings)
+    : settings_(std::move(settings)),
+      control_thread_("control"),
+      control_(control_thread_.executor(), settings_, time_, metrics_),
+      admin_(control_, settings_, metrics_, [this] { return draining_.load(); }),
+      observer_(control_) {
+  const std::uint64_t seed = core::hash64(settings_.node.value(), control_.incarnation().value());
+  for (std::uint32_t index = 0; index < settings_.traffic_threads; ++index) {
+    traffic_threads_.push_back(
+        std::make_unique<runtime::EventLoopThread>("traffic-" + std::to_string(index)));
+    traffic_workers_.push_back(std::make_unique<TrafficWorker>(traffic_threads_.back()->executor(),
+                                                               settings_, control_, observer_,
+                                                               time_, metrics_, seed + index));
+  }
+  if (settings_.trainer_listener) {
+    steps_thread_ = std::make_unique<runtime::EventLoopThread>("steps");
+    steps_worker_ = std::make_unique<StepsWorker>(steps_thread_->executor(), settings_, control_,
+                                                  time_, metrics_, seed);
+  }
+}
+
+Daemon::~Daemon() {
+  stop_threads();
+}
+
+core::Result<void> Daemon::run() {
+  const core::Result<void> started = start();
+  if (!started) {
+    return started;
+  }
+  signals_.wait([this] { toggle_log_level(); });
+  asio::co_spawn(control_.executor(), drain_and_stop(), asio::use_future).get();
+  stop_threads();
+  return {};
+}
+
+core::Result<void> Daemon::start() {
+  core::Result<void> opened = control_.open();
+  if (opened) {
+    opened = admin_.listen();
+  }
+  if (!opened) {
+    return opened;
+  }
+  control_thread_.run();
+  for (const auto& thread : traffic_threads_) {
+    thread->run();
+  }
+  if (steps_thread_) {
+    steps_thread_->run();
+  }
+  asio::post(control_.executor(), [this] { control_.start(); });
+  runtime::start(control_.executor(), "serve-when-ready", serve_when_ready());
+  return {};
+}
+
+asio::awaitable<void> Daemon::serve_when_ready() {
+  while (!control_.ready()) {
+    co_await runtime::sleep_for(kReadyPollInterval);
+  }
+  // Posted after the snapshots, so that the first request finds them in place.
+  for (const auto& worker : traffic_workers_) {
+    asio::post(worker->executor(), [this, worker = worker.get()] {
+      const core::Result<void> listening = worker->listen();
+      if (!listening) {
+        spdlog::critical("caller listener: {}", listening.error().message);
+        std::raise(SIGTERM);
+      }
+    });
+  }
+  if (steps_worker_) {
+    asio::post(steps_worker_->executor(), [this] {
+      const core::Result<void> listening = steps_worker_->listen();
+      if (!listening) {
+        spdlog::critical("trainer listener: {}", listening.error().message);
+        std::raise(SIGTERM);
+      }
+    });
+  }
+  spdlog::info("serving at configuration revision {}",
+               control_.configuration().record().revision.value());
+}
+
+void Daemon::toggle_log_level() {
+  verbose_ = !verbose_;
+  const std::string level = verbose_ ? "debug" : settings_.log.level;
+  if (core::set_log_level(level)) {
+    spdlog::warn("log level is now {}", level);
+  }
+}
+
+asio::awaitable<void> Daemon::drain_and_stop() {
+  spdlog::info("draining");
+  draining_ = true;
+  control_.gossip().announce_leaving();
+  const bool drained = co_await drain_workers();
+  if (!drained) {
+    spdlog::warn("drain timeout: work was still in flight");
+  }
+  co_await admin_.stop();
+  co_await control_.stop();
+  spdlog::info("stopped");
+}
+
+asio::awaitable<bool> Daemon::drain_workers() {
+  std::vector<std::future<bool>> ends;
+  for (const auto& worker : traffic_workers_) {
+    ends.push_back(asio::co_spawn(worker->executor(), worker->drain(settings_.drain_timeout),
+                                  asio::use_future));
+  }
+  if (steps_worker_) {
+    ends.push_back(asio::co_spawn(steps_worker_->executor(),
+                                  steps_worker_->drain(settings_.drain_timeout), asio::use_future));
+  }
+  bool drained = true;
+  for (std::future<bool>& end : ends) {
+    while (end.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
+      co_await runtime::sleep_for(kReadyPollInterval);
+    }
+    drained = end.get() && drained;
+  }
+  co_return drained;
+}
+
+void Daemon::stop_threads() {
+  for (const auto& thread : traffic_threads_) {
+    thread->stop();
+  }
+  if (steps_thread_) {
+    steps_thread_->stop();
+  }
+  control_thread_.stop();
+}
+
+}  // namespace stoneport::daemon
--- /dev/null
+++ b/src/daemon/signal_waiter.cpp
@@ -0,0 +1,26 @@
+#include "daemon/signal_waiter.hpp"
+
+#include <csignal>
+
+namespace stoneport::daemon {
+
+SignalWaiter::SignalWaiter()
+    : stop_signals_(context_, SIGTERM, SIGINT), hangup_signals_(context_, SIGHUP) {}
+
+void SignalWaiter::wait(std::function<void()> on_hangup) {
+  stop_signals_.async_wait([this](const boost::system::error_code&, int) { context_.stop(); });
+  await_hangup(on_hangup);
+  context_.run();
+}
+
+void SignalWaiter::await_hangup(const std::function<void()>& on_hangup) {
+  hangup_signals_.async_wait([this, &on_hangup](const boost::system::error_code& error, int) {
+    if (error) {
+      return;
+    }
+    on_hangup();
+    await_hangup(on_hangup);
+  });
+}
+
+}  // namespace stoneport::daemon
--- /dev/null
+++ b/src/daemon/steps_worker.hpp
@@ -0,0 +1,46 @@
+/// \file
+/// The steps thread of a daemon beside a trainer: the trainer's listener, the
+/// steps and their clients. Everything in it runs on that thread.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include "config/settings.hpp"
+#include "daemon/control_bridges.hpp"
+#include "daemon/control_plane.hpp"
+#include "daemon/store_epoch_source.hpp"
+#include "http/server.hpp"
+#include "platform/http_model_engine.hpp"
+#include "platform/http_scoring_service.hpp"
+#include "steps/trainer_handler.hpp"
+
+namespace stoneport::daemon {
+
+class StepsWorker {
+ public:
+  StepsWorker(boost::asio::any_io_executor executor, const config::DaemonSettings& settings,
+              ControlPlane& control, const core::TimeSource& time, core::Metrics& metrics,
+              std::uint64_t seed);
+
+  const boost::asio::any_io_executor& executor() const { return executor_; }
+  core::Result<void> listen();
+  /// Takes no new steps, lets the open ones finish and their trainer fetch every
+  /// sample, then closes the listener.
+  /// \return whether that happened within \p limit.
+  boost::asio::awaitable<bool> drain(core::Duration limit);
+
+ private:
+  boost::asio::any_io_executor executor_;
+  core::Address address_;
+  http::Client client_;
+  platform::HttpModelEngineFactory engines_;
+  platform::HttpScoringService scoring_;
+  ControlPolicyPublisher policies_;
+  StoreEpochSource epochs_;
+  steps::StepService service_;
+  steps::TrainerHandler handler_;
+  http::Server server_;
+};
+
+}  // namespace stoneport::daemon
