--- a/src/ctl/main.cpp
+++ b/src/ctl/main.cpp
@@ -1,5 +1,10 @@
 /// \file
 /// Entry point of stoneportctl.
-int main() {
-  return 2;
+#include <iostream>
+
+#include "ctl/command.hpp"
+
+int main(int argument_count, char** arguments) {
+  const std::vector<std::string> given(arguments + 1, arguments + argument_count);
+  return static_cast<int>(stoneport::ctl::run(given, std::cout, std::cerr));
 }
