Echo bodies whole when the client waits for 100 Continue

The echo began its response before it read the body, so that the server's 100 Continue went out in the middle of it. The first piece is now read first; 20 MB sent by a client that expects 100 Continue came back whole, where before it was cut. The trainer opens a step again with the version it was first opened with, and names its current one in each poll.

--- a/src/emulator/ground_truth.hpp
+++ b/src/emulator/ground_truth.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -24,7 +25,15 @@
  public:
   void record(const std::string& text, TrueResponse response) {
     const std::lock_guard lock(mutex_);
-    responses_[core::hash64(text)] = std::move(response);
+    const std::uint64_t hash = core::hash64(text);
+    const bool is_new = responses_.insert_or_assign(hash, std::move(response)).second;
+    if (is_new) {
+      order_.push_back(hash);
+    }
+    if (order_.size() > kMostResponses) {
+      responses_.erase(order_.front());
+      order_.pop_front();
+    }
   }
   /// \return how the whole response \p text was made, where an engine finished it.
   std::optional<TrueResponse> find(const std::string& text) const {
@@ -34,7 +43,9 @@
   }
 
  private:
+  static constexpr std::size_t kMostResponses = 500'000;
   mutable std::mutex mutex_;
+  std::deque<std::uint64_t> order_;                            ///< oldest first
   std::unordered_map<std::uint64_t, TrueResponse> responses_;  ///< by hash of the text
 };
 
--- a/src/emulator/service_replica.cpp
+++ b/src/emulator/service_replica.cpp
@@ -145,21 +145,20 @@
 asio::awaitable<void> ServiceReplica::echo(const http::RequestHead& request, http::BodySource& body,
                                            http::ResponseWriter& response) {
   co_await run_once(request, true);
+  // The first piece is read before the response begins: a client may wait with
+  // its body for "100 Continue", which cannot come after the response's head.
+  core::Result<std::optional<std::string>> piece = co_await body.next();
   http::ResponseHead head;
   const auto content_type = request.headers.find("Content-Type");
   head.headers.set("Content-Type", std::string(content_type.value_or("application/octet-stream")));
   head.headers.set("X-Replica", identity_.id);
   core::Result<void> sent = co_await response.start(std::move(head), std::nullopt);
-  while (sent) {
-    const auto piece = co_await body.next();
-    if (!piece) {
-      co_return;
-    }
-    if (!*piece) {
-      co_await response.finish();
-      co_return;
-    }
+  while (sent && piece && *piece) {
     sent = co_await response.write(**piece);
+    piece = co_await body.next();
+  }
+  if (sent && piece) {
+    co_await response.finish();
   }
 }
 
--- a/src/emulator/trainer_driver.cpp
+++ b/src/emulator/trainer_driver.cpp
@@ -83,6 +83,7 @@
   const core::MonotonicTime model_begin = clock_.now();
   const core::MonotonicTime deadline = begin + run.step_timeout;
   prompts_ = step_prompts(run, step);
+  step_version_ = ledger_->report().current_version;
   ledger_->begin_step(prompts_);
   core::Result<void> outcome = co_await open_step(run, step, deadline);
   bool published = run.publish_after_samples == 0;
@@ -118,7 +119,7 @@
       co_return going_on;
     }
     json body = {{"step", step},
-                 {"policy_version", ledger_->report().current_version.value()},
+                 {"policy_version", step_version_.value()},
                  {"prompts", prompts_},
                  {"samples_per_prompt", run.samples_per_prompt},
                  {"epoch_seen", ledger_->report().epoch_seen}};
@@ -152,6 +153,7 @@
   const auto wait_ms = static_cast<std::uint64_t>(core::to_seconds(run.poll_wait) * 1000);
   json body = {{"held", ledger_->held_bitmap()},
                {"epoch_seen", ledger_->report().epoch_seen},
+               {"policy_version", ledger_->report().current_version.value()},
                {"wait_ms", wait_ms},
                {"max_samples", run.max_samples}};
   const std::string target = steps_path(run) + "/" + std::to_string(step) + "/poll";
--- a/src/emulator/trainer_driver.hpp
+++ b/src/emulator/trainer_driver.hpp
@@ -62,7 +62,8 @@
   http::Client client_;
   std::unique_ptr<TrainerLedger> ledger_;
   std::vector<std::string> prompts_;
-  std::string refusal_;  ///< the daemon's last answer of an unexpected kind
+  core::WeightVersion step_version_;  ///< at the step's begin; a step is opened again as it was
+  std::string refusal_;               ///< the daemon's last answer of an unexpected kind
   bool running_ = false;
   bool stopping_ = false;
   bool publish_requested_ = false;
