--- /dev/null
+++ b/src/bench/commands.hpp
@@ -0,0 +1,18 @@
+/// \file
+/// The commands of stoneport-bench, one source file each.
+#pragma once
+
+namespace stoneport::bench {
+
+/// Exit codes of every command.
+inline constexpr int kExitSuccess = 0;
+inline constexpr int kExitGuaranteeBroken = 1;  ///< something that must always hold did not
+inline constexpr int kExitUsage = 2;            ///< wrong options, or an input that cannot be read
+
+/// Each takes its own arguments, the command's name first, and returns an exit code.
+using CommandFunction = int (*)(int argument_count, char** arguments);
+
+/// Sends ordinary requests to callers' listeners and checks every answer.
+int run_load_command(int argument_count, char** arguments);
+
+}  // namespace stoneport::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,5 +1,51 @@
 /// \file
-/// Entry point of stoneport-bench.
-int main() {
-  return 2;
+/// Entry point of stoneport-bench: picks the command that the first argument names.
+#include <array>
+#include <iostream>
+#include <string_view>
+
+#include "bench/commands.hpp"
+
+namespace {
+
+using stoneport::bench::CommandFunction;
+
+struct Command {
+  std::string_view name;
+  std::string_view summary;
+  CommandFunction run;
+};
+
+constexpr std::array kCommands{
+    Command{"load", "send ordinary requests over sockets and check every answer",
+            stoneport::bench::run_load_command},
+};
+
+void print_usage(std::ostream& out) {
+  out << "usage: stoneport-bench COMMAND [OPTION...]\n\ncommands:\n";
+  for (const Command& command : kCommands) {
+    out << "  " << command.name << std::string(16 - command.name.size(), ' ') << command.summary
+        << "\n";
+  }
+  out << "\n'stoneport-bench COMMAND --help' explains a command.\n";
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  const std::string_view name = argument_count > 1 ? arguments[1] : "";
+  if (name == "--help" || name == "-h") {
+    print_usage(std::cout);
+    return stoneport::bench::kExitSuccess;
+  }
+  for (const Command& command : kCommands) {
+    if (command.name == name) {
+      return command.run(argument_count - 1, arguments + 1);
+    }
+  }
+  if (!name.empty()) {
+    std::cerr << "stoneport-bench: no command named '" << name << "'\n\n";
+  }
+  print_usage(std::cerr);
+  return stoneport::bench::kExitUsage;
 }
