--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -14,5 +14,7 @@
 
 /// Sends ordinary requests to callers' listeners and checks every answer.
 int run_load_command(int argument_count, char** arguments);
+/// Prints the demo's final line, counted by the emulator and by the callers.
+int run_demo_summary_command(int argument_count, char** arguments);
 
 }  // namespace stoneport::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -19,6 +19,8 @@
 constexpr std::array kCommands{
     Command{"load", "send ordinary requests over sockets and check every answer",
             stoneport::bench::run_load_command},
+    Command{"demo-summary", "print the demo's final JSON line",
+            stoneport::bench::run_demo_summary_command},
 };
 
 void print_usage(std::ostream& out) {
