--- a/src/filters/admission_filter.cpp
+++ b/src/filters/admission_filter.cpp
@@ -13,21 +13,25 @@
 /// Ends the running request however its coroutine is left.
 class AdmissionFilter::Running {
  public:
-  Running(AdmissionFilter& filter, AdmissionTicket ticket) : filter_(filter), ticket_(ticket) {}
-  ~Running() { filter_.finish(ticket_); }
+  Running(std::weak_ptr<State> state, AdmissionTicket ticket)
+      : state_(std::move(state)), ticket_(ticket) {}
+  ~Running() {
+    if (const std::shared_ptr<State> state = state_.lock()) {
+      state->finish(ticket_);
+    }
+  }
   Running(const Running&) = delete;
   Running& operator=(const Running&) = delete;
 
  private:
-  AdmissionFilter& filter_;
+  std::weak_ptr<State> state_;
   AdmissionTicket ticket_;
 };
 
 AdmissionFilter::AdmissionFilter(routing::AdmissionOptions options, std::uint32_t thread_count,
                                  std::uint64_t seed, core::TimeSource& time, CallerMetrics& metrics)
-    : admission_(options, seed),
+    : state_(std::make_shared<State>(options, seed, time)),
       thread_count_(std::max(1u, thread_count)),
-      time_(time),
       metrics_(metrics) {}
 
 asio::awaitable<Outcome> AdmissionFilter::handle(RequestContext& request, FilterChain rest) {
@@ -37,9 +41,9 @@
   const std::uint32_t share = (request.tenant_concurrency + thread_count_ - 1) / thread_count_;
   arrival.tenant_concurrency = std::max(1u, share);
   arrival.deadline = request.deadline;
-  const routing::AdmissionDecision decision = admission_.arrive(arrival, time_.now());
+  const routing::AdmissionDecision decision = state_->admission.arrive(arrival, state_->time.now());
   if (decision.displaced) {
-    settle(*decision.displaced, AdmissionVerdict::kRefuse);
+    state_->settle(*decision.displaced, AdmissionVerdict::kRefuse);
   }
   if (decision.verdict == AdmissionVerdict::kRefuse) {
     co_return refuse_for_load(decision.retry_after);
@@ -50,7 +54,7 @@
       co_return std::move(*ended);
     }
   }
-  const Running running(*this, decision.ticket);
+  const Running running(state_, decision.ticket);
   co_return co_await rest.proceed(request);
 }
 
@@ -58,24 +62,24 @@
     const RequestContext& request, AdmissionTicket ticket) {
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   Waiter waiter{asio::steady_timer(executor, request.deadline), std::nullopt};
-  waiters_.emplace(ticket, &waiter);
+  state_->waiters.emplace(ticket, &waiter);
   request.response->when_client_gone([&waiter] { waiter.wake_up.cancel(); });
   if (!request.response->client_gone()) {
     co_await waiter.wake_up.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   request.response->when_client_gone({});
-  waiters_.erase(ticket);
+  state_->waiters.erase(ticket);
   if (!waiter.verdict) {
-    admission_.give_up(ticket);
+    state_->admission.give_up(ticket);
     if (request.response->client_gone()) {
       co_return caller_left(OutcomeKind::kNotRun);
     }
     co_return not_run(core::make_error(core::ErrorCode::kDeadlineExceeded,
                                        "the deadline passed in the queue",
-                                       admission_.retry_after()));
+                                       state_->admission.retry_after()));
   }
   if (*waiter.verdict == AdmissionVerdict::kRefuse) {
-    co_return refuse_for_load(admission_.retry_after());
+    co_return refuse_for_load(state_->admission.retry_after());
   }
   co_return std::nullopt;
 }
@@ -86,14 +90,14 @@
                                   "too many requests are waiting already", retry_after));
 }
 
-void AdmissionFilter::finish(AdmissionTicket ticket) {
-  for (const AdmissionTicket ready : admission_.finish(ticket, time_.now())) {
+void AdmissionFilter::State::finish(AdmissionTicket ticket) {
+  for (const AdmissionTicket ready : admission.finish(ticket, time.now())) {
     settle(ready, AdmissionVerdict::kRun);
   }
 }
 
-void AdmissionFilter::settle(AdmissionTicket ticket, AdmissionVerdict verdict) {
-  Waiter& waiter = *waiters_.at(ticket);
+void AdmissionFilter::State::settle(AdmissionTicket ticket, AdmissionVerdict verdict) {
+  Waiter& waiter = *waiters.at(ticket);
   waiter.verdict = verdict;
   waiter.wake_up.cancel();
 }
--- a/src/filters/admission_filter.hpp
+++ b/src/filters/admission_filter.hpp
@@ -26,18 +26,25 @@
     std::optional<routing::AdmissionVerdict> verdict;
   };
   class Running;
+  /// Requests that are cut off at a stop may outlive the filter.
+  struct State {
+    State(routing::AdmissionOptions options, std::uint64_t seed, core::TimeSource& clock)
+        : admission(options, seed), time(clock) {}
+    void finish(routing::AdmissionTicket ticket);
+    void settle(routing::AdmissionTicket ticket, routing::AdmissionVerdict verdict);
+
+    routing::Admission admission;
+    core::TimeSource& time;
+    std::unordered_map<routing::AdmissionTicket, Waiter*> waiters;
+  };
 
   boost::asio::awaitable<std::optional<Outcome>> wait_for_turn(const RequestContext& request,
                                                                routing::AdmissionTicket ticket);
   Refused refuse_for_load(core::Duration retry_after);
-  void finish(routing::AdmissionTicket ticket);
-  void settle(routing::AdmissionTicket ticket, routing::AdmissionVerdict verdict);
 
-  routing::Admission admission_;
+  std::shared_ptr<State> state_;
   std::uint32_t thread_count_;
-  core::TimeSource& time_;
   CallerMetrics& metrics_;
-  std::unordered_map<routing::AdmissionTicket, Waiter*> waiters_;
 };
 
 }  // namespace stoneport::filters
--- a/src/filters/attempt_filter.cpp
+++ b/src/filters/attempt_filter.cpp
@@ -20,6 +20,7 @@
 struct AttemptFilter::Attempts {
   std::vector<core::ReplicaId> replicas;
   bool may_have_run = false;
+  bool any_byte_sent = false;
 
   Refused refuse(core::Error error) const {
     return may_have_run ? unknown(std::move(error)) : not_run(std::move(error));
@@ -77,7 +78,7 @@
     core::Error error =
         core::make_error(core::ErrorCode::kUnavailable, "the back end did not run the request");
     error.retry_after = retry_after_of(answer.head());
-    co_return Failure{std::move(error), true};
+    co_return Failure{std::move(error), true, true};
   }
   Outcome outcome = co_await relay(request, answer);
   replica.finish(signal, time_.now());
@@ -95,17 +96,18 @@
   }
   const bool is_late = error.error.code == core::ErrorCode::kDeadlineExceeded;
   replica.finish(is_late ? routing::LoadSignal::kOverloaded : routing::LoadSignal::kNeutral, now);
-  return {error.error, not_sent};
+  return {error.error, not_sent, !not_sent};
 }
 
 std::optional<Outcome> AttemptFilter::give_up(RequestContext& request, const ReplayBody& body,
                                               Attempts& attempts, const Failure& failure) {
   attempts.may_have_run = attempts.may_have_run || !failure.surely_not_run;
+  attempts.any_byte_sent = attempts.any_byte_sent || failure.any_byte_sent;
   if (std::optional<Outcome> ended = caller_side_failure(request, body, attempts)) {
     return ended;
   }
   core::Error error = failure.error;
-  const bool may_send_again = request.repeatable || !attempts.may_have_run;
+  const bool may_send_again = request.repeatable || !attempts.any_byte_sent;
   const core::MonotonicTime now = time_.now();
   const bool has_attempts = attempts.replicas.size() < request.service_template->max_attempts;
   if (!may_send_again || !has_attempts || !body.can_rewind() || now >= request.deadline) {
--- a/src/filters/attempt_filter.hpp
+++ b/src/filters/attempt_filter.hpp
@@ -27,6 +27,7 @@
   struct Failure {
     core::Error error;
     bool surely_not_run = false;
+    bool any_byte_sent = true;
   };
   using AttemptEnd = std::variant<Outcome, Failure>;
 
--- a/src/routing/replica_load.cpp
+++ b/src/routing/replica_load.cpp
@@ -56,9 +56,9 @@
 }
 
 ReplicaLoad& ReplicaLoads::of(const core::ReplicaId& replica) {
-  std::unique_ptr<ReplicaLoad>& load = loads_[replica];
+  std::shared_ptr<ReplicaLoad>& load = loads_[replica];
   if (load == nullptr) {
-    load = std::make_unique<ReplicaLoad>(limit_);
+    load = std::make_shared<ReplicaLoad>(limit_);
   }
   return *load;
 }
--- a/src/routing/replica_load.hpp
+++ b/src/routing/replica_load.hpp
@@ -20,7 +20,7 @@
 /// How long a replica stays suspect after our own failure to reach it.
 inline constexpr core::Duration kLocalSuspicion = std::chrono::seconds(5);
 
-class ReplicaLoad {
+class ReplicaLoad : public std::enable_shared_from_this<ReplicaLoad> {
  public:
   explicit ReplicaLoad(AdaptiveLimitOptions limit = {}) : limit_(limit) {}
 
@@ -82,7 +82,7 @@
 
  private:
   AdaptiveLimitOptions limit_;
-  std::unordered_map<core::ReplicaId, std::unique_ptr<ReplicaLoad>> loads_;
+  std::unordered_map<core::ReplicaId, std::shared_ptr<ReplicaLoad>> loads_;
 };
 
 }  // namespace stoneport::routing
--- a/src/routing/replica_pool.cpp
+++ b/src/routing/replica_pool.cpp
@@ -10,7 +10,7 @@
       address_(candidate.replica->address),
       incarnation_(candidate.replica->incarnation),
       started_at_(now),
-      load_(candidate.load) {
+      load_(candidate.load->shared_from_this()) {
   load_->started(now);
 }
 
@@ -23,7 +23,7 @@
       address_(std::move(other.address_)),
       incarnation_(other.incarnation_),
       started_at_(other.started_at_),
-      load_(std::exchange(other.load_, nullptr)) {}
+      load_(std::move(other.load_)) {}
 
 void ChosenReplica::finish(LoadSignal signal, core::MonotonicTime now) {
   if (load_ != nullptr) {
--- a/src/routing/replica_pool.hpp
+++ b/src/routing/replica_pool.hpp
@@ -39,7 +39,7 @@
   core::Address address_;
   core::Incarnation incarnation_;
   core::MonotonicTime started_at_;
-  ReplicaLoad* load_;
+  std::shared_ptr<ReplicaLoad> load_;  ///< may outlive its pool at a stop
 };
 
 class ReplicaPool {
