--- a/src/filters/caller_handler.hpp
+++ b/src/filters/caller_handler.hpp
@@ -47,9 +47,8 @@
   boost::asio::awaitable<void> handle(const http::RequestHead& request, http::BodySource& body,
                                       http::ResponseWriter& response) override;
 
-  /// From now on each answer asks the caller to close its connection; nothing is
-  /// refused and nothing in flight is cut.
-  void begin_drain() { draining_ = true; }
+  /// A drain needs nothing of the handler: the server's stop_accepting() answers
+  /// what still comes with "Connection: close", and this counts what is left.
   std::size_t requests_in_flight() const { return requests_in_flight_; }
 
  private:
@@ -74,7 +73,6 @@
 
   Chain service_chain_;
   Chain completion_chain_;
-  bool draining_ = false;
   std::size_t requests_in_flight_ = 0;
 };
 
--- a/tests/contract/faulty_back_end.hpp
+++ b/tests/contract/faulty_back_end.hpp
@@ -49,6 +49,7 @@
   std::map<std::string, int> runs_of_body;
   std::string last_head;
   std::string extra_headers;  ///< on whole answers
+  std::string extra_body;     ///< after whole answers
 
  private:
   Fault next_fault() {
@@ -177,7 +178,7 @@
         return response("429 Too Many Requests", "", "busy");
       default:
         return response("200 OK", extra_headers,
-                        start + " [" + (body.size() > 100 ? "long" : body) + "]");
+                        start + " [" + (body.size() > 100 ? "long" : body) + "]" + extra_body);
     }
   }
 
