Hold a server's objects from the start of their coroutines

A coroutine runs late: spawned from outside its executor it copied its owner's pointer only when first resumed, after the owner was gone (found as a use-after-free when a drain took in queued connections). The owner is now a parameter of the coroutine.

--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -56,6 +56,9 @@
     co_return ClientError{std::move(reason), progress()};
   }
   const auto& message = parser_->get();
+  if (!sender_.any_byte_sent()) {
+    co_return protocol_failure("a response came before its request");
+  }
   if (message.result_int() == 101) {
     co_return protocol_failure("the server switched protocols unasked");
   }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -96,7 +96,7 @@
           core::ErrorCode::kUnavailable,
           "cannot listen on " + core::to_string(address) + ": " + error.message());
     }
-    start_task(acceptor_.get_executor(), "http server accept", accept_loop());
+    start_task(acceptor_.get_executor(), "http server accept", accept_loop(shared_from_this()));
     return {};
   }
 
@@ -132,14 +132,14 @@
     return state_->requests_in_flight == 0 && drained;
   }
 
-  asio::awaitable<bool> wait_until_idle(core::Duration limit) {
-    const std::shared_ptr<Implementation> self = shared_from_this();
+  static asio::awaitable<bool> wait_until_idle(std::shared_ptr<Implementation> self,
+                                               core::Duration limit) {
     const core::MonotonicTime deadline = monotonic_now() + limit;
-    while (!idle() && monotonic_now() < deadline) {
-      changed_.expires_at(deadline);
-      co_await changed_.async_wait(kAwaitTuple);
+    while (!self->idle() && monotonic_now() < deadline) {
+      self->changed_.expires_at(deadline);
+      co_await self->changed_.async_wait(kAwaitTuple);
     }
-    co_return idle();
+    co_return self->idle();
   }
 
   std::size_t requests_in_flight() const { return state_->requests_in_flight; }
@@ -170,17 +170,18 @@
     acceptor_.close(ignored);
   }
 
-  asio::awaitable<void> accept_loop() {
-    const std::shared_ptr<Implementation> self = shared_from_this();
-    while (acceptor_.is_open()) {
-      auto [error, socket] = co_await acceptor_.async_accept(kAwaitTuple);
+  /// Static, as a coroutine starts late: its parameter holds the object from the
+  /// call on, a copy made in its body would come too late.
+  static asio::awaitable<void> accept_loop(std::shared_ptr<Implementation> self) {
+    while (self->acceptor_.is_open()) {
+      auto [error, socket] = co_await self->acceptor_.async_accept(kAwaitTuple);
       if (!error) {
-        serve(std::move(socket));
+        self->serve(std::move(socket));
         continue;
       }
-      if (acceptor_.is_open()) {
-        state_->counters.accept_errors.Increment();
-        asio::steady_timer pause(acceptor_.get_executor(), kAcceptPause);
+      if (self->acceptor_.is_open()) {
+        self->state_->counters.accept_errors.Increment();
+        asio::steady_timer pause(self->acceptor_.get_executor(), kAcceptPause);
         co_await pause.async_wait(kAwaitTuple);
       }
     }
@@ -205,7 +206,8 @@
       return;
     }
     const auto connection = std::make_shared<ServerConnection>(state_, std::move(socket));
-    start_task(acceptor_.get_executor(), "http server connection", connection->run());
+    start_task(acceptor_.get_executor(), "http server connection",
+               ServerConnection::run(connection));
   }
 
   void refuse(asio::ip::tcp::socket socket) {
@@ -242,7 +244,7 @@
   implementation_->stop_accepting();
 }
 asio::awaitable<bool> Server::wait_until_idle(core::Duration limit) {
-  return implementation_->wait_until_idle(limit);
+  return Implementation::wait_until_idle(implementation_, limit);
 }
 void Server::abort() {
   implementation_->abort();
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -94,18 +94,17 @@
   }
 }
 
-asio::awaitable<void> ServerConnection::run() {
-  const std::shared_ptr<ServerConnection> self = shared_from_this();
+asio::awaitable<void> ServerConnection::run(std::shared_ptr<ServerConnection> connection) {
   After after = After::kNextRequest;
   while (after == After::kNextRequest) {
-    const bool has_request = co_await wait_for_request();
+    const bool has_request = co_await connection->wait_for_request();
     if (has_request) {
-      after = co_await serve_one();
+      after = co_await connection->serve_one();
     } else {
       after = After::kClose;
     }
   }
-  co_await end(after);
+  co_await connection->end(after);
 }
 
 void ServerConnection::begin_drain() {
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -88,13 +88,13 @@
   bool gone_ = false;
 };
 
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+class ServerConnection {
  public:
   ServerConnection(std::shared_ptr<ServerState> state, boost::asio::ip::tcp::socket socket);
   ~ServerConnection();
 
-  /// Serves requests until the connection ends.
-  boost::asio::awaitable<void> run();
+  /// Serves requests until \p connection ends, and holds it for that long.
+  static boost::asio::awaitable<void> run(std::shared_ptr<ServerConnection> connection);
   /// Begins the grace of a connection that waits for a request.
   void begin_drain();
   void reset();
