Add weight rollouts, drain and the operators' routes

A rollout prefetches within the weight store's rate, switches the replicas together and believes only what engines report.

--- a/src/controllers/gossip_news_queue.cpp
+++ b/src/controllers/gossip_news_queue.cpp
@@ -9,6 +9,10 @@
 /// Below this no record fits.
 constexpr std::size_t kSmallestRecordBytes = 8;
 
+/// Every member tells of its revision at about the same time, so each one is
+/// told less often; anti-entropy finds whom it missed.
+constexpr std::uint32_t kRevisionTransmissions = 4;
+
 }  // namespace
 
 void GossipNewsQueue::add(const RecordKey& key, NewsPriority priority) {
@@ -42,14 +46,18 @@
     if (space < kSmallestRecordBytes) {
       return;
     }
-    const std::size_t used = records.append(key, packet, space);
+    Entry& entry = entries_.at(key);
+    const bool revision_only = entry.priority == NewsPriority::kConfiguration;
+    const std::size_t used =
+        revision_only ? records.append_revision(std::get<core::NodeId>(key), packet, space)
+                      : records.append(key, packet, space);
     if (used == 0) {
       continue;
     }
     space -= used;
-    Entry& entry = entries_.at(key);
     ++entry.transmissions;
-    if (entry.transmissions >= transmission_limit) {
+    const std::uint32_t limit = revision_only ? kRevisionTransmissions : transmission_limit;
+    if (entry.transmissions >= limit) {
       entries_.erase(key);
     }
   }
--- a/src/controllers/gossip_records.cpp
+++ b/src/controllers/gossip_records.cpp
@@ -62,6 +62,13 @@
   return added || raise(position->second, mark.incarnation);
 }
 
+bool GossipRecords::merge(const wire::MemberRevision& revision) {
+  const auto found = members_.find(revision.node);
+  const bool same_life = found != members_.end() && wire::life_of(found->second.incarnation) ==
+                                                        wire::life_of(revision.incarnation);
+  return same_life && raise(found->second.configuration_revision, revision.revision);
+}
+
 void GossipRecords::replace(const wire::Member& member) {
   members_[member.node] = member;
 }
@@ -122,4 +129,14 @@
              : append_if_it_fits({found->first, found->second}, packet.drain_marks, space);
 }
 
+std::size_t GossipRecords::append_revision(const core::NodeId& node, wire::GossipPacket& packet,
+                                           std::size_t space) const {
+  const wire::Member* member = find(node);
+  if (member == nullptr) {
+    return 0;
+  }
+  const wire::MemberRevision revision{node, member->incarnation, member->configuration_revision};
+  return append_if_it_fits(revision, packet.revisions, space);
+}
+
 }  // namespace stoneport::controllers
--- a/src/controllers/gossip_records.hpp
+++ b/src/controllers/gossip_records.hpp
@@ -36,6 +36,8 @@
   bool merge(const wire::Member& member);
   bool merge(const wire::PolicyVersion& version);
   bool merge(const wire::ReplicaDrainMark& mark);
+  /// A revision of a member that is not known, or of another life, is ignored.
+  bool merge(const wire::MemberRevision& revision);
   /// Overwrites a record past the merge rule; for what only its owner decides.
   void replace(const wire::Member& member);
   void erase(const core::NodeId& node);
@@ -49,6 +51,9 @@
   /// Puts the record of \p key into \p packet when it fits into \p space bytes.
   /// \return the bytes used; 0 when it does not fit or is gone.
   std::size_t append(const RecordKey& key, wire::GossipPacket& packet, std::size_t space) const;
+  /// The same for the configuration revision of \p node alone.
+  std::size_t append_revision(const core::NodeId& node, wire::GossipPacket& packet,
+                              std::size_t space) const;
 
  private:
   std::map<core::NodeId, wire::Member> members_;
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -105,6 +105,9 @@
   for (const wire::ReplicaDrainMark& mark : packet.drain_marks) {
     merge_drain_mark(mark);
   }
+  for (const wire::MemberRevision& revision : packet.revisions) {
+    merge_revision(revision);
+  }
 }
 
 void GossipState::merge_member(const wire::Member& member, core::MonotonicTime now) {
@@ -189,6 +192,13 @@
   }
 }
 
+void GossipState::merge_revision(const wire::MemberRevision& revision) {
+  if (revision.node != self_ && records_.merge(revision)) {
+    news_.add(revision.node, NewsPriority::kConfiguration);
+    ++members_version_;
+  }
+}
+
 void GossipState::suspect(const core::NodeId& node, core::MonotonicTime now) {
   const wire::Member* known = records_.find(node);
   if (known == nullptr || known->state == MemberState::kDead) {
--- a/src/controllers/machine_list_view.cpp
+++ b/src/controllers/machine_list_view.cpp
@@ -52,6 +52,16 @@
   return std::max(configured, core::from_seconds(seconds));
 }
 
+std::vector<core::ReplicaId> all_replicas(const std::vector<Machine>& machines) {
+  std::vector<core::ReplicaId> replicas;
+  for (const Machine& machine : machines) {
+    if (is_replica(machine)) {
+      replicas.emplace_back(machine.id);
+    }
+  }
+  return replicas;
+}
+
 const Machine* find_replica(const std::vector<Machine>& machines, const core::ReplicaId& replica) {
   const auto found = std::find_if(machines.begin(), machines.end(), [&](const Machine& machine) {
     return is_replica(machine) && machine.id == replica.value();
--- a/src/controllers/machine_list_view.hpp
+++ b/src/controllers/machine_list_view.hpp
@@ -29,6 +29,9 @@
 const platform::Machine* find_replica(const std::vector<platform::Machine>& machines,
                                       const core::ReplicaId& replica);
 
+/// \return every listed engine and service instance.
+std::vector<core::ReplicaId> all_replicas(const std::vector<platform::Machine>& machines);
+
 inline bool is_replica(const platform::Machine& machine) {
   return machine.role != platform::MachineRole::kNode;
 }
--- /dev/null
+++ b/src/controllers/operator_routes.cpp
@@ -0,0 +1,150 @@
+#include "controllers/operator_routes.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "controllers/operator_json.hpp"
+#include "http/server.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::controllers {
+namespace asio = boost::asio;
+
+namespace {
+
+using Json = nlohmann::json;
+using Context = std::shared_ptr<OperatorContext>;
+using Answer = asio::awaitable<http::Response>;
+using Handler = std::function<Answer(Context, http::RoutedRequest)>;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kAccepted = 202;
+/// How long another daemon may take to confirm that it drains.
+constexpr core::Duration kPeerTimeout = std::chrono::seconds(1);
+constexpr const char* kPeerDrainPath = "/peer/drain";
+
+http::Response error_answer(core::ErrorCode code, std::string message) {
+  return http::error_response(http::status_for(code), core::make_error(code, std::move(message)));
+}
+
+Answer answer_members(Context context, http::RoutedRequest) {
+  co_return http::json_response(kOk, members_json(context->gossip.members()));
+}
+
+Answer answer_replicas(Context context, http::RoutedRequest) {
+  const auto table = context->routing.current();
+  co_return http::json_response(kOk, replicas_json(*table, context->time.now()));
+}
+
+Answer answer_weights(Context context, http::RoutedRequest) {
+  const auto configuration = context->configuration();
+  std::multimap<core::PolicyName, core::ModelName> models_of_policies;
+  for (const auto& [model, policy] : policies_of_models(*configuration)) {
+    models_of_policies.emplace(policy, model);
+  }
+  const auto table = context->routing.current();
+  co_return http::json_response(kOk,
+                                weights_json(context->versions.all(), models_of_policies, *table));
+}
+
+Answer answer_status(Context context, http::RoutedRequest) {
+  const std::vector<wire::Member> members = context->gossip.members();
+  StatusSummary status;
+  status.self = context->gossip.self();
+  status.ready = context->ready() && context->drain.phase() == DrainPhase::kServing;
+  status.members = static_cast<std::size_t>(std::count_if(
+      members.begin(), members.end(),
+      [](const wire::Member& member) { return member.state != wire::MemberState::kDead; }));
+  status.store = context->store_state();
+  co_return http::json_response(kOk, status_json(status));
+}
+
+/// Asks \p member itself to drain. \return whether it said that it does.
+asio::awaitable<bool> ask_to_drain(Context context, wire::Member member) {
+  http::Request request;
+  request.head.method = "POST";
+  request.head.target = kPeerDrainPath;
+  request.body =
+      Json{{"node", member.node.value()}, {"life", wire::life_of(member.incarnation)}}.dump();
+  http::SendOptions options;
+  options.deadline = context->time.now() + kPeerTimeout;
+  options.connect_timeout = kPeerTimeout;
+  const auto response =
+      co_await context->client.fetch(member.peer_address, std::move(request), options);
+  co_return response.has_value() && response->head.status == kAccepted;
+}
+
+Answer drain_member(Context context, http::RoutedRequest request) {
+  const core::NodeId node(request.parameters.at("node"));
+  const std::vector<wire::Member> members = context->gossip.members();
+  const auto found = std::find_if(members.begin(), members.end(),
+                                  [&](const wire::Member& member) { return member.node == node; });
+  if (found == members.end()) {
+    co_return error_answer(core::ErrorCode::kNotFound, "no member " + node.value());
+  }
+  bool confirmed = true;
+  // The mark spreads by gossip and sticks, also where the daemon itself cannot
+  // be reached; asking it only makes it faster and says whether it heard.
+  context->gossip.mark_leaving(node);
+  if (node == context->gossip.self().node) {
+    context->drain.begin_drain("asked by an operator");
+  } else {
+    const wire::Member member = *found;
+    confirmed = co_await ask_to_drain(context, member);
+  }
+  const Json answer = {{"node", node.value()}, {"state", "leaving"}, {"confirmed", confirmed}};
+  co_return http::json_response(kAccepted, answer.dump());
+}
+
+Answer drain_replica(Context context, http::RoutedRequest request) {
+  const core::ReplicaId replica(request.parameters.at("id"));
+  if (!context->routing.drain_replica(replica)) {
+    co_return error_answer(core::ErrorCode::kNotFound, "no replica " + replica.value());
+  }
+  const Json answer = {{"replica", replica.value()}, {"state", "leaving"}};
+  co_return http::json_response(kAccepted, answer.dump());
+}
+
+Answer drain_for_peer(Context context, http::RoutedRequest request) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  const bool well_formed = body.is_object() && body.contains("node") &&
+                           body.at("node").is_string() && body.contains("life") &&
+                           body.at("life").is_number_unsigned();
+  if (!well_formed) {
+    co_return error_answer(core::ErrorCode::kInvalidArgument, "expected {\"node\",\"life\"}");
+  }
+  const wire::Member self = context->gossip.self();
+  const bool meant = body.at("node").get<std::string>() == self.node.value() &&
+                     body.at("life").get<std::uint64_t>() == wire::life_of(self.incarnation);
+  if (!meant) {
+    co_return error_answer(core::ErrorCode::kConflict, "another process is at this address now");
+  }
+  context->drain.begin_drain("asked by another daemon");
+  co_return http::json_response(kAccepted, "{}");
+}
+
+/// Runs \p handler on the control thread.
+http::Router::WholeRoute on_control(Context context, Handler handler) {
+  return [context, handler](http::RoutedRequest request) -> Answer {
+    Answer answer = handler(context, std::move(request));
+    http::Response response = co_await runtime::run_on(context->control, std::move(answer));
+    co_return response;
+  };
+}
+
+}  // namespace
+
+void register_operator_routes(http::Router& router, Context context) {
+  router.add("GET", "/v1/operator/members", on_control(context, answer_members));
+  router.add("GET", "/v1/operator/replicas", on_control(context, answer_replicas));
+  router.add("GET", "/v1/operator/weights", on_control(context, answer_weights));
+  router.add("GET", "/v1/operator/status", on_control(context, answer_status));
+  router.add("POST", "/v1/operator/members/{node}/drain", on_control(context, drain_member));
+  router.add("POST", "/v1/operator/replicas/{id}/drain", on_control(context, drain_replica));
+}
+
+void register_drain_peer_route(http::Router& router, Context context) {
+  router.add("POST", kPeerDrainPath, on_control(context, drain_for_peer));
+}
+
+}  // namespace stoneport::controllers
--- a/src/controllers/policy_versions_controller.cpp
+++ b/src/controllers/policy_versions_controller.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include "core/backoff.hpp"
-#include "core/random.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
@@ -40,6 +39,7 @@
     : executor_(std::move(executor)),
       gossip_(gossip),
       table_(table),
+      random_(gossip.self().incarnation.value()),
       write_failures_(metrics.counter("stoneport_policy_write_failures_total",
                                       "Attempts to write a policy's version that failed")) {}
 
@@ -123,31 +123,36 @@
   co_return core::Result<void>{};
 }
 
+asio::awaitable<bool> PolicyVersionsController::write_unwritten(std::weak_ptr<bool> alive) {
+  const std::map<core::PolicyName, core::WeightVersion> unwritten = unwritten_;
+  bool all_written = true;
+  for (const auto& [policy, version] : unwritten) {
+    if (alive.expired()) {
+      co_return false;
+    }
+    const core::Result<void> outcome = co_await write(policy, version);
+    if (!outcome) {
+      write_failures_.Increment();
+      all_written = false;
+    }
+  }
+  co_return all_written;
+}
+
 asio::awaitable<void> PolicyVersionsController::run(std::weak_ptr<bool> alive) {
-  core::RandomSource random(gossip_.self().incarnation.value());
   std::uint32_t failures = 0;
   bool loaded = false;
   while (!alive.expired()) {
-    bool failed = false;
     if (!loaded) {
       const core::Result<void> outcome = co_await load();
       loaded = outcome.has_value();
-      failed = !loaded;
     }
-    const auto unwritten = unwritten_;
-    for (const auto& [policy, version] : unwritten) {
-      if (alive.expired()) {
-        co_return;
-      }
-      const core::Result<void> outcome = co_await write(policy, version);
-      if (!outcome) {
-        write_failures_.Increment();
-        failed = true;
-      }
+    const bool written = co_await write_unwritten(alive);
+    failures = loaded && written ? 0 : failures + 1;
+    core::Duration wait = kIdleInterval;
+    if (failures > 0) {
+      wait = core::backoff_delay(kRetryBackoff, failures - 1, random_);
     }
-    failures = failed ? failures + 1 : 0;
-    const core::Duration wait =
-        failed ? core::backoff_delay(kRetryBackoff, failures - 1, random) : kIdleInterval;
     co_await runtime::sleep_for(wait);
   }
 }
--- a/src/controllers/policy_versions_controller.hpp
+++ b/src/controllers/policy_versions_controller.hpp
@@ -39,6 +39,8 @@
  private:
   boost::asio::awaitable<void> run(std::weak_ptr<bool> alive);
   boost::asio::awaitable<core::Result<void>> load();
+  /// \return whether nothing is left to write.
+  boost::asio::awaitable<bool> write_unwritten(std::weak_ptr<bool> alive);
   boost::asio::awaitable<core::Result<void>> write(core::PolicyName policy,
                                                    core::WeightVersion version);
   void confirm(const core::PolicyName& policy, core::WeightVersion version);
@@ -46,6 +48,7 @@
   boost::asio::any_io_executor executor_;
   GossipController& gossip_;
   platform::TableService& table_;
+  core::RandomSource random_;
   prometheus::Counter& write_failures_;
   std::map<core::PolicyName, core::WeightVersion> unwritten_;
   std::shared_ptr<bool> alive_;
--- a/src/controllers/replica_watcher.cpp
+++ b/src/controllers/replica_watcher.cpp
@@ -40,6 +40,7 @@
   result.tokens_per_second = static_cast<std::uint32_t>(std::max(0.0, report.tokens_per_second));
   result.kv_used_permille = permille(report.kv_used_tokens, report.kv_capacity_tokens);
   result.version = report.version;
+  result.prefetched = report.prefetched.value_or(core::WeightVersion{});
   return result;
 }
 
@@ -96,16 +97,12 @@
 
 std::vector<core::ReplicaId> ReplicaWatcher::wanted() const {
   const auto machines = machines_.machines();
-  if (interest_) {
-    return interest_(*machines);
+  std::set<core::ReplicaId> replicas;
+  for (const Interest& interest : interests_) {
+    const std::vector<core::ReplicaId> wanted = interest(*machines);
+    replicas.insert(wanted.begin(), wanted.end());
   }
-  std::vector<core::ReplicaId> replicas;
-  for (const platform::Machine& machine : *machines) {
-    if (is_replica(machine)) {
-      replicas.emplace_back(machine.id);
-    }
-  }
-  return replicas;
+  return {replicas.begin(), replicas.end()};
 }
 
 void ReplicaWatcher::choose_watches() {
--- a/src/controllers/replica_watcher.hpp
+++ b/src/controllers/replica_watcher.hpp
@@ -33,8 +33,8 @@
                  http::Client& client, ReplicaWatcherSettings settings,
                  const core::TimeSource& time, core::Metrics& metrics);
 
-  /// Without an interest, reports of all listed replicas are asked for.
-  void set_interest(Interest interest) { interest_ = std::move(interest); }
+  /// Asks for reports of what \p interest names, beside what others name.
+  void add_interest(Interest interest) { interests_.push_back(std::move(interest)); }
   void start();
   void stop() { alive_.reset(); }
 
@@ -76,7 +76,7 @@
   ReplicaWatcherSettings settings_;
   const core::TimeSource& time_;
   std::unique_ptr<Meters> meters_;
-  Interest interest_;
+  std::vector<Interest> interests_;
   std::map<core::ReplicaId, std::shared_ptr<Watch>> watches_;
   std::map<core::ReplicaId, TimedReport> own_reports_;
   ReplicaReports reports_;
--- /dev/null
+++ b/src/controllers/weights_controller.hpp
@@ -0,0 +1,88 @@
+/// \file
+/// Runs one WeightsRollout for each model that rendezvous hashing gives to this
+/// daemon and whose lease it holds. Verifies by the watchers' reports, never by
+/// what was ordered. Owned by the control thread.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "config/configuration.hpp"
+#include "controllers/fenced_ownership.hpp"
+#include "controllers/membership.hpp"
+#include "controllers/policy_versions.hpp"
+#include "controllers/replica_reports.hpp"
+#include "controllers/weights_rollout.hpp"
+#include "core/metrics.hpp"
+#include "platform/machine_list.hpp"
+#include "platform/weight_store.hpp"
+
+namespace stoneport::controllers {
+
+/// \return the policy that each model serves: that of the first event, in order
+/// of name, whose template names the model.
+std::map<core::ModelName, core::PolicyName> policies_of_models(
+    const config::Configuration& configuration);
+
+/// \return the name of the lease under which \p model's weights are ordered.
+std::string weights_lease(const core::ModelName& model);
+
+/// Where the controller reads what it needs of other controllers.
+struct WeightsInputs {
+  std::function<std::shared_ptr<const config::Configuration>()> configuration;
+  std::function<std::shared_ptr<const std::vector<platform::Machine>>()> machines;
+  const ReplicaReports& reports;
+};
+
+class WeightsController {
+ public:
+  WeightsController(boost::asio::any_io_executor executor, WeightsInputs inputs,
+                    Membership& membership, PolicyVersions& versions, FencedOwnership& ownership,
+                    platform::WeightStore& store, platform::ModelEngineFactory& engines,
+                    RolloutSettings settings, const core::TimeSource& time, core::Metrics& metrics);
+
+  void start();
+  void stop() { alive_.reset(); }
+
+  /// \return replicas of the models that this daemon looks after; an interest
+  /// for the replica watcher.
+  std::vector<core::ReplicaId> replicas_of_own_models(
+      const std::vector<platform::Machine>& machines) const;
+  /// \return the phase of the rollout of each model that this daemon looks after.
+  std::map<core::ModelName, RolloutPhase> phases() const;
+
+ private:
+  struct Meters;
+  struct OwnModel {
+    core::PolicyName policy;
+    WeightsRollout rollout;
+    core::Epoch epoch;  ///< under which the rollout has been run so far
+    bool fenced = false;
+    bool asking_store = false;
+  };
+
+  boost::asio::awaitable<void> run(std::weak_ptr<bool> alive);
+  void choose_models();
+  void advance(const core::ModelName& model, const std::shared_ptr<OwnModel>& own);
+  boost::asio::awaitable<void> aim(std::shared_ptr<OwnModel> own, core::WeightVersion version);
+  boost::asio::awaitable<void> send(core::ModelName model, std::shared_ptr<OwnModel> own,
+                                    RolloutOrder order);
+  std::vector<ReplicaWeights> replicas_of(const core::ModelName& model) const;
+
+  boost::asio::any_io_executor executor_;
+  WeightsInputs inputs_;
+  Membership& membership_;
+  PolicyVersions& versions_;
+  FencedOwnership& ownership_;
+  platform::WeightStore& store_;
+  platform::ModelEngineFactory& engines_;
+  RolloutSettings settings_;
+  const core::TimeSource& time_;
+  std::unique_ptr<Meters> meters_;
+  std::map<core::ModelName, std::shared_ptr<OwnModel>> own_models_;
+  std::shared_ptr<bool> alive_;
+};
+
+}  // namespace stoneport::controllers
--- /dev/null
+++ b/src/controllers/weights_rollout.cpp
@@ -0,0 +1,160 @@
+#include "controllers/weights_rollout.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace stoneport::controllers {
+namespace {
+
+/// Waiting for all prefetches ends after this many times the time they need.
+constexpr int kPatience = 2;
+constexpr std::uint32_t kMostDoublings = 10;
+
+}  // namespace
+
+void WeightsRollout::set_target(const RolloutTarget& target, core::MonotonicTime now) {
+  if (target.policy == target_.policy && target.version <= target_.version) {
+    return;
+  }
+  target_ = target;
+  phase_ = RolloutPhase::kPrefetching;
+  started_ = now;
+  progress_.clear();
+}
+
+void WeightsRollout::on_order_failed(const core::ReplicaId& replica) {
+  const auto found = progress_.find(replica);
+  if (found != progress_.end() && !found->second.load_sent) {
+    found->second.prefetch_sent = std::nullopt;
+  }
+}
+
+bool WeightsRollout::is_behind(const ReplicaWeights& replica) const {
+  return replica.usable && replica.version < target_.version;
+}
+
+bool WeightsRollout::is_prefetched(const ReplicaWeights& replica) const {
+  return replica.prefetched == target_.version;
+}
+
+core::Duration WeightsRollout::transfer_time(std::size_t replica_count) const {
+  if (target_.bytes_per_second == 0) {
+    return core::Duration::zero();
+  }
+  const double bytes = static_cast<double>(target_.size_bytes) * static_cast<double>(replica_count);
+  return core::from_seconds(bytes / static_cast<double>(target_.bytes_per_second));
+}
+
+core::Duration WeightsRollout::prefetch_timeout() const {
+  return std::max(settings_.shortest_prefetch_timeout,
+                  kPatience * transfer_time(settings_.parallel_prefetches));
+}
+
+void WeightsRollout::follow(const std::vector<ReplicaWeights>& replicas, core::MonotonicTime now) {
+  std::set<core::ReplicaId> present;
+  for (const ReplicaWeights& replica : replicas) {
+    present.insert(replica.replica);
+    Progress& progress = progress_[replica.replica];
+    if (progress.incarnation != replica.incarnation) {
+      progress = Progress{};  // a new process knows nothing of earlier orders
+      progress.incarnation = replica.incarnation;
+    }
+    if (!is_behind(replica)) {
+      progress = Progress{replica.incarnation};
+    } else if (!progress.behind_since) {
+      progress.behind_since = now;
+    }
+  }
+  std::erase_if(progress_, [&](const auto& entry) { return !present.contains(entry.first); });
+}
+
+std::vector<RolloutOrder> WeightsRollout::plan(const std::vector<ReplicaWeights>& replicas,
+                                               core::MonotonicTime now) {
+  std::vector<RolloutOrder> orders;
+  if (phase_ == RolloutPhase::kIdle) {
+    return orders;
+  }
+  follow(replicas, now);
+  std::vector<const ReplicaWeights*> behind;
+  for (const ReplicaWeights& replica : replicas) {
+    if (is_behind(replica)) {
+      behind.push_back(&replica);
+    }
+  }
+  if (behind.empty()) {
+    phase_ = RolloutPhase::kConverged;
+    return orders;
+  }
+  if (phase_ == RolloutPhase::kConverged) {
+    phase_ = RolloutPhase::kSwitching;  // a replica came back with an older version
+  }
+  const bool all_prefetched = std::all_of(behind.begin(), behind.end(), [&](const auto* replica) {
+    return is_prefetched(*replica) || progress_.at(replica->replica).prefetch_given_up;
+  });
+  const core::Duration patience = prefetch_timeout() + kPatience * transfer_time(replicas.size());
+  if (phase_ == RolloutPhase::kPrefetching && (all_prefetched || now - started_ > patience)) {
+    phase_ = RolloutPhase::kSwitching;
+  }
+  plan_prefetches(behind, now, orders);
+  if (phase_ == RolloutPhase::kSwitching) {
+    plan_loads(behind, now, orders);
+  }
+  return orders;
+}
+
+void WeightsRollout::plan_prefetches(const std::vector<const ReplicaWeights*>& behind,
+                                     core::MonotonicTime now, std::vector<RolloutOrder>& orders) {
+  std::uint32_t in_flight = 0;
+  std::vector<const ReplicaWeights*> waiting;
+  for (const ReplicaWeights* replica : behind) {
+    Progress& progress = progress_.at(replica->replica);
+    if (is_prefetched(*replica) || progress.load_sent || progress.prefetch_given_up) {
+      continue;
+    }
+    if (!progress.prefetch_sent) {
+      waiting.push_back(replica);
+    } else if (now - *progress.prefetch_sent <= prefetch_timeout()) {
+      ++in_flight;
+    } else {
+      progress.prefetch_given_up = true;  // loading fetches what is missing
+    }
+  }
+  for (const ReplicaWeights* replica : waiting) {
+    if (in_flight >= settings_.parallel_prefetches) {
+      return;
+    }
+    ++in_flight;
+    progress_.at(replica->replica).prefetch_sent = now;
+    orders.push_back({replica->replica, replica->address,
+                      platform::PrefetchVersion{target_.policy, target_.version}});
+  }
+}
+
+bool WeightsRollout::load_is_due(const Progress& progress, core::MonotonicTime now) const {
+  if (!progress.load_sent) {
+    return true;
+  }
+  const std::uint32_t doublings = std::min(progress.loads - 1, kMostDoublings);
+  const core::Duration wait =
+      std::min(settings_.longest_load_retry, settings_.first_load_retry * (1 << doublings));
+  return now - *progress.load_sent >= wait;
+}
+
+void WeightsRollout::plan_loads(const std::vector<const ReplicaWeights*>& behind,
+                                core::MonotonicTime now, std::vector<RolloutOrder>& orders) {
+  const core::Duration patience = prefetch_timeout() + kPatience * transfer_time(behind.size());
+  for (const ReplicaWeights* replica : behind) {
+    Progress& progress = progress_.at(replica->replica);
+    const bool fetched = is_prefetched(*replica) || progress.prefetch_given_up ||
+                         progress.load_sent || now - *progress.behind_since > patience;
+    if (!fetched || replica->swapping || !load_is_due(progress, now)) {
+      continue;
+    }
+    progress.load_sent = now;
+    ++progress.loads;
+    orders.push_back({replica->replica, replica->address,
+                      platform::LoadVersion{target_.policy, target_.version, settings_.running}});
+  }
+}
+
+}  // namespace stoneport::controllers
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -172,6 +172,19 @@
   return reader.ok();
 }
 
+Json write_revision(const MemberRevision& revision) {
+  return Json::array(
+      {revision.node.value(), revision.incarnation.value(), revision.revision.value()});
+}
+
+bool read_revision(const Json& json, MemberRevision& revision) {
+  ArrayReader reader(json, 3);
+  revision.node = reader.next_name<core::NodeId>();
+  revision.incarnation = reader.next_counter<core::Incarnation>();
+  revision.revision = reader.next_counter<core::Revision>();
+  return reader.ok();
+}
+
 Json write_report(const ReplicaReport& report) {
   Json prefixes;
   if (report.cached_prefixes) {
@@ -181,11 +194,12 @@
       (report.reachable ? 1u : 0u) | (report.leaving ? 2u : 0u) | (report.swapping ? 4u : 0u);
   return Json::array({report.replica.value(), report.incarnation.value(), report.age_ms, flags,
                       report.running, report.waiting, report.max_running, report.tokens_per_second,
-                      report.kv_used_permille, report.version.value(), std::move(prefixes)});
+                      report.kv_used_permille, report.version.value(), report.prefetched.value(),
+                      std::move(prefixes)});
 }
 
 bool read_report(const Json& json, ReplicaReport& report) {
-  ArrayReader reader(json, 11);
+  ArrayReader reader(json, 12);
   report.replica = reader.next_name<core::ReplicaId>();
   report.incarnation = reader.next_counter<core::Incarnation>();
   report.age_ms = reader.next_unsigned32();
@@ -199,6 +213,7 @@
   report.tokens_per_second = reader.next_unsigned32();
   report.kv_used_permille = static_cast<std::uint32_t>(reader.next_unsigned(1000));
   report.version = reader.next_counter<core::WeightVersion>();
+  report.prefetched = reader.next_counter<core::WeightVersion>();
   if (!reader.ok()) {
     return false;
   }
@@ -366,7 +381,8 @@
                                std::visit(MessageWriter{}, packet.message),
                                write_list(packet.members, write_member),
                                write_list(packet.policy_versions, write_policy_version),
-                               write_list(packet.drain_marks, write_drain_mark)}));
+                               write_list(packet.drain_marks, write_drain_mark),
+                               write_list(packet.revisions, write_revision)}));
 }
 
 core::Result<GossipPacket> decode_packet(std::string_view bytes) {
@@ -377,7 +393,7 @@
   if (json.is_discarded()) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet is not CBOR");
   }
-  ArrayReader reader(json, 6);
+  ArrayReader reader(json, 7);
   if (reader.next_unsigned() != kGossipProtocolVersion) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet of another version");
   }
@@ -387,6 +403,7 @@
   packet.members = reader.next_list<Member>(read_member);
   packet.policy_versions = reader.next_list<PolicyVersion>(read_policy_version);
   packet.drain_marks = reader.next_list<ReplicaDrainMark>(read_drain_mark);
+  packet.revisions = reader.next_list<MemberRevision>(read_revision);
   if (!head_ok || !reader.ok()) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet breaks its format");
   }
@@ -402,6 +419,9 @@
 std::size_t encoded_size(const ReplicaDrainMark& mark) {
   return to_bytes(write_drain_mark(mark)).size();
 }
+std::size_t encoded_size(const MemberRevision& revision) {
+  return to_bytes(write_revision(revision)).size();
+}
 std::size_t encoded_size(const ReplicaReport& report) {
   return to_bytes(write_report(report)).size();
 }
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -29,6 +29,7 @@
 std::size_t encoded_size(const Member& member);
 std::size_t encoded_size(const PolicyVersion& version);
 std::size_t encoded_size(const ReplicaDrainMark& mark);
+std::size_t encoded_size(const MemberRevision& revision);
 std::size_t encoded_size(const ReplicaReport& report);
 
 }  // namespace stoneport::wire
--- a/src/wire/gossip_messages.hpp
+++ b/src/wire/gossip_messages.hpp
@@ -70,6 +70,7 @@
   std::uint32_t tokens_per_second = 0;
   std::uint32_t kv_used_permille = 0;
   core::WeightVersion version;
+  core::WeightVersion prefetched;  ///< fetched and not loaded yet; zero for none
   /// Cached prompt prefixes; nothing when this report leaves them out.
   std::optional<std::vector<std::uint64_t>> cached_prefixes;
   bool operator==(const ReplicaReport&) const = default;
@@ -98,12 +99,21 @@
   bool operator==(const ReplicaDrainMark&) const = default;
 };
 
+/// A member's configuration revision alone: what changes most, in fewer bytes.
+struct MemberRevision {
+  core::NodeId node;
+  core::Incarnation incarnation;
+  core::Revision revision;
+  bool operator==(const MemberRevision&) const = default;
+};
+
 struct GossipPacket {
   Member sender;
   GossipMessage message;
   std::vector<Member> members;
   std::vector<PolicyVersion> policy_versions;
   std::vector<ReplicaDrainMark> drain_marks;
+  std::vector<MemberRevision> revisions;
   bool operator==(const GossipPacket&) const = default;
 };
 
