Follow the watcher's interests and the handler without a drain switch

Cause: two interfaces changed while the daemon was assembled. Change: add_interest; the server's stop_accepting alone starts a worker's drain. Ruled out: keeping begin_drain(), which did nothing that the server does not.

--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -85,7 +85,7 @@
 void ControlPlane::start() {
   gossip_.start();
   machines_.start();
-  watcher_.set_interest([this](const auto& machines) { return interest(machines); });
+  watcher_.add_interest([this](const auto& machines) { return interest(machines); });
   watcher_.start();
   routing_.start();
   policy_versions_.start();
--- a/src/daemon/traffic_worker.cpp
+++ b/src/daemon/traffic_worker.cpp
@@ -37,7 +37,6 @@
 }
 
 asio::awaitable<bool> TrafficWorker::drain(core::Duration limit) {
-  handler_.begin_drain();
   server_.stop_accepting();
   return server_.wait_until_idle(limit);
 }
