--- a/tests/contract/caller_faults_test.cpp
+++ b/tests/contract/caller_faults_test.cpp
@@ -263,7 +263,9 @@
     fixture.use({back_end.address()});
     back_end.plan({Fault::kSilent});
     tcp::socket caller = connect_raw(fixture);
-    send_raw(fixture, caller, "GET /services/ledger/slow HTTP/1.1\r\nHost: x\r\n\r\n");
+    send_raw(fixture, caller,
+             "GET /services/ledger/slow HTTP/1.1\r\nHost: x\r\n"
+             "Stoneport-Deadline-Ms: 100000\r\n\r\n");
     fixture.run_until([&] { return back_end.runs == 1; });
     caller.close();
     fixture.run_until([&] { return back_end.cut_off == 1; });
