--- a/src/rollout/stragglers.cpp
+++ b/src/rollout/stragglers.cpp
@@ -49,17 +49,21 @@
   return predictions;
 }
 
+/// \return that share of \p count, rounded up.
+std::size_t share_of(double share, std::size_t count) {
+  return static_cast<std::size_t>(std::ceil(share * static_cast<double>(count)));
+}
+
 void raise_latest(const std::vector<Prediction>& predictions, const StragglerSettings& settings,
                   StragglerDecision& decision) {
-  const auto raised = std::count_if(predictions.begin(), predictions.end(),
-                                    [](const auto& one) { return one.sample->raised; });
-  const auto allowed = static_cast<std::ptrdiff_t>(
-      std::ceil(settings.raised_share * static_cast<double>(predictions.size())));
+  const auto raised = static_cast<std::size_t>(std::count_if(
+      predictions.begin(), predictions.end(), [](const auto& one) { return one.sample->raised; }));
+  const std::size_t allowed = share_of(settings.raised_share, predictions.size());
   const double median = predictions[predictions.size() / 2].seconds;
-  std::ptrdiff_t left = allowed - raised;
+  std::size_t left = allowed - std::min(allowed, raised);
   for (const Prediction& one : predictions) {
     const bool is_late = predictions.size() == 1 || one.seconds > settings.late_factor * median;
-    if (left <= 0 || !is_late) {
+    if (left == 0 || !is_late) {
       return;
     }
     if (!one.sample->raised) {
@@ -122,13 +126,10 @@
   if (!settings.migrate) {
     return decision;
   }
-  const double median = predictions[predictions.size() / 2].seconds;
+  const std::size_t movable = share_of(settings.migrated_share, predictions.size());
   std::vector<MigrationTarget> targets = input.targets;
-  for (const Prediction& one : predictions) {
-    const bool is_late = predictions.size() <= 2 || one.seconds > settings.late_factor * median;
-    if (!is_late) {
-      break;
-    }
+  for (std::size_t index = 0; index < movable; ++index) {
+    const Prediction& one = predictions[index];
     if (one.sample->migrations >= settings.most_migrations_per_sample) {
       continue;
     }
--- a/src/rollout/stragglers.hpp
+++ b/src/rollout/stragglers.hpp
@@ -26,6 +26,9 @@
   double raised_share = 0.2;
 
   bool migrate = true;
+  /// Share of the running samples, those with the latest predicted end, that may
+  /// be moved. The others would finish in time where they are.
+  double migrated_share = 0.25;
   core::Duration migration_fixed_cost = std::chrono::milliseconds(100);
   /// Cost for each token of context that is exported, sent and imported.
   core::Duration migration_cost_per_token = std::chrono::microseconds(20);
--- a/src/steps/attempt.cpp
+++ b/src/steps/attempt.cpp
@@ -45,6 +45,7 @@
       stream_id_(rollout::to_stream_id(order_.name)),
       started_at_(context.now()) {
   order_.request.stream = stream_id_;
+  context_.engines.stream_started(order_.engine.id);
 }
 
 std::shared_ptr<platform::ModelEngine> Attempt::client() const {
@@ -53,7 +54,6 @@
 
 asio::awaitable<AttemptEnd> Attempt::run() {
   const auto self = shared_from_this();
-  context_.engines.stream_started(order_.engine.id);
   std::optional<AttemptEnd> end = co_await open();
   while (!end) {
     end = co_await read();
--- a/src/steps/attempt.hpp
+++ b/src/steps/attempt.hpp
@@ -35,9 +35,11 @@
     core::MonotonicTime deadline;
   };
 
+  /// Counts as a stream of its engine from here on, so that the next placement
+  /// sees it, until run() ends.
   Attempt(StepContext& context, Order order);
 
-  /// Runs to the end; called once.
+  /// Runs to the end; called once, always.
   boost::asio::awaitable<AttemptEnd> run();
 
   /// Stops it, on the engine as well.
--- a/src/steps/step_plan.cpp
+++ b/src/steps/step_plan.cpp
@@ -5,7 +5,7 @@
 namespace stoneport::steps {
 
 std::uint32_t StepContent::digest() const {
-  std::uint64_t state = core::hash64(std::to_string(samples_per_prompt), policy_version.value());
+  std::uint64_t state = samples_per_prompt;
   for (const std::string& prompt : prompts) {
     state = core::hash64(prompt, state);
   }
--- a/src/steps/step_plan.hpp
+++ b/src/steps/step_plan.hpp
@@ -11,9 +11,9 @@
 
 namespace stoneport::steps {
 
-/// The body of an open, without what changes between repeats.
+/// What tells one step from another under the same number. The trainer's current
+/// version is no part of it: it may have grown when a step is opened again.
 struct StepContent {
-  core::WeightVersion policy_version;
   std::vector<std::string> prompts;
   std::uint32_t samples_per_prompt = 0;
   bool operator==(const StepContent&) const = default;
--- a/src/steps/step_service.cpp
+++ b/src/steps/step_service.cpp
@@ -67,33 +67,31 @@
   return {};
 }
 
-core::Result<OpenAnswer> StepService::open(const StepKey& key, StepContent content,
-                                           core::Epoch epoch_seen) {
+core::Result<OpenAnswer> StepService::open(const StepKey& key, OpenRequest request) {
   forget_stopped();
   const std::optional<EventRules> rules = find_rules(context_.dependencies, key.event);
   if (!rules) {
     return core::make_error(ErrorCode::kNotFound, "no such event is in force");
   }
-  const std::size_t expected = content.shape().slot_count();
+  context_.policies.observe(rules->parameters.policy, request.policy_version);
+  const std::size_t expected = request.content.shape().slot_count();
   if (const auto runner = live(key)) {
-    if (runner->plan().content != content) {
+    if (runner->plan().content != request.content) {
       return core::make_error(ErrorCode::kConflict, "the step is open with another body");
     }
-    if (epoch_seen <= runner->plan().epoch) {
+    if (request.epoch_seen <= runner->plan().epoch) {
       runner->reopened();
       return OpenAnswer{runner->plan().epoch, expected};
     }
     // Another daemon had it in the meantime and the trainer came back.
-    forget(key, StepStop::kFenced);
-    ownership_.lose(key.event);
+    fence(key);
   }
   if (const auto admitted = admit(key); !admitted) {
     return admitted.error();
   }
   close_completed_before(key);
-  const rollout::EventOwnership::Opening opening = ownership_.open(key.event, epoch_seen);
-  context_.policies.observe(rules->parameters.policy, content.policy_version);
-  StepPlan plan{key.event, key.step, opening.epoch, opening.taken_over, std::move(content)};
+  const rollout::EventOwnership::Opening opening = ownership_.open(key.event, request.epoch_seen);
+  StepPlan plan{key.event, key.step, opening.epoch, opening.taken_over, std::move(request.content)};
   const auto runner = std::make_shared<StepRunner>(context_, std::move(plan), *rules);
   runners_[key] = runner;
   context_.metrics.steps_opened.Increment();
@@ -104,23 +102,23 @@
 
 core::Result<std::shared_ptr<StepRunner>> StepService::find(const StepKey& key,
                                                             core::Epoch epoch_seen) {
-  const auto found = runners_.find(key);
-  if (found == runners_.end()) {
+  forget_stopped();
+  const std::shared_ptr<StepRunner> runner = live(key);
+  if (!runner) {
     return not_open();
   }
-  const std::shared_ptr<StepRunner> runner = found->second;
   if (epoch_seen > runner->plan().epoch) {
-    runner->stop(StepStop::kFenced);
-  }
-  if (runner->stopped() == StepStop::kFenced) {
-    return core::make_error(ErrorCode::kFenced, "a higher epoch is in force for this step");
-  }
-  if (runner->stopped()) {
-    return not_open();
+    return fence(key);
   }
   return runner;
 }
 
+core::Error StepService::fence(const StepKey& key) {
+  forget(key, StepStop::kFenced);
+  ownership_.lose(key.event);
+  return core::make_error(ErrorCode::kFenced, "a higher epoch is in force for this step");
+}
+
 void StepService::observe_version(const StepKey& key, core::WeightVersion version) {
   if (const auto rules = find_rules(context_.dependencies, key.event)) {
     context_.policies.observe(rules->parameters.policy, version);
--- a/src/steps/step_service.hpp
+++ b/src/steps/step_service.hpp
@@ -21,6 +21,11 @@
   auto operator<=>(const StepKey&) const = default;
 };
 
+struct OpenRequest {
+  core::WeightVersion policy_version;  ///< the trainer's current one
+  StepContent content;
+  core::Epoch epoch_seen;
+};
 struct OpenAnswer {
   core::Epoch epoch;
   std::size_t samples_expected = 0;
@@ -37,12 +42,14 @@
   boost::asio::awaitable<core::Result<void>> publish(core::PolicyName policy,
                                                      core::WeightVersion version,
                                                      std::uint64_t size_bytes);
-  /// Opens a step, or confirms that it is open with the same content.
+  /// Opens a step, or confirms that it is open with the same content. A step that
+  /// another daemon had in the meantime is taken back under a higher epoch.
   /// \return kNotFound for an unknown event, kConflict for another content,
   /// kUnavailable while draining, kRateLimited when too many are open.
-  core::Result<OpenAnswer> open(const StepKey& key, StepContent content, core::Epoch epoch_seen);
-  /// \return the step, for its shape; kNotFound when it is not open here, kFenced
-  /// when the trainer has seen a higher epoch, which also ends the step here.
+  core::Result<OpenAnswer> open(const StepKey& key, OpenRequest request);
+  /// \return the step, or kFenced when the trainer has seen a higher epoch. That
+  /// ends the step here: from then on, and for any step that is not open here,
+  /// kNotFound tells the trainer to open it.
   core::Result<std::shared_ptr<StepRunner>> find(const StepKey& key, core::Epoch epoch_seen);
   /// The trainer says in passing which version is its current one.
   void observe_version(const StepKey& key, core::WeightVersion version);
@@ -58,6 +65,7 @@
  private:
   boost::asio::awaitable<void> acquire_epoch();
   std::shared_ptr<StepRunner> live(const StepKey& key);
+  core::Error fence(const StepKey& key);
   void close_completed_before(const StepKey& key);
   void forget(const StepKey& key, StepStop reason);
   void forget_stopped();
--- a/src/steps/trainer_handler.cpp
+++ b/src/steps/trainer_handler.cpp
@@ -70,7 +70,8 @@
     co_return refusal(message.error());
   }
   const StepKey key{core::EventName(request.parameters.at("event")), message->step};
-  const auto opened = service_.open(key, std::move(message->content), message->epoch_seen);
+  OpenRequest opening{message->policy_version, std::move(message->content), message->epoch_seen};
+  const auto opened = service_.open(key, std::move(opening));
   if (!opened) {
     co_return refusal(opened.error());
   }
--- a/src/steps/trainer_messages.cpp
+++ b/src/steps/trainer_messages.cpp
@@ -135,7 +135,7 @@
 core::Result<OpenMessage> parse_open(const std::string& body) {
   return parse_message<OpenMessage>(body, [](FieldReader& fields, OpenMessage& message) {
     message.step = core::StepNumber(fields.number("step", {}));
-    message.content.policy_version = core::WeightVersion(fields.number("policy_version", {}));
+    message.policy_version = core::WeightVersion(fields.number("policy_version", {}));
     message.content.prompts = fields.texts("prompts", kMostPrompts);
     message.content.samples_per_prompt =
         static_cast<std::uint32_t>(fields.number("samples_per_prompt", {1, kMostSamplesPerPrompt}));
--- a/src/steps/trainer_messages.hpp
+++ b/src/steps/trainer_messages.hpp
@@ -17,6 +17,7 @@
 };
 struct OpenMessage {
   core::StepNumber step;
+  core::WeightVersion policy_version;  ///< the trainer's current one
   StepContent content;
   core::Epoch epoch_seen;
 };
