--- a/src/platform/http_endpoint.cpp
+++ b/src/platform/http_endpoint.cpp
@@ -87,8 +87,8 @@
     error.code = sent ? ErrorCode::kOutcomeUnknown : ErrorCode::kUnavailable;
     return error;
   }
-  if (error.code == ErrorCode::kTruncated) {
-    error.code = ErrorCode::kUnavailable;
+  if (error.code == ErrorCode::kTruncated || error.code == ErrorCode::kOutcomeUnknown) {
+    error.code = ErrorCode::kUnavailable;  // a read has no outcome to be unsure of
   }
   return error;
 }
--- a/src/platform/http_model_engine.cpp
+++ b/src/platform/http_model_engine.cpp
@@ -11,6 +11,7 @@
 using StreamResult = core::Result<std::unique_ptr<TokenStream>>;
 
 constexpr std::string_view kDoneMark = "[DONE]";
+constexpr std::uint64_t kLongestStream = std::uint64_t{1} << 30;
 constexpr std::size_t kLongestErrorBody = 64 * 1024;
 
 std::string stream_target(const core::StreamId& stream) {
@@ -102,6 +103,7 @@
   const std::uint64_t length = request.body.size();
   http::StringBody body(std::move(request.body));
   http::SendOptions options = endpoint_.options(deadline);
+  options.max_body_bytes = kLongestStream;
   core::Address address = endpoint_.address();
   auto response = co_await endpoint_.client().send(std::move(address), std::move(request.head),
                                                    body, length, options);
