--- a/src/controllers/lease_keeper.hpp
+++ b/src/controllers/lease_keeper.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "controllers/fenced_ownership.hpp"
 #include "controllers/lease.hpp"
 #include "core/metrics.hpp"
 #include "core/random.hpp"
@@ -17,17 +18,17 @@
 
 namespace stoneport::controllers {
 
-class LeaseKeeper {
+class LeaseKeeper : public FencedOwnership {
  public:
   /// \p table and \p time outlive the keeper. \p self names this process's life:
   /// its incarnation must differ from that of every earlier process of the node.
   LeaseKeeper(platform::TableService& table, const core::TimeSource& time, LeaseHolder self,
               LeaseSettings settings, std::uint64_t seed, core::Metrics& metrics);
-  ~LeaseKeeper();
+  ~LeaseKeeper() override;
 
   /// Sets which leases this daemon should hold. One that is no longer wanted may
   /// not be acted under from this call on, and is released in the next round.
-  void set_wanted(std::set<std::string> names);
+  void set_wanted(std::set<std::string> names) override;
 
   /// Reads the clock; ask before each effect.
   LeaseStanding standing(const std::string& name) const;
@@ -35,7 +36,7 @@
   std::optional<core::Epoch> held_epoch(const std::string& name) const;
   /// \return the fencing token for an effect that the other side fences and that
   /// may happen twice: also while the store does not answer (kUnconfirmed).
-  std::optional<core::Epoch> fenced_epoch(const std::string& name) const;
+  std::optional<core::Epoch> fenced_epoch(const std::string& name) const override;
   /// \return who holds \p name as last read.
   std::optional<LeaseHolder> observed_holder(const std::string& name) const;
 
--- a/src/controllers/weights_controller.cpp
+++ b/src/controllers/weights_controller.cpp
@@ -63,6 +63,8 @@
       time_(time),
       meters_(std::make_unique<Meters>(metrics)) {}
 
+WeightsController::~WeightsController() = default;
+
 void WeightsController::start() {
   alive_ = std::make_shared<bool>(true);
   runtime::start(executor_, "weights", run(alive_));
--- a/src/controllers/weights_controller.hpp
+++ b/src/controllers/weights_controller.hpp
@@ -42,6 +42,7 @@
                     Membership& membership, PolicyVersions& versions, FencedOwnership& ownership,
                     platform::WeightStore& store, platform::ModelEngineFactory& engines,
                     RolloutSettings settings, const core::TimeSource& time, core::Metrics& metrics);
+  ~WeightsController();
 
   void start();
   void stop() { alive_.reset(); }
--- a/src/daemon/admin_interface.cpp
+++ b/src/daemon/admin_interface.cpp
@@ -2,6 +2,7 @@
 
 #include "controllers/configuration_peer_routes.hpp"
 #include "controllers/operator_configuration_routes.hpp"
+#include "controllers/operator_routes.hpp"
 
 namespace stoneport::daemon {
 namespace {
@@ -22,15 +23,17 @@
 
 }  // namespace
 
-AdminInterface::AdminInterface(ControlPlane& control, const config::DaemonSettings& settings,
-                               core::Metrics& metrics, std::function<bool()> draining)
+AdminInterface::AdminInterface(ControlPlane& control, controllers::DrainController& drain,
+                               const config::DaemonSettings& settings, const core::TimeSource& time,
+                               core::Metrics& metrics)
     : control_(control),
+      drain_(drain),
       settings_(settings),
       metrics_(metrics),
-      draining_(std::move(draining)),
       admin_server_(control.executor(), "admin", http::ServerLimits(), admin_router_, metrics),
       peer_server_(control.executor(), "peer", http::ServerLimits(), peer_router_, metrics) {
   add_health_routes();
+  add_operator_routes(time);
   controllers::register_operator_configuration_routes(admin_router_, control.configuration());
   controllers::register_configuration_peer_routes(peer_router_, control.configuration());
 }
@@ -50,8 +53,25 @@
   co_await peer_server_.wait_until_idle(kStopLimit);
 }
 
+void AdminInterface::add_operator_routes(const core::TimeSource& time) {
+  const auto context = std::make_shared<controllers::OperatorContext>(controllers::OperatorContext{
+      .control = control_.executor(),
+      .gossip = control_.gossip(),
+      .routing = control_.routing(),
+      .versions = control_.policy_versions(),
+      .drain = drain_,
+      .client = control_.client(),
+      .time = time,
+      .configuration = [this] { return control_.configuration().snapshots().current(); },
+      .ready = [this] { return control_.ready(); },
+      .store_state = [this] { return control_.store_available() ? "available" : "unavailable"; },
+  });
+  controllers::register_operator_routes(admin_router_, context);
+  controllers::register_drain_peer_route(peer_router_, context);
+}
+
 http::Response AdminInterface::readiness() const {
-  if (draining_()) {
+  if (drain_.phase() != controllers::DrainPhase::kServing) {
     return text_response(kServiceUnavailable, "draining\n");
   }
   if (!control_.ready()) {
--- a/src/daemon/admin_interface.hpp
+++ b/src/daemon/admin_interface.hpp
@@ -3,9 +3,8 @@
 /// health, operators) and the peer listener (other daemons).
 #pragma once
 
-#include <functional>
-
 #include "config/settings.hpp"
+#include "controllers/drain_controller.hpp"
 #include "daemon/control_plane.hpp"
 #include "http/router.hpp"
 #include "http/server.hpp"
@@ -14,9 +13,9 @@
 
 class AdminInterface {
  public:
-  /// \param draining whether the daemon takes no new work
-  AdminInterface(ControlPlane& control, const config::DaemonSettings& settings,
-                 core::Metrics& metrics, std::function<bool()> draining);
+  AdminInterface(ControlPlane& control, controllers::DrainController& drain,
+                 const config::DaemonSettings& settings, const core::TimeSource& time,
+                 core::Metrics& metrics);
 
   /// Binds both listeners.
   core::Result<void> listen();
@@ -25,12 +24,13 @@
 
  private:
   void add_health_routes();
+  void add_operator_routes(const core::TimeSource& time);
   http::Response readiness() const;
 
   ControlPlane& control_;
+  controllers::DrainController& drain_;
   const config::DaemonSettings& settings_;
   core::Metrics& metrics_;
-  std::function<bool()> draining_;
   http::Router admin_router_;
   http::Router peer_router_;
   http::Server admin_server_;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -76,6 +76,8 @@
                      configuration_options(seed_for(self_, "configuration"))),
       leases_(table_, time, {self_.node, self_.incarnation}, lease_settings(settings),
               seed_for(self_, "lease"), metrics),
+      weights_(executor_, weights_inputs(), gossip_, policy_versions_, leases_, weight_store_,
+               engines_, controllers::RolloutSettings(), time, metrics),
       claims_(executor_, table_, object_store_, time, self_.node, self_.incarnation, metrics) {}
 
 core::Result<void> ControlPlane::open() {
@@ -86,16 +88,20 @@
   gossip_.start();
   machines_.start();
   watcher_.add_interest([this](const auto& machines) { return interest(machines); });
+  watcher_.add_interest(
+      [this](const auto& machines) { return weights_.replicas_of_own_models(machines); });
   watcher_.start();
   routing_.start();
   policy_versions_.start();
   policy_versions_.on_change([this] { publish_policy_versions(); });
   configuration_.start();
   runtime::start(executor_, "leases", leases_.run());
+  weights_.start();
   runtime::start(executor_, "claims", claims_.run());
 }
 
 asio::awaitable<void> ControlPlane::stop() {
+  weights_.stop();
   leases_.stop();
   co_await leases_.release_all();
   claims_.stop();
@@ -104,7 +110,11 @@
   routing_.stop();
   watcher_.stop();
   machines_.stop();
-  gossip_.stop();
+}
+
+controllers::WeightsInputs ControlPlane::weights_inputs() {
+  return {[this] { return configuration_.snapshots().current(); },
+          [this] { return machines_.machines(); }, watcher_.reports()};
 }
 
 std::vector<core::ReplicaId> ControlPlane::interest(
--- a/src/daemon/control_plane.hpp
+++ b/src/daemon/control_plane.hpp
@@ -19,6 +19,7 @@
 #include "controllers/replica_watcher.hpp"
 #include "controllers/routing_table_controller.hpp"
 #include "controllers/table_claim_registry.hpp"
+#include "controllers/weights_controller.hpp"
 #include "platform/guarded_table_service.hpp"
 #include "platform/http_machine_list.hpp"
 #include "platform/http_model_engine.hpp"
@@ -40,14 +41,14 @@
   core::Result<void> open();
   /// Starts every controller. Control thread.
   void start();
-  /// Gives up leases, tells the members of our end and stops every controller.
-  /// Control thread; call after announce_leaving() and the drain.
+  /// Stops every controller but gossip and gives up leases. Control thread.
   boost::asio::awaitable<void> stop();
 
   const boost::asio::any_io_executor& executor() const { return executor_; }
   core::Incarnation incarnation() const { return self_.incarnation; }
   platform::TableService& table() { return table_; }
   bool store_available() const { return table_.breaker_state() == core::BreakerState::kClosed; }
+  http::Client& client() { return client_; }
   platform::WeightStore& weight_store() { return weight_store_; }
   filters::ClaimRegistry& claims() { return claims_; }
   controllers::GossipController& gossip() { return gossip_; }
@@ -64,6 +65,7 @@
 
  private:
   std::vector<core::ReplicaId> interest(const std::vector<platform::Machine>& machines) const;
+  controllers::WeightsInputs weights_inputs();
   void publish_policy_versions();
 
   boost::asio::any_io_executor executor_;
@@ -86,6 +88,7 @@
   controllers::PolicyVersionsController policy_versions_;
   controllers::ConfigurationController configuration_;
   controllers::LeaseKeeper leases_;
+  controllers::WeightsController weights_;
   controllers::TableClaimRegistry claims_;
   runtime::SnapshotPublisher<PolicyVersionMap> policy_snapshots_;
 };
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,7 +21,9 @@
     : settings_(std::move(settings)),
       control_thread_("control"),
       control_(control_thread_.executor(), settings_, time_, metrics_),
-      admin_(control_, settings_, metrics_, [this] { return draining_.load(); }),
+      drain_(control_.executor(), control_.gossip(), drain_hooks(), settings_.drain_timeout,
+             metrics_),
+      admin_(control_, drain_, settings_, time_, metrics_),
       observer_(control_) {
   const std::uint64_t seed = core::hash64(settings_.node.value(), control_.incarnation().value());
   for (std::uint32_t index = 0; index < settings_.traffic_threads; ++index) {
@@ -47,8 +49,10 @@
   if (!started) {
     return started;
   }
-  signals_.wait([this] { toggle_log_level(); });
-  asio::co_spawn(control_.executor(), drain_and_stop(), asio::use_future).get();
+  const auto begin_drain = [this] {
+    asio::post(control_.executor(), [this] { drain_.begin_drain("signal"); });
+  };
+  signals_.wait(begin_drain, [this] { toggle_log_level(); });
   stop_threads();
   return {};
 }
@@ -68,7 +72,10 @@
   if (steps_thread_) {
     steps_thread_->run();
   }
-  asio::post(control_.executor(), [this] { control_.start(); });
+  asio::post(control_.executor(), [this] {
+    control_.start();
+    drain_.start();
+  });
   runtime::start(control_.executor(), "serve-when-ready", serve_when_ready());
   return {};
 }
@@ -108,37 +115,45 @@
   }
 }
 
-asio::awaitable<void> Daemon::drain_and_stop() {
-  spdlog::info("draining");
-  draining_ = true;
-  control_.gossip().announce_leaving();
-  const bool drained = co_await drain_workers();
-  if (!drained) {
-    spdlog::warn("drain timeout: work was still in flight");
+controllers::DrainHooks Daemon::drain_hooks() {
+  return {[this] { stop_accepting(); },
+          [this](core::Duration limit) { return wait_until_idle(limit); },
+          [this] { return hand_over(); }, [this] { signals_.finish(); }};
+}
+
+void Daemon::stop_accepting() {
+  for (const auto& worker : traffic_workers_) {
+    asio::post(worker->executor(), [worker = worker.get()] { worker->stop_accepting(); });
+  }
+  if (steps_worker_) {
+    asio::post(steps_worker_->executor(), [this] { steps_worker_->stop_accepting(); });
   }
-  co_await admin_.stop();
-  co_await control_.stop();
-  spdlog::info("stopped");
 }
 
-asio::awaitable<bool> Daemon::drain_workers() {
+asio::awaitable<bool> Daemon::wait_until_idle(core::Duration limit) {
   std::vector<std::future<bool>> ends;
   for (const auto& worker : traffic_workers_) {
-    ends.push_back(asio::co_spawn(worker->executor(), worker->drain(settings_.drain_timeout),
-                                  asio::use_future));
+    ends.push_back(
+        asio::co_spawn(worker->executor(), worker->wait_until_idle(limit), asio::use_future));
   }
   if (steps_worker_) {
-    ends.push_back(asio::co_spawn(steps_worker_->executor(),
-                                  steps_worker_->drain(settings_.drain_timeout), asio::use_future));
+    ends.push_back(asio::co_spawn(steps_worker_->executor(), steps_worker_->wait_until_idle(limit),
+                                  asio::use_future));
   }
-  bool drained = true;
+  bool all_idle = true;
   for (std::future<bool>& end : ends) {
     while (end.wait_for(std::chrono::seconds(0)) != std::future_status::ready) {
       co_await runtime::sleep_for(kReadyPollInterval);
     }
-    drained = end.get() && drained;
+    const bool idle = end.get();
+    all_idle = all_idle && idle;
   }
-  co_return drained;
+  co_return all_idle;
+}
+
+asio::awaitable<void> Daemon::hand_over() {
+  co_await admin_.stop();
+  co_await control_.stop();
 }
 
 void Daemon::stop_threads() {
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -7,7 +7,6 @@
 /// the StepsWorker. run() is called on the main thread, which handles signals.
 #pragma once
 
-#include <atomic>
 #include <memory>
 #include <vector>
 
@@ -38,8 +37,10 @@
   core::Result<void> start();
   void stop_threads();
   boost::asio::awaitable<void> serve_when_ready();
-  boost::asio::awaitable<void> drain_and_stop();
-  boost::asio::awaitable<bool> drain_workers();
+  controllers::DrainHooks drain_hooks();
+  void stop_accepting();
+  boost::asio::awaitable<bool> wait_until_idle(core::Duration limit);
+  boost::asio::awaitable<void> hand_over();
   void toggle_log_level();
 
   const config::DaemonSettings settings_;
@@ -47,7 +48,6 @@
   core::SystemTimeSource time_;
   core::Metrics metrics_;
   bool verbose_ = false;
-  std::atomic<bool> draining_ = false;  ///< set by control, read by metrics and health
 
   // The loops are declared before, and so destroyed after, what runs on them.
   runtime::EventLoopThread control_thread_;
@@ -55,6 +55,7 @@
   std::unique_ptr<runtime::EventLoopThread> steps_thread_;
 
   ControlPlane control_;
+  controllers::DrainController drain_;
   AdminInterface admin_;
   ControlReplicaObserver observer_;
   std::vector<std::unique_ptr<TrafficWorker>> traffic_workers_;
--- a/src/daemon/signal_waiter.cpp
+++ b/src/daemon/signal_waiter.cpp
@@ -7,13 +7,17 @@
 SignalWaiter::SignalWaiter()
     : stop_signals_(context_, SIGTERM, SIGINT), hangup_signals_(context_, SIGHUP) {}
 
-void SignalWaiter::wait(std::function<void()> on_hangup) {
-  stop_signals_.async_wait([this](const boost::system::error_code&, int) { context_.stop(); });
+void SignalWaiter::wait(Action on_stop, Action on_hangup) {
+  stop_signals_.async_wait([&on_stop](const boost::system::error_code& error, int) {
+    if (!error) {
+      on_stop();
+    }
+  });
   await_hangup(on_hangup);
   context_.run();
 }
 
-void SignalWaiter::await_hangup(const std::function<void()>& on_hangup) {
+void SignalWaiter::await_hangup(const Action& on_hangup) {
   hangup_signals_.async_wait([this, &on_hangup](const boost::system::error_code& error, int) {
     if (error) {
       return;
--- a/src/daemon/steps_worker.cpp
+++ b/src/daemon/steps_worker.cpp
@@ -42,8 +42,7 @@
   return server_.listen(address_);
 }
 
-asio::awaitable<bool> StepsWorker::drain(core::Duration limit) {
-  service_.begin_drain();
+asio::awaitable<bool> StepsWorker::wait_until_idle(core::Duration limit) {
   const bool steps_ended = co_await service_.wait_until_idle(limit);
   server_.stop_accepting();
   const bool answers_left = co_await server_.wait_until_idle(kLastAnswerLimit);
--- a/src/daemon/steps_worker.hpp
+++ b/src/daemon/steps_worker.hpp
@@ -25,10 +25,12 @@
 
   const boost::asio::any_io_executor& executor() const { return executor_; }
   core::Result<void> listen();
-  /// Takes no new steps, lets the open ones finish and their trainer fetch every
-  /// sample, then closes the listener.
+  /// Takes no new steps. The listener stays open: the trainer fetches the samples
+  /// of the open ones through it.
+  void stop_accepting() { service_.begin_drain(); }
+  /// Waits until the open steps are over, then closes the listener.
   /// \return whether that happened within \p limit.
-  boost::asio::awaitable<bool> drain(core::Duration limit);
+  boost::asio::awaitable<bool> wait_until_idle(core::Duration limit);
 
  private:
   boost::asio::any_io_executor executor_;
--- a/src/daemon/traffic_worker.cpp
+++ b/src/daemon/traffic_worker.cpp
@@ -36,9 +36,4 @@
   return server_.listen(address_);
 }
 
-asio::awaitable<bool> TrafficWorker::drain(core::Duration limit) {
-  server_.stop_accepting();
-  return server_.wait_until_idle(limit);
-}
-
 }  // namespace stoneport::daemon
--- a/src/daemon/traffic_worker.hpp
+++ b/src/daemon/traffic_worker.hpp
@@ -22,9 +22,12 @@
 
   const boost::asio::any_io_executor& executor() const { return executor_; }
   core::Result<void> listen();
-  /// Stops accepting and waits for the requests in flight.
-  /// \return whether all of them ended within \p limit.
-  boost::asio::awaitable<bool> drain(core::Duration limit);
+  /// Closes the listener; requests in flight go on.
+  void stop_accepting() { server_.stop_accepting(); }
+  /// \return whether the requests in flight ended within \p limit.
+  boost::asio::awaitable<bool> wait_until_idle(core::Duration limit) {
+    return server_.wait_until_idle(limit);
+  }
 
  private:
   boost::asio::any_io_executor executor_;
