--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -14,6 +14,10 @@
 
 /// Sends ordinary requests to callers' listeners and checks every answer.
 int run_load_command(int argument_count, char** arguments);
+/// Simulates a scenario's variants side by side.
+int run_run_command(int argument_count, char** arguments);
+/// Lists scenarios and variants.
+int run_list_command(int argument_count, char** arguments);
 /// Prints the demo's final line, counted by the emulator and by the callers.
 int run_demo_summary_command(int argument_count, char** arguments);
 
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -17,6 +17,9 @@
 };
 
 constexpr std::array kCommands{
+    Command{"run", "simulate a scenario's variants side by side",
+            stoneport::bench::run_run_command},
+    Command{"list", "list scenarios and variants", stoneport::bench::run_list_command},
     Command{"load", "send ordinary requests over sockets and check every answer",
             stoneport::bench::run_load_command},
     Command{"demo-summary", "print the demo's final JSON line",
