--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -79,29 +79,31 @@
   return wire;
 }
 
-class Client::Implementation : public std::enable_shared_from_this<Client::Implementation> {
+class Client::Implementation {
  public:
   Implementation(asio::any_io_executor executor, const std::string& name, core::Metrics& metrics)
       : executor_(std::move(executor)),
         counters_(std::make_shared<ClientCounters>(metrics, name)),
         pool_(std::make_shared<ConnectionPool>(counters_)) {}
 
-  asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
-      core::Address address, RequestHead head, BodySource& body,
-      std::optional<std::uint64_t> content_length, SendOptions options, bool body_in_memory) {
-    const std::shared_ptr<Implementation> self = shared_from_this();
-    counters_->requests.Increment();
+  /// Static, so that its parameter holds the object from the call on.
+  static asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
+      std::shared_ptr<Implementation> self, core::Address address, RequestHead head,
+      BodySource& body, std::optional<std::uint64_t> content_length, SendOptions options,
+      bool body_in_memory) {
+    self->counters_->requests.Increment();
     core::Result<WireRequest> wire = to_wire(address, head, content_length);
     if (!wire) {
       co_return ClientError{wire.error(), RequestProgress::kNothingSent};
     }
     wire->body_in_memory = body_in_memory || content_length == std::uint64_t{0};
-    ClientResult<std::unique_ptr<ClientConnection>> connection = co_await open(address, options);
+    ClientResult<std::unique_ptr<ClientConnection>> connection =
+        co_await self->open(address, options);
     if (!connection) {
       co_return connection.error();
     }
     (*connection)->timer().arm(options.deadline);
-    const auto exchange = std::make_shared<ClientExchange>(pool_, std::move(*connection),
+    const auto exchange = std::make_shared<ClientExchange>(self->pool_, std::move(*connection),
                                                            std::move(*wire), body, options);
     std::optional<ClientError> error = co_await exchange->run();
     if (error) {
@@ -110,6 +112,29 @@
     co_return std::unique_ptr<ClientResponse>(std::make_unique<PooledResponse>(exchange));
   }
 
+  static asio::awaitable<ClientResult<Response>> fetch(std::shared_ptr<Implementation> self,
+                                                       core::Address address, Request request,
+                                                       SendOptions options) {
+    const std::uint64_t length = request.body.size();
+    StringBody body(std::move(request.body));
+    const bool body_in_memory = length <= kPieceBytes;
+    ClientResult<std::unique_ptr<ClientResponse>> response =
+        co_await send(std::move(self), std::move(address), std::move(request.head), body, length,
+                      options, body_in_memory);
+    if (!response) {
+      co_return response.error();
+    }
+    core::Result<std::string> text =
+        co_await read_whole((*response)->body(), static_cast<std::size_t>(options.max_body_bytes));
+    if (!text) {
+      co_return ClientError{text.error(), RequestProgress::kMaybeSent};
+    }
+    Response whole;
+    whole.head = (*response)->head();
+    whole.body = std::move(*text);
+    co_return whole;
+  }
+
   void forget(const core::Address& address) { pool_->forget(address); }
 
  private:
@@ -168,31 +193,13 @@
 asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> Client::send(
     core::Address address, RequestHead head, BodySource& body,
     std::optional<std::uint64_t> content_length, SendOptions options) {
-  return implementation_->send(std::move(address), std::move(head), body, content_length, options,
-                               false);
+  return Implementation::send(implementation_, std::move(address), std::move(head), body,
+                              content_length, options, false);
 }
 
 asio::awaitable<ClientResult<Response>> Client::fetch(core::Address address, Request request,
                                                       SendOptions options) {
-  // Kept alive by this frame: the client itself may be destroyed meanwhile.
-  const std::shared_ptr<Implementation> implementation = implementation_;
-  const std::uint64_t length = request.body.size();
-  StringBody body(std::move(request.body));
-  const bool sent_before_reading = length <= kPieceBytes;
-  ClientResult<std::unique_ptr<ClientResponse>> response = co_await implementation->send(
-      std::move(address), std::move(request.head), body, length, options, sent_before_reading);
-  if (!response) {
-    co_return response.error();
-  }
-  core::Result<std::string> text =
-      co_await read_whole((*response)->body(), static_cast<std::size_t>(options.max_body_bytes));
-  if (!text) {
-    co_return ClientError{text.error(), RequestProgress::kMaybeSent};
-  }
-  Response whole;
-  whole.head = (*response)->head();
-  whole.body = std::move(*text);
-  co_return whole;
+  return Implementation::fetch(implementation_, std::move(address), std::move(request), options);
 }
 
 void Client::forget(const core::Address& address) {
--- a/src/http/request_sender.cpp
+++ b/src/http/request_sender.cpp
@@ -19,8 +19,6 @@
   while (!ended() && !stopped_) {
     if (beast::buffer_bytes(pending_) > 0) {
       co_await write_pending();
-    } else if (body_ended_) {
-      done_ = true;
     } else {
       co_await load_piece();
     }
@@ -88,7 +86,10 @@
   const bool can_go_on = stopped_ && error == asio::error::operation_aborted;
   if (error && !can_go_on) {
     write_failed_ = true;
+    co_return;
   }
+  const bool body_complete = body_ended_ || body_bytes_ == content_length_;
+  done_ = body_complete && beast::buffer_bytes(pending_) == 0;
 }
 
 }  // namespace stoneport::http
