--- a/src/controllers/gossip_simulation.cpp
+++ b/src/controllers/gossip_simulation.cpp
@@ -45,9 +45,9 @@
   return state;
 }
 
-void GossipSimulation::restart(std::size_t index) {
+void GossipSimulation::restart(std::size_t index, std::uint64_t life) {
   Node& node = nodes_[index];
-  ++node.life;
+  node.life = life;
   node.state = make_state(index, node.life);
   node.running = true;
   node.frozen = false;
--- a/src/controllers/gossip_simulation.hpp
+++ b/src/controllers/gossip_simulation.hpp
@@ -40,8 +40,10 @@
   /// Ends the process without a farewell.
   void stop(std::size_t index) { nodes_[index].running = false; }
   bool running(std::size_t index) const { return nodes_[index].running; }
-  /// Starts a new process under the name of a stopped one.
-  void restart(std::size_t index);
+  /// Starts a new process under the name of a stopped one, in the life after.
+  void restart(std::size_t index) { restart(index, nodes_[index].life + 1); }
+  /// The same in life \p life, which is lower where the new machine's clock is behind.
+  void restart(std::size_t index, std::uint64_t life);
   /// Nodes in different groups do not reach one another; all start in group 0.
   void set_group(std::size_t index, std::uint32_t group) { nodes_[index].group = group; }
   void set_loss(double loss) { settings_.loss = loss; }
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -159,8 +159,11 @@
   if (life < own_life) {
     return;  // about an earlier process under our name
   }
-  if (life > own_life) {
-    // An earlier process under our name had a clock ahead of ours.
+  // What only we can raise was raised by somebody else: an earlier process
+  // under our name, with a clock ahead of ours or started at the same instant.
+  const bool not_ours = member.incarnation > updated.incarnation ||
+                        member.configuration_revision > updated.configuration_revision;
+  if (life > own_life || not_ours) {
     updated.incarnation = wire::first_incarnation(life + 1);
     update_self(updated, NewsPriority::kLiveness);
     return;
@@ -171,7 +174,8 @@
     update_self(updated, NewsPriority::kDrain);
   }
   const bool doubted = member.state == MemberState::kSuspect || member.state == MemberState::kDead;
-  if (doubted && !updated.leaving && member.incarnation >= updated.incarnation) {
+  if (doubted && member.incarnation >= updated.incarnation) {
+    // A leaving process refutes too, and is leaving still.
     updated.incarnation = member.incarnation.next();
     ++counts_.refutations;
     update_self(updated, NewsPriority::kLiveness);
