--- a/src/controllers/replica_watcher.hpp
+++ b/src/controllers/replica_watcher.hpp
@@ -32,6 +32,7 @@
                  GossipController& gossip, platform::ModelEngineFactory& engines,
                  http::Client& client, ReplicaWatcherSettings settings,
                  const core::TimeSource& time, core::Metrics& metrics);
+  ~ReplicaWatcher();
 
   /// Asks for reports of what \p interest names, beside what others name.
   void add_interest(Interest interest) { interests_.push_back(std::move(interest)); }
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -40,9 +40,6 @@
 std::optional<Response> objection_to(const RequestParser& parser) {
   constexpr auto kInvalid = core::ErrorCode::kInvalidArgument;
   const auto& message = parser.get();
-  if (message.version() != 10 && message.version() != 11) {
-    return error_response(505, core::make_error(kInvalid, "only HTTP/1.0 and HTTP/1.1"));
-  }
   if (message.method() == beast::http::verb::connect) {
     return error_response(501, core::make_error(kInvalid, "CONNECT is not served"));
   }
@@ -97,18 +94,17 @@
   }
 }
 
-asio::awaitable<void> ServerConnection::run() {
-  const std::shared_ptr<ServerConnection> self = shared_from_this();
+asio::awaitable<void> ServerConnection::run(std::shared_ptr<ServerConnection> connection) {
   After after = After::kNextRequest;
   while (after == After::kNextRequest) {
-    const bool has_request = co_await wait_for_request();
+    const bool has_request = co_await connection->wait_for_request();
     if (has_request) {
-      after = co_await serve_one();
+      after = co_await connection->serve_one();
     } else {
       after = After::kClose;
     }
   }
-  co_await end(after);
+  co_await connection->end(after);
 }
 
 void ServerConnection::begin_drain() {
@@ -184,6 +180,9 @@
     co_return After::kClose;
   } else {
     counters.refused_malformed_head.Increment();
+    if (error == beast::http::error::bad_version) {
+      status = 505;
+    }
   }
   const std::string text = closing_response(error_response(status, refusal));
   io_->write_timer.arm(state_->limits.transfer_timeout);
