--- a/src/controllers/weights_controller.cpp
+++ b/src/controllers/weights_controller.cpp
@@ -157,7 +157,7 @@
     }
   }
   // Without the store's answer the rollout goes on with its shortest timeouts.
-  own->rollout.set_target(target, time_.now());
+  own->rollout.set_target(target);
   own->asking_store = false;
   spdlog::info("weights of policy {}: version {} is the target", own->policy.value(),
                version.value());
--- a/src/controllers/weights_rollout.cpp
+++ b/src/controllers/weights_rollout.cpp
@@ -6,27 +6,32 @@
 namespace stoneport::controllers {
 namespace {
 
-/// Waiting for all prefetches ends after this many times the time they need.
+/// A prefetch is given this many times the time that the store's rate allows.
 constexpr int kPatience = 2;
+/// Refused or lost orders after which a prefetch is given up.
+constexpr std::uint32_t kMostPrefetchFailures = 3;
 constexpr std::uint32_t kMostDoublings = 10;
 
 }  // namespace
 
-void WeightsRollout::set_target(const RolloutTarget& target, core::MonotonicTime now) {
+void WeightsRollout::set_target(const RolloutTarget& target) {
   if (target.policy == target_.policy && target.version <= target_.version) {
     return;
   }
   target_ = target;
   phase_ = RolloutPhase::kPrefetching;
-  started_ = now;
   progress_.clear();
 }
 
 void WeightsRollout::on_order_failed(const core::ReplicaId& replica) {
   const auto found = progress_.find(replica);
-  if (found != progress_.end() && !found->second.load_sent) {
-    found->second.prefetch_sent = std::nullopt;
+  if (found == progress_.end() || found->second.load_sent) {
+    return;
   }
+  Progress& progress = found->second;
+  progress.prefetch_sent = std::nullopt;
+  ++progress.prefetch_failures;
+  progress.prefetch_given_up = progress.prefetch_failures >= kMostPrefetchFailures;
 }
 
 bool WeightsRollout::is_behind(const ReplicaWeights& replica) const {
@@ -50,7 +55,7 @@
                   kPatience * transfer_time(settings_.parallel_prefetches));
 }
 
-void WeightsRollout::follow(const std::vector<ReplicaWeights>& replicas, core::MonotonicTime now) {
+void WeightsRollout::follow(const std::vector<ReplicaWeights>& replicas) {
   std::set<core::ReplicaId> present;
   for (const ReplicaWeights& replica : replicas) {
     present.insert(replica.replica);
@@ -61,8 +66,6 @@
     }
     if (!is_behind(replica)) {
       progress = Progress{replica.incarnation};
-    } else if (!progress.behind_since) {
-      progress.behind_since = now;
     }
   }
   std::erase_if(progress_, [&](const auto& entry) { return !present.contains(entry.first); });
@@ -74,7 +77,7 @@
   if (phase_ == RolloutPhase::kIdle) {
     return orders;
   }
-  follow(replicas, now);
+  follow(replicas);
   std::vector<const ReplicaWeights*> behind;
   for (const ReplicaWeights& replica : replicas) {
     if (is_behind(replica)) {
@@ -91,8 +94,7 @@
   const bool all_prefetched = std::all_of(behind.begin(), behind.end(), [&](const auto* replica) {
     return is_prefetched(*replica) || progress_.at(replica->replica).prefetch_given_up;
   });
-  const core::Duration patience = prefetch_timeout() + kPatience * transfer_time(replicas.size());
-  if (phase_ == RolloutPhase::kPrefetching && (all_prefetched || now - started_ > patience)) {
+  if (phase_ == RolloutPhase::kPrefetching && all_prefetched) {
     phase_ = RolloutPhase::kSwitching;
   }
   plan_prefetches(behind, now, orders);
@@ -142,11 +144,10 @@
 
 void WeightsRollout::plan_loads(const std::vector<const ReplicaWeights*>& behind,
                                 core::MonotonicTime now, std::vector<RolloutOrder>& orders) {
-  const core::Duration patience = prefetch_timeout() + kPatience * transfer_time(behind.size());
   for (const ReplicaWeights* replica : behind) {
     Progress& progress = progress_.at(replica->replica);
-    const bool fetched = is_prefetched(*replica) || progress.prefetch_given_up ||
-                         progress.load_sent || now - *progress.behind_since > patience;
+    const bool fetched =
+        is_prefetched(*replica) || progress.prefetch_given_up || progress.load_sent;
     if (!fetched || replica->swapping || !load_is_due(progress, now)) {
       continue;
     }
--- a/src/controllers/weights_rollout.hpp
+++ b/src/controllers/weights_rollout.hpp
@@ -60,7 +60,7 @@
   explicit WeightsRollout(RolloutSettings settings) : settings_(settings) {}
 
   /// Aims at \p target; a lower version than the one aimed at is ignored.
-  void set_target(const RolloutTarget& target, core::MonotonicTime now);
+  void set_target(const RolloutTarget& target);
   /// \return orders to send now; each counts as sent.
   std::vector<RolloutOrder> plan(const std::vector<ReplicaWeights>& replicas,
                                  core::MonotonicTime now);
@@ -73,13 +73,13 @@
  private:
   struct Progress {
     core::Incarnation incarnation;
-    std::optional<core::MonotonicTime> behind_since;
     std::optional<core::MonotonicTime> prefetch_sent;
     std::optional<core::MonotonicTime> load_sent;
+    std::uint32_t prefetch_failures = 0;
     std::uint32_t loads = 0;
     bool prefetch_given_up = false;
   };
-  void follow(const std::vector<ReplicaWeights>& replicas, core::MonotonicTime now);
+  void follow(const std::vector<ReplicaWeights>& replicas);
   bool is_behind(const ReplicaWeights& replica) const;
   bool is_prefetched(const ReplicaWeights& replica) const;
   void plan_prefetches(const std::vector<const ReplicaWeights*>& behind, core::MonotonicTime now,
@@ -93,7 +93,6 @@
   RolloutSettings settings_;
   RolloutTarget target_;
   RolloutPhase phase_ = RolloutPhase::kIdle;
-  core::MonotonicTime started_{};
   std::map<core::ReplicaId, Progress> progress_;
 };
 
