--- a/src/controllers/operator_routes.cpp
+++ b/src/controllers/operator_routes.cpp
@@ -51,7 +51,7 @@
   const std::vector<wire::Member> members = context->gossip.members();
   StatusSummary status;
   status.self = context->gossip.self();
-  status.ready = context->ready() && context->drain.phase() == DrainPhase::kServing;
+  status.ready = context->ready() && !context->drain.draining();
   status.members = static_cast<std::size_t>(std::count_if(
       members.begin(), members.end(),
       [](const wire::Member& member) { return member.state != wire::MemberState::kDead; }));
@@ -83,13 +83,13 @@
     co_return error_answer(core::ErrorCode::kNotFound, "no member " + node.value());
   }
   bool confirmed = true;
-  // The mark spreads by gossip and sticks, also where the daemon itself cannot
-  // be reached; asking it only makes it faster and says whether it heard.
-  context->gossip.mark_leaving(node);
   if (node == context->gossip.self().node) {
     context->drain.begin_drain("asked by an operator");
   } else {
+    // The mark spreads by gossip and sticks, also where the daemon itself cannot
+    // be reached; asking it only makes it faster and says whether it heard.
     const wire::Member member = *found;
+    context->gossip.mark_leaving(node);
     confirmed = co_await ask_to_drain(context, member);
   }
   const Json answer = {{"node", node.value()}, {"state", "leaving"}, {"confirmed", confirmed}};
--- a/src/controllers/weights_controller.cpp
+++ b/src/controllers/weights_controller.cpp
@@ -63,6 +63,8 @@
       time_(time),
       meters_(std::make_unique<Meters>(metrics)) {}
 
+WeightsController::~WeightsController() = default;
+
 void WeightsController::start() {
   alive_ = std::make_shared<bool>(true);
   runtime::start(executor_, "weights", run(alive_));
@@ -70,14 +72,18 @@
 
 asio::awaitable<void> WeightsController::run(std::weak_ptr<bool> alive) {
   while (!alive.expired()) {
-    choose_models();
-    for (const auto& [model, own] : own_models_) {
-      advance(model, own);
-    }
+    run_round();
     co_await runtime::sleep_for(kPace);
   }
 }
 
+void WeightsController::run_round() {
+  choose_models();
+  for (const auto& [model, own] : own_models_) {
+    advance(model, own);
+  }
+}
+
 void WeightsController::choose_models() {
   const std::vector<wire::Member> members = membership_.members();
   const core::NodeId self = membership_.self().node;
--- a/src/controllers/weights_controller.hpp
+++ b/src/controllers/weights_controller.hpp
@@ -42,9 +42,14 @@
                     Membership& membership, PolicyVersions& versions, FencedOwnership& ownership,
                     platform::WeightStore& store, platform::ModelEngineFactory& engines,
                     RolloutSettings settings, const core::TimeSource& time, core::Metrics& metrics);
+  ~WeightsController();
+  WeightsController(const WeightsController&) = delete;
+  WeightsController& operator=(const WeightsController&) = delete;
 
   void start();
   void stop() { alive_.reset(); }
+  /// One look at everything; start() does this again and again.
+  void run_round();
 
   /// \return replicas of the models that this daemon looks after; an interest
   /// for the replica watcher.
