--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -110,6 +110,7 @@
   routing_.stop();
   watcher_.stop();
   machines_.stop();
+  gossip_.stop();
 }
 
 controllers::WeightsInputs ControlPlane::weights_inputs() {
--- a/src/daemon/control_plane.hpp
+++ b/src/daemon/control_plane.hpp
@@ -41,7 +41,8 @@
   core::Result<void> open();
   /// Starts every controller. Control thread.
   void start();
-  /// Stops every controller but gossip and gives up leases. Control thread.
+  /// Gives up leases, stops every controller and tells the members of our end.
+  /// Control thread.
   boost::asio::awaitable<void> stop();
 
   const boost::asio::any_io_executor& executor() const { return executor_; }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -21,8 +21,10 @@
     : settings_(std::move(settings)),
       control_thread_("control"),
       control_(control_thread_.executor(), settings_, time_, metrics_),
-      drain_(control_.executor(), control_.gossip(), drain_hooks(), settings_.drain_timeout,
-             metrics_),
+      drain_(control_.gossip(),
+             [this] { runtime::start(control_.executor(), "drain", drain_and_stop()); }),
+      drain_timeouts_(metrics_.counter("stoneport_drain_timeouts_total",
+                                       "Planned stops that cut off work in flight")),
       admin_(control_, drain_, settings_, time_, metrics_),
       observer_(control_) {
   const std::uint64_t seed = core::hash64(settings_.node.value(), control_.incarnation().value());
@@ -115,10 +117,18 @@
   }
 }
 
-controllers::DrainHooks Daemon::drain_hooks() {
-  return {[this] { stop_accepting(); },
-          [this](core::Duration limit) { return wait_until_idle(limit); },
-          [this] { return hand_over(); }, [this] { signals_.finish(); }};
+asio::awaitable<void> Daemon::drain_and_stop() {
+  stop_accepting();
+  const bool idle = co_await wait_until_idle(settings_.drain_timeout);
+  if (!idle) {
+    drain_timeouts_.Increment();
+    spdlog::warn("drain: work was still in flight after {} s",
+                 core::to_seconds(settings_.drain_timeout));
+  }
+  co_await admin_.stop();
+  co_await control_.stop();
+  spdlog::info("drained");
+  signals_.finish();
 }
 
 void Daemon::stop_accepting() {
@@ -151,11 +161,6 @@
   co_return all_idle;
 }
 
-asio::awaitable<void> Daemon::hand_over() {
-  co_await admin_.stop();
-  co_await control_.stop();
-}
-
 void Daemon::stop_threads() {
   for (const auto& thread : traffic_threads_) {
     thread->stop();
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -37,10 +37,10 @@
   core::Result<void> start();
   void stop_threads();
   boost::asio::awaitable<void> serve_when_ready();
-  controllers::DrainHooks drain_hooks();
+  /// Stops accepting, waits for what is in flight, hands over, ends run().
+  boost::asio::awaitable<void> drain_and_stop();
   void stop_accepting();
   boost::asio::awaitable<bool> wait_until_idle(core::Duration limit);
-  boost::asio::awaitable<void> hand_over();
   void toggle_log_level();
 
   const config::DaemonSettings settings_;
@@ -56,6 +56,7 @@
 
   ControlPlane control_;
   controllers::DrainController drain_;
+  prometheus::Counter& drain_timeouts_;
   AdminInterface admin_;
   ControlReplicaObserver observer_;
   std::vector<std::unique_ptr<TrafficWorker>> traffic_workers_;
