--- a/src/controllers/configuration_controller.cpp
+++ b/src/controllers/configuration_controller.cpp
@@ -37,6 +37,12 @@
                   to_string(commit.key), commit.record.revision.value(), cause));
 }
 
+core::Result<void> fork_error(core::Revision revision) {
+  return core::make_error(
+      core::ErrorCode::kConflict,
+      fmt::format("revision {} has other content here than there", revision.value()));
+}
+
 }  // namespace
 
 ConfigurationController::ConfigurationController(asio::any_io_executor executor,
@@ -152,7 +158,7 @@
     if (head->revision > record_.revision) {
       outcome = co_await read_newer(*head, priority);
     } else {
-      accepts(head->revision, head->hash);
+      judge(head->revision, head->hash);
     }
     if (outcome.has_value()) {
       remember(*head);
@@ -249,7 +255,7 @@
     co_return unsettled ? unknown_outcome(commit, error.message) : error;
   }
   const core::Revision revision = commit.record.revision;
-  if (accepts(revision, committed->hash)) {
+  if (judge(revision, committed->hash) == AdoptionVerdict::kAdopt) {
     put_in_force(std::move(commit.record), std::move(commit.configuration));
   }
   remember(*committed);
@@ -280,8 +286,8 @@
 core::Result<void> ConfigurationController::take(const PeerConfiguration& offer) {
   const core::Revision revision = offer.delta.changed.revision;
   if (revision <= record_.revision) {
-    accepts(revision, offer.delta.whole_hash);
-    return core::Result<void>();
+    const AdoptionVerdict verdict = judge(revision, offer.delta.whole_hash);
+    return verdict == AdoptionVerdict::kFork ? fork_error(revision) : core::Result<void>();
   }
   if (offer.delta.since > record_.revision) {
     return core::make_error(core::ErrorCode::kConflict,
@@ -301,14 +307,14 @@
     count("refused", "invalid");
     return config::to_error(configuration.error());
   }
-  if (accepts(record.revision, config::hash_of(record))) {
+  if (judge(record.revision, config::hash_of(record)) == AdoptionVerdict::kAdopt) {
     put_in_force(std::move(record), std::move(*configuration));
   }
   return core::Result<void>();
 }
 
-/// \return whether that revision is to be taken into force now.
-bool ConfigurationController::accepts(core::Revision revision, std::uint64_t hash) {
+/// Judges that revision and counts a refusal.
+AdoptionVerdict ConfigurationController::judge(core::Revision revision, std::uint64_t hash) {
   const AdoptionVerdict verdict = adoption_.consider({revision, hash});
   if (verdict == AdoptionVerdict::kOlder) {
     count("refused", "older");
@@ -316,7 +322,7 @@
   if (verdict == AdoptionVerdict::kFork) {
     count("refused", "fork");
   }
-  return verdict == AdoptionVerdict::kAdopt;
+  return verdict;
 }
 
 void ConfigurationController::put_in_force(config::ConfigurationRecord record,
--- a/src/controllers/configuration_controller.hpp
+++ b/src/controllers/configuration_controller.hpp
@@ -106,7 +106,7 @@
 
   core::Result<void> adopt(config::ConfigurationRecord record);
   void put_in_force(config::ConfigurationRecord record, config::Configuration configuration);
-  bool accepts(core::Revision revision, std::uint64_t hash);
+  config::AdoptionVerdict judge(core::Revision revision, std::uint64_t hash);
   void remember(const ConfigurationHead& head);
   void check_ready();
   void tell_listeners();
--- /dev/null
+++ b/tests/unit/controllers/configuration_fixture.hpp
@@ -0,0 +1,141 @@
+/// \file
+/// Daemons that share a table service and call one another over loopback, for
+/// the tests of configuration.
+#pragma once
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <vector>
+
+#include "controllers/configuration_peer_routes.hpp"
+#include "controllers/operator_configuration_routes.hpp"
+#include "http/server.hpp"
+#include "support/fake_membership.hpp"
+#include "support/fake_table_service.hpp"
+#include "support/run_task.hpp"
+
+namespace stoneport::controllers {
+
+inline config::Document make_document(const std::string& text) {
+  return *config::read_document(*config::source_from_toml(text, "test.toml"));
+}
+
+inline config::Document event_template(const std::string& name, int max_tokens = 100) {
+  return make_document("kind = \"event-template\"\nmodel = \"proposal\"\nname = \"" + name +
+                       "\"\nmax_tokens = " + std::to_string(max_tokens) + "\n");
+}
+
+inline ConfigurationOptions quick_options() {
+  ConfigurationOptions options;
+  options.peer_interval = std::chrono::milliseconds(20);
+  options.shortest_store_poll = std::chrono::milliseconds(20);
+  options.starting_store_poll = std::chrono::milliseconds(20);
+  options.fleet_store_polls_per_second = 1000;
+  return options;
+}
+
+/// Options under which a daemon never reads the store of itself after the start.
+inline ConfigurationOptions peers_only_options() {
+  ConfigurationOptions options = quick_options();
+  options.shortest_store_poll = std::chrono::hours(1);
+  options.starting_store_poll = std::chrono::hours(1);
+  return options;
+}
+
+/// One daemon's configuration part with both its listeners.
+struct ConfigurationDaemon {
+  support::FakeMembership membership;
+  core::Metrics metrics;
+  core::SystemTimeSource time;
+  http::Client client;
+  ConfigurationController controller;
+  http::Router router;
+  http::Server server;
+
+  ConfigurationDaemon(boost::asio::io_context& context, platform::TableService& table,
+                      std::vector<support::FakeMembership*>& members, wire::Member self,
+                      const ConfigurationOptions& options)
+      : membership(members, std::move(self)),
+        client(context.get_executor(), "peer", metrics),
+        controller(context.get_executor(), table, membership, client, time, metrics, options),
+        server(context.get_executor(), "peer", {}, router, metrics) {
+    register_configuration_peer_routes(router, controller);
+    register_operator_configuration_routes(router, controller);
+    CPPUNIT_ASSERT(server.listen({"127.0.0.1", 0}).has_value());
+    membership.set_peer_address(server.local_address());
+    controller.start();
+  }
+
+  std::uint64_t revision() const { return controller.record().revision.value(); }
+};
+
+class ConfigurationFixture : public CppUnit::TestFixture {
+ public:
+  /// Ends what still runs before the daemons go.
+  void tearDown() override {
+    for (const auto& daemon : daemons_) {
+      daemon->controller.stop();
+      daemon->server.abort();
+    }
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(300));
+    daemons_.clear();
+  }
+
+ protected:
+  ConfigurationDaemon& add_daemon(const std::string& zone,
+                                  const ConfigurationOptions& options = quick_options()) {
+    wire::Member self;
+    self.node = core::NodeId("node-" + std::to_string(daemons_.size() + 1));
+    self.incarnation = core::Incarnation(1);
+    self.zone = core::ZoneName(zone);
+    daemons_.push_back(
+        std::make_unique<ConfigurationDaemon>(context_, table_, members_, self, options));
+    return *daemons_.back();
+  }
+
+  core::Result<PublishOutcome> publish(ConfigurationDaemon& daemon, config::Document document,
+                                       std::uint64_t base_revision) {
+    config::PublishRequest request{std::move(document), core::Revision(base_revision), "selam",
+                                   "why"};
+    return support::run_task(context_, daemon.controller.publish(std::move(request)));
+  }
+
+  /// \return the revision of a publication that must be accepted.
+  std::uint64_t accepted(ConfigurationDaemon& daemon, config::Document document,
+                         std::uint64_t base_revision) {
+    const auto outcome = publish(daemon, std::move(document), base_revision);
+    CPPUNIT_ASSERT(outcome.has_value());
+    return std::get<PublishAccepted>(*outcome).revision.value();
+  }
+
+  bool run_until(const std::function<bool()>& condition,
+                 std::chrono::seconds limit = std::chrono::seconds(20)) {
+    const auto deadline = std::chrono::steady_clock::now() + limit;
+    context_.restart();
+    while (!condition() && std::chrono::steady_clock::now() < deadline) {
+      context_.run_one_for(std::chrono::milliseconds(10));
+    }
+    return condition();
+  }
+
+  bool everywhere(std::uint64_t revision) {
+    return run_until([this, revision] {
+      return std::all_of(daemons_.begin(), daemons_.end(),
+                         [revision](const auto& daemon) { return daemon->revision() == revision; });
+    });
+  }
+
+  bool run_until_ready(ConfigurationDaemon& daemon) {
+    return run_until([&daemon] { return daemon.controller.ready(); });
+  }
+
+  boost::asio::io_context context_{1};
+  support::FakeTableService table_;
+  std::vector<support::FakeMembership*> members_;
+  std::vector<std::unique_ptr<ConfigurationDaemon>> daemons_;
+};
+
+}  // namespace stoneport::controllers
