Keep the engine's client alive in its contract suite

Cause: two cases kept a reference to a client that the factory no longer held; address sanitizer stopped contract_tests there. Change: the cases hold the client.

--- a/tests/contract/platform_model_engine_contract.cpp
+++ b/tests/contract/platform_model_engine_contract.cpp
@@ -360,7 +360,8 @@
 
   void owner_of_an_older_epoch_is_fenced() {
     EngineFixture fixture;
-    platform::ModelEngine& engine = *fixture.engine(0);
+    const std::shared_ptr<platform::ModelEngine> kept = fixture.engine(0);
+    platform::ModelEngine& engine = *kept;
     CPPUNIT_ASSERT(fixture.run(generate(engine, generation("event/1/a", 5))).end);
     const auto stale = fixture.run(generate(engine, generation("event/1/b", 4)));
     check_end("older epoch", ErrorCode::kFenced, stale.error);
@@ -379,7 +380,8 @@
 
   void report_and_cache_events_are_read() {
     EngineFixture fixture;
-    platform::ModelEngine& engine = *fixture.engine(0);
+    const std::shared_ptr<platform::ModelEngine> kept = fixture.engine(0);
+    platform::ModelEngine& engine = *kept;
     CPPUNIT_ASSERT(fixture.run(generate(engine, generation())).end);
     const auto report = fixture.run(engine.report());
     CPPUNIT_ASSERT(report && report->model == core::ModelName("compounds"));
