--- a/src/controllers/operator_routes.cpp
+++ b/src/controllers/operator_routes.cpp
@@ -51,7 +51,7 @@
   const std::vector<wire::Member> members = context->gossip.members();
   StatusSummary status;
   status.self = context->gossip.self();
-  status.ready = context->ready() && !context->drain.draining();
+  status.ready = context->ready() && context->drain.phase() == DrainPhase::kServing;
   status.members = static_cast<std::size_t>(std::count_if(
       members.begin(), members.end(),
       [](const wire::Member& member) { return member.state != wire::MemberState::kDead; }));
--- a/src/controllers/weights_controller.hpp
+++ b/src/controllers/weights_controller.hpp
@@ -43,8 +43,6 @@
                     platform::WeightStore& store, platform::ModelEngineFactory& engines,
                     RolloutSettings settings, const core::TimeSource& time, core::Metrics& metrics);
   ~WeightsController();
-  WeightsController(const WeightsController&) = delete;
-  WeightsController& operator=(const WeightsController&) = delete;
 
   void start();
   void stop() { alive_.reset(); }
