--- a/src/controllers/gossip_news_queue.cpp
+++ b/src/controllers/gossip_news_queue.cpp
@@ -42,12 +42,15 @@
     if (space < kSmallestRecordBytes) {
       return;
     }
-    const std::size_t used = records.append(key, packet, space);
+    Entry& entry = entries_.at(key);
+    const bool revision_only = entry.priority == NewsPriority::kConfiguration;
+    const std::size_t used =
+        revision_only ? records.append_revision(std::get<core::NodeId>(key), packet, space)
+                      : records.append(key, packet, space);
     if (used == 0) {
       continue;
     }
     space -= used;
-    Entry& entry = entries_.at(key);
     ++entry.transmissions;
     if (entry.transmissions >= transmission_limit) {
       entries_.erase(key);
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -105,6 +105,9 @@
   for (const wire::ReplicaDrainMark& mark : packet.drain_marks) {
     merge_drain_mark(mark);
   }
+  for (const wire::MemberRevision& revision : packet.revisions) {
+    merge_revision(revision);
+  }
 }
 
 void GossipState::merge_member(const wire::Member& member, core::MonotonicTime now) {
@@ -156,8 +159,11 @@
   if (life < own_life) {
     return;  // about an earlier process under our name
   }
-  if (life > own_life) {
-    // An earlier process under our name had a clock ahead of ours.
+  // What only we can raise was raised by somebody else: an earlier process
+  // under our name, with a clock ahead of ours or started at the same instant.
+  const bool not_ours = member.incarnation > updated.incarnation ||
+                        member.configuration_revision > updated.configuration_revision;
+  if (life > own_life || not_ours) {
     updated.incarnation = wire::first_incarnation(life + 1);
     update_self(updated, NewsPriority::kLiveness);
     return;
@@ -168,7 +174,8 @@
     update_self(updated, NewsPriority::kDrain);
   }
   const bool doubted = member.state == MemberState::kSuspect || member.state == MemberState::kDead;
-  if (doubted && !updated.leaving && member.incarnation >= updated.incarnation) {
+  if (doubted && member.incarnation >= updated.incarnation) {
+    // A leaving process refutes too, and is leaving still.
     updated.incarnation = member.incarnation.next();
     ++counts_.refutations;
     update_self(updated, NewsPriority::kLiveness);
@@ -189,6 +196,13 @@
   }
 }
 
+void GossipState::merge_revision(const wire::MemberRevision& revision) {
+  if (revision.node != self_ && records_.merge(revision)) {
+    news_.add(revision.node, NewsPriority::kConfiguration);
+    ++members_version_;
+  }
+}
+
 void GossipState::suspect(const core::NodeId& node, core::MonotonicTime now) {
   const wire::Member* known = records_.find(node);
   if (known == nullptr || known->state == MemberState::kDead) {
--- a/src/controllers/replica_watcher.cpp
+++ b/src/controllers/replica_watcher.cpp
@@ -40,6 +40,7 @@
   result.tokens_per_second = static_cast<std::uint32_t>(std::max(0.0, report.tokens_per_second));
   result.kv_used_permille = permille(report.kv_used_tokens, report.kv_capacity_tokens);
   result.version = report.version;
+  result.prefetched = report.prefetched.value_or(core::WeightVersion{});
   return result;
 }
 
@@ -77,6 +78,8 @@
       publisher_(settings.digest_bytes_per_second, kPushBytes),
       subscriber_(gossip.self().node) {}
 
+ReplicaWatcher::~ReplicaWatcher() = default;
+
 void ReplicaWatcher::start() {
   alive_ = std::make_shared<bool>(true);
   const auto mark_stale = [this] { choice_is_stale_ = true; };
@@ -96,16 +99,12 @@
 
 std::vector<core::ReplicaId> ReplicaWatcher::wanted() const {
   const auto machines = machines_.machines();
-  if (interest_) {
-    return interest_(*machines);
-  }
-  std::vector<core::ReplicaId> replicas;
-  for (const platform::Machine& machine : *machines) {
-    if (is_replica(machine)) {
-      replicas.emplace_back(machine.id);
-    }
+  std::set<core::ReplicaId> replicas;
+  for (const Interest& interest : interests_) {
+    const std::vector<core::ReplicaId> wanted = interest(*machines);
+    replicas.insert(wanted.begin(), wanted.end());
   }
-  return replicas;
+  return {replicas.begin(), replicas.end()};
 }
 
 void ReplicaWatcher::choose_watches() {
