--- a/tests/unit/config/document_test.cpp
+++ b/tests/unit/config/document_test.cpp
@@ -3,8 +3,6 @@
 /// and the record that is stored and passed on.
 #include <cppunit/extensions/HelperMacros.h>
 
-#include <filesystem>
-
 #include "config/configuration_check.hpp"
 #include "config/configuration_record.hpp"
 #include "config/publish_plan.hpp"
@@ -76,10 +74,12 @@
  public:
   void examples_are_valid_together() {
     std::map<DocumentKey, Document> documents;
-    for (const auto& entry : std::filesystem::directory_iterator("examples/documents")) {
-      const auto source = source_from_toml_file(entry.path());
+    for (const std::string name : {"compound-proposals", "compounds", "topups", "prepaid-topups",
+                                   "materials", "abay-materials"}) {
+      const auto source = source_from_toml_file("examples/" + name + ".toml");
+      CPPUNIT_ASSERT_MESSAGE(name, source.has_value());
       const auto document = read_document(*source);
-      CPPUNIT_ASSERT_MESSAGE(entry.path(), document.has_value());
+      CPPUNIT_ASSERT_MESSAGE(name, document.has_value());
       documents.emplace(key_of(*document), *document);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{6}, documents.size());
