--- a/tests/unit/controllers/configuration_fixture.hpp
+++ b/tests/unit/controllers/configuration_fixture.hpp
@@ -9,15 +9,15 @@
 #include <memory>
 #include <vector>
 
-#include "controllers/configuration_peer_routes.hpp"
-#include "controllers/operator_configuration_routes.hpp"
-#include "http/server.hpp"
-#include "support/fake_membership.hpp"
+#include "support/configuration_daemon.hpp"
 #include "support/fake_table_service.hpp"
 #include "support/run_task.hpp"
 
 namespace stoneport::controllers {
 
+using support::ConfigurationDaemon;
+using support::quick_options;
+
 inline config::Document make_document(const std::string& text) {
   return *config::read_document(*config::source_from_toml(text, "test.toml"));
 }
@@ -27,15 +27,6 @@
                        "\"\nmax_tokens = " + std::to_string(max_tokens) + "\n");
 }
 
-inline ConfigurationOptions quick_options() {
-  ConfigurationOptions options;
-  options.peer_interval = std::chrono::milliseconds(20);
-  options.shortest_store_poll = std::chrono::milliseconds(20);
-  options.starting_store_poll = std::chrono::milliseconds(20);
-  options.fleet_store_polls_per_second = 1000;
-  return options;
-}
-
 /// Options under which a daemon never reads the store of itself after the start.
 inline ConfigurationOptions peers_only_options() {
   ConfigurationOptions options = quick_options();
@@ -44,33 +35,6 @@
   return options;
 }
 
-/// One daemon's configuration part with both its listeners.
-struct ConfigurationDaemon {
-  support::FakeMembership membership;
-  core::Metrics metrics;
-  core::SystemTimeSource time;
-  http::Client client;
-  ConfigurationController controller;
-  http::Router router;
-  http::Server server;
-
-  ConfigurationDaemon(boost::asio::io_context& context, platform::TableService& table,
-                      std::vector<support::FakeMembership*>& members, wire::Member self,
-                      const ConfigurationOptions& options)
-      : membership(members, std::move(self)),
-        client(context.get_executor(), "peer", metrics),
-        controller(context.get_executor(), table, membership, client, time, metrics, options),
-        server(context.get_executor(), "peer", {}, router, metrics) {
-    register_configuration_peer_routes(router, controller);
-    register_operator_configuration_routes(router, controller);
-    CPPUNIT_ASSERT(server.listen({"127.0.0.1", 0}).has_value());
-    membership.set_peer_address(server.local_address());
-    controller.start();
-  }
-
-  std::uint64_t revision() const { return controller.record().revision.value(); }
-};
-
 class ConfigurationFixture : public CppUnit::TestFixture {
  public:
   /// Ends what still runs before the daemons go.
@@ -91,8 +55,8 @@
     self.node = core::NodeId("node-" + std::to_string(daemons_.size() + 1));
     self.incarnation = core::Incarnation(1);
     self.zone = core::ZoneName(zone);
-    daemons_.push_back(
-        std::make_unique<ConfigurationDaemon>(context_, table_, members_, self, options));
+    daemons_.push_back(std::make_unique<ConfigurationDaemon>(context_.get_executor(), table_,
+                                                             members_, self, options));
     return *daemons_.back();
   }
 
