--- a/src/config/value_codec.cpp
+++ b/src/config/value_codec.cpp
@@ -201,6 +201,12 @@
   return address;
 }
 
+std::optional<core::Revision> parse_revision(std::string_view text) {
+  std::uint64_t value = 0;
+  return parse_whole(text, value) ? std::optional<core::Revision>(core::Revision(value))
+                                  : std::nullopt;
+}
+
 bool is_valid_name(const std::string& text) {
   const auto allowed = [](char character) {
     return is_letter_or_digit(character) || character == '.' || character == '_' ||
--- a/src/config/value_codec.hpp
+++ b/src/config/value_codec.hpp
@@ -49,6 +49,8 @@
 std::string format_address(const core::Address& address);
 /// Reads an IP number and a port; names are not resolved.
 std::optional<core::Address> parse_address(const std::string& text);
+/// Reads a revision: a whole number and nothing else.
+std::optional<core::Revision> parse_revision(std::string_view text);
 /// \return whether \p text is 1 to 63 letters, digits, '.', '_' or '-', the
 /// first one a letter or digit.
 bool is_valid_name(const std::string& text);
--- a/src/controllers/configuration_peer_routes.cpp
+++ b/src/controllers/configuration_peer_routes.cpp
@@ -1,7 +1,6 @@
 #include "controllers/configuration_peer_routes.hpp"
 
-#include <charconv>
-
+#include "config/value_codec.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
@@ -12,17 +11,10 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 
-std::optional<core::Revision> parse_since(const std::string& target) {
-  const std::string text = http::query_parameter(target, "since").value_or("0");
-  std::uint64_t value = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-  return whole ? std::optional<core::Revision>(core::Revision(value)) : std::nullopt;
-}
-
 asio::awaitable<http::Response> answer_fetch(ConfigurationController& controller,
                                              http::RoutedRequest request) {
-  const std::optional<core::Revision> since = parse_since(request.head.target);
+  const std::optional<core::Revision> since =
+      config::parse_revision(http::query_parameter(request.head.target, "since").value_or("0"));
   if (!since) {
     const core::Error error =
         core::make_error(core::ErrorCode::kInvalidArgument, "since is not a whole number");
--- a/src/controllers/operator_configuration_json.cpp
+++ b/src/controllers/operator_configuration_json.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
+#include "config/value_codec.hpp"
 
 namespace stoneport::controllers {
 namespace {
@@ -162,11 +162,7 @@
 }
 
 std::optional<core::Revision> revision_parameter(const std::string& target, std::string_view name) {
-  const std::string text = http::query_parameter(target, name).value_or("");
-  std::uint64_t value = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  const bool whole = parsed.ec == std::errc() && parsed.ptr == text.data() + text.size();
-  return whole ? std::optional<core::Revision>(core::Revision(value)) : std::nullopt;
+  return config::parse_revision(http::query_parameter(target, name).value_or(""));
 }
 
 http::Response outcome_response(const core::Result<PublishOutcome>& outcome) {
--- a/src/ctl/document_file.cpp
+++ b/src/ctl/document_file.cpp
@@ -2,9 +2,9 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <fstream>
 
+#include "config/value_codec.hpp"
 #include "ctl/text_table.hpp"
 
 namespace stoneport::ctl {
@@ -19,11 +19,7 @@
   if (!line.starts_with(kBaseRevisionComment)) {
     return std::nullopt;
   }
-  std::uint64_t value = 0;
-  const char* end = line.data() + line.size();
-  const auto parsed = std::from_chars(line.data() + kBaseRevisionComment.size(), end, value);
-  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
-  return whole ? std::optional<core::Revision>(core::Revision(value)) : std::nullopt;
+  return config::parse_revision(std::string_view(line).substr(kBaseRevisionComment.size()));
 }
 
 /// Names the place in a file where \p problem is about a document read from it.
