Bound the depth of JSON from outside and mend invalid UTF-8 in answers

Two requests stopped the process. A document nested some 200,000 levels deep overran the stack, as copying and writing a JSON value recurse; and a path with %ff raised from the writer of the answer, as the name in it was no valid UTF-8.

--- a/src/config/document.cpp
+++ b/src/config/document.cpp
@@ -80,7 +80,7 @@
   if (entry == nullptr) {
     return {problem_at(source, kKindKey, "nothing", allowed)};
   }
-  const std::string found = entry->value.dump();
+  const std::string found = quote(entry->value);
   return {
       problem_at(source, kKindKey, found,
                  fmt::format("{}; the nearest is '{}'", allowed, nearest_name(found, kinds())))};
--- a/src/config/schema.cpp
+++ b/src/config/schema.cpp
@@ -5,10 +5,13 @@
 #include <algorithm>
 
 #include "config/nearest_name.hpp"
+#include "core/json_text.hpp"
 
 namespace stoneport::config {
 namespace {
 
+constexpr std::size_t kLongestQuote = 200;
+
 std::vector<std::string> keys_of(const std::vector<FieldDescription>& fields) {
   std::vector<std::string> keys;
   for (const FieldDescription& field : fields) {
@@ -37,8 +40,16 @@
   return problems;
 }
 
+std::string quote(const nlohmann::json& value) {
+  std::string text = core::write_json(value);
+  if (text.size() > kLongestQuote) {
+    text = text.substr(0, kLongestQuote) + "...";
+  }
+  return text;
+}
+
 Problem value_problem(const SourceEntry& entry, const FieldDescription& field) {
-  return Problem{entry.file, entry.line, entry.key, entry.value.dump(), field.allowed};
+  return Problem{entry.file, entry.line, entry.key, quote(entry.value), field.allowed};
 }
 
 Problem problem_at(const SourceDocument& source, const std::string& key, std::string found,
@@ -50,7 +61,7 @@
 }
 
 std::string toml_line(const std::string& key, const nlohmann::json& value) {
-  return fmt::format("{} = {}\n", key, value.dump());
+  return fmt::format("{} = {}\n", key, core::write_json(value));
 }
 
 }  // namespace stoneport::config
--- a/src/config/schema.hpp
+++ b/src/config/schema.hpp
@@ -31,6 +31,8 @@
 Problems check_keys(const SourceDocument& source, const std::vector<FieldDescription>& fields);
 /// \return the problem of an entry whose value \p field does not allow.
 Problem value_problem(const SourceEntry& entry, const FieldDescription& field);
+/// \return \p value as it is quoted in a problem: as JSON, a long one shortened.
+std::string quote(const nlohmann::json& value);
 /// \return a problem at the place of \p key in \p source.
 Problem problem_at(const SourceDocument& source, const std::string& key, std::string found,
                    std::string allowed);
--- a/src/config/source_document.cpp
+++ b/src/config/source_document.cpp
@@ -6,6 +6,8 @@
 #include <fstream>
 #include <sstream>
 
+#include "config/schema.hpp"
+
 namespace stoneport::config {
 namespace {
 
@@ -99,7 +101,7 @@
 
 Checked<SourceDocument> source_from_json(const nlohmann::json& object, const std::string& name) {
   if (!object.is_object()) {
-    return Problems{{name, 0, "", object.dump(), "a JSON object"}};
+    return Problems{{name, 0, "", quote(object), "a JSON object"}};
   }
   SourceDocument document{name, {}};
   for (const auto& [key, value] : object.items()) {
--- a/src/controllers/configuration_peer_routes.cpp
+++ b/src/controllers/configuration_peer_routes.cpp
@@ -1,6 +1,7 @@
 #include "controllers/configuration_peer_routes.hpp"
 
 #include "config/value_codec.hpp"
+#include "core/json_text.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
@@ -20,7 +21,8 @@
         core::make_error(core::ErrorCode::kInvalidArgument, "since is not a whole number");
     co_return http::error_response(kBadRequest, error);
   }
-  co_return http::json_response(kOk, to_json_value(controller.offer_since(*since)).dump());
+  co_return http::json_response(kOk,
+                                core::write_json(to_json_value(controller.offer_since(*since))));
 }
 
 asio::awaitable<http::Response> answer_push(ConfigurationController& controller,
@@ -36,7 +38,7 @@
     co_return http::error_response(http::status_for(error.code), error);
   }
   const nlohmann::json body = {{"revision", controller.record().revision.value()}};
-  co_return http::json_response(kOk, body.dump());
+  co_return http::json_response(kOk, core::write_json(body));
 }
 
 }  // namespace
--- a/src/controllers/configuration_peers.cpp
+++ b/src/controllers/configuration_peers.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::controllers {
 namespace {
 
@@ -20,8 +22,12 @@
 }
 
 core::Result<PeerConfiguration> peer_configuration_from_json(const std::string& text) {
+  const std::optional<nlohmann::json> parsed = core::parse_json(text);
+  if (!parsed) {
+    return core::make_error(core::ErrorCode::kProtocol, "a peer's configuration is no JSON");
+  }
   try {
-    const nlohmann::json object = nlohmann::json::parse(text);
+    const nlohmann::json& object = *parsed;
     PeerConfiguration configuration;
     configuration.node = core::NodeId(object.at("node").get<std::string>());
     configuration.zone = core::ZoneName(object.at("zone").get<std::string>());
--- a/src/controllers/configuration_store.cpp
+++ b/src/controllers/configuration_store.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::controllers {
 namespace {
 
@@ -35,8 +37,11 @@
 }
 
 core::Result<DocumentRecord> parse_record(const platform::Row& row) {
-  const nlohmann::json value = nlohmann::json::parse(row.value, nullptr, false);
-  core::Result<DocumentRecord> record = config::document_record_from_json(value);
+  const std::optional<nlohmann::json> value = core::parse_json(row.value);
+  if (!value) {
+    return bad_row(row.key.key);
+  }
+  core::Result<DocumentRecord> record = config::document_record_from_json(*value);
   if (record.has_error()) {
     return bad_row(row.key.key);
   }
@@ -44,7 +49,7 @@
 }
 
 core::Result<ConfigurationHead> parse_head(const platform::Row& row) {
-  const nlohmann::json value = nlohmann::json::parse(row.value, nullptr, false);
+  const nlohmann::json value = core::parse_json(row.value).value_or(nlohmann::json());
   const bool shaped = value.is_object() && value.contains("revision") && value.contains("hash") &&
                       value["revision"].is_number_unsigned() && value["hash"].is_string();
   const auto hash = shaped ? config::parse_hash(value["hash"].get<std::string>()) : std::nullopt;
--- a/src/controllers/operator_configuration_json.cpp
+++ b/src/controllers/operator_configuration_json.cpp
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include "config/schema.hpp"
 #include "config/value_codec.hpp"
+#include "core/json_text.hpp"
 
 namespace stoneport::controllers {
 namespace {
@@ -19,18 +21,19 @@
 const std::string kBody = "request body";
 
 Checked<nlohmann::json> parse_object(const std::string& body) {
-  nlohmann::json object = nlohmann::json::parse(body, nullptr, false);
-  if (!object.is_object()) {
-    return Problems{{kBody, 0, "", "something else", "a JSON object"}};
+  std::optional<nlohmann::json> object = core::parse_json(body);
+  if (!object || !object->is_object()) {
+    return Problems{{kBody, 0, "", "something else",
+                     fmt::format("a JSON object, at most {} levels deep", core::kDeepestJson)}};
   }
-  return Checked<nlohmann::json>(boost::system::in_place_value, std::move(object));
+  return Checked<nlohmann::json>(boost::system::in_place_value, std::move(*object));
 }
 
 core::Revision read_revision(const nlohmann::json& object, const std::string& key,
                              Problems& problems) {
   const nlohmann::json value = object.value(key, nlohmann::json());
   if (!value.is_number_unsigned()) {
-    problems.push_back({kBody, 0, key, value.dump(), "a whole number from 0 on"});
+    problems.push_back({kBody, 0, key, config::quote(value), "a whole number from 0 on"});
     return core::Revision();
   }
   return core::Revision(value.get<std::uint64_t>());
@@ -42,7 +45,7 @@
   const std::string text = value.is_string() ? value.get<std::string>() : std::string();
   if (!value.is_string() || text.size() < shortest || text.size() > kLongestComment) {
     const std::string allowed = fmt::format("a text of {} to {} bytes", shortest, kLongestComment);
-    problems.push_back({kBody, 0, key, value.dump(), allowed});
+    problems.push_back({kBody, 0, key, config::quote(value), allowed});
   }
   return text;
 }
@@ -83,7 +86,7 @@
                                {"revision", accepted.revision.value()},
                                {"unchanged", accepted.unchanged},
                                {"copies_in_other_zones", accepted.copies}};
-  return http::json_response(kOk, body.dump());
+  return http::json_response(kOk, core::write_json(body));
 }
 
 http::Response conflict_response(const config::PublishConflict& conflict) {
@@ -97,7 +100,7 @@
                   conflict.base_revision.value(), in_force);
   const nlohmann::json body = {
       {"code", "conflict"}, {"message", message}, {"conflict", conflict_to_json(conflict)}};
-  return http::json_response(kConflictStatus, body.dump());
+  return http::json_response(kConflictStatus, core::write_json(body));
 }
 
 }  // namespace
@@ -146,7 +149,7 @@
   }
   const nlohmann::json documents = object->value("documents", nlohmann::json());
   if (!documents.is_array()) {
-    return Problems{{kBody, 0, "documents", documents.dump(), "a list of documents"}};
+    return Problems{{kBody, 0, "documents", config::quote(documents), "a list of documents"}};
   }
   ValidationInput input;
   for (std::size_t index = 0; index < documents.size(); ++index) {
@@ -182,7 +185,7 @@
   const nlohmann::json body = {{"code", "invalid_document"},
                                {"message", to_string(problems)},
                                {"problems", to_json_value(problems)}};
-  return http::json_response(kInvalidDocumentStatus, body.dump());
+  return http::json_response(kInvalidDocumentStatus, core::write_json(body));
 }
 
 http::Response failure_response(const core::Error& error) {
--- a/src/controllers/operator_configuration_routes.cpp
+++ b/src/controllers/operator_configuration_routes.cpp
@@ -2,8 +2,8 @@
 
 #include <fmt/format.h>
 
-#include "config/configuration_check.hpp"
 #include "controllers/operator_configuration_json.hpp"
+#include "core/json_text.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
@@ -20,7 +20,7 @@
                                                     http::RoutedRequest);
 
 http::Response ok(const nlohmann::json& body) {
-  return http::json_response(kOk, body.dump());
+  return http::json_response(kOk, core::write_json(body));
 }
 
 http::Response invalid_argument(std::string message) {
--- a/src/ctl/operator_client.cpp
+++ b/src/ctl/operator_client.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "config/value_codec.hpp"
+#include "core/json_text.hpp"
 
 namespace stoneport::ctl {
 namespace {
@@ -24,7 +25,7 @@
   request.head.method = std::move(method);
   request.head.target = target;
   request.head.headers.set("Content-Type", "application/json");
-  request.body = body.dump();
+  request.body = core::write_json(body);
   return request;
 }
 
@@ -84,10 +85,7 @@
 }
 
 CallResult<Answer> interpret(unsigned status, const std::string& body) {
-  nlohmann::json object = nlohmann::json::parse(body, nullptr, false);
-  if (object.is_discarded()) {
-    object = nullptr;
-  }
+  nlohmann::json object = core::parse_json(body).value_or(nlohmann::json());
   if (status < kFirstErrorStatus) {
     return Answer{std::move(object)};
   }
--- a/tests/unit/controllers/operator_configuration_test.cpp
+++ b/tests/unit/controllers/operator_configuration_test.cpp
@@ -75,7 +75,14 @@
     const std::string target = "/v1/operator/templates/t";
     const std::string two_problems =
         R"({"document":{"kind":"event-template","name":"t"},"author":"","base_revision":0})";
+    const std::string deep(200'000, '[');
     const std::vector<Call> calls = {
+        {"GET", "/v1/operator/templates/%ff", "", 404, "not_found"},
+        {"GET", "/v1/operator/templates/t/diff?from=%ff", "", 400, "from must name"},
+        {"PUT", "/v1/operator/templates/%ff", publication(kTemplate, 0), 422, "the path names"},
+        {"PUT", target, publication(deep + std::string(deep.size(), ']'), 0), 422, "JSON"},
+        {"POST", "/v1/operator/validate", R"({"documents":[)" + deep, 422, "JSON"},
+        {"POST", "/peer/configuration", deep + std::string(deep.size(), ']'), 400, "code"},
         {"PUT", target, "", 422, "a JSON object"},
         {"PUT", target, "[1]", 422, "a JSON object"},
         {"PUT", target, "{\"document\":", 422, "a JSON object"},
--- /dev/null
+++ b/tests/unit/core/json_text_test.cpp
@@ -0,0 +1,48 @@
+/// \file
+/// JSON text from outside: depth, malformed text, bytes that are no UTF-8.
+#include "core/json_text.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace stoneport::core {
+namespace {
+
+std::string nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+class JsonTextTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JsonTextTest);
+  CPPUNIT_TEST(refuses_what_is_no_json_or_too_deep);
+  CPPUNIT_TEST(writes_invalid_bytes_replaced);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void refuses_what_is_no_json_or_too_deep() {
+    const std::vector<std::pair<std::string, bool>> cases = {
+        {"{\"a\":[1,{\"b\":null}]}", true},
+        {"7", true},
+        {nested(kDeepestJson), true},
+        {nested(kDeepestJson + 1), false},
+        {nested(1'000'000), false},
+        {"{\"a\":" + nested(kDeepestJson) + "}", false},
+        {"", false},
+        {"{\"a\":", false},
+        {"{} {}", false},
+        {"\"\xff\"", false},
+    };
+    for (const auto& [text, accepted] : cases) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text.substr(0, 40), accepted, parse_json(text).has_value());
+    }
+    CPPUNIT_ASSERT(*parse_json("{\"a\":[1]}") == nlohmann::json({{"a", {1}}}));
+  }
+
+  void writes_invalid_bytes_replaced() {
+    CPPUNIT_ASSERT_EQUAL(std::string("\"a\xef\xbf\xbd\""), write_json("a\xff"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JsonTextTest);
+
+}  // namespace
+}  // namespace stoneport::core
