--- a/tests/unit/config/configuration_adoption_test.cpp
+++ b/tests/unit/config/configuration_adoption_test.cpp
@@ -144,12 +144,14 @@
           broken + "; replay with STONEPORT_CONFIGURATION_SEED=" + std::to_string(seed),
           broken.empty());
     }
-    std::cout << "\nconfiguration: schedules " << count << ", accepted " << tally.accepted
-              << ", conflicts " << tally.conflicts << ", lost answers " << tally.lost_answers
-              << ", lost messages " << tally.lost_messages << ", restarts " << tally.restarts
-              << ", freezes " << tally.freezes << ", partitions " << tally.partitions
-              << ", store outages " << tally.outages << ", torn reads " << tally.torn_reads
-              << ", violations 0" << std::endl;
+    std::cout << "\nguarantee: accepted configuration is in force everywhere and never reverts: "
+                 "schedules "
+              << count << ", accepted " << tally.accepted << ", conflicts " << tally.conflicts
+              << ", lost answers " << tally.lost_answers << ", lost messages "
+              << tally.lost_messages << ", restarts " << tally.restarts << ", freezes "
+              << tally.freezes << ", partitions " << tally.partitions << ", store outages "
+              << tally.outages << ", torn reads " << tally.torn_reads << ", violations 0"
+              << std::endl;
     const bool every_fault = tally.conflicts > 0 && tally.lost_answers > 0 &&
                              tally.lost_messages > 0 && tally.torn_reads > 0;
     CPPUNIT_ASSERT(replayed || every_fault);
@@ -176,8 +178,9 @@
         ++broken[ConfigurationWorld(seed, each.rules, tally).run()];
       }
       const std::uint64_t violations = kSchedulesWithoutRule - broken[""];
-      std::cout << "\nconfiguration without the " << each.name << ": schedules "
-                << kSchedulesWithoutRule << ", violations " << violations << std::flush;
+      std::cout << "\nguarantee: accepted configuration, shown red without the " << each.name
+                << ": schedules " << kSchedulesWithoutRule << ", violations " << violations
+                << std::flush;
       CPPUNIT_ASSERT_MESSAGE(each.name, violations > 0);
     }
     std::cout << std::endl;
