Simulate the weights controller's own rollout over a shared store

The simulation distributed weights by a plan of its own. It now carries out the orders of controllers::WeightsRollout at the controller's pace, from reports at the watchers' interval, over a store whose rate is shared among all readers; and digests carry 64 prefixes, as daemons publish.

--- a/src/bench/simulation/engine_fleet.cpp
+++ b/src/bench/simulation/engine_fleet.cpp
@@ -90,7 +90,7 @@
   digest->max_running = engine.settings().max_running;
   digest->tokens_per_second = engine.tokens_per_second();
   digest->version = engine.version();
-  digest->swapping = engine.is_switching();
+  digest->swapping = engine.is_switching() || engine.is_paused();
   const bool gap = random_.chance(scenario_.lag.cache_gap_probability);
   if (!gap) {
     digest->cached_prefixes = engine.cache().newest_hashes(scenario_.lag.digest_prefixes);
--- a/src/bench/simulation/prefix_cache.cpp
+++ b/src/bench/simulation/prefix_cache.cpp
@@ -25,23 +25,34 @@
       continue;
     }
     by_use_.push_front(*block);
+    by_storing_.push_back(*block);
     entries_[*block] = by_use_.begin();
   }
   while (by_use_.size() > capacity_blocks_) {
     entries_.erase(by_use_.back());
     by_use_.pop_back();
   }
+  while (by_storing_.size() > 2 * capacity_blocks_) {
+    by_storing_.pop_front();
+  }
 }
 
 void PrefixCache::clear() {
   entries_.clear();
   by_use_.clear();
+  by_storing_.clear();
 }
 
 std::vector<std::uint64_t> PrefixCache::newest_hashes(std::size_t count) const {
-  const auto end =
-      std::next(by_use_.begin(), static_cast<std::ptrdiff_t>(std::min(count, by_use_.size())));
-  std::vector<std::uint64_t> result(by_use_.begin(), end);
+  std::vector<std::uint64_t> result;
+  for (auto block = by_storing_.rbegin(); block != by_storing_.rend(); ++block) {
+    if (result.size() >= count) {
+      break;
+    }
+    if (entries_.find(*block) != entries_.end()) {
+      result.push_back(*block);
+    }
+  }
   std::sort(result.begin(), result.end());
   return result;
 }
--- a/src/bench/simulation/prefix_cache.hpp
+++ b/src/bench/simulation/prefix_cache.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <unordered_map>
 #include <vector>
@@ -28,12 +29,13 @@
   /// Stores every block and marks it as just used.
   void store(const PrefixBlocks& blocks);
   void clear();
-  /// \return hashes in the cache, at most \p count of the most recently used, sorted.
+  /// \return hashes in the cache, at most \p count of those stored last, sorted.
   std::vector<std::uint64_t> newest_hashes(std::size_t count) const;
 
  private:
   std::size_t capacity_blocks_;
-  std::list<std::uint64_t> by_use_;  ///< most recently used first
+  std::list<std::uint64_t> by_use_;       ///< most recently used first
+  std::deque<std::uint64_t> by_storing_;  ///< stored last at the end; some may be gone
   std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> entries_;
 };
 
--- a/src/bench/simulation/rollout_daemon.cpp
+++ b/src/bench/simulation/rollout_daemon.cpp
@@ -65,7 +65,7 @@
     candidate.reported = replica.digest->running + replica.digest->waiting;
     candidate.max_running = replica.digest->max_running;
     candidate.version = replica.digest->version;
-    candidate.backing_off = in_flight_[index] >= kMostStreamsPerPlace * candidate.max_running;
+    candidate.closed = in_flight_[index] >= kMostStreamsPerPlace * candidate.max_running;
     result.push_back(std::move(candidate));
   }
   return result;
--- a/src/bench/simulation/scenario.hpp
+++ b/src/bench/simulation/scenario.hpp
@@ -88,7 +88,7 @@
   core::Duration watch_interval = std::chrono::seconds(1);
   core::Duration report_age = std::chrono::milliseconds(500);
   double cache_gap_probability = 0.05;  ///< that one report's cache events are lost
-  std::size_t digest_prefixes = 1024;   ///< most prefixes in one digest
+  std::size_t digest_prefixes = 64;     ///< most prefixes in one digest, as daemons publish
 };
 
 /// Mean times between faults; zero: none of that kind.
--- a/src/bench/simulation/simulated_engine.hpp
+++ b/src/bench/simulation/simulated_engine.hpp
@@ -87,7 +87,8 @@
   void restart(core::WeightVersion version);
 
   bool is_up() const { return up_; }
-  bool is_switching() const { return switching_ || pauses_ > 0; }
+  bool is_switching() const { return switching_; }
+  bool is_paused() const { return pauses_ > 0; }
   core::WeightVersion version() const { return version_; }
   std::uint32_t running_count() const { return static_cast<std::uint32_t>(running_.size()); }
   std::uint32_t waiting_count() const { return static_cast<std::uint32_t>(waiting_.size()); }
--- a/src/bench/simulation/weight_distribution.cpp
+++ b/src/bench/simulation/weight_distribution.cpp
@@ -6,6 +6,18 @@
 
 namespace stoneport::bench {
 
+namespace {
+
+/// As controllers::WeightsController.
+constexpr core::Duration kPace = std::chrono::milliseconds(250);
+constexpr double kBytesPerGigabyte = 1e9;
+
+std::uint64_t to_bytes(double gigabytes) {
+  return static_cast<std::uint64_t>(gigabytes * kBytesPerGigabyte);
+}
+
+}  // namespace
+
 WeightDistribution::WeightDistribution(EventQueue& events, const Scenario& scenario,
                                        const Variant& variant, std::uint64_t seed,
                                        EngineFleet& engines, std::vector<std::size_t> group,
@@ -17,119 +29,148 @@
       group_(std::move(group)),
       metrics_(metrics),
       random_(mix(seed, 41)),
+      store_(events, scenario.weights),
+      rollout_(controllers::RolloutSettings{}),
       target_(in_force),
-      progress_(engines.size()) {}
+      weights_(engines.size()) {
+  events_.after(core::Duration::zero(), [this] { pace(); });
+}
 
 void WeightDistribution::publish(core::WeightVersion version) {
   target_ = version;
   published_at_ = events_.now();
   in_place_ = false;
-  start_fetches();
-}
-
-void WeightDistribution::set_store_outage(core::MonotonicTime until) {
-  outage_until_ = until;
-}
-
-void WeightDistribution::engine_restarted(std::size_t index) {
-  progress_[index] = Progress{};
-  if (engines_.at(index).version() < target_) {
-    start_fetches();
+  if (!variant_.staged_switches) {
+    order_all();
+    return;
   }
+  controllers::RolloutTarget target;
+  target.policy = core::PolicyName("policy");
+  target.version = version;
+  target.size_bytes = to_bytes(scenario_.weights.size_gigabytes);
+  target.bytes_per_second = to_bytes(scenario_.weights.store_gigabytes_per_second);
+  rollout_.set_target(target, events_.now());
 }
 
-bool WeightDistribution::serves(std::size_t index) const {
-  return std::find(group_.begin(), group_.end(), index) != group_.end();
-}
-
-std::size_t WeightDistribution::fetching_count() const {
-  return static_cast<std::size_t>(
-      std::count_if(progress_.begin(), progress_.end(),
-                    [](const Progress& progress) { return progress.fetching; }));
+/// Reads the reports at the watchers' interval and plans at the controller's pace.
+void WeightDistribution::pace() {
+  if (events_.now() - reported_at_ >= scenario_.lag.watch_interval || reported_.empty()) {
+    reported_ = reports();
+    reported_at_ = events_.now();
+  }
+  if (variant_.staged_switches) {
+    for (const controllers::RolloutOrder& order : rollout_.plan(reported_, events_.now())) {
+      events_.after(scenario_.latency.between_zones, [this, order] { carry_out(order); });
+    }
+  }
+  note_progress();
+  events_.after(kPace, [this] { pace(); });
 }
 
-/// One after another, as many at a time as the store can serve at full speed; or
-/// everyone at once, sharing its rate.
-std::size_t WeightDistribution::most_fetches() const {
-  if (!variant_.staged_switches) {
-    return group_.size();
+std::vector<controllers::ReplicaWeights> WeightDistribution::reports() const {
+  std::vector<controllers::ReplicaWeights> result;
+  for (const std::size_t index : group_) {
+    const SimulatedEngine& engine = engines_.at(index);
+    controllers::ReplicaWeights report;
+    report.replica = engine_id(index);
+    report.incarnation = engines_.replicas()[index].incarnation;
+    report.version = engine.version();
+    report.prefetched = weights_[index].fetched;
+    report.usable = engine.is_up();
+    report.swapping = engine.is_switching() || weights_[index].load_when_fetched;
+    result.push_back(std::move(report));
   }
-  const double at_once =
-      scenario_.weights.store_gigabytes_per_second / scenario_.weights.engine_gigabytes_per_second;
-  return std::max<std::size_t>(1, static_cast<std::size_t>(at_once));
+  return result;
 }
 
-std::vector<std::size_t> WeightDistribution::waiting_engines() const {
-  std::vector<std::size_t> waiting;
+void WeightDistribution::order_all() {
   for (const std::size_t index : group_) {
-    const SimulatedEngine& engine = engines_.at(index);
-    const bool lacks_target = engine.version() < target_ && progress_[index].fetched < target_;
-    if (engine.is_up() && lacks_target && !progress_[index].fetching) {
-      waiting.push_back(index);
+    if (engines_.at(index).is_up()) {
+      load(index, target_);
     }
   }
-  std::stable_sort(waiting.begin(), waiting.end(), [this](std::size_t left, std::size_t right) {
-    return engines_.at(left).running_count() < engines_.at(right).running_count();
-  });
-  return waiting;
 }
 
-void WeightDistribution::start_fetches() {
-  for (const std::size_t index : waiting_engines()) {
-    if (fetching_count() >= most_fetches()) {
-      return;
-    }
-    start_fetch(index);
+void WeightDistribution::carry_out(const controllers::RolloutOrder& order) {
+  const std::size_t index = engines_.index_of(order.replica);
+  if (!engines_.at(index).is_up()) {
+    rollout_.on_order_failed(order.replica);
+    return;
+  }
+  if (const auto* prefetch = std::get_if<platform::PrefetchVersion>(&order.order)) {
+    fetch(index, prefetch->version);
+  } else if (const auto* loading = std::get_if<platform::LoadVersion>(&order.order)) {
+    load(index, loading->version);
   }
 }
 
-void WeightDistribution::start_fetch(std::size_t index) {
-  const WeightSettings& weights = scenario_.weights;
-  const double shared = weights.store_gigabytes_per_second / static_cast<double>(most_fetches());
-  const double rate = std::min(shared, weights.engine_gigabytes_per_second);
-  const core::MonotonicTime start = std::max(events_.now(), outage_until_);
-  const core::MonotonicTime end = start + core::from_seconds(weights.size_gigabytes / rate);
-  progress_[index].fetching = true;
-  events_.at(end, [this, index, version = target_] { fetched(index, version); });
+void WeightDistribution::fetch(std::size_t index, core::WeightVersion version) {
+  EngineWeights& weights = weights_[index];
+  if (weights.fetched >= version || weights.fetching >= version) {
+    return;
+  }
+  if (weights.read != 0) {
+    store_.cancel(weights.read);
+  }
+  weights.fetching = version;
+  weights.read = store_.read([this, index, version] { fetched(index, version); });
 }
 
 void WeightDistribution::fetched(std::size_t index, core::WeightVersion version) {
-  if (events_.now() < outage_until_) {
-    events_.at(outage_until_, [this, index, version] { fetched(index, version); });
-    return;
+  EngineWeights& weights = weights_[index];
+  weights.fetched = version;
+  weights.fetching = {};
+  weights.read = 0;
+  if (weights.load_when_fetched) {
+    weights.load_when_fetched = false;
+    switch_engine(index, version);
   }
-  progress_[index].fetching = false;
-  if (engines_.at(index).is_up()) {
-    progress_[index].fetched = version;
-    if (version == target_) {
-      switch_engine(index, version);
-    }
+}
+
+void WeightDistribution::load(std::size_t index, core::WeightVersion version) {
+  if (weights_[index].fetched == version) {
+    switch_engine(index, version);
+    return;
   }
-  start_fetches();
+  weights_[index].load_when_fetched = true;
+  fetch(index, version);
 }
 
 void WeightDistribution::switch_engine(std::size_t index, core::WeightVersion version) {
-  const bool fails = random_.chance(scenario_.faults.switch_failure_probability);
-  if (fails) {
-    events_.after(scenario_.faults.switch_retry, [this, index, version] {
-      const bool still_wanted = version == target_ && engines_.at(index).version() < version;
-      if (still_wanted && engines_.at(index).is_up()) {
-        switch_engine(index, version);
-      }
-    });
+  const bool is_wanted = engines_.at(index).is_up() && engines_.at(index).version() < version;
+  if (!is_wanted) {
     return;
   }
-  engines_.at(index).switch_weights(version, SwitchMode::kContinue,
-                                    [this, index, version] { switched(index, version); });
+  if (random_.chance(scenario_.faults.switch_failure_probability)) {
+    if (!variant_.staged_switches) {
+      events_.after(scenario_.faults.switch_retry, [this, index, version] {
+        if (version == target_) {
+          switch_engine(index, version);
+        }
+      });
+    }
+    return;
+  }
+  engines_.at(index).switch_weights(version, SwitchMode::kContinue, [this, index] {
+    engines_.at(index).resume();
+    note_progress();
+  });
 }
 
-void WeightDistribution::switched(std::size_t index, core::WeightVersion version) {
-  engines_.at(index).resume();
-  if (version == target_) {
-    note_progress();
+void WeightDistribution::engine_restarted(std::size_t index) {
+  if (weights_[index].read != 0) {
+    store_.cancel(weights_[index].read);
+  }
+  weights_[index] = EngineWeights{};
+  if (!variant_.staged_switches && engines_.at(index).version() < target_) {
+    load(index, target_);
   }
 }
 
+bool WeightDistribution::serves(std::size_t index) const {
+  return std::find(group_.begin(), group_.end(), index) != group_.end();
+}
+
 void WeightDistribution::note_progress() {
   if (in_place_) {
     return;
--- a/src/bench/simulation/weight_distribution.hpp
+++ b/src/bench/simulation/weight_distribution.hpp
@@ -1,6 +1,7 @@
 /// \file
-/// How published weights reach the engines, at once or one after another, within
-/// the store's rate; failed switches are seen and tried again.
+/// How published weights reach the engines: by the real controllers::WeightsRollout
+/// over simulated reports and orders, or, in baselines, by one order to every
+/// engine at once. Failed switches are seen in the reports and ordered again.
 #pragma once
 
 #include <vector>
@@ -8,6 +9,8 @@
 #include "bench/simulation/engine_fleet.hpp"
 #include "bench/simulation/run_metrics.hpp"
 #include "bench/simulation/variant.hpp"
+#include "bench/simulation/weight_store_model.hpp"
+#include "controllers/weights_rollout.hpp"
 
 namespace stoneport::bench {
 
@@ -22,27 +25,28 @@
   /// Brings \p version to every engine.
   void publish(core::WeightVersion version);
   /// Nobody can read from the store until then.
-  void set_store_outage(core::MonotonicTime until);
+  void set_store_outage(core::MonotonicTime until) { store_.set_outage(until); }
   /// An engine came back with old weights.
   void engine_restarted(std::size_t index);
-  core::WeightVersion target() const { return target_; }
   bool serves(std::size_t index) const;
 
  private:
-  struct Progress {
+  /// Weights of one engine beside those in force.
+  struct EngineWeights {
     core::WeightVersion fetched;
-    bool fetching = false;
+    core::WeightVersion fetching;
+    WeightStoreModel::ReadId read = 0;
+    bool load_when_fetched = false;
   };
 
-  void start_fetches();
-  void start_fetch(std::size_t index);
+  void pace();
+  void order_all();
+  void carry_out(const controllers::RolloutOrder& order);
+  void fetch(std::size_t index, core::WeightVersion version);
+  void load(std::size_t index, core::WeightVersion version);
   void fetched(std::size_t index, core::WeightVersion version);
   void switch_engine(std::size_t index, core::WeightVersion version);
-  void switched(std::size_t index, core::WeightVersion version);
-  std::size_t fetching_count() const;
-  std::size_t most_fetches() const;
-  /// \return engines that lack the target, the least loaded first.
-  std::vector<std::size_t> waiting_engines() const;
+  std::vector<controllers::ReplicaWeights> reports() const;
   void note_progress();
 
   EventQueue& events_;
@@ -52,11 +56,14 @@
   std::vector<std::size_t> group_;
   RunMetrics& metrics_;
   core::RandomSource random_;
+  WeightStoreModel store_;
+  controllers::WeightsRollout rollout_;
   core::WeightVersion target_;
   core::MonotonicTime published_at_{};
   bool in_place_ = true;
-  core::MonotonicTime outage_until_{};
-  std::vector<Progress> progress_;
+  std::vector<EngineWeights> weights_;  ///< by engine
+  std::vector<controllers::ReplicaWeights> reported_;
+  core::MonotonicTime reported_at_{};
 };
 
 }  // namespace stoneport::bench
--- a/src/bench/simulation/workload.hpp
+++ b/src/bench/simulation/workload.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <vector>
 
@@ -86,7 +87,7 @@
   core::RandomSource random_;
   std::uint64_t drawn_ = 0;
   std::uint64_t conversations_ = 0;
-  std::vector<Conversation> open_;  ///< that may go on, the oldest first
+  std::deque<Conversation> open_;  ///< that may go on, the oldest first
 };
 
 }  // namespace stoneport::bench
