--- a/src/rollout/staleness.cpp
+++ b/src/rollout/staleness.cpp
@@ -40,6 +40,10 @@
   return static_cast<std::uint64_t>((since + ahead).count() / interval_->count());
 }
 
+std::optional<core::MonotonicTime> PublicationRhythm::next_expected() const {
+  return interval_ ? std::optional(*latest_at_ + *interval_) : std::nullopt;
+}
+
 Admission predict_admission(const AdmissionInput& input, const PublicationRhythm& rhythm) {
   if (!input.engine_version) {
     return Admission::kAdmit;
--- a/src/rollout/staleness.hpp
+++ b/src/rollout/staleness.hpp
@@ -33,6 +33,8 @@
   /// until two publications have been seen.
   std::uint64_t expected_within(core::MonotonicTime now, core::Duration ahead) const;
   std::optional<core::Duration> interval() const { return interval_; }
+  /// \return when the next publication is due; nothing until two have been seen.
+  std::optional<core::MonotonicTime> next_expected() const;
 
  private:
   core::WeightVersion latest_;
--- a/src/rollout/stragglers.cpp
+++ b/src/rollout/stragglers.cpp
@@ -79,11 +79,16 @@
              static_cast<double>(sample.context_tokens);
 }
 
-MigrationTarget* fastest_other(std::vector<MigrationTarget>& targets,
-                               const core::ReplicaId& engine) {
+/// Unknown versions are no reason against a move; the ledger checks the sample.
+bool is_older(const MigrationTarget& target, const RunningSample& sample) {
+  return target.version && sample.version && *target.version < *sample.version;
+}
+
+MigrationTarget* fastest_other(std::vector<MigrationTarget>& targets, const RunningSample& sample) {
   MigrationTarget* best = nullptr;
   for (MigrationTarget& target : targets) {
-    const bool is_open = target.free_places > 0 && target.engine != engine;
+    const bool is_open =
+        target.free_places > 0 && target.engine != sample.engine && !is_older(target, sample);
     if (is_open && (best == nullptr || target.tokens_per_second > best->tokens_per_second)) {
       best = &target;
     }
@@ -94,7 +99,7 @@
 std::optional<Migration> plan_migration(const Prediction& one,
                                         std::vector<MigrationTarget>& targets,
                                         const StragglerSettings& settings) {
-  MigrationTarget* target = fastest_other(targets, one.sample->engine);
+  MigrationTarget* target = fastest_other(targets, *one.sample);
   if (target == nullptr || target->tokens_per_second <= 0) {
     return std::nullopt;
   }
--- a/src/rollout/stragglers.hpp
+++ b/src/rollout/stragglers.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "core/identifiers.hpp"
@@ -47,6 +48,7 @@
   double tokens_per_second = 0;  ///< measured on the stream; zero when unknown
   bool raised = false;
   std::uint32_t migrations = 0;
+  std::optional<core::WeightVersion> version = std::nullopt;  ///< of the engine it is on
 };
 
 /// One engine that could take a sample over.
@@ -55,6 +57,9 @@
   std::uint32_t free_places = 0;  ///< after what is already on its way there
   /// Of one more stream there, given its load.
   double tokens_per_second = 0;
+  /// A sample never moves to an older version than it runs on: its oldest span
+  /// would become older, and it might be over its bound.
+  std::optional<core::WeightVersion> version = std::nullopt;
 };
 
 struct PriorityRaise {
