Let replicas switch weights as soon as each has them

Cause: an on-policy trainer waits from its publication until engines have the new weights, and switching all together makes it wait for the last transfer.

Change: RolloutSettings::switch_order, kTogether as before unless set. Ruled out: as ready with eight transfers at a time, which share the rate and so end together.

--- a/src/controllers/weights_rollout.cpp
+++ b/src/controllers/weights_rollout.cpp
@@ -96,7 +96,7 @@
     phase_ = RolloutPhase::kSwitching;
   }
   plan_prefetches(behind, now, orders);
-  if (phase_ == RolloutPhase::kSwitching) {
+  if (phase_ == RolloutPhase::kSwitching || settings_.switch_order == SwitchOrder::kAsReady) {
     plan_loads(behind, now, orders);
   }
   return orders;
--- a/src/controllers/weights_rollout.hpp
+++ b/src/controllers/weights_rollout.hpp
@@ -35,6 +35,12 @@
   bool operator==(const RolloutTarget&) const = default;
 };
 
+/// When replicas that have the weights are told to switch.
+enum class SwitchOrder {
+  kTogether,  ///< all in one go, once the last one has them
+  kAsReady,   ///< each as soon as it has them
+};
+
 struct RolloutSettings {
   /// Replicas that read from the weight store at a time.
   std::uint32_t parallel_prefetches = 8;
@@ -44,6 +50,7 @@
   /// after twice as long each further time.
   core::Duration first_load_retry = std::chrono::seconds(3);
   core::Duration longest_load_retry = std::chrono::seconds(30);
+  SwitchOrder switch_order = SwitchOrder::kTogether;
   platform::LoadVersion::RunningStreams running = platform::LoadVersion::RunningStreams::kContinue;
 };
 
--- /dev/null
+++ b/tests/unit/controllers/weights_switch_order_test.cpp
@@ -0,0 +1,59 @@
+/// \file
+/// Tests of when replicas that have their weights are told to switch.
+#include <cppunit/TestAssert.h>
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "controllers/weights_rollout.hpp"
+
+namespace stoneport::controllers {
+
+class WeightsSwitchOrderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(WeightsSwitchOrderTest);
+  CPPUNIT_TEST(replicas_switch_together_or_as_ready);
+  CPPUNIT_TEST_SUITE_END();
+
+  static ReplicaWeights replica(const std::string& id, std::uint64_t prefetched) {
+    ReplicaWeights weights;
+    weights.replica = core::ReplicaId(id);
+    weights.incarnation = core::Incarnation(1);
+    weights.version = core::WeightVersion(1);
+    weights.prefetched = core::WeightVersion(prefetched);
+    return weights;
+  }
+
+  static std::vector<std::string> loads(const std::vector<RolloutOrder>& orders) {
+    std::vector<std::string> result;
+    for (const RolloutOrder& order : orders) {
+      if (std::holds_alternative<platform::LoadVersion>(order.order)) {
+        result.push_back(order.replica.value());
+      }
+    }
+    return result;
+  }
+
+ public:
+  void replicas_switch_together_or_as_ready() {
+    for (const SwitchOrder order : {SwitchOrder::kTogether, SwitchOrder::kAsReady}) {
+      RolloutSettings settings;
+      settings.switch_order = order;
+      WeightsRollout rollout(settings);
+      const core::MonotonicTime start{std::chrono::seconds(1)};
+      rollout.set_target({core::PolicyName("policy"), core::WeightVersion(2), 100, 10}, start);
+      rollout.plan({replica("a", 0), replica("b", 0)}, start);
+
+      const auto first = loads(rollout.plan({replica("a", 2), replica("b", 0)}, start));
+      const bool as_ready = order == SwitchOrder::kAsReady;
+      const std::vector<std::string> only_a{"a"};
+      CPPUNIT_ASSERT(first == (as_ready ? only_a : std::vector<std::string>{}));
+
+      const auto second = loads(rollout.plan({replica("a", 2), replica("b", 2)}, start));
+      const std::vector<std::string> both{"a", "b"};
+      CPPUNIT_ASSERT(second == (as_ready ? std::vector<std::string>{"b"} : both));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WeightsSwitchOrderTest);
+
+}  // namespace stoneport::controllers
