--- a/src/bench/simulation/rollout_daemon.cpp
+++ b/src/bench/simulation/rollout_daemon.cpp
@@ -50,15 +50,19 @@
 void RolloutDaemon::observe(core::WeightVersion version) {
   current_ = version;
   rhythm_.published(version, events_.now());
+  steps_in_hand_ -= std::min<std::uint64_t>(steps_in_hand_, 1);
 }
 
-std::vector<rollout::EngineCandidate> RolloutDaemon::candidates() const {
+std::vector<rollout::EngineCandidate> RolloutDaemon::candidates(bool only_fresh) const {
   std::vector<rollout::EngineCandidate> result;
   for (const std::size_t index : group_) {
     const routing::Replica& replica = engines_.replicas()[index];
     if (replica.state != routing::ReplicaState::kUsable || !replica.digest) {
       continue;
     }
+    if (only_fresh && replica.digest->version < current_) {
+      continue;
+    }
     rollout::EngineCandidate candidate;
     candidate.id = replica.id;
     candidate.in_flight = in_flight_[index];
@@ -79,7 +83,7 @@
   }
   rollout::PlacementInput input;
   input.prompt = question.prompt;
-  input.candidates = candidates();
+  input.candidates = candidates(question.only_fresh);
   input.rule = rule;
   input.now = events_.now();
   input.expected_run = run_length_;
@@ -97,7 +101,8 @@
   for (const std::size_t index : group_) {
     const routing::Replica& replica = engines_.replicas()[index];
     const bool is_known = replica.state == routing::ReplicaState::kUsable && replica.digest;
-    if (!is_known || !rule.allows(replica.digest->version)) {
+    const bool is_passed_by = is_known && question.only_fresh && replica.digest->version < current_;
+    if (!is_known || is_passed_by || !rule.allows(replica.digest->version)) {
       continue;
     }
     const double limit = kMostStreamsPerPlace * replica.digest->max_running;
@@ -134,11 +139,16 @@
       continue;
     }
     const double for_one = digest.tokens_per_second / std::max(1u, digest.running);
-    result.push_back({replica.id, digest.max_running - load, for_one});
+    result.push_back({replica.id, digest.max_running - load, for_one, digest.version});
   }
   return result;
 }
 
+std::optional<core::WeightVersion> RolloutDaemon::reported_version(std::size_t engine) const {
+  const auto& digest = engines_.replicas()[engine].digest;
+  return digest ? std::optional(digest->version) : std::nullopt;
+}
+
 StreamKey RolloutDaemon::start(std::size_t engine, SimulatedStream stream, EndHandler on_end) {
   const StreamKey key = (owner_ << kOwnerShift) | next_stream_++;
   stream.key = key;
@@ -239,6 +249,20 @@
                                    (1 - kRunLengthNewestWeight) * core::to_seconds(run_length_));
 }
 
+void RolloutDaemon::step_completed(core::Duration length) {
+  constexpr double kStepNewestWeight = 0.5;
+  const double known = core::to_seconds(step_length_);
+  const double newest = core::to_seconds(length);
+  const double smoothed = kStepNewestWeight * newest + (1 - kStepNewestWeight) * known;
+  step_length_ = core::from_seconds(known > 0 ? smoothed : newest);
+  ++steps_in_hand_;
+}
+
+bool RolloutDaemon::should_wait_for_fresh() const {
+  const rollout::FreshnessInput input{steps_in_hand_, step_length_, events_.now()};
+  return variant_.freshness_wait && rollout::should_wait_for_fresh(input, rhythm_);
+}
+
 void RolloutDaemon::set_down(bool down) {
   down_ = down;
   if (down) {
--- a/src/bench/simulation/rollout_daemon.hpp
+++ b/src/bench/simulation/rollout_daemon.hpp
@@ -12,6 +12,7 @@
 #include "bench/simulation/engine_fleet.hpp"
 #include "bench/simulation/run_metrics.hpp"
 #include "bench/simulation/variant.hpp"
+#include "rollout/freshness.hpp"
 #include "rollout/group_placement.hpp"
 #include "rollout/staleness.hpp"
 #include "rollout/stragglers.hpp"
@@ -24,6 +25,7 @@
   std::uint32_t prompt = 0;
   const PrefixBlocks* prefix = nullptr;
   std::uint32_t prompt_tokens = 0;
+  bool only_fresh = false;  ///< engines with the trainer's current version alone
 };
 
 class RolloutDaemon {
@@ -44,6 +46,7 @@
   std::optional<std::size_t> place(const PlacementQuestion& question, const rollout::AgeRule& rule,
                                    rollout::GroupPlacement& placement);
   std::vector<rollout::MigrationTarget> migration_targets() const;
+  std::optional<core::WeightVersion> reported_version(std::size_t engine) const;
 
   /// Sends a stream to an engine; \p on_end is called when its end arrives here.
   StreamKey start(std::size_t engine, SimulatedStream stream, EndHandler on_end);
@@ -53,6 +56,10 @@
   void migrate(StreamKey key, std::size_t from, std::size_t to, std::function<void()> arrived);
   void note_run_length(core::Duration length);
   core::Duration run_length() const { return run_length_; }
+  /// A step of the event is held whole by its trainer; it took that long.
+  void step_completed(core::Duration length);
+  /// \return whether there is time to wait for engines with the newest weights.
+  bool should_wait_for_fresh() const;
 
   /// Ends that arrive while the daemon is down wait for the one that replaces it.
   void set_down(bool down);
@@ -73,7 +80,7 @@
     bool complete = false;
   };
 
-  std::vector<rollout::EngineCandidate> candidates() const;
+  std::vector<rollout::EngineCandidate> candidates(bool only_fresh) const;
   std::optional<std::size_t> place_by_chooser(const PlacementQuestion& question,
                                               const rollout::AgeRule& rule);
   void ended(SimulatedStream stream, bool complete);
@@ -96,6 +103,8 @@
   std::unordered_map<StreamKey, Stream> streams_;
   std::uint64_t next_stream_ = 1;
   core::Duration run_length_{};
+  core::Duration step_length_{};
+  std::uint64_t steps_in_hand_ = 0;
   bool down_ = false;
   std::vector<WaitingEnd> waiting_ends_;
 };
--- a/src/bench/simulation/simulated_step.cpp
+++ b/src/bench/simulation/simulated_step.cpp
@@ -1,6 +1,7 @@
 #include "bench/simulation/simulated_step.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 #include "rollout/over_sampling.hpp"
 #include "rollout/provenance.hpp"
@@ -32,6 +33,11 @@
   return builder.spans();
 }
 
+double mean_of(const std::vector<std::uint64_t>& lengths) {
+  const double sum = std::accumulate(lengths.begin(), lengths.end(), 0.0);
+  return lengths.empty() ? 0 : sum / static_cast<double>(lengths.size());
+}
+
 }  // namespace
 
 SimulatedStep::SimulatedStep(RolloutDaemon& daemon, const TrainerSettings& trainer, StepWork work,
@@ -43,7 +49,9 @@
       earlier_lengths_(std::move(earlier_lengths)),
       on_sample_(std::move(on_sample)),
       ledger_(rollout::StepShape{trainer.prompts, trainer.samples_per_prompt}),
-      placement_(least_loaded_, {}) {}
+      placement_(least_loaded_, {}),
+      finished_by_group_(trainer.prompts),
+      usual_length_(mean_of(earlier_lengths_)) {}
 
 SimulatedStep::~SimulatedStep() {
   *alive_ = false;
@@ -107,7 +115,19 @@
       }
     }
   }
-  return wanted;
+  if (!daemon_.variant().prediction || wanted.empty()) {
+    return wanted;
+  }
+  return rollout::order_of_start(std::move(wanted), group_progress(), usual_length_);
+}
+
+std::vector<rollout::GroupProgress> SimulatedStep::group_progress() const {
+  std::vector<rollout::GroupProgress> groups = finished_by_group_;
+  for (const auto& [key, attempt] : attempts_) {
+    const auto tokens = daemon_.engines().at(attempt.engine).generated(key);
+    groups[attempt.slot.prompt].tokens += tokens.value_or(0);
+  }
+  return groups;
 }
 
 void SimulatedStep::start_idle() {
@@ -120,7 +140,8 @@
 
 bool SimulatedStep::start_attempt(core::SlotId slot) {
   const PromptWork& prompt = work_.prompts[slot.prompt];
-  const PlacementQuestion question{slot.prompt, prompt.prefix.get(), prompt.tokens};
+  const PlacementQuestion question{slot.prompt, prompt.prefix.get(), prompt.tokens,
+                                   daemon_.should_wait_for_fresh()};
   const auto engine = daemon_.place(question, age_rule(), placement_);
   if (!engine) {
     return false;
@@ -130,6 +151,7 @@
   attempt.number = 1;
   attempt.engine = *engine;
   attempt.started_at = attempt.rated_at = daemon_.events().now();
+  first_start_ = first_start_ ? first_start_ : attempt.started_at;
   if (is_spare(slot)) {
     spares_started_.insert(slot);
   } else {
@@ -205,6 +227,9 @@
                                              : ledger_.finish_attempt(sample, age_rule());
   if (outcome == rollout::FinishOutcome::kAccepted) {
     finished_lengths_.push_back(stream.generated);
+    rollout::GroupProgress& group = finished_by_group_[attempt.slot.prompt];
+    group.tokens += stream.generated;
+    ++group.finished;
     finished_[*slot] = std::move(sample);
     on_sample_();
   }
@@ -272,6 +297,7 @@
     sample.tokens_per_second = attempt.tokens_per_second;
     sample.raised = attempt.raised;
     sample.migrations = attempt.migrations;
+    sample.version = daemon_.reported_version(attempt.engine);
     input.running.push_back(std::move(sample));
   }
   return input;
--- a/src/bench/simulation/simulated_step.hpp
+++ b/src/bench/simulation/simulated_step.hpp
@@ -12,6 +12,7 @@
 
 #include "bench/simulation/rollout_daemon.hpp"
 #include "bench/simulation/workload.hpp"
+#include "rollout/start_order.hpp"
 #include "rollout/step_ledger.hpp"
 
 namespace stoneport::bench {
@@ -36,6 +37,7 @@
   rollout::AgeRule age_rule() const { return daemon_.age_rule(trainer_.age_bound); }
   const std::vector<std::uint64_t>& finished_lengths() const { return finished_lengths_; }
   const StepWork& work() const { return work_; }
+  std::optional<core::MonotonicTime> first_start() const { return first_start_; }
 
  private:
   struct Attempt {
@@ -55,6 +57,7 @@
   bool is_needed(core::SlotId slot) const;
   bool group_is_open(std::uint32_t prompt) const;
   std::vector<core::SlotId> wanted_slots() const;
+  std::vector<rollout::GroupProgress> group_progress() const;
   void start_idle();
   bool start_attempt(core::SlotId slot);
   void ended(StreamKey key, SimulatedStream stream, bool complete);
@@ -81,6 +84,9 @@
   std::set<core::SlotId> spares_started_;
   std::map<core::SlotId, rollout::Sample> finished_;  ///< still readable on the engines
   std::vector<std::uint64_t> finished_lengths_;
+  std::vector<rollout::GroupProgress> finished_by_group_;
+  double usual_length_ = 0;
+  std::optional<core::MonotonicTime> first_start_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/bench/simulation/simulated_trainer.cpp
+++ b/src/bench/simulation/simulated_trainer.cpp
@@ -107,6 +107,7 @@
   ++metrics_.steps_completed;
   metrics_.step_seconds.add(core::to_seconds(events_.now() - open.opened_at));
   last_lengths_ = open.step->finished_lengths();
+  daemon_.step_completed(events_.now() - open.step->first_start().value_or(open.opened_at));
   train_if_ready();
 }
 
--- a/src/bench/simulation/variant.cpp
+++ b/src/bench/simulation/variant.cpp
@@ -13,6 +13,7 @@
   variant.prediction = false;
   variant.staleness_admission = false;
   variant.staged_switches = false;
+  variant.freshness_wait = false;
   variant.warm_up = false;
   return variant;
 }
@@ -35,6 +36,7 @@
   catalog.push_back(stoneport_without("migration", &Variant::migration));
   catalog.push_back(stoneport_without("prediction", &Variant::prediction));
   catalog.push_back(stoneport_without("staleness-admission", &Variant::staleness_admission));
+  catalog.push_back(stoneport_without("freshness-wait", &Variant::freshness_wait));
   catalog.push_back(stoneport_without("staged-switches", &Variant::staged_switches));
   catalog.push_back(stoneport_without("warm-up", &Variant::warm_up));
   Variant over_sampling;
--- a/src/bench/simulation/variant.hpp
+++ b/src/bench/simulation/variant.hpp
@@ -16,7 +16,8 @@
   bool migration = true;            ///< of stragglers, by KV export and import
   bool prediction = true;           ///< of lengths: order of start, priorities, migration
   bool staleness_admission = true;  ///< and early cancel of what can no longer meet the bound
-  bool staged_switches = true;      ///< prefetch one engine after another, then switch
+  bool staged_switches = true;      ///< prefetch few engines at a time, each switched when ready
+  bool freshness_wait = true;       ///< with time to spare, only engines with the newest weights
   bool warm_up = true;              ///< weights in place before a known start
   bool over_sampling = false;       ///< biased towards short samples; only where asked for
 };
--- a/src/bench/simulation/weight_distribution.cpp
+++ b/src/bench/simulation/weight_distribution.cpp
@@ -11,11 +11,21 @@
 /// As controllers::WeightsController.
 constexpr core::Duration kPace = std::chrono::milliseconds(250);
 constexpr double kBytesPerGigabyte = 1e9;
+constexpr std::uint32_t kParallelPrefetches = 3;
 
 std::uint64_t to_bytes(double gigabytes) {
   return static_cast<std::uint64_t>(gigabytes * kBytesPerGigabyte);
 }
 
+/// Each engine as soon as it has its weights, and so few at a time that the first
+/// ones have them early (docs/design/simulation.md).
+controllers::RolloutSettings rollout_settings() {
+  controllers::RolloutSettings settings;
+  settings.switch_order = controllers::SwitchOrder::kAsReady;
+  settings.parallel_prefetches = kParallelPrefetches;
+  return settings;
+}
+
 }  // namespace
 
 WeightDistribution::WeightDistribution(EventQueue& events, const Scenario& scenario,
@@ -30,7 +40,7 @@
       metrics_(metrics),
       random_(mix(seed, 41)),
       store_(events, scenario.weights),
-      rollout_(controllers::RolloutSettings{}),
+      rollout_(rollout_settings()),
       target_(in_force),
       weights_(engines.size()) {
   events_.after(core::Duration::zero(), [this] { pace(); });
