--- a/src/bench/simulation/weight_distribution.cpp
+++ b/src/bench/simulation/weight_distribution.cpp
@@ -59,7 +59,7 @@
   target.version = version;
   target.size_bytes = to_bytes(scenario_.weights.size_gigabytes);
   target.bytes_per_second = to_bytes(scenario_.weights.store_gigabytes_per_second);
-  rollout_.set_target(target, events_.now());
+  rollout_.set_target(target);
 }
 
 /// Reads the reports at the watchers' interval and plans at the controller's pace.
