--- a/src/filters/claim_filter.cpp
+++ b/src/filters/claim_filter.cpp
@@ -1,6 +1,9 @@
 #include "filters/claim_filter.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include "core/hash.hpp"
 #include "filters/caller_headers.hpp"
@@ -41,18 +44,65 @@
   http::StringBody whole_body(std::move(*body));
   request.body = &whole_body;
 
-  core::Result<ClaimAnswer> answer = co_await claims_.claim(key);
+  std::optional<ClaimResult> answer = co_await claim_in_time(request, key);
   if (!answer) {
-    co_return not_run(answer.error());
+    if (request.response->client_gone()) {
+      co_return caller_left(OutcomeKind::kNotRun);
+    }
+    co_return not_run(core::make_error(core::ErrorCode::kDeadlineExceeded,
+                                       "the key could not be claimed before the deadline"));
+  }
+  if (!*answer) {
+    co_return not_run(answer->error());
   }
-  if (auto* taken = std::get_if<ClaimTaken>(&*answer)) {
+  if (auto* taken = std::get_if<ClaimTaken>(&**answer)) {
     ClaimTaken earlier = std::move(*taken);
     co_return co_await answer_repeat(request, std::move(earlier));
   }
-  core::WriteId claim = std::get<ClaimGranted>(*answer).claim;
+  core::WriteId claim = std::get<ClaimGranted>(**answer).claim;
   co_return co_await run_claimed(request, rest, std::move(key), std::move(claim));
 }
 
+/// Shared by a request and its claim, which may come after the request ended.
+struct ClaimFilter::PendingClaim {
+  asio::steady_timer settled;
+  std::optional<ClaimResult> answer;
+  bool abandoned = false;
+};
+
+/// \return nothing when the deadline passed or the caller left first; a claim
+/// that is granted afterwards is given back.
+asio::awaitable<std::optional<ClaimFilter::ClaimResult>> ClaimFilter::claim_in_time(
+    const RequestContext& request, ClaimKey key) {
+  const asio::any_io_executor executor = co_await asio::this_coro::executor;
+  asio::steady_timer settled(executor, request.deadline);
+  const auto pending =
+      std::make_shared<PendingClaim>(PendingClaim{std::move(settled), std::nullopt});
+  runtime::start(executor, "claim", claim_beside(std::move(key), pending));
+  request.response->when_client_gone([pending] { pending->settled.cancel(); });
+  if (!pending->answer && !request.response->client_gone()) {
+    co_await pending->settled.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+  request.response->when_client_gone({});
+  pending->abandoned = !pending->answer;
+  co_return pending->answer;
+}
+
+asio::awaitable<void> ClaimFilter::claim_beside(ClaimKey key,
+                                                std::shared_ptr<PendingClaim> pending) {
+  ClaimResult answer = co_await claims_.claim(key);
+  if (!pending->abandoned) {
+    pending->answer = std::move(answer);
+    pending->settled.cancel();
+    co_return;
+  }
+  const auto* granted = answer ? std::get_if<ClaimGranted>(&*answer) : nullptr;
+  if (granted != nullptr) {
+    core::WriteId claim = granted->claim;
+    co_await release(std::move(key), std::move(claim));
+  }
+}
+
 /// Recording and releasing run on their own: the caller's answer does not wait
 /// for the table service.
 asio::awaitable<Outcome> ClaimFilter::run_claimed(RequestContext& request, FilterChain rest,
--- a/src/filters/claim_filter.hpp
+++ b/src/filters/claim_filter.hpp
@@ -21,6 +21,12 @@
   boost::asio::awaitable<Outcome> handle(RequestContext& request, FilterChain rest) override;
 
  private:
+  struct PendingClaim;
+  using ClaimResult = core::Result<ClaimAnswer>;
+
+  boost::asio::awaitable<std::optional<ClaimResult>> claim_in_time(const RequestContext& request,
+                                                                   ClaimKey key);
+  boost::asio::awaitable<void> claim_beside(ClaimKey key, std::shared_ptr<PendingClaim> pending);
   boost::asio::awaitable<Outcome> run_claimed(RequestContext& request, FilterChain rest,
                                               ClaimKey key, core::WriteId claim);
   boost::asio::awaitable<Outcome> answer_repeat(RequestContext& request, ClaimTaken taken);
--- a/tests/contract/caller_claims_test.cpp
+++ b/tests/contract/caller_claims_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(keys_are_told_apart);
   CPPUNIT_TEST(another_request_under_the_key_is_refused);
   CPPUNIT_TEST(without_a_claim_nothing_is_sent);
+  CPPUNIT_TEST(a_claim_that_comes_too_late_is_given_back);
   CPPUNIT_TEST(a_request_that_did_not_run_gives_its_claim_back);
   CPPUNIT_TEST(long_responses_are_not_recorded);
   CPPUNIT_TEST(too_long_a_body_is_refused);
@@ -108,6 +109,24 @@
     CPPUNIT_ASSERT_EQUAL(200u, fixture.call(repeatable).status);
   }
 
+  void a_claim_that_comes_too_late_is_given_back() {
+    CallerFixture fixture;
+    FaultyBackEnd back_end(fixture.context);
+    fixture.use({back_end.address()});
+    fixture.claims.stall = std::make_shared<asio::steady_timer>(
+        fixture.context, asio::steady_timer::time_point::max());
+    http::Request request = keyed("20");
+    request.head.headers.add("Stoneport-Deadline-Ms", "50");
+    const CallerView view = fixture.call(request);
+    CPPUNIT_ASSERT_EQUAL(504u, view.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), view.outcome);
+    std::exchange(fixture.claims.stall, nullptr)->cancel();
+    fixture.run_until([&] { return fixture.claims.released == 1; });
+    CPPUNIT_ASSERT_EQUAL(0, back_end.connections);
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), fixture.call(keyed("20")).outcome);
+    CPPUNIT_ASSERT_EQUAL(1, back_end.runs);
+  }
+
   void a_request_that_did_not_run_gives_its_claim_back() {
     CallerFixture fixture;
     FaultyBackEnd back_end(fixture.context);
--- a/tests/contract/caller_fixture.hpp
+++ b/tests/contract/caller_fixture.hpp
@@ -19,6 +19,9 @@
       co_return core::make_error(core::ErrorCode::kUnavailable, "claims are down");
     }
     const std::string name = name_of(key);
+    if (stall) {
+      co_await stall->async_wait(http_test::kTuple);
+    }
     const auto found = entries.find(name);
     if (found == entries.end()) {
       entries[name].fingerprint = key.fingerprint;
@@ -47,6 +50,7 @@
   int recorded = 0;
   int released = 0;
   bool is_down = false;
+  std::shared_ptr<asio::steady_timer> stall;  ///< claims wait until it is cancelled
 
  private:
   static std::string name_of(const filters::ClaimKey& key) {
--- a/tests/unit/routing/replica_choice_test.cpp
+++ b/tests/unit/routing/replica_choice_test.cpp
@@ -182,6 +182,7 @@
     };
     const std::vector<Case> cases = {
         {"idle: stay", 0, "region", "local"},
+        {"one ahead: stay", 1, "region", "local"},
         {"three ahead: go to the other zone", 3, "region", "remote"},
         {"three ahead: not to another region", 3, "far", "local"},
     };
@@ -201,7 +202,8 @@
   }
 
   void cached_prefix_wins_until_the_load_bound() {
-    const std::string prompt(16 * routing::kPrefixBlockBytes, 'p');
+    // Long enough that its prefill outweighs the load at which the bound takes hold.
+    const std::string prompt(256 * routing::kPrefixBlockBytes, 'p');
     const auto prefixes = routing::prefix_hashes(prompt);
     ChoiceRequest request;
     request.prefixes = prefixes;
