Name streams by the process that began them

Cause: the walk found samples whose text mixed two generations. Two daemons can work under one epoch when the trainer saw neither's answer to open; an engine that crashed and lost one's stream then let it resume the other's, which ran under the same identifier. Ruled out: making epochs unique without the table service, which may be down.

Change: the identifier carries a number that the process drew at its start. The walk checks the text against what the engine made, not only the spans against the text, and its own age arithmetic no longer uses the code under test.

--- a/src/rollout/stream_name.cpp
+++ b/src/rollout/stream_name.cpp
@@ -29,7 +29,7 @@
   return core::StreamId(stream_prefix(name.event, name.step) + std::to_string(name.slot.prompt) +
                         "." + std::to_string(name.slot.sample) + "." +
                         std::to_string(name.attempt) + "." + std::to_string(name.epoch.value()) +
-                        "." + std::to_string(name.content));
+                        "." + std::to_string(name.content) + "." + std::to_string(name.owner));
 }
 
 std::optional<StreamName> parse_stream_id(const core::StreamId& stream) {
@@ -47,7 +47,8 @@
   const auto attempt = take_number(rest, '.');
   const auto epoch = take_number(rest, '.');
   const auto content = take_number(rest, '.');
-  if (!step || !prompt || !sample || !attempt || !epoch || !content || !rest.empty()) {
+  const auto owner = take_number(rest, '.');
+  if (!step || !prompt || !sample || !attempt || !epoch || !content || !owner || !rest.empty()) {
     return std::nullopt;
   }
   name.step = core::StepNumber(*step);
@@ -56,6 +57,7 @@
   name.attempt = static_cast<std::uint32_t>(*attempt);
   name.epoch = core::Epoch(*epoch);
   name.content = static_cast<std::uint32_t>(*content);
+  name.owner = static_cast<std::uint32_t>(*owner);
   if (to_stream_id(name) != stream) {
     return std::nullopt;
   }
--- a/src/rollout/stream_name.hpp
+++ b/src/rollout/stream_name.hpp
@@ -23,10 +23,14 @@
   /// Digest of what the step asks for, so that a stream left over from another
   /// step under the same number is never taken for this one's.
   std::uint32_t content = 0;
+  /// Drawn by the process that began the attempt. Two daemons may work under one
+  /// epoch while the trainer has not seen either's answer; an engine that lost
+  /// one's stream must not let it resume the other's.
+  std::uint32_t owner = 0;
   auto operator<=>(const StreamName&) const = default;
 };
 
-/// \return "event/step/prompt.sample.attempt.epoch.content". The event must not hold a
+/// \return "event/step/prompt.sample.attempt.epoch.content.owner". The event must not hold a
 /// '/'; is_valid_event_name() says so.
 core::StreamId to_stream_id(const StreamName& name);
 /// \return nothing for identifiers that to_stream_id() does not produce.
--- a/src/steps/step_context.hpp
+++ b/src/steps/step_context.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 
+#include "core/hash.hpp"
 #include "core/random.hpp"
 #include "steps/dependencies.hpp"
 #include "steps/engine_directory.hpp"
@@ -24,17 +25,25 @@
       : dependencies(std::move(given)),
         metrics(dependencies.metrics),
         random(dependencies.seed),
+        owner(draw_owner(dependencies)),
         engines(dependencies, random),
         policies(dependencies) {}
   StepContext(const StepContext&) = delete;
   StepContext& operator=(const StepContext&) = delete;
 
+  /// \return a number that no other process, nor this one before a restart, has.
+  static std::uint32_t draw_owner(const StepDependencies& given) {
+    const auto started =
+        static_cast<std::uint64_t>(given.time.wall_now().time_since_epoch().count());
+    return static_cast<std::uint32_t>(core::hash64(given.node.value(), started ^ given.seed));
+  }
   core::MonotonicTime now() const { return dependencies.time.now(); }
   const StepSettings& settings() const { return dependencies.settings; }
 
   StepDependencies dependencies;
   StepMetrics metrics;
   core::RandomSource random;
+  std::uint32_t owner;  ///< of this process's streams
   EngineDirectory engines;
   PolicyTracker policies;
   std::map<core::EventName, EventHistory> events;
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -194,8 +194,13 @@
 
 Attempt::Order StepWork::order_for(SlotId slot, std::uint32_t number, routing::Replica engine) {
   Attempt::Order order;
-  order.name = rollout::StreamName{plan_.event, plan_.step,  slot,
-                                   number,      plan_.epoch, plan_.content.digest()};
+  order.name.event = plan_.event;
+  order.name.step = plan_.step;
+  order.name.slot = slot;
+  order.name.attempt = number;
+  order.name.epoch = plan_.epoch;
+  order.name.content = plan_.content.digest();
+  order.name.owner = context_.owner;
   order.engine = std::move(engine);
   order.deadline = context_.now() + rules_.parameters.step_deadline;
   platform::GenerationRequest& request = order.request;
--- a/tests/unit/rollout/provenance_test.cpp
+++ b/tests/unit/rollout/provenance_test.cpp
@@ -60,16 +60,16 @@
 
   void stream_names_round_trip() {
     const StreamName name{
-        core::EventName("abay.props"), core::StepNumber(12), {3, 4}, 2, core::Epoch(7), 99};
+        core::EventName("abay.props"), core::StepNumber(12), {3, 4}, 2, core::Epoch(7), 99, 5};
     const core::StreamId stream = to_stream_id(name);
-    CPPUNIT_ASSERT_EQUAL(std::string("abay.props/12/3.4.2.7.99"), stream.value());
+    CPPUNIT_ASSERT_EQUAL(std::string("abay.props/12/3.4.2.7.99.5"), stream.value());
     CPPUNIT_ASSERT(parse_stream_id(stream) == name);
   }
 
   void foreign_stream_names_are_refused() {
     for (const std::string text :
-         {"", "a", "a/1", "/1/0.0.1.1.5", "a/x/0.0.1.1.5", "a/1/0.0.1.1", "a/1/0.0.1.1.5.1",
-          "a/1/0.0.1.1.5/", "a/1/00.0.1.1.5", "a/1/-1.0.1.1.5", "a/1/4294967296.0.1.1.5"}) {
+         {"", "a", "a/1", "/1/0.0.1.1.5.6", "a/x/0.0.1.1.5.6", "a/1/0.0.1.1.5", "a/1/0.0.1.1.5.6.1",
+          "a/1/0.0.1.1.5.6/", "a/1/00.0.1.1.5.6", "a/1/-1.0.1.1.5.6", "a/1/4294967296.0.1.1.5.6"}) {
       CPPUNIT_ASSERT_MESSAGE(text, !parse_stream_id(core::StreamId(text)));
     }
     CPPUNIT_ASSERT(!is_valid_event_name(core::EventName("a/b")));
--- a/tests/unit/rollout/step_walk.cpp
+++ b/tests/unit/rollout/step_walk.cpp
@@ -14,6 +14,12 @@
   return static_cast<char>('a' + version.value());
 }
 
+/// One token, stamped with the version that made it.
+GeneratedChunk chunk_at(const std::string& text, std::size_t offset) {
+  const core::WeightVersion version(static_cast<std::uint64_t>(text[offset] - 'a'));
+  return GeneratedChunk{offset, 1, std::string_view(text).substr(offset, 1), version};
+}
+
 }  // namespace
 
 StepWalk::StepWalk(std::uint64_t seed)
@@ -23,6 +29,7 @@
       held_(shape_.slot_count()) {
   for (auto& daemon : daemons_) {
     daemon = std::make_unique<Daemon>();
+    daemon->owner = ++processes_;
   }
 }
 
@@ -216,15 +223,19 @@
     violation("a sample was handed over twice");
   }
   held_.set(index);
-  if (!AgeRule{version_, bound}.allows(oldest_version(sample.spans))) {
-    violation("a sample is over the bound");
-  }
-  std::string truth;
+  std::string named;
   for (const VersionSpan& span : sample.spans) {
-    truth.append(span.token_count, letter_of(span.version));
+    named.append(span.token_count, letter_of(span.version));
+    if (span.version.value() + bound < version_.value()) {
+      violation("a sample is over the bound");
+    }
   }
-  if (truth != sample.text) {
-    violation("spans do not name the versions that made the text");
+  const std::string& made = made_.at(sample.engine.value());
+  if (named != made) {
+    violation("spans do not name the versions that made the tokens");
+  }
+  if (sample.text != made) {
+    violation("the text is not the whole text of its stream");
   }
 }
 
@@ -262,7 +273,7 @@
   }
   engine.fence = step.epoch;
   const std::uint32_t number = step.ledger.begin_attempt(slot);
-  const StreamName name{event_, step_, slot, number, step.epoch, 0};
+  const StreamName name{event_, step_, slot, number, step.epoch, 0, daemon.owner};
   const core::StreamId id = to_stream_id(name);
   if (!engine.streams.contains(id)) {
     engine.streams[id].length = random_.uniform(1, kLongestStream);
@@ -297,16 +308,18 @@
   const Stream& stream = found->second;
   std::size_t offset = attempt.content.token_count();
   if (offset < stream.text.size()) {
-    GeneratedChunk chunk{
-        offset, 1, std::string_view(stream.text).substr(offset, 1),
-        core::WeightVersion(static_cast<std::uint64_t>(stream.text[offset] - 'a'))};
+    GeneratedChunk chunk = chunk_at(stream.text, offset);
     if (!settling_ && random_.chance(0.02)) {
       chunk.version.reset();
       count("chunk without version");
     }
-    if (!settling_ && random_.chance(0.02)) {
-      chunk.offset += random_.chance(0.5) || offset == 0 ? 1 : -1;
-      count("chunk at a wrong offset");
+    if (!settling_ && offset > 0 && random_.chance(0.02)) {
+      chunk = chunk_at(stream.text, offset - 1);
+      count("chunk repeated");
+    }
+    if (!settling_ && offset + 1 < stream.text.size() && random_.chance(0.05)) {
+      chunk = chunk_at(stream.text, offset + 1);
+      count("chunk left out");
     }
     if (attempt.content.add(chunk)) {
       step.ledger.abandon_attempt(attempt.name.slot);
@@ -321,13 +334,12 @@
     step.ledger.abandon_attempt(attempt.name.slot);
     return end();
   }
-  Sample sample{attempt.name.slot,
-                attempt.content.text(),
-                attempt.content.token_count(),
-                attempt.content.spans(),
-                0,
-                {},
-                0};
+  Sample sample;
+  sample.slot = attempt.name.slot;
+  sample.text = attempt.content.text();
+  sample.token_count = attempt.content.token_count();
+  sample.spans = attempt.content.spans();
+  sample.engine = core::ReplicaId(found->first.value());
   const bool was_missing = step.ledger.is_missing(sample.slot);
   const FinishOutcome outcome = step.ledger.finish_attempt(std::move(sample), rule);
   if (outcome == FinishOutcome::kDuplicate) {
@@ -369,6 +381,7 @@
 void StepWalk::daemon_dies(Daemon& daemon) {
   const std::size_t index = &daemon == daemons_[0].get() ? 0 : 1;
   daemons_[index] = std::make_unique<Daemon>();
+  daemons_[index]->owner = ++processes_;
   daemons_[index]->bound = bound_;
   count("daemon killed");
   if (random_.chance(0.5)) {
@@ -383,6 +396,7 @@
     for (auto& [id, stream] : engine.streams) {
       if (!stream.stopped && stream.text.size() < stream.length && random_.chance(0.7)) {
         stream.text.push_back(letter_of(engine.version));
+        made_[id.value()] = stream.text;
       }
     }
   }
--- a/tests/unit/rollout/step_walk.hpp
+++ b/tests/unit/rollout/step_walk.hpp
@@ -60,6 +60,7 @@
     core::WeightVersion version;
   };
   struct Daemon {
+    std::uint32_t owner = 0;
     EventOwnership ownership;
     std::optional<Step> step;
     std::vector<Poll> inbox;
@@ -108,6 +109,10 @@
   std::array<std::unique_ptr<Daemon>, kDaemons> daemons_;
   std::array<Engine, kEngines> engines_;
   std::uint64_t granted_ = 0;
+  std::uint32_t processes_ = 0;
+  /// What engines truly made, by stream; outlives the engines' crashes. The walk
+  /// names the stream in a sample's engine field to find it.
+  std::map<std::string, std::string> made_;
 
   std::size_t target_ = 0;
   SlotBitmap held_;
