Choose a group's engine by the router's costs

The steps had a load count of their own beside the router's. They now keep the router's ReplicaLoad and ask its chooser where a group goes, so zone, lagging digests and cached prefixes count; the adaptive limit holds samples back at the daemon instead of in an engine's queue, where weights go stale unseen. The least-loaded choice stays for when the router leaves none.

--- a/src/steps/attempt.cpp
+++ b/src/steps/attempt.cpp
@@ -37,6 +37,17 @@
          code == ErrorCode::kDeadlineExceeded || code == ErrorCode::kTruncated;
 }
 
+routing::LoadSignal load_signal(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kFinished:
+      return routing::LoadSignal::kHealthy;
+    case AttemptEnd::kRefused:
+      return routing::LoadSignal::kOverloaded;
+    default:
+      return routing::LoadSignal::kNeutral;
+  }
+}
+
 }  // namespace
 
 Attempt::Attempt(StepContext& context, Order order)
@@ -60,10 +71,10 @@
   }
   reading_ = false;
   stream_.reset();
-  context_.engines.stream_ended(order_.engine.id);
   if (stop_ != Stop::kNone) {
     end = AttemptEnd::kCancelled;
   }
+  context_.engines.stream_ended(order_.engine.id, load_signal(*end));
   const bool leaves_stream = *end == AttemptEnd::kFailed || *end == AttemptEnd::kUnfit;
   if (stop_ == Stop::kCancel || leaves_stream) {
     cancel_at(order_.engine);
@@ -218,7 +229,7 @@
 }
 
 void Attempt::move_usage(const core::ReplicaId& from, const core::ReplicaId& to) {
-  context_.engines.stream_ended(from);
+  context_.engines.stream_ended(from, routing::LoadSignal::kNeutral);
   context_.engines.stream_started(to);
 }
 
--- a/src/steps/dependencies.hpp
+++ b/src/steps/dependencies.hpp
@@ -69,6 +69,8 @@
   core::NodeId node;
   std::uint64_t seed = 0;
   StepSettings settings;
+  core::ZoneName zone;      ///< where this process runs; engines nearby come first
+  core::RegionName region;  ///< where this process runs
 };
 
 }  // namespace stoneport::steps
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -33,15 +33,18 @@
   return found == usage_.end() ? kUnused : found->second;
 }
 
-bool EngineDirectory::is_full(const routing::Replica& replica) const {
+bool EngineDirectory::is_full(const routing::Replica& replica) {
+  const routing::ReplicaLoad& own = loads_.of(replica.id);
+  if (!own.has_room()) {
+    return true;
+  }
   if (!replica.digest || replica.digest->max_running == 0) {
     return false;
   }
-  return usage(replica.id).in_flight >= kMostStreamsPerPlace * replica.digest->max_running;
+  return own.in_flight() >= kMostStreamsPerPlace * replica.digest->max_running;
 }
 
-std::vector<rollout::EngineCandidate> EngineDirectory::candidates(
-    const core::ModelName& model) const {
+std::vector<rollout::EngineCandidate> EngineDirectory::candidates(const core::ModelName& model) {
   std::vector<rollout::EngineCandidate> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
@@ -56,7 +59,7 @@
     const Usage& own = usage(replica.id);
     rollout::EngineCandidate candidate;
     candidate.id = replica.id;
-    candidate.in_flight = own.in_flight;
+    candidate.in_flight = loads_.of(replica.id).in_flight();
     candidate.suspect = replica.state == routing::ReplicaState::kSuspect;
     candidate.closed = now < own.closed_until || is_full(replica);
     if (replica.digest) {
@@ -70,7 +73,7 @@
 }
 
 std::vector<rollout::MigrationTarget> EngineDirectory::migration_targets(
-    const core::ModelName& model, const rollout::AgeRule& rule) const {
+    const core::ModelName& model, const rollout::AgeRule& rule) {
   std::vector<rollout::MigrationTarget> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
@@ -89,7 +92,8 @@
     if (!rule.allows(digest.version)) {
       continue;
     }
-    const std::uint32_t load = std::max(own.in_flight, digest.running + digest.waiting);
+    const std::uint32_t load =
+        std::max(loads_.of(replica.id).in_flight(), digest.running + digest.waiting);
     if (load >= digest.max_running || digest.tokens_per_second <= 0) {
       continue;
     }
@@ -129,14 +133,11 @@
 }
 
 void EngineDirectory::stream_started(const core::ReplicaId& replica) {
-  ++usage_[replica].in_flight;
+  loads_.of(replica).started(dependencies_.time.now());
 }
 
-void EngineDirectory::stream_ended(const core::ReplicaId& replica) {
-  Usage& own = usage_[replica];
-  if (own.in_flight > 0) {
-    --own.in_flight;
-  }
+void EngineDirectory::stream_ended(const core::ReplicaId& replica, routing::LoadSignal signal) {
+  loads_.of(replica).finished(signal, dependencies_.time.now());
 }
 
 void EngineDirectory::refused(const core::ReplicaId& replica,
--- a/src/steps/engine_directory.hpp
+++ b/src/steps/engine_directory.hpp
@@ -11,6 +11,7 @@
 #include "core/random.hpp"
 #include "rollout/group_placement.hpp"
 #include "rollout/stragglers.hpp"
+#include "routing/replica_load.hpp"
 #include "steps/dependencies.hpp"
 
 namespace stoneport::steps {
@@ -20,11 +21,11 @@
   EngineDirectory(const StepDependencies& dependencies, core::RandomSource& random);
 
   /// \return every engine of \p model that may get new streams.
-  std::vector<rollout::EngineCandidate> candidates(const core::ModelName& model) const;
+  std::vector<rollout::EngineCandidate> candidates(const core::ModelName& model);
   /// \return engines of \p model with room for a moved stream and weights that
   /// \p rule allows, given their reports.
   std::vector<rollout::MigrationTarget> migration_targets(const core::ModelName& model,
-                                                          const rollout::AgeRule& rule) const;
+                                                          const rollout::AgeRule& rule);
   /// \return every engine of \p model that is not down, leaving ones included.
   std::vector<routing::Replica> all(const core::ModelName& model) const;
   std::optional<routing::Replica> find(const core::ModelName& model,
@@ -32,14 +33,15 @@
   std::shared_ptr<platform::ModelEngine> client(const core::Address& address) const;
 
   void stream_started(const core::ReplicaId& replica);
-  void stream_ended(const core::ReplicaId& replica);
+  void stream_ended(const core::ReplicaId& replica, routing::LoadSignal signal);
   /// \p replica refused or failed a stream: nothing new goes there for a while.
   void refused(const core::ReplicaId& replica, std::optional<core::Duration> retry_after);
   void worked(const core::ReplicaId& replica);
+  /// This daemon's own streams and recent prompts, by engine.
+  routing::ReplicaLoads& loads() { return loads_; }
 
  private:
   struct Usage {
-    std::uint32_t in_flight = 0;
     std::uint32_t failures = 0;
     core::MonotonicTime closed_until{};
   };
@@ -47,11 +49,12 @@
   const std::vector<routing::Replica>* replicas(const routing::RoutingTable& table,
                                                 const core::ModelName& model) const;
   const Usage& usage(const core::ReplicaId& replica) const;
-  bool is_full(const routing::Replica& replica) const;
+  bool is_full(const routing::Replica& replica);
 
   const StepDependencies& dependencies_;
   core::RandomSource& random_;
   std::map<core::ReplicaId, Usage> usage_;
+  routing::ReplicaLoads loads_;
 };
 
 }  // namespace stoneport::steps
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -27,6 +27,7 @@
       rules_(std::move(rules)),
       listener_(std::move(listener)),
       ledger_(plan_.content.shape()),
+      chooser_(context, rules_.event_template.model, plan_.content.prompts),
       placement_(chooser_, {}) {}
 
 const EventRules& StepWork::rules() {
--- a/src/steps/step_work.hpp
+++ b/src/steps/step_work.hpp
@@ -12,6 +12,7 @@
 
 #include "rollout/step_ledger.hpp"
 #include "steps/attempt.hpp"
+#include "steps/engine_chooser.hpp"
 #include "steps/step_context.hpp"
 #include "steps/step_plan.hpp"
 #include "steps/stream_search.hpp"
@@ -84,7 +85,7 @@
   EventRules rules_;
   Listener listener_;
   rollout::StepLedger ledger_;
-  rollout::LeastLoadedChooser chooser_;
+  CostEngineChooser chooser_;
   rollout::GroupPlacement placement_;
   std::map<AttemptKey, std::shared_ptr<Attempt>> attempts_;
   std::set<core::SlotId> spares_started_;
