--- a/src/steps/step_runner.cpp
+++ b/src/steps/step_runner.cpp
@@ -45,15 +45,16 @@
   spdlog::info("step {}/{}: opened, epoch {}, {} prompts of {} samples{}", plan_.event.value(),
                plan_.step.value(), plan_.epoch.value(), plan_.content.prompts.size(),
                plan_.content.samples_per_prompt, plan_.taken_over ? ", taken over" : "");
-  runtime::start(context_.dependencies.executor, "step sweeps", sweep_until_stopped());
-  runtime::start(context_.dependencies.executor, "step grace", start_after_grace());
+  runtime::start(context_.dependencies.executor, "step sweeps",
+                 sweep_until_stopped(shared_from_this()));
+  runtime::start(context_.dependencies.executor, "step grace",
+                 start_after_grace(shared_from_this()));
 }
 
-asio::awaitable<void> StepRunner::start_after_grace() {
-  const auto self = shared_from_this();
-  co_await runtime::sleep_for(context_.settings().start_grace);
-  begin_once();
-  work_->resume_starts();
+asio::awaitable<void> StepRunner::start_after_grace(std::shared_ptr<StepRunner> self) {
+  co_await runtime::sleep_for(self->context_.settings().start_grace);
+  self->begin_once();
+  self->work_->resume_starts();
 }
 
 void StepRunner::begin_once() {
@@ -61,26 +62,28 @@
     return;
   }
   begun_ = true;
-  runtime::start(context_.dependencies.executor, "step work", work_->begin());
+  runtime::start(context_.dependencies.executor, "step work", StepWork::begin(work_));
 }
 
-asio::awaitable<void> StepRunner::sweep_until_stopped() {
-  const auto self = shared_from_this();
-  while (!stopped_) {
-    co_await runtime::sleep_for(context_.settings().sweep_interval);
-    if (stopped_) {
-      co_return;
-    }
-    work_->sweep();
-    const core::Duration silence = context_.now() - last_heard_;
-    const core::Duration limit =
-        work_->rules().parameters.step_deadline * context_.settings().abandon_after_deadlines;
-    if (silence > limit) {
-      stop(StepStop::kAbandoned);
+asio::awaitable<void> StepRunner::sweep_until_stopped(std::shared_ptr<StepRunner> self) {
+  while (!self->stopped_) {
+    co_await runtime::sleep_for(self->context_.settings().sweep_interval);
+    if (!self->stopped_) {
+      self->sweep();
     }
   }
 }
 
+void StepRunner::sweep() {
+  work_->sweep();
+  const core::Duration silence = context_.now() - last_heard_;
+  const core::Duration limit =
+      work_->rules().parameters.step_deadline * context_.settings().abandon_after_deadlines;
+  if (silence > limit) {
+    stop(StepStop::kAbandoned);
+  }
+}
+
 asio::awaitable<core::Result<PollAnswer>> StepRunner::poll(PollRequest request) {
   const auto self = shared_from_this();
   context_.metrics.polls.Increment();
@@ -156,7 +159,8 @@
   completed_at_.reset();
   work_->ledger().forget_acknowledgements();
   work_->pause_starts();
-  runtime::start(context_.dependencies.executor, "step grace", start_after_grace());
+  runtime::start(context_.dependencies.executor, "step grace",
+                 start_after_grace(shared_from_this()));
 }
 
 void StepRunner::stop(StepStop reason) {
--- a/src/steps/step_runner.hpp
+++ b/src/steps/step_runner.hpp
@@ -58,8 +58,10 @@
   std::size_t running_attempts() const { return work_->running_attempts(); }
 
  private:
-  boost::asio::awaitable<void> sweep_until_stopped();
-  boost::asio::awaitable<void> start_after_grace();
+  // Tasks are handed the pointer that keeps this object: they may start later.
+  static boost::asio::awaitable<void> sweep_until_stopped(std::shared_ptr<StepRunner> self);
+  static boost::asio::awaitable<void> start_after_grace(std::shared_ptr<StepRunner> self);
+  void sweep();
   void begin_once();
   void heard_of_trainer();
   void note_completion();
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -42,17 +42,18 @@
   return {context_.policies.current(parameters.policy), parameters.age_bound};
 }
 
-asio::awaitable<void> StepWork::begin() {
-  const auto self = shared_from_this();
-  if (plan_.taken_over) {
-    const std::vector<FoundStream> found = co_await find_streams(
-        context_, rules_.event_template.model, plan_.event, plan_.step, plan_.content.digest());
-    if (!stopped_) {
-      adopt(found);
+asio::awaitable<void> StepWork::begin(std::shared_ptr<StepWork> self) {
+  const StepPlan& plan = self->plan_;
+  if (plan.taken_over) {
+    const std::vector<FoundStream> found =
+        co_await find_streams(self->context_, self->rules_.event_template.model, plan.event,
+                              plan.step, plan.content.digest());
+    if (!self->stopped_) {
+      self->adopt(found);
     }
   }
-  begun_ = true;
-  sweep();
+  self->begun_ = true;
+  self->sweep();
 }
 
 void StepWork::adopt(const std::vector<FoundStream>& found) {
@@ -219,21 +220,26 @@
 void StepWork::start_run(std::shared_ptr<Attempt> attempt) {
   ++context_.events[plan_.event].in_flight;
   attempts_[{attempt->slot(), attempt->name().attempt}] = attempt;
-  runtime::start(context_.dependencies.executor, "attempt", run_attempt(std::move(attempt)));
+  runtime::start(context_.dependencies.executor, "attempt",
+                 run_attempt(shared_from_this(), std::move(attempt)));
 }
 
-asio::awaitable<void> StepWork::run_attempt(std::shared_ptr<Attempt> attempt) {
-  const auto self = shared_from_this();
+asio::awaitable<void> StepWork::run_attempt(std::shared_ptr<StepWork> self,
+                                            std::shared_ptr<Attempt> attempt) {
   // The caller may be in the middle of a loop over the attempts.
   co_await asio::post(asio::use_awaitable);
   const AttemptEnd end = co_await attempt->run();
-  --context_.events[plan_.event].in_flight;
-  if (end == AttemptEnd::kFinished && !stopped_) {
-    co_await finish(attempt);
+  --self->context_.events[self->plan_.event].in_flight;
+  if (end == AttemptEnd::kFinished && !self->stopped_) {
+    co_await self->finish(attempt);
   } else {
-    attempt_failed(*attempt, end);
+    self->attempt_failed(*attempt, end);
   }
-  attempts_.erase({attempt->slot(), attempt->name().attempt});
+  self->attempt_ended(*attempt, end);
+}
+
+void StepWork::attempt_ended(const Attempt& attempt, AttemptEnd end) {
+  attempts_.erase({attempt.slot(), attempt.name().attempt});
   if (end == AttemptEnd::kFenced && !stopped_) {
     spdlog::warn("step {}/{}: fenced by an engine, epoch {}", plan_.event.value(),
                  plan_.step.value(), plan_.epoch.value());
--- a/src/steps/step_work.hpp
+++ b/src/steps/step_work.hpp
@@ -29,7 +29,7 @@
   StepWork(StepContext& context, StepPlan plan, EventRules rules, Listener listener);
 
   /// Looks for an earlier owner's streams where the plan says so, then starts.
-  boost::asio::awaitable<void> begin();
+  static boost::asio::awaitable<void> begin(std::shared_ptr<StepWork> self);
   /// Drops what became too old, ends work that is not needed any more, looks
   /// after stragglers and starts what is idle. Called at intervals and after
   /// each change.
@@ -68,7 +68,9 @@
   void start_run(std::shared_ptr<Attempt> attempt);
   Attempt::Order order_for(core::SlotId slot, std::uint32_t number, routing::Replica engine);
 
-  boost::asio::awaitable<void> run_attempt(std::shared_ptr<Attempt> attempt);
+  static boost::asio::awaitable<void> run_attempt(std::shared_ptr<StepWork> self,
+                                                  std::shared_ptr<Attempt> attempt);
+  void attempt_ended(const Attempt& attempt, AttemptEnd end);
   boost::asio::awaitable<void> finish(std::shared_ptr<Attempt> attempt);
   boost::asio::awaitable<std::optional<double>> score(std::string prompt, std::string completion);
   bool enter(const Attempt& attempt, double score);
