Read large bodies in large pieces, and small streams in small ones

Beast reads no more at a time than its buffer has capacity for, which began at 512 bytes: under the thread sanitizer 64 MB both ways took over 30 s. Each read now reserves the size of its piece. A body of unknown length starts with 4 KB and doubles after each full piece, instead of 64 KB for each small event.

Two echoes of 64 MB in one process (one run each on a busy machine): 1.62 s before, under 0.2 s after. Ruled out: the resumable sender, whose steps fell with the number of pieces.

--- a/src/http/beast_conversion.hpp
+++ b/src/http/beast_conversion.hpp
@@ -2,6 +2,7 @@
 /// Between the plain messages of message.hpp and Beast's. Private to src/http.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -59,12 +60,29 @@
   return text;
 }
 
-/// \return the size of the next piece to read of a body with \p remaining bytes.
-inline std::size_t next_piece_bytes(const boost::optional<std::uint64_t>& remaining) {
-  if (!remaining || *remaining >= kPieceBytes) {
-    return kPieceBytes;
+/// Chooses how much to read at a time: all that is known to come, or little at
+/// first and twice as much after each full piece, so that a stream of small
+/// events does not take a large buffer each.
+class PieceSizer {
+ public:
+  std::size_t next(const boost::optional<std::uint64_t>& remaining) const {
+    const std::uint64_t wanted = remaining ? *remaining : unknown_length_bytes_;
+    return static_cast<std::size_t>(std::clamp<std::uint64_t>(wanted, 1, kPieceBytes));
+  }
+  void was_full() { unknown_length_bytes_ = std::min(2 * unknown_length_bytes_, kPieceBytes); }
+
+ private:
+  static constexpr std::size_t kFirstPieceBytes = 4 * 1024;
+  std::size_t unknown_length_bytes_ = kFirstPieceBytes;
+};
+
+/// Frees the storage of a buffer that a large body has left behind.
+inline void shrink_when_empty(boost::beast::flat_buffer& buffer) {
+  constexpr std::size_t kKeptBytes = 8 * 1024;
+  if (buffer.size() == 0 && buffer.capacity() > kKeptBytes) {
+    buffer.clear();
+    buffer.shrink_to_fit();
   }
-  return std::max<std::size_t>(static_cast<std::size_t>(*remaining), 1);
 }
 
 }  // namespace stoneport::http
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -115,6 +115,7 @@
 
 void ConnectionPool::keep(std::unique_ptr<ClientConnection> connection) {
   connection->timer().disarm();
+  shrink_when_empty(connection->buffer());
   const core::MonotonicTime now = monotonic_now();
   drop_old(now);
   std::deque<Idle>& connections = idle_[connection->address()];
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -122,7 +122,9 @@
 }
 
 asio::awaitable<core::Result<std::optional<std::string>>> ClientExchange::read_piece() {
-  std::string piece(next_piece_bytes(parser_->content_length_remaining()), '\0');
+  std::string piece(sizer_.next(parser_->content_length_remaining()), '\0');
+  // Beast reads no more at a time than its buffer has room for.
+  connection_->buffer().reserve(piece.size());
   while (true) {
     auto& window = parser_->get().body();
     window.data = piece.data();
@@ -142,6 +144,9 @@
     const std::size_t filled = piece.size() - window.size;
     if (filled > 0) {
       connection_->counters().response_body_bytes.Increment(static_cast<double>(filled));
+      if (filled == piece.size()) {
+        sizer_.was_full();
+      }
       piece.resize(filled);
       co_return std::optional<std::string>(std::move(piece));
     }
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -62,6 +62,7 @@
   boost::asio::cancellation_signal stop_sender_;
   boost::asio::steady_timer sender_stopped_;
   std::optional<ResponseParser> parser_;
+  PieceSizer sizer_;
   ResponseHead head_;
   std::optional<core::Error> failure_;
   bool cancelled_ = false;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -124,6 +124,7 @@
 }
 
 asio::awaitable<bool> ServerConnection::wait_for_request() {
+  shrink_when_empty(io_->buffer);
   while (io_->buffer.size() == 0) {
     const ServerLimits& limits = state_->limits;
     waiting_ = true;
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -55,7 +55,9 @@
       co_return sent.error();
     }
   }
-  std::string piece(next_piece_bytes(parser_.content_length_remaining()), '\0');
+  std::string piece(sizer_.next(parser_.content_length_remaining()), '\0');
+  // Beast reads no more at a time than its buffer has room for.
+  io_.buffer.reserve(piece.size());
   while (true) {
     auto& window = parser_.get().body();
     window.data = piece.data();
@@ -78,6 +80,9 @@
     }
     if (filled > 0) {
       state_.counters.request_body_bytes.Increment(static_cast<double>(filled));
+      if (filled == piece.size()) {
+        sizer_.was_full();
+      }
       piece.resize(filled);
       co_return std::optional<std::string>(std::move(piece));
     }
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -27,6 +27,7 @@
   ServerSocket& io_;
   ClientWatch& watch_;
   RequestParser& parser_;
+  PieceSizer sizer_;
   bool must_send_continue_;
   std::optional<core::Error> failure_;
 };
