Let a planned release of leases wait for the round in progress

Cause: release_all() beside a running round made both write the same row, so that the release could meet a conflict and the lease ran out instead. Change: rounds of one keeper run one after the other; a test for it and one for claims from another thread.

--- a/src/controllers/lease_keeper.cpp
+++ b/src/controllers/lease_keeper.cpp
@@ -11,6 +11,7 @@
 constexpr const char* kTable = "leases";
 /// Rounds within one duration: three renewals may fail before a lease lapses.
 constexpr int kRoundsPerDuration = 4;
+constexpr core::Duration kRoundPoll = std::chrono::milliseconds(10);
 
 core::Result<std::optional<ObservedLease>> observed_lease(
     const core::Result<std::optional<platform::Row>>& answer) {
@@ -159,6 +160,10 @@
 }
 
 boost::asio::awaitable<void> LeaseKeeper::run_round() {
+  while (round_in_progress_) {
+    co_await runtime::sleep_for(kRoundPoll);
+  }
+  round_in_progress_ = true;
   std::vector<std::string> names;
   for (const auto& [name, lease] : leases_) {
     names.push_back(name);
@@ -167,6 +172,7 @@
     const bool wanted = wanted_.contains(name);
     co_await advance(name, wanted);
   }
+  round_in_progress_ = false;
 }
 
 boost::asio::awaitable<void> LeaseKeeper::run() {
--- a/src/controllers/lease_keeper.hpp
+++ b/src/controllers/lease_keeper.hpp
@@ -44,7 +44,7 @@
   boost::asio::awaitable<void> run();
   /// Ends run() after the round in progress.
   void stop() { stopping_ = true; }
-  /// One pass over all leases.
+  /// One pass over all leases; waits for one in progress to end.
   boost::asio::awaitable<void> run_round();
   /// Gives up every lease, for a planned stop. Best effort: what is not released
   /// runs out.
@@ -66,6 +66,7 @@
   std::unique_ptr<Counters> counters_;
   std::map<std::string, LeaseState> leases_;
   std::set<std::string> wanted_;
+  bool round_in_progress_ = false;
   bool stopping_ = false;
 };
 
--- a/tests/unit/controllers/claim_registry_test.cpp
+++ b/tests/unit/controllers/claim_registry_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "controllers/table_claim_registry.hpp"
+#include "runtime/event_loop_thread.hpp"
 #include "support/fake_object_store.hpp"
 #include "support/fake_table_service.hpp"
 #include "support/run_task.hpp"
@@ -71,6 +72,7 @@
   CPPUNIT_TEST(abandoned_claim_is_released_later);
   CPPUNIT_TEST(repeat_in_an_outage_is_not_called_not_run);
   CPPUNIT_TEST(keys_are_bounded);
+  CPPUNIT_TEST(callers_on_another_thread);
   CPPUNIT_TEST_SUITE_END();
 
   void store_faults() {
@@ -184,6 +186,35 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, world.table.commits);
   }
+
+  /// One of many repeats at once is granted; the store calls stay on the control
+  /// thread.
+  void callers_on_another_thread() {
+    support::FakeTableService table;
+    support::FakeObjectStore objects;
+    core::SystemTimeSource clock;
+    core::Metrics metrics;
+    runtime::EventLoopThread control("control");
+    TableClaimRegistry registry(control.executor(), table, objects, clock, core::NodeId("a"),
+                                core::Incarnation(1), metrics);
+    control.run();
+    constexpr int kRepeats = 20;
+    int granted = 0;
+    int ended = 0;
+    boost::asio::io_context traffic;
+    for (int repeat = 0; repeat < kRepeats; ++repeat) {
+      boost::asio::co_spawn(traffic, registry.claim(World::key(7)),
+                            [&](std::exception_ptr, core::Result<filters::ClaimAnswer> answer) {
+                              ++ended;
+                              granted +=
+                                  answer && std::holds_alternative<ClaimGranted>(*answer) ? 1 : 0;
+                            });
+    }
+    traffic.run();
+    control.stop();
+    CPPUNIT_ASSERT_EQUAL(kRepeats, ended);
+    CPPUNIT_ASSERT_EQUAL(1, granted);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(ClaimRegistryTest);
 
--- a/tests/unit/controllers/lease_test.cpp
+++ b/tests/unit/controllers/lease_test.cpp
@@ -9,6 +9,7 @@
 #include "controllers/lease_keeper.hpp"
 #include "support/fake_table_service.hpp"
 #include "support/run_task.hpp"
+#include "support/scheduled_table_service.hpp"
 
 namespace stoneport::controllers {
 namespace {
@@ -50,6 +51,7 @@
   CPPUNIT_TEST(records_are_read_strictly);
   CPPUNIT_TEST(keeper_adopts_an_acquisition_whose_answer_was_lost);
   CPPUNIT_TEST(keeper_releases_what_is_no_longer_wanted);
+  CPPUNIT_TEST(release_waits_for_the_round_in_progress);
   CPPUNIT_TEST(random_walk_has_one_holder);
   CPPUNIT_TEST_SUITE_END();
 
@@ -188,6 +190,31 @@
     CPPUNIT_ASSERT(second.held_epoch("x") == Epoch(2));
   }
 
+  void release_waits_for_the_round_in_progress() {
+    core::RandomSource random(1);
+    support::ScheduledStore store(random);
+    const double no_faults = 0;
+    support::ScheduledTableService table(store, 1, no_faults);
+    core::ManualTimeSource clock;
+    core::Metrics metrics;
+    LeaseKeeper keeper(table, clock, kSelf, kSettings, 1, metrics);
+    keeper.set_wanted({"x"});
+    bool released = false;
+    boost::asio::co_spawn(context_, keeper.run_round(), boost::asio::detached);
+    boost::asio::co_spawn(context_, keeper.release_all(),
+                          [&released](std::exception_ptr) { released = true; });
+    context_.restart();
+    while (!released) {
+      if (context_.poll() == 0 && store.has_waiting()) {
+        store.resume_one();
+      }
+    }
+    const auto row = store.tables.find({"leases", "x"});
+    CPPUNIT_ASSERT(row.has_value());
+    const auto record = parse_lease(row->value);
+    CPPUNIT_ASSERT(record && !record->holder && record->epoch == Epoch(1));
+  }
+
   void round(LeaseKeeper& keeper) { support::run_task(context_, run_one(keeper)); }
   static boost::asio::awaitable<bool> run_one(LeaseKeeper& keeper) {
     co_await keeper.run_round();
