Include what the lease and claim tests use

Cause: two test files leaned on the precompiled header; clang-tidy, which cannot read it, stopped there. Change: their includes. Lint of the 26 files of ports, leases and claims is clean with it.

--- a/tests/unit/controllers/claim_walk_test.cpp
+++ b/tests/unit/controllers/claim_walk_test.cpp
@@ -6,6 +6,9 @@
 /// how many are run.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
 #include <cstdlib>
 #include <iostream>
 
--- a/tests/unit/controllers/lease_test.cpp
+++ b/tests/unit/controllers/lease_test.cpp
@@ -6,6 +6,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <spdlog/spdlog.h>
 
+#include <boost/asio/detached.hpp>
+
 #include "controllers/lease_keeper.hpp"
 #include "support/fake_table_service.hpp"
 #include "support/run_task.hpp"
