--- /dev/null
+++ b/tests/unit/controllers/gossip_state_test.cpp
@@ -0,0 +1,236 @@
+/// \file
+/// Named cases of membership on the virtual network: pauses, cuts, replaced
+/// machines, marks, budgets.
+#include "controllers/gossip_state.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+#include "controllers/gossip_simulation.hpp"
+#include "controllers/membership.hpp"
+
+namespace stoneport::controllers {
+namespace {
+
+using namespace std::chrono_literals;
+using wire::MemberState;
+
+class Cluster {
+ public:
+  explicit Cluster(std::size_t members, double loss = 0) : simulation(settings(members, loss)) {
+    until([&] { return simulation.converged(); }, 60s);
+  }
+  void until(const std::function<bool()>& condition, core::Duration limit) {
+    CPPUNIT_ASSERT_MESSAGE("not reached in time", simulation.run_until(condition, limit));
+  }
+  void run(core::Duration length) {
+    const core::MonotonicTime end = simulation.now() + length;
+    simulation.run_until([&] { return simulation.now() >= end; }, length + 1s);
+  }
+  const wire::Member& sees(std::size_t observer, std::size_t node) {
+    return *simulation.state(observer).records().find(GossipSimulation::node_name(node));
+  }
+
+  GossipSimulation simulation;
+
+ private:
+  static GossipSimulationSettings settings(std::size_t members, double loss) {
+    GossipSimulationSettings settings;
+    settings.members = members;
+    settings.loss = loss;
+    return settings;
+  }
+};
+
+class GossipStateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(GossipStateTest);
+  CPPUNIT_TEST(a_crashed_member_is_dead_for_all);
+  CPPUNIT_TEST(loss_alone_kills_nobody);
+  CPPUNIT_TEST(a_frozen_process_refutes_when_it_wakes);
+  CPPUNIT_TEST(a_frozen_process_accuses_nobody_when_it_wakes);
+  CPPUNIT_TEST(a_process_marked_while_frozen_wakes_leaving);
+  CPPUNIT_TEST(a_mark_outlasts_death_and_not_a_new_process);
+  CPPUNIT_TEST(a_cut_heals_without_false_deaths_on_either_side);
+  CPPUNIT_TEST(a_farewell_needs_no_timeout);
+  CPPUNIT_TEST(a_replaced_machine_does_not_answer_for_its_predecessor);
+  CPPUNIT_TEST(an_idle_cluster_is_cheap_and_news_keeps_the_budget);
+  CPPUNIT_TEST(dead_members_are_forgotten_in_the_end);
+  CPPUNIT_TEST(ranked_members_are_live_staying_and_the_same_everywhere);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void a_crashed_member_is_dead_for_all() {
+    Cluster cluster(10);
+    cluster.simulation.stop(4);
+    cluster.until([&] { return cluster.simulation.converged(); }, 20s);
+    CPPUNIT_ASSERT(cluster.sees(0, 4).state == MemberState::kDead);
+  }
+
+  void loss_alone_kills_nobody() {
+    Cluster cluster(10, 0.1);
+    for (int second = 0; second < 120; ++second) {
+      cluster.run(1s);
+      for (std::size_t node = 0; node < 10; ++node) {
+        CPPUNIT_ASSERT(cluster.sees(0, node).state != MemberState::kDead);
+      }
+    }
+  }
+
+  void a_frozen_process_refutes_when_it_wakes() {
+    Cluster cluster(6);
+    const core::Incarnation before = cluster.sees(0, 3).incarnation;
+    cluster.simulation.freeze(3);
+    cluster.until([&] { return cluster.sees(0, 3).state == MemberState::kDead; }, 30s);
+    cluster.run(5min);
+    cluster.simulation.wake(3);
+    cluster.until([&] { return cluster.simulation.converged(); }, 30s);
+    CPPUNIT_ASSERT(cluster.sees(0, 3).state == MemberState::kAlive);
+    CPPUNIT_ASSERT(cluster.sees(0, 3).incarnation > before);
+    CPPUNIT_ASSERT_EQUAL(wire::life_of(before), wire::life_of(cluster.sees(0, 3).incarnation));
+  }
+
+  void a_frozen_process_accuses_nobody_when_it_wakes() {
+    Cluster cluster(6);
+    cluster.simulation.freeze(3);
+    cluster.run(1min);
+    cluster.simulation.wake(3);
+    for (int step = 0; step < 100; ++step) {
+      cluster.run(100ms);
+      for (std::size_t node = 0; node < 6; ++node) {
+        CPPUNIT_ASSERT(cluster.sees(3, node).state == MemberState::kAlive);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, cluster.simulation.state(3).counts().pauses);
+  }
+
+  void a_process_marked_while_frozen_wakes_leaving() {
+    Cluster cluster(6);
+    cluster.simulation.freeze(3);
+    cluster.simulation.state(1).mark_leaving(GossipSimulation::node_name(3));
+    cluster.until([&] { return cluster.sees(5, 3).state == MemberState::kDead; }, 40s);
+    cluster.simulation.wake(3);
+    cluster.until([&] { return cluster.simulation.state(3).self().leaving; }, 20s);
+    cluster.until([&] { return cluster.simulation.converged(); }, 30s);
+    CPPUNIT_ASSERT(cluster.sees(0, 3).state == MemberState::kLeaving);
+  }
+
+  void a_mark_outlasts_death_and_not_a_new_process() {
+    Cluster cluster(5);
+    cluster.simulation.state(2).announce_leaving();
+    cluster.until([&] { return cluster.sees(0, 2).leaving; }, 10s);
+    cluster.simulation.stop(2);
+    cluster.until([&] { return cluster.sees(0, 2).state == MemberState::kDead; }, 30s);
+    CPPUNIT_ASSERT(cluster.sees(0, 2).leaving);
+    cluster.simulation.restart(2);
+    cluster.until([&] { return cluster.simulation.converged(); }, 30s);
+    CPPUNIT_ASSERT(cluster.sees(0, 2).state == MemberState::kAlive);
+    CPPUNIT_ASSERT(!cluster.sees(0, 2).leaving);
+  }
+
+  void a_cut_heals_without_false_deaths_on_either_side() {
+    Cluster cluster(12);
+    const auto side = [](std::size_t node) { return node % 2; };
+    for (std::size_t node = 0; node < 12; ++node) {
+      cluster.simulation.set_group(node, static_cast<std::uint32_t>(side(node)));
+    }
+    cluster.until([&] { return cluster.sees(0, 1).state == MemberState::kDead; }, 40s);
+    cluster.simulation.state(0).announce_configuration(core::Revision(3));
+    cluster.simulation.state(1).announce_policy_version(
+        {core::PolicyName("policy"), core::WeightVersion(6)});
+    cluster.run(1h);
+    for (std::size_t node = 0; node < 12; ++node) {
+      cluster.simulation.set_group(node, 0);
+    }
+    const core::MonotonicTime limit = cluster.simulation.now() + 60s;
+    while (!cluster.simulation.converged()) {
+      CPPUNIT_ASSERT(cluster.simulation.now() < limit);
+      cluster.simulation.step();
+      for (std::size_t node = 0; node < 12; ++node) {
+        const std::size_t observer = side(node);  // on the same side all along
+        CPPUNIT_ASSERT(cluster.sees(observer, node).state != MemberState::kDead);
+      }
+    }
+    CPPUNIT_ASSERT(cluster.sees(1, 0).configuration_revision == core::Revision(3));
+    cluster.until([&] { return !cluster.simulation.state(0).records().policy_versions().empty(); },
+                  30s);
+  }
+
+  void a_farewell_needs_no_timeout() {
+    Cluster cluster(5);
+    GossipState& leaver = cluster.simulation.state(4);
+    leaver.announce_leaving();
+    const std::vector<OutgoingPacket> packets = leaver.farewell();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, packets.size());
+    GossipState& other = cluster.simulation.state(0);
+    other.on_packet(leaver.self().gossip_address, packets.front().bytes, cluster.simulation.now());
+    CPPUNIT_ASSERT(cluster.sees(0, 4).state == MemberState::kDead);
+    CPPUNIT_ASSERT(cluster.sees(0, 4).leaving);
+  }
+
+  void a_replaced_machine_does_not_answer_for_its_predecessor() {
+    Cluster cluster(3);
+    GossipState& state = cluster.simulation.state(1);
+    wire::GossipPacket packet;
+    packet.sender = cluster.simulation.state(0).self();
+    packet.message = wire::Ping{1, core::NodeId("node-that-was-here")};
+    const GossipOutput output = state.on_packet(
+        packet.sender.gossip_address, wire::encode_packet(packet), cluster.simulation.now());
+    CPPUNIT_ASSERT(output.packets.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, state.counts().misdirected);
+  }
+
+  void an_idle_cluster_is_cheap_and_news_keeps_the_budget() {
+    GossipSimulationSettings settings;
+    settings.members = 30;
+    settings.gossip.bytes_per_second = 6'000;
+    const GossipMeasurement measured = measure_gossip(settings);
+    CPPUNIT_ASSERT(measured.idle_bytes_per_second < 1'000);
+    CPPUNIT_ASSERT(measured.busiest_bytes_per_second < 20'000);
+    CPPUNIT_ASSERT(measured.drain_mark && *measured.drain_mark < 3s);
+    CPPUNIT_ASSERT(measured.revision && *measured.revision < 3s);
+    CPPUNIT_ASSERT(measured.failures && *measured.failures < 20s);
+  }
+
+  void dead_members_are_forgotten_in_the_end() {
+    GossipSimulationSettings settings;
+    settings.gossip.dead_retention = 1min;
+    GossipSimulation simulation(settings);
+    simulation.run_until([&] { return simulation.converged(); }, 20s);
+    simulation.stop(2);
+    const core::NodeId gone = GossipSimulation::node_name(2);
+    CPPUNIT_ASSERT(simulation.run_until(
+        [&] {
+          return simulation.state(0).records().find(gone) == nullptr &&
+                 simulation.state(1).records().find(gone) == nullptr;
+        },
+        5min));
+  }
+
+  void ranked_members_are_live_staying_and_the_same_everywhere() {
+    Cluster cluster(8);
+    cluster.simulation.state(0).mark_leaving(GossipSimulation::node_name(5));
+    cluster.simulation.stop(6);
+    cluster.until([&] { return cluster.simulation.converged(); }, 30s);
+    std::vector<wire::Member> members;
+    for (const auto& [node, member] : cluster.simulation.state(0).records().members()) {
+      members.push_back(member);
+    }
+    const auto ranked = ranked_members(members, "model", 8);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, ranked.size());
+    for (const wire::Member& member : ranked) {
+      CPPUNIT_ASSERT(member.node != GossipSimulation::node_name(5));
+      CPPUNIT_ASSERT(member.node != GossipSimulation::node_name(6));
+    }
+    std::reverse(members.begin(), members.end());
+    CPPUNIT_ASSERT(ranked_members(members, "model", 2)[1] == ranked[1]);
+    // When the first one goes, the others move up and keep their order.
+    std::erase_if(members, [&](const auto& member) { return member.node == ranked[0].node; });
+    CPPUNIT_ASSERT(ranked_members(members, "model", 1)[0].node == ranked[1].node);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GossipStateTest);
+
+}  // namespace
+}  // namespace stoneport::controllers
