--- a/src/controllers/gossip_simulation.cpp
+++ b/src/controllers/gossip_simulation.cpp
@@ -166,93 +166,117 @@
   std::uint64_t busiest_ = 0;
 };
 
-bool all_running(const GossipSimulation& simulation,
-                 const std::function<bool(const GossipRecords&)>& holds) {
-  for (std::size_t index = 0; index < simulation.size(); ++index) {
-    if (simulation.running(index) && !holds(simulation.state(index).records())) {
-      return false;
+/// The stages of one measured run.
+class Measurement {
+ public:
+  explicit Measurement(const GossipSimulationSettings& settings)
+      : simulation_(settings), meter_(simulation_), next_sample_(simulation_.now()) {
+    result_.members = settings.members;
+  }
+
+  GossipMeasurement run() {
+    result_.join = until([this] { return simulation_.converged(); });
+    if (!result_.join) {
+      return result_;
     }
+    measure_idle();
+    measure_drain_mark();
+    measure_revision();
+    rest();
+    measure_failures();
+    result_.busiest_bytes_per_second = static_cast<double>(meter_.busiest());
+    return result_;
   }
-  return true;
-}
 
-}  // namespace
+ private:
+  static constexpr core::Duration kLimit = std::chrono::minutes(3);
+  static constexpr core::Duration kQuiet = std::chrono::seconds(30);
+  static constexpr std::size_t kFailingShare = 10;  ///< one in so many
 
-GossipMeasurement measure_gossip(GossipSimulationSettings settings) {
-  constexpr core::Duration kLimit = std::chrono::minutes(3);
-  constexpr int kQuietSeconds = 30;
-  GossipSimulation simulation(settings);
-  ByteMeter meter(simulation);
-  core::MonotonicTime next_sample = simulation.now();
-  const auto until = [&](const std::function<bool()>& condition) {
-    return simulation.run_until(
-        [&] {
-          if (simulation.now() >= next_sample) {
-            next_sample += std::chrono::seconds(1);
-            meter.sample();
-          }
-          return condition();
-        },
-        kLimit);
-  };
-  const auto rest = [&](int seconds) {
-    const core::MonotonicTime end = simulation.now() + std::chrono::seconds(seconds);
-    until([&] { return simulation.now() >= end; });
-  };
-
-  GossipMeasurement result;
-  result.members = settings.members;
-  result.join = until([&] { return simulation.converged(); });
-  if (!result.join) {
-    return result;
+  std::optional<core::Duration> until(const std::function<bool()>& condition) {
+    const auto sample_and_check = [&] {
+      if (simulation_.now() >= next_sample_) {
+        next_sample_ += std::chrono::seconds(1);
+        meter_.sample();
+      }
+      return condition();
+    };
+    return simulation_.run_until(sample_and_check, kLimit);
   }
-  rest(kQuietSeconds);
-  const std::uint64_t before = meter.total();
-  rest(kQuietSeconds);
-  result.idle_bytes_per_second = static_cast<double>(meter.total() - before) /
-                                 static_cast<double>(kQuietSeconds * settings.members);
-
-  const core::NodeId drained = GossipSimulation::node_name(settings.members / 2);
-  simulation.state(0).mark_leaving(drained);
-  result.drain_mark = until([&] {
-    return all_running(
-        simulation, [&](const GossipRecords& records) { return records.find(drained)->leaving; });
-  });
-
-  const core::Revision revision(1);
-  simulation.state(0).announce_configuration(revision);
-  const auto heard = [&](const GossipRecords& records) {
-    return std::any_of(records.members().begin(), records.members().end(), [&](const auto& entry) {
-      return entry.second.configuration_revision >= revision;
-    });
-  };
-  const core::MonotonicTime announced = simulation.now();
-  until([&] {
-    // Each daemon takes the revision over as soon as it hears of it.
-    bool all = true;
-    for (std::size_t index = 0; index < simulation.size(); ++index) {
-      const bool knows = heard(simulation.state(index).records());
-      all = all && knows;
-      if (knows) {
-        simulation.state(index).announce_configuration(revision);
+
+  void rest() {
+    const core::MonotonicTime end = simulation_.now() + kQuiet;
+    until([&] { return simulation_.now() >= end; });
+  }
+
+  void measure_idle() {
+    rest();
+    const std::uint64_t before = meter_.total();
+    rest();
+    result_.idle_bytes_per_second =
+        static_cast<double>(meter_.total() - before) /
+        (core::to_seconds(kQuiet) * static_cast<double>(simulation_.size()));
+  }
+
+  bool all_hold(const std::function<bool(const GossipRecords&)>& holds) const {
+    for (std::size_t index = 0; index < simulation_.size(); ++index) {
+      if (!holds(simulation_.state(index).records())) {
+        return false;
       }
     }
-    if (all) {
-      result.revision = simulation.now() - announced;
+    return true;
+  }
+
+  void measure_drain_mark() {
+    const core::NodeId drained = GossipSimulation::node_name(simulation_.size() / 2);
+    simulation_.state(0).mark_leaving(drained);
+    result_.drain_mark = until([&] {
+      return all_hold([&](const GossipRecords& records) { return records.find(drained)->leaving; });
+    });
+  }
+
+  /// Each daemon takes the revision over as soon as it hears of it.
+  void measure_revision() {
+    const core::Revision revision(1);
+    const auto heard = [&](const auto& entry) {
+      return entry.second.configuration_revision >= revision;
+    };
+    const core::MonotonicTime announced = simulation_.now();
+    simulation_.state(0).announce_configuration(revision);
+    result_.revision = until([&] {
+      bool all = true;
+      for (std::size_t index = 0; index < simulation_.size(); ++index) {
+        const auto& members = simulation_.state(index).records().members();
+        if (std::any_of(members.begin(), members.end(), heard)) {
+          simulation_.state(index).announce_configuration(revision);
+        } else {
+          all = false;
+        }
+      }
+      return all;
+    });
+    if (until([this] { return simulation_.converged(); })) {
+      result_.all_revisions = simulation_.now() - announced;
     }
-    return all;
-  });
-  if (until([&] { return simulation.converged(); })) {
-    result.all_revisions = simulation.now() - announced;
   }
-  rest(kQuietSeconds);
 
-  for (std::size_t index = 1; index < settings.members; index += 10) {
-    simulation.stop(index);
+  void measure_failures() {
+    for (std::size_t index = 1; index < simulation_.size(); index += kFailingShare) {
+      simulation_.stop(index);
+    }
+    result_.failures = until([this] { return simulation_.converged(); });
   }
-  result.failures = until([&] { return simulation.converged(); });
-  result.busiest_bytes_per_second = static_cast<double>(meter.busiest());
-  return result;
+
+  GossipSimulation simulation_;
+  ByteMeter meter_;
+  core::MonotonicTime next_sample_;
+  GossipMeasurement result_;
+};
+
+}  // namespace
+
+GossipMeasurement measure_gossip(GossipSimulationSettings settings) {
+  return Measurement(settings).run();
 }
 
 }  // namespace stoneport::controllers
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -40,7 +40,7 @@
   std::uint32_t news_fanout = 2;
   std::uint32_t suspicion_multiplier = 5;
   std::uint32_t transmission_multiplier = 4;
-  std::uint32_t sync_packets = 4;  ///< most packets of records in answer to one sync
+  std::uint32_t sync_packets = 4;          ///< most packets of records in answer to one sync
   std::uint32_t bytes_per_second = 6'000;  ///< sent, in the long run
   std::size_t packet_bytes = 1200;
 };
@@ -124,6 +124,15 @@
                    const core::Address& from, GossipOutput& output);
   void answer_sync(const wire::SyncRequest& sync, const core::Address& from,
                    core::MonotonicTime now, GossipOutput& output);
+  void answer_indirect_ping(const wire::IndirectPing& ping, const core::Address& from,
+                            core::MonotonicTime now, GossipOutput& output);
+  void take_acknowledgement(const wire::Acknowledgement& acknowledgement, GossipOutput& output);
+  std::vector<RecordKey> keys_in_differing_buckets(const BucketHashes& own,
+                                                   const wire::SyncRequest& sync);
+  void send_records(const std::vector<RecordKey>& keys, const core::Address& to,
+                    GossipOutput& output);
+  /// Tells \p sender what it does not know about itself.
+  void correct_sender(const wire::Member& sender, const core::Address& from, GossipOutput& output);
   bool must_correct(const wire::Member& sender) const;
 
   void run_probes(core::MonotonicTime now, std::vector<OutgoingPacket>& packets);
--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -22,6 +22,11 @@
   return interval * (100 - kJitterPercent / 2 + random.uniform(0, kJitterPercent)) / 100;
 }
 
+/// \return the bytes of \p packet before any record is added.
+std::size_t packet_base(const wire::GossipPacket& packet) {
+  return wire::encode_packet(packet).size() + kListHeaderBytes;
+}
+
 std::vector<core::NodeId> pick(std::vector<core::NodeId> nodes, std::size_t count,
                                core::RandomSource& random) {
   shuffle(nodes, random);
@@ -47,7 +52,7 @@
   wire::GossipPacket packet;
   packet.sender = self();
   packet.message = std::move(message);
-  const std::size_t base = wire::encode_packet(packet).size() + kListHeaderBytes;
+  const std::size_t base = packet_base(packet);
   const std::size_t room = settings_.packet_bytes > base ? settings_.packet_bytes - base : 0;
   const std::size_t affordable = budget_.available() > base ? budget_.available() - base : 0;
   std::size_t space = std::min(room, std::max(affordable, kReservedNewsBytes));
@@ -96,41 +101,47 @@
                          core::MonotonicTime now, GossipOutput& output) {
   if (const auto* ping = std::get_if<wire::Ping>(&packet.message)) {
     answer_ping(*ping, packet, from, output);
-    return;
-  }
-  if (const auto* acknowledgement = std::get_if<wire::Acknowledgement>(&packet.message)) {
-    const auto relay = probes_.acknowledge(acknowledgement->sequence, acknowledgement->target);
-    const wire::Member* target = records_.find(acknowledgement->target);
-    if (target != nullptr && target->state == MemberState::kLeaving) {
-      suspicion_ends_.erase(acknowledgement->target);
-    }
-    if (relay) {
-      output.packets.push_back(make_packet(
-          relay->asking, wire::Acknowledgement{relay->sequence, acknowledgement->target}));
-    }
-    if (must_correct(packet.sender)) {
-      output.packets.push_back(make_packet(from, wire::News{}, &packet.sender.node));
-    }
-    return;
+  } else if (const auto* indirect = std::get_if<wire::IndirectPing>(&packet.message)) {
+    answer_indirect_ping(*indirect, from, now, output);
+  } else if (const auto* answered = std::get_if<wire::Acknowledgement>(&packet.message)) {
+    take_acknowledgement(*answered, output);
+    correct_sender(packet.sender, from, output);
+  } else if (const auto* sync = std::get_if<wire::SyncRequest>(&packet.message)) {
+    correct_sender(packet.sender, from, output);
+    answer_sync(*sync, from, now, output);
+  } else if (!std::holds_alternative<wire::News>(packet.message)) {
+    output.received = ReceivedMessage{packet.sender.node, from, packet.message};
   }
-  if (const auto* indirect = std::get_if<wire::IndirectPing>(&packet.message)) {
-    const std::uint32_t sequence = probes_.add_relay({indirect->sequence, from}, now);
-    output.packets.push_back(make_packet(
-        indirect->target_address, wire::Ping{sequence, indirect->target}, &indirect->target));
-    return;
+}
+
+void GossipState::correct_sender(const wire::Member& sender, const core::Address& from,
+                                 GossipOutput& output) {
+  // Never in answer to news alone: two who doubt each other would go on for ever.
+  if (must_correct(sender)) {
+    output.packets.push_back(make_packet(from, wire::News{}, &sender.node));
   }
-  if (const auto* sync = std::get_if<wire::SyncRequest>(&packet.message)) {
-    if (must_correct(packet.sender)) {
-      output.packets.push_back(make_packet(from, wire::News{}, &packet.sender.node));
-    }
-    answer_sync(*sync, from, now, output);
-    return;
+}
+
+void GossipState::take_acknowledgement(const wire::Acknowledgement& acknowledgement,
+                                       GossipOutput& output) {
+  const auto relay = probes_.acknowledge(acknowledgement.sequence, acknowledgement.target);
+  const wire::Member* target = records_.find(acknowledgement.target);
+  if (target != nullptr && target->state == MemberState::kLeaving) {
+    suspicion_ends_.erase(acknowledgement.target);
   }
-  if (!std::holds_alternative<wire::News>(packet.message)) {
-    output.received = ReceivedMessage{packet.sender.node, from, packet.message};
+  if (relay) {
+    output.packets.push_back(
+        make_packet(relay->asking, wire::Acknowledgement{relay->sequence, acknowledgement.target}));
   }
 }
 
+void GossipState::answer_indirect_ping(const wire::IndirectPing& ping, const core::Address& from,
+                                       core::MonotonicTime now, GossipOutput& output) {
+  const std::uint32_t sequence = probes_.add_relay({ping.sequence, from}, now);
+  output.packets.push_back(
+      make_packet(ping.target_address, wire::Ping{sequence, ping.target}, &ping.target));
+}
+
 void GossipState::answer_ping(const wire::Ping& ping, const wire::GossipPacket& packet,
                               const core::Address& from, GossipOutput& output) {
   if (ping.target != self_) {
@@ -153,6 +164,22 @@
     return;
   }
   const BucketHashes own = records_.bucket_hashes();
+  const bool same = std::equal(own.begin(), own.end(), sync.bucket_hashes.begin());
+  if (same || budget_.available() < settings_.packet_bytes) {
+    return;  // short of bytes, the asking side tries another member next time
+  }
+  if (sync.is_answer) {
+    next_sync_ = std::min(next_sync_, now + settings_.catch_up_interval);
+  }
+  send_records(keys_in_differing_buckets(own, sync), from, output);
+  // Also where nothing of ours differs: the other side may know what we do not.
+  if (!sync.is_answer) {
+    output.packets.push_back(make_packet(from, sync_request(true)));
+  }
+}
+
+std::vector<RecordKey> GossipState::keys_in_differing_buckets(const BucketHashes& own,
+                                                              const wire::SyncRequest& sync) {
   std::vector<RecordKey> differing;
   for (std::size_t bucket = 0; bucket < kSyncBuckets; ++bucket) {
     if (own[bucket] != sync.bucket_hashes[bucket]) {
@@ -160,35 +187,29 @@
       differing.insert(differing.end(), keys.begin(), keys.end());
     }
   }
-  const bool same = std::equal(own.begin(), own.end(), sync.bucket_hashes.begin());
-  if (same || budget_.available() < settings_.packet_bytes) {
-    return;  // the asking side tries another member next time
-  }
-  if (sync.is_answer) {
-    next_sync_ = std::min(next_sync_, now + settings_.catch_up_interval);
-  }
   shuffle(differing, random_);
+  return differing;
+}
+
+void GossipState::send_records(const std::vector<RecordKey>& keys, const core::Address& to,
+                               GossipOutput& output) {
   std::size_t position = 0;
   for (std::uint32_t count = 0; count < settings_.sync_packets; ++count) {
-    if (position == differing.size() || budget_.available() < settings_.packet_bytes) {
-      break;
+    if (position == keys.size() || budget_.available() < settings_.packet_bytes) {
+      return;
     }
     wire::GossipPacket packet;
     packet.sender = self();
-    const std::size_t base = wire::encode_packet(packet).size() + kListHeaderBytes;
-    std::size_t space = settings_.packet_bytes - base;
-    while (position < differing.size()) {
-      const std::size_t used = records_.append(differing[position], packet, space);
+    std::size_t space = settings_.packet_bytes - packet_base(packet);
+    while (position < keys.size()) {
+      const std::size_t used = records_.append(keys[position], packet, space);
       if (used == 0) {
         break;
       }
       space -= used;
       ++position;
     }
-    output.packets.push_back(finish_packet(from, packet));
-  }
-  if (!sync.is_answer) {
-    output.packets.push_back(make_packet(from, sync_request(true)));
+    output.packets.push_back(finish_packet(to, packet));
   }
 }
 
