--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
 # The main job end to end, as separate processes on loopback: the emulated
 # platform with eight engines in three zones, four daemons, published templates
-# and parameters, one rollout step of 256 samples with a weight change in its
-# middle, and 1,200 ordinary requests. Prints one JSON line, counted by the
+# and parameters, two rollout steps of 256 samples with a weight change in the middle
+# of each, and 1,200 ordinary requests. Prints one JSON line, counted by the
 # emulator and the callers, and exits 0 only when every invariant held.
 # Usage: scripts/demo.sh BUILD_FOLDER
 set -euo pipefail
@@ -58,6 +58,15 @@
 }
 
 is_ready() { curl -sf "http://127.0.0.1:$1/readyz"; }
+all_members_met() {
+  [ "$("$build/stoneportctl" members --output json | jq '[.members[] | select(.state == "alive")] | length')" -eq 4 ]
+}
+# Every replica runs the newest version and none is in a swap.
+weights_settled() {
+  "$build/stoneportctl" weights --output json |
+    jq -e '.policies | length > 0 and all(. as $policy | $policy.replicas | length == 8 and
+      all(.version == $policy.newest and (.swapping | not)))'
+}
 trainer_state() { curl -sf "http://$control/control/trainers/$trainer" | jq -r .state; }
 trainer_ended() { [ "$(trainer_state)" != running ]; }
 
@@ -87,27 +96,30 @@
   wait_until "daemon $number is ready" is_ready "$((23002 + 10 * (number - 1)))"
 done
 
-echo "demo: publishing templates and parameters"
 export STONEPORT_SERVER=127.0.0.1:23002
+wait_until "the members have met" all_members_met
+
+echo "demo: publishing templates and parameters"
 "$build/stoneportctl" template publish \
   examples/compound-proposals.toml examples/materials.toml examples/topups.toml
 "$build/stoneportctl" parameters publish --wait \
   examples/compounds.toml examples/abay-materials.toml examples/prepaid-topups.toml
 
-echo "demo: one step of $samples samples, new weights after 100 of them, and $requests requests"
+echo "demo: two steps of $samples samples, new weights in the middle of each, and $requests requests"
 curl -sf -X POST "http://$control/control/trainers/$trainer/run" -o /dev/null -d '{
-  "event": "compounds", "policy": "proposal-policy", "steps": 1,
-  "prompts": 32, "samples_per_prompt": 8, "age_bound": 1, "publish_after_samples": 100}'
+  "event": "compounds", "policy": "proposal-policy", "steps": 2,
+  "prompts": 32, "samples_per_prompt": 8, "age_bound": 1, "publish_after_samples": 64}'
 "$build/stoneport-bench" load --json --count "$requests" --top-up-share 0.1 \
   --service materials --top-up-service topups \
   --target 127.0.0.1:23000 --target 127.0.0.1:23010 \
   --target 127.0.0.1:23020 --target 127.0.0.1:23030 >"$logs/load.json"
-wait_until "the trainer's step is over" trainer_ended
+wait_until "the trainer's steps are over" trainer_ended
+wait_until "the new weights are on every engine" weights_settled
 "$build/stoneportctl" weights
 
 "$build/stoneport-bench" demo-summary --control "$control" --trainer "$trainer" \
   --service materials --service topups --load "$logs/load.json" \
-  --least-samples "$samples" --least-requests 1000 --least-non-repeatable "$non_repeatable" \
+  --least-samples "$((2 * samples))" --least-requests 1000 --least-non-repeatable "$non_repeatable" \
   >"$logs/summary.json"
 end_processes
 trap - EXIT
--- a/src/daemon/admin_interface.cpp
+++ b/src/daemon/admin_interface.cpp
@@ -71,7 +71,7 @@
 }
 
 http::Response AdminInterface::readiness() const {
-  if (drain_.phase() != controllers::DrainPhase::kServing) {
+  if (drain_.draining()) {
     return text_response(kServiceUnavailable, "draining\n");
   }
   if (!control_.ready()) {
