Read the demo's documents where they stand

Cause: the examples moved and moved back while the demo was written. Change: paths in scripts/demo.sh.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -101,9 +101,9 @@
 
 echo "demo: publishing templates and parameters"
 "$build/stoneportctl" template publish \
-  examples/documents/compound-proposals.toml examples/documents/materials.toml examples/documents/topups.toml
+  examples/compound-proposals.toml examples/materials.toml examples/topups.toml
 "$build/stoneportctl" parameters publish --wait \
-  examples/documents/compounds.toml examples/documents/abay-materials.toml examples/documents/prepaid-topups.toml
+  examples/compounds.toml examples/abay-materials.toml examples/prepaid-topups.toml
 
 echo "demo: two steps of $samples samples, new weights in the middle of each, and $requests requests"
 curl -sf -X POST "http://$control/control/trainers/$trainer/run" -o /dev/null -d '{
