Let the metrics of test fixtures outlive their event loop

Cause: contract_tests aborted with heap corruption. Coroutines left on an io_context end when it is destroyed and count that; the fixtures destroyed the metrics first (valgrind: invalid read in Gauge::Change below ClientConnection::close). Ruled out: a fault in the client itself, since the daemon's loops outlive what runs on them, and the address build passed by luck of layout. Change: metrics are declared before the context.

--- a/tests/contract/http_fixture.hpp
+++ b/tests/contract/http_fixture.hpp
@@ -175,8 +175,8 @@
     return metrics.counter("stoneport_http_server_" + name, "", labels).Value();
   }
 
+  core::Metrics metrics;  // what is left on the context counts its end
   asio::io_context context;
-  core::Metrics metrics;
   FunctionHandler handler;
   http::Server server;
 };
--- a/tests/contract/platform_stores_contract.cpp
+++ b/tests/contract/platform_stores_contract.cpp
@@ -69,8 +69,8 @@
   }
   HttpEndpoint endpoint() { return client.endpoint(listener.address()); }
 
+  core::Metrics metrics;  // what is left on the context counts its end
   asio::io_context context;
-  core::Metrics metrics;
   Listener listener;
   ClientFixture client;
 };
--- a/tests/contract/platform_table_service_contract.cpp
+++ b/tests/contract/platform_table_service_contract.cpp
@@ -59,8 +59,8 @@
     return http_test::run(context, table.read(std::move(key), TablePriority::kInteractive));
   }
 
+  core::Metrics metrics;  // what is left on the context counts its end
   asio::io_context context;
-  core::Metrics metrics;
   emulator::TableListener listener;
   ClientFixture client;
   std::unique_ptr<HttpTableService> bare;
