--- a/src/emulator/control_interface.cpp
+++ b/src/emulator/control_interface.cpp
@@ -90,8 +90,7 @@
   router.add("PUT", "/control/time_scale", at_once([this](const http::RoutedRequest& request) {
                const auto body = parse_json<TimeScaleBody>(request.body);
                if (!body || body->time_scale <= 0) {
-                 return error_answer(core::make_error(core::ErrorCode::kInvalidArgument,
-                                                      "time_scale: expected above 0"));
+                 return error_answer(invalid_argument("time_scale: expected above 0"));
                }
                emulator_.clock_.set_scale(body->time_scale);
                return empty_answer();
--- a/src/emulator/control_trainers.cpp
+++ b/src/emulator/control_trainers.cpp
@@ -106,8 +106,7 @@
     return error_answer(run.error());
   }
   if (run->event.empty() || run->policy.empty()) {
-    return error_answer(
-        core::make_error(core::ErrorCode::kInvalidArgument, "event and policy are needed"));
+    return error_answer(invalid_argument("event and policy are needed"));
   }
   const core::Result<void> started = found->second->start(*run);
   return started ? json_answer(202, json::object()) : error_answer(started.error());
--- a/src/emulator/engine_listener.cpp
+++ b/src/emulator/engine_listener.cpp
@@ -32,15 +32,11 @@
 }
 
 std::optional<RunningStreams> parse_running(const std::string& name) {
-  const std::map<std::string, RunningStreams> kNames = {{"continue", RunningStreams::kContinue},
-                                                        {"finish", RunningStreams::kFinish},
-                                                        {"cancel", RunningStreams::kCancel}};
-  const auto found = kNames.find(name);
-  return found == kNames.end() ? std::nullopt : std::optional(found->second);
-}
-
-core::Error invalid(std::string message) {
-  return core::make_error(ErrorCode::kInvalidArgument, std::move(message));
+  const std::map<std::string, RunningStreams> names = {{"continue", RunningStreams::kContinue},
+                                                       {"finish", RunningStreams::kFinish},
+                                                       {"cancel", RunningStreams::kCancel}};
+  const auto found = names.find(name);
+  return found == names.end() ? std::nullopt : std::optional(found->second);
 }
 
 }  // namespace
@@ -237,7 +233,7 @@
   if (body.order == "load_version") {
     const auto running = parse_running(body.running);
     if (!running) {
-      return invalid("running: expected continue, finish or cancel");
+      return invalid_argument("running: expected continue, finish or cancel");
     }
     return model_->load({body.policy, body.version, *running}, body.epoch, now);
   }
@@ -247,9 +243,9 @@
   if (body.order == "change_role") {
     const auto role = parse_role(body.role);
     return role ? model_->change_role(*role, body.epoch, now)
-                : core::Result<void>(invalid("role: expected mixed, prefill or decode"));
+                : core::Result<void>(invalid_argument("role: expected mixed, prefill or decode"));
   }
-  return invalid("order: expected prefetch, load_version, load_adapter or change_role");
+  return invalid_argument("order: expected prefetch, load_version, load_adapter or change_role");
 }
 
 void EngineListener::set_engine_faults(const EngineFaults& faults) {
--- a/src/emulator/engine_listener_streams.cpp
+++ b/src/emulator/engine_listener_streams.cpp
@@ -19,10 +19,6 @@
 constexpr std::size_t kLongestRequest = std::size_t{16} << 20;
 constexpr core::Duration kExportFetchTimeout = std::chrono::seconds(5);
 
-core::Error invalid(std::string message) {
-  return core::make_error(ErrorCode::kInvalidArgument, std::move(message));
-}
-
 std::string_view finish_name(StreamFinish finish) {
   constexpr std::array<std::string_view, 3> kNames = {"stop", "length", "cancelled"};
   return kNames.at(static_cast<std::size_t>(finish));
@@ -75,7 +71,7 @@
   if (!parsed) {
     started = parsed.error();
   } else if (parsed->request.stream.empty()) {
-    started = invalid("stream_id is missing");
+    started = invalid_argument("stream_id is missing");
   } else if (parsed->model != settings_.model.value()) {
     started =
         core::make_error(ErrorCode::kNotFound, "this engine serves " + settings_.model.value());
@@ -119,7 +115,7 @@
     if (!exported) {
       imported = exported.error();
     } else if (exported->request.stream != stream) {
-      imported = invalid("the handle is of another stream");
+      imported = invalid_argument("the handle is of another stream");
     } else {
       imported = model_->import_stream(std::move(*exported), world_.clock.now());
     }
--- a/src/emulator/http_answers.cpp
+++ b/src/emulator/http_answers.cpp
@@ -54,6 +54,10 @@
   return outcome ? empty_answer() : error_answer(outcome.error());
 }
 
+core::Error invalid_argument(std::string message) {
+  return core::make_error(core::ErrorCode::kInvalidArgument, std::move(message));
+}
+
 http::Response not_found_answer(const std::string& what) {
   return error_answer(core::make_error(core::ErrorCode::kNotFound, "no such " + what));
 }
--- a/src/emulator/http_answers.hpp
+++ b/src/emulator/http_answers.hpp
@@ -20,6 +20,7 @@
 /// \return 204, or the error.
 http::Response outcome_answer(const core::Result<void>& outcome);
 
+core::Error invalid_argument(std::string message);
 /// \return 404 for a thing of the kind \p what.
 http::Response not_found_answer(const std::string& what);
 
--- a/src/emulator/platform_services.cpp
+++ b/src/emulator/platform_services.cpp
@@ -74,7 +74,7 @@
     return error_answer(transaction.error());
   }
   if (transaction->write_id.empty()) {
-    return error_answer(core::make_error(core::ErrorCode::kInvalidArgument, "write_id is missing"));
+    return error_answer(invalid_argument("write_id is missing"));
   }
   const auto revision = model_.commit(*transaction);
   return revision ? json_answer(200, {{"revision", *revision}}) : error_answer(revision.error());
@@ -130,7 +130,7 @@
     return error_answer(body.error());
   }
   if (version == 0) {
-    return error_answer(core::make_error(core::ErrorCode::kInvalidArgument, "version is wrong"));
+    return error_answer(invalid_argument("version is wrong"));
   }
   source_.publish(core::PolicyName(request.parameters.at("policy")), core::WeightVersion(version),
                   body->size_bytes);
--- a/src/emulator/table_model.cpp
+++ b/src/emulator/table_model.cpp
@@ -37,9 +37,9 @@
 }
 
 const TableModel::Rows& TableModel::rows(const std::string& table) const {
-  static const Rows kNone;
+  static const Rows none;
   const auto found = tables_.find(table);
-  return found == tables_.end() ? kNone : found->second;
+  return found == tables_.end() ? none : found->second;
 }
 
 }  // namespace stoneport::emulator
--- a/tests/unit/emulator/emulator_test.cpp
+++ b/tests/unit/emulator/emulator_test.cpp
@@ -5,8 +5,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include "emulator/http_answers.hpp"
