--- a/src/emulator/trainer_driver.cpp
+++ b/src/emulator/trainer_driver.cpp
@@ -114,10 +114,19 @@
     // Tells the daemon that every slot is held; a lost answer does no harm.
     const core::Result<void> acknowledged = co_await poll(run, step, time_.now() + kCallTimeout);
     ledger_->report().failed_calls += acknowledged ? 0 : 1;
+  } else {
+    co_await cancel_step(run, step);
   }
   co_return outcome;
 }
 
+asio::awaitable<void> TrainerDriver::cancel_step(const TrainerRun& run, std::uint64_t step) {
+  const std::string target = steps_path(run) + "/" + std::to_string(step);
+  const core::MonotonicTime deadline = time_.now() + kCallTimeout;
+  const Call cancelled = co_await call("DELETE", target, "", deadline);
+  ledger_->report().steps_cancelled += cancelled.outcome == CallOutcome::kDone ? 1 : 0;
+}
+
 asio::awaitable<core::Result<void>> TrainerDriver::open_step(const TrainerRun& run,
                                                              std::uint64_t step,
                                                              core::MonotonicTime deadline) {
@@ -131,7 +140,7 @@
                  {"prompts", prompts_},
                  {"samples_per_prompt", run.samples_per_prompt},
                  {"epoch_seen", ledger_->report().epoch_seen}};
-    const Call opened = co_await call(steps_path(run), std::move(body), deadline);
+    const Call opened = co_await call("POST", steps_path(run), body.dump(), deadline);
     if (opened.outcome == CallOutcome::kRefused) {
       co_return core::make_error(ErrorCode::kProtocol, "open: " + refusal_);
     }
@@ -167,7 +176,7 @@
   const std::string target = steps_path(run) + "/" + std::to_string(step) + "/poll";
   const core::MonotonicTime call_deadline =
       std::min(deadline, time_.now() + run.poll_wait + kCallTimeout);
-  const Call polled = co_await call(target, std::move(body), call_deadline);
+  const Call polled = co_await call("POST", target, body.dump(), call_deadline);
   if (polled.outcome == CallOutcome::kStepUnknown && ledger_->complete()) {
     co_return core::Result<void>{};
   }
@@ -214,7 +223,7 @@
       "/v1/policies/" + http::percent_encode(run.policy.value()) + "/versions";
   while (check_going_on(deadline)) {
     json body = {{"version", next.value()}, {"size_bytes", run.weight_bytes}};
-    const Call published = co_await call(target, std::move(body), deadline);
+    const Call published = co_await call("POST", target, body.dump(), deadline);
     if (published.outcome == CallOutcome::kDone) {
       ledger_->set_current_version(next);
       ++ledger_->report().versions_published;
@@ -226,13 +235,14 @@
   }
 }
 
-asio::awaitable<TrainerDriver::Call> TrainerDriver::call(std::string target, json body,
+asio::awaitable<TrainerDriver::Call> TrainerDriver::call(std::string method, std::string target,
+                                                         std::string body,
                                                          core::MonotonicTime deadline) {
   http::Request request;
-  request.head.method = "POST";
+  request.head.method = std::move(method);
   request.head.target = std::move(target);
   request.head.headers.set("Content-Type", "application/json");
-  request.body = body.dump();
+  request.body = std::move(body);
   http::SendOptions options;
   options.deadline = deadline;
   auto answer = co_await client_.fetch(daemon_, std::move(request), options);
@@ -244,7 +254,7 @@
   }
   done.body = std::move(answer->body);
   const unsigned status = answer->head.status;
-  if (status == 200) {
+  if (status == 200 || status == 204) {
     done.outcome = CallOutcome::kDone;
   } else if (status == 404) {
     done.outcome = CallOutcome::kStepUnknown;
--- a/src/emulator/trainer_driver.hpp
+++ b/src/emulator/trainer_driver.hpp
@@ -26,7 +26,8 @@
   core::Result<void> start(TrainerRun run);
   /// Publishes the next version as soon as the outstanding poll has returned.
   void publish_soon() { publish_requested_ = true; }
-  /// Makes the run end after the outstanding call, as failed.
+  /// Makes the run end after the outstanding call, as failed; the daemon is told
+  /// that the step is cancelled.
   void stop() { stopping_ = true; }
   /// Talks to another daemon from the next call on.
   void set_daemon(core::Address daemon) { daemon_ = std::move(daemon); }
@@ -50,7 +51,8 @@
   boost::asio::awaitable<core::Result<void>> poll(const TrainerRun& run, std::uint64_t step,
                                                   core::MonotonicTime deadline);
   boost::asio::awaitable<void> publish_next(const TrainerRun& run, core::MonotonicTime deadline);
-  boost::asio::awaitable<Call> call(std::string target, nlohmann::json body,
+  boost::asio::awaitable<void> cancel_step(const TrainerRun& run, std::uint64_t step);
+  boost::asio::awaitable<Call> call(std::string method, std::string target, std::string body,
                                     core::MonotonicTime deadline);
   core::Result<void> check_going_on(core::MonotonicTime deadline) const;
   void take_answer(const PollAnswer& answer);
--- a/src/emulator/trainer_messages.hpp
+++ b/src/emulator/trainer_messages.hpp
@@ -167,6 +167,7 @@
   std::uint64_t failed_calls = 0;
   std::uint64_t lost_poll_answers = 0;  ///< by the trainer's switch
   std::uint64_t steps_opened_again = 0;
+  std::uint64_t steps_cancelled = 0;
   std::uint64_t versions_published = 0;
   core::WeightVersion current_version;
   std::uint64_t epoch_seen = 0;
@@ -197,6 +198,7 @@
   visitor("failed_calls", report.failed_calls);
   visitor("lost_poll_answers", report.lost_poll_answers);
   visitor("steps_opened_again", report.steps_opened_again);
+  visitor("steps_cancelled", report.steps_cancelled);
   visitor("versions_published", report.versions_published);
   visitor("current_version", report.current_version);
   visitor("epoch_seen", report.epoch_seen);
--- a/tests/unit/emulator/emulator_test.cpp
+++ b/tests/unit/emulator/emulator_test.cpp
@@ -93,6 +93,8 @@
     router_.add("POST", "/v1/events/{event}/steps", at_once([this](const Request& request) {
                   return open(json::parse(request.body));
                 }));
+    router_.add("DELETE", "/v1/events/{event}/steps/{step}",
+                at_once([](const Request&) { return empty_answer(); }));
     router_.add(
         "POST", "/v1/events/{event}/steps/{step}/poll",
         at_once([this](const Request& request) { return poll(json::parse(request.body)); }));
@@ -174,6 +176,7 @@
   CPPUNIT_TEST(leaving_back_end_is_listed_and_watched);
   CPPUNIT_TEST(top_ups_are_counted);
   CPPUNIT_TEST(trainer_runs_its_steps);
+  CPPUNIT_TEST(stopped_trainer_cancels_its_step);
   CPPUNIT_TEST(tcp_relay_is_cut_and_heals);
   CPPUNIT_TEST(udp_relay_is_cut_and_heals);
   CPPUNIT_TEST_SUITE_END();
@@ -206,6 +209,19 @@
     return {};
   }
 
+  void point_trainer_to(TestDaemon& daemon) {
+    const core::Address address = daemon.start();
+    const json place = {{"ip", address.ip}, {"port", address.port}};
+    CPPUNIT_ASSERT_EQUAL(204U, control("PUT", "trainers/trainer/daemon", place.dump()).status);
+  }
+  json report_at_end() {
+    json report;
+    do {
+      report = control("GET", "trainers/trainer").document();
+    } while (report.at("state") == "running");
+    return report;
+  }
+
  public:
   void setUp() override {
     auto settings = parse_settings(kSettings);
@@ -372,19 +388,14 @@
 
   void trainer_runs_its_steps() {
     TestDaemon daemon;
-    const core::Address address = daemon.start();
-    const json place = {{"ip", address.ip}, {"port", address.port}};
-    CPPUNIT_ASSERT_EQUAL(204U, control("PUT", "trainers/trainer/daemon", place.dump()).status);
+    point_trainer_to(daemon);
     CPPUNIT_ASSERT_EQUAL(
         204U, control("PUT", "trainers/trainer/switches", R"({"lost_poll_answers":2})").status);
     const std::string run =
         R"({"event":"event","policy":"policy","steps":2,"prompts":3,"samples_per_prompt":4,)"
         R"("age_bound":0,"publish_after_samples":5})";
     CPPUNIT_ASSERT_EQUAL(202U, control("POST", "trainers/trainer/run", run).status);
-    json report;
-    do {
-      report = control("GET", "trainers/trainer").document();
-    } while (report.at("state") == "running");
+    const json report = report_at_end();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(report.dump(), std::string("finished"),
                                  report.at("state").get<std::string>());
     CPPUNIT_ASSERT_EQUAL(24, report.at("samples_expected").get<int>());
@@ -401,6 +412,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, weights.document().at("sets").size());
   }
 
+  void stopped_trainer_cancels_its_step() {
+    TestDaemon daemon;
+    point_trainer_to(daemon);
+    CPPUNIT_ASSERT_EQUAL(
+        204U,
+        control("PUT", "trainers/trainer/switches", R"({"lost_poll_answers":1000000000})").status);
+    const std::string run = R"({"event":"event","policy":"policy"})";
+    CPPUNIT_ASSERT_EQUAL(202U, control("POST", "trainers/trainer/run", run).status);
+    CPPUNIT_ASSERT_EQUAL(409U, control("POST", "trainers/trainer/run", run).status);
+    CPPUNIT_ASSERT_EQUAL(204U, control("POST", "trainers/trainer/stop").status);
+    const json report = report_at_end();
+    CPPUNIT_ASSERT_EQUAL(std::string("failed"), report.at("state").get<std::string>());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(report.dump(), 1, report.at("steps_cancelled").get<int>());
+    CPPUNIT_ASSERT_EQUAL(0, report.at("samples_delivered").get<int>());
+  }
+
   void tcp_relay_is_cut_and_heals() {
     runtime::EventLoopThread loop("relay");
     const auto relay = make_tcp_relay(loop.executor(), replica());
