--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -12,6 +12,10 @@
 /// Each takes its own arguments, the command's name first, and returns an exit code.
 using CommandFunction = int (*)(int argument_count, char** arguments);
 
+/// Writes scenarios on several seeds as one HTML page.
+int run_report_command(int argument_count, char** arguments);
+/// Measures gossip among hollow members at several sizes.
+int run_scale_run_command(int argument_count, char** arguments);
 /// Sends ordinary requests to callers' listeners and checks every answer.
 int run_load_command(int argument_count, char** arguments);
 /// Simulates a scenario's variants side by side.
--- a/src/bench/demo_summary_command.cpp
+++ b/src/bench/demo_summary_command.cpp
@@ -39,7 +39,7 @@
 
  private:
   core::Result<ControlAnswer> call(const std::string& method, const std::string& target,
-                          const std::string& body) {
+                                   const std::string& body) {
     http::Request request;
     request.head.method = method;
     request.head.target = target;
