Let the step runner wait for fresh engines and start long groups first

A step in hand is a complete one that no publication has followed. Ruled out: to trust that count without end. A trainer that publishes less often than it takes steps would make it grow, so nothing waits once a publication is overdue.

unit_steps: 17 passed, unit_rollout: 27 passed.

--- a/src/rollout/freshness.cpp
+++ b/src/rollout/freshness.cpp
@@ -1,7 +1,5 @@
 #include "rollout/freshness.hpp"
 
-#include <algorithm>
-
 namespace stoneport::rollout {
 
 namespace {
@@ -11,11 +9,12 @@
 
 core::Duration time_until_needed(const FreshnessInput& input, const PublicationRhythm& rhythm) {
   const auto next = rhythm.next_expected();
-  if (input.steps_in_hand == 0 || !next) {
+  // A publication that is overdue may be late because the trainer waits for us.
+  if (input.steps_in_hand == 0 || !next || *next <= input.now) {
     return core::Duration::zero();
   }
-  const core::Duration until_next = std::max(*next - input.now, core::Duration::zero());
-  return until_next + *rhythm.interval() * static_cast<std::int64_t>(input.steps_in_hand - 1);
+  return *next - input.now +
+         *rhythm.interval() * static_cast<std::int64_t>(input.steps_in_hand - 1);
 }
 
 bool should_wait_for_fresh(const FreshnessInput& input, const PublicationRhythm& rhythm) {
--- a/src/rollout/freshness.hpp
+++ b/src/rollout/freshness.hpp
@@ -22,7 +22,8 @@
 };
 
 /// \return the time until the trainer would wait for the step after those it has
-/// in hand; zero when it waits now or when its rhythm is not known.
+/// in hand; zero when it waits now, when its rhythm is not known and when its next
+/// publication is overdue.
 core::Duration time_until_needed(const FreshnessInput& input, const PublicationRhythm& rhythm);
 
 /// \return whether there is time to spare, so that only engines with the trainer's
--- a/src/steps/step_context.hpp
+++ b/src/steps/step_context.hpp
@@ -18,6 +18,18 @@
   std::vector<std::uint64_t> lengths;  ///< of the last finished step's samples
   core::Duration run_length{};         ///< of one attempt, smoothed
   std::uint32_t in_flight = 0;         ///< streams of all steps of the event
+  core::Duration step_length{};        ///< from first start to completion, smoothed
+  std::uint64_t steps_completed = 0;
+  /// The trainer's version when the first of these was complete.
+  core::WeightVersion counted_from;
+
+  /// \return complete steps that the trainer has not trained on: each of its
+  /// publications ends the training of one.
+  std::uint64_t steps_in_hand(core::WeightVersion current) const {
+    const std::uint64_t trained =
+        current > counted_from ? current.value() - counted_from.value() : 0;
+    return steps_completed > trained ? steps_completed - trained : 0;
+  }
 };
 
 struct StepContext {
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -3,8 +3,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <numeric>
 
 #include "core/hash.hpp"
+#include "rollout/freshness.hpp"
 #include "rollout/over_sampling.hpp"
 #include "runtime/tasks.hpp"
 #include "steps/backoff.hpp"
@@ -28,7 +30,8 @@
       listener_(std::move(listener)),
       ledger_(plan_.content.shape()),
       chooser_(context, rules_.event_template.model, plan_.content.prompts),
-      placement_(chooser_, {}) {}
+      placement_(chooser_, {}),
+      finished_groups_(ledger_.shape().prompts) {}
 
 const EventRules& StepWork::rules() {
   if (auto in_force = find_rules(context_.dependencies, plan_.event)) {
@@ -145,6 +148,7 @@
       }
     }
   }
+  wanted = rollout::order_of_start(std::move(wanted), group_progress(), usual_length());
   const core::MonotonicTime now = context_.now();
   std::erase_if(wanted, [&](SlotId slot) {
     const auto pause = pauses_.find(slot);
@@ -153,6 +157,20 @@
   return wanted;
 }
 
+std::vector<rollout::GroupProgress> StepWork::group_progress() const {
+  std::vector<rollout::GroupProgress> groups = finished_groups_;
+  for (const auto& [key, attempt] : attempts_) {
+    groups[key.first.prompt].tokens += attempt->content().token_count();
+  }
+  return groups;
+}
+
+double StepWork::usual_length() {
+  const std::vector<std::uint64_t>& lengths = context_.events[plan_.event].lengths;
+  const double sum = std::accumulate(lengths.begin(), lengths.end(), 0.0);
+  return lengths.empty() ? 0 : sum / static_cast<double>(lengths.size());
+}
+
 void StepWork::start_idle() {
   if (starts_paused_) {
     return;
@@ -178,6 +196,11 @@
   input.rule = rule;
   input.now = context_.now();
   input.expected_run = context_.events[plan_.event].run_length;
+  if (should_wait_for_fresh(rule)) {
+    std::erase_if(input.candidates, [&](const rollout::EngineCandidate& candidate) {
+      return candidate.version && *candidate.version < rule.current;
+    });
+  }
   const auto chosen = placement_.place(input, context_.policies.rhythm(rules_.parameters.policy));
   if (!chosen) {
     return false;
@@ -194,6 +217,15 @@
   return true;
 }
 
+bool StepWork::should_wait_for_fresh(const rollout::AgeRule& rule) {
+  const EventHistory& history = context_.events[plan_.event];
+  rollout::FreshnessInput input;
+  input.steps_in_hand = history.steps_in_hand(rule.current);
+  input.expected_step = history.step_length;
+  input.now = context_.now();
+  return rollout::should_wait_for_fresh(input, context_.policies.rhythm(rules_.parameters.policy));
+}
+
 Attempt::Order StepWork::order_for(SlotId slot, std::uint32_t number, routing::Replica engine) {
   Attempt::Order order;
   order.name.event = plan_.event;
@@ -219,6 +251,7 @@
 
 void StepWork::start_run(std::shared_ptr<Attempt> attempt) {
   ++context_.events[plan_.event].in_flight;
+  first_start_ = first_start_ ? first_start_ : context_.now();
   attempts_[{attempt->slot(), attempt->name().attempt}] = attempt;
   runtime::start(context_.dependencies.executor, "attempt",
                  run_attempt(shared_from_this(), std::move(attempt)));
@@ -333,6 +366,8 @@
     case rollout::FinishOutcome::kAccepted:
       context_.metrics.samples_accepted.Increment();
       finished_lengths_.push_back(attempt.content().token_count());
+      finished_groups_[attempt.slot().prompt].tokens += attempt.content().token_count();
+      ++finished_groups_[attempt.slot().prompt].finished;
       return true;
     case rollout::FinishOutcome::kDuplicate:
       context_.metrics.samples_duplicate.Increment();
@@ -354,6 +389,16 @@
 }
 
 void StepWork::leave_history() {
+  constexpr double kNewestWeight = 0.5;
+  EventHistory& history = context_.events[plan_.event];
+  const double length = core::to_seconds(context_.now() - first_start_.value_or(context_.now()));
+  const double known = core::to_seconds(history.step_length);
+  history.step_length =
+      core::from_seconds(known > 0 ? kNewestWeight * length + (1 - kNewestWeight) * known : length);
+  if (history.steps_completed == 0) {
+    history.counted_from = age_rule().current;
+  }
+  ++history.steps_completed;
   if (!finished_lengths_.empty()) {
     context_.events[plan_.event].lengths = finished_lengths_;
   }
--- a/src/steps/step_work_stragglers.cpp
+++ b/src/steps/step_work_stragglers.cpp
@@ -23,6 +23,12 @@
   input.slot_count = ledger_.shape().slot_count();
   input.finished_count = ledger_.held_count() + ledger_.ready_count();
   input.targets = context_.engines.migration_targets(rules_.event_template.model, age_rule());
+  std::map<core::ReplicaId, core::WeightVersion> versions;
+  for (const routing::Replica& replica : context_.engines.all(rules_.event_template.model)) {
+    if (replica.digest) {
+      versions[replica.id] = replica.digest->version;
+    }
+  }
   for (const auto& [key, attempt] : attempts_) {
     if (!attempt->is_reading() || attempt->is_stopping()) {
       continue;
@@ -35,6 +41,9 @@
     sample.tokens_per_second = attempt->tokens_per_second();
     sample.raised = attempt->is_raised();
     sample.migrations = attempt->migrations();
+    if (const auto version = versions.find(sample.engine); version != versions.end()) {
+      sample.version = version->second;
+    }
     input.running.push_back(std::move(sample));
   }
   return input;
