--- a/src/bench/simulation/rollout_daemon.cpp
+++ b/src/bench/simulation/rollout_daemon.cpp
@@ -124,6 +124,26 @@
   return engines_.index_of(usable[choice.index].replica->id);
 }
 
+std::optional<core::ReplicaId> RolloutDaemon::choose_by_cost(
+    const PrefixBlocks& prefix, std::uint32_t prompt_tokens,
+    const std::vector<rollout::EngineCandidate>& candidates) {
+  std::vector<routing::Candidate> options;
+  for (const rollout::EngineCandidate& candidate : candidates) {
+    const routing::Replica& replica = engines_.replicas()[engines_.index_of(candidate.id)];
+    options.push_back({&replica, &loads_.of(replica.id)});
+  }
+  routing::ChoiceRequest request;
+  request.prefixes = prefix;
+  request.prompt_bytes = std::size_t{prompt_tokens} * kBytesPerToken;
+  request.group = prefix.back();
+  const routing::Choice choice = chooser_->choose(options, request, events_.now());
+  if (choice.outcome != routing::ChoiceOutcome::kChosen) {
+    return std::nullopt;
+  }
+  options[choice.index].load->recent_prefixes().add(prefix, events_.now());
+  return options[choice.index].replica->id;
+}
+
 /// As steps::EngineDirectory::migration_targets().
 std::vector<rollout::MigrationTarget> RolloutDaemon::migration_targets() const {
   std::vector<rollout::MigrationTarget> result;
--- a/src/bench/simulation/rollout_daemon.hpp
+++ b/src/bench/simulation/rollout_daemon.hpp
@@ -45,6 +45,11 @@
   /// \return the engine for a sample, or nothing: ask again later.
   std::optional<std::size_t> place(const PlacementQuestion& question, const rollout::AgeRule& rule,
                                    rollout::GroupPlacement& placement);
+  /// \return the engine of a group by the router's costs, as steps::CostEngineChooser;
+  /// nothing where the router's rules leave none.
+  std::optional<core::ReplicaId> choose_by_cost(
+      const PrefixBlocks& prefix, std::uint32_t prompt_tokens,
+      const std::vector<rollout::EngineCandidate>& candidates);
   std::vector<rollout::MigrationTarget> migration_targets() const;
   std::optional<core::WeightVersion> reported_version(std::size_t engine) const;
 
--- a/src/bench/simulation/simulated_step.cpp
+++ b/src/bench/simulation/simulated_step.cpp
@@ -40,6 +40,13 @@
 
 }  // namespace
 
+core::ReplicaId GroupEngineChooser::choose(
+    std::uint32_t prompt, const std::vector<rollout::EngineCandidate>& candidates) {
+  const PromptWork& work = work_.prompts[prompt];
+  const auto chosen = daemon_.choose_by_cost(*work.prefix, work.tokens, candidates);
+  return chosen ? *chosen : otherwise_.choose(prompt, candidates);
+}
+
 SimulatedStep::SimulatedStep(RolloutDaemon& daemon, const TrainerSettings& trainer, StepWork work,
                              std::vector<std::uint64_t> earlier_lengths,
                              std::function<void()> on_sample)
@@ -49,7 +56,8 @@
       earlier_lengths_(std::move(earlier_lengths)),
       on_sample_(std::move(on_sample)),
       ledger_(rollout::StepShape{trainer.prompts, trainer.samples_per_prompt}),
-      placement_(least_loaded_, {}),
+      chooser_(daemon, work_),
+      placement_(chooser_, {}),
       finished_by_group_(trainer.prompts),
       usual_length_(mean_of(earlier_lengths_)) {}
 
--- a/src/bench/simulation/simulated_step.hpp
+++ b/src/bench/simulation/simulated_step.hpp
@@ -17,6 +17,19 @@
 
 namespace stoneport::bench {
 
+/// Chooses the engine of a group as steps::CostEngineChooser does.
+class GroupEngineChooser : public rollout::EngineChooser {
+ public:
+  GroupEngineChooser(RolloutDaemon& daemon, const StepWork& work) : daemon_(daemon), work_(work) {}
+  core::ReplicaId choose(std::uint32_t prompt,
+                         const std::vector<rollout::EngineCandidate>& candidates) override;
+
+ private:
+  RolloutDaemon& daemon_;
+  const StepWork& work_;
+  rollout::LeastLoadedChooser otherwise_;
+};
+
 class SimulatedStep {
  public:
   /// \param lengths of the samples of earlier steps
@@ -78,7 +91,7 @@
   std::vector<std::uint64_t> earlier_lengths_;
   std::function<void()> on_sample_;
   rollout::StepLedger ledger_;
-  rollout::LeastLoadedChooser least_loaded_;
+  GroupEngineChooser chooser_;
   rollout::GroupPlacement placement_;
   std::map<StreamKey, Attempt> attempts_;
   std::set<core::SlotId> spares_started_;
