--- a/src/routing/replica_load.cpp
+++ b/src/routing/replica_load.cpp
@@ -1,6 +1,7 @@
 #include "routing/replica_load.hpp"
 
 #include <stdexcept>
+#include <unordered_set>
 
 namespace stoneport::routing {
 
@@ -81,4 +82,14 @@
   return result;
 }
 
+void ReplicaLoads::forget_all_but(std::span<const Replica> replicas) {
+  std::unordered_set<core::ReplicaId> known;
+  for (const Replica& replica : replicas) {
+    known.insert(replica.id);
+  }
+  std::erase_if(loads_, [&known](const auto& entry) {
+    return entry.second->in_flight() == 0 && !known.contains(entry.first);
+  });
+}
+
 }  // namespace stoneport::routing
--- a/src/routing/replica_load.hpp
+++ b/src/routing/replica_load.hpp
@@ -79,6 +79,9 @@
   /// \return one candidate a replica, in the same order.
   std::vector<Candidate> candidates(std::span<const Replica* const> replicas);
   std::vector<Candidate> candidates(std::span<const Replica> replicas);
+  /// Forgets replicas that are not among \p replicas and have nothing in flight.
+  void forget_all_but(std::span<const Replica> replicas);
+  std::size_t size() const { return loads_.size(); }
 
  private:
   AdaptiveLimitOptions limit_;
--- a/tests/unit/routing/replica_choice_test.cpp
+++ b/tests/unit/routing/replica_choice_test.cpp
@@ -55,6 +55,7 @@
   CPPUNIT_TEST(cached_prefix_wins_until_the_load_bound);
   CPPUNIT_TEST(a_group_goes_to_its_home);
   CPPUNIT_TEST(older_versions_and_swaps_cost);
+  CPPUNIT_TEST(replaced_replicas_are_forgotten);
   CPPUNIT_TEST(baselines);
   CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +262,20 @@
                          only_one(draw(chooser, loads.candidates(replicas), {})));
   }
 
+  void replaced_replicas_are_forgotten() {
+    routing::ReplicaLoads loads;
+    const std::vector<Replica> before = {make_replica("r0"), make_replica("r1")};
+    const std::vector<Replica> after = {make_replica("r2")};
+    loads.candidates(before);
+    start(loads, "r1", 1);
+    loads.candidates(after);
+    loads.forget_all_but(after);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), loads.size());  // r1 still has one in flight
+    loads.of(core::ReplicaId("r1")).finished(routing::LoadSignal::kNeutral, kStart);
+    loads.forget_all_but(after);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), loads.size());
+  }
+
   void baselines() {
     routing::ReplicaLoads loads;
     const std::vector<Replica> replicas = {make_replica("r0"), make_replica("r1"),
