--- a/src/controllers/drain_controller.cpp
+++ b/src/controllers/drain_controller.cpp
@@ -5,11 +5,13 @@
 namespace stoneport::controllers {
 
 void DrainController::start() {
-  gossip_.on_change([this] {
+  const auto look = [this] {
     if (gossip_.self().leaving) {
       begin_drain("marked as leaving");
     }
-  });
+  };
+  gossip_.on_change(look);
+  look();
 }
 
 void DrainController::begin_drain(const std::string& reason) {
--- a/src/emulator/fault_gate.cpp
+++ b/src/emulator/fault_gate.cpp
@@ -1,5 +1,7 @@
 #include "emulator/fault_gate.hpp"
 
+#include <algorithm>
+
 #include "emulator/http_answers.hpp"
 #include "runtime/tasks.hpp"
 
@@ -40,7 +42,8 @@
                                             std::optional<std::uint64_t> content_length) override {
     if (faults_.cut_bodies > 0) {
       --faults_.cut_bodies;
-      bytes_left_ = faults_.cut_after_bytes;
+      const std::uint64_t last = content_length.value_or(faults_.cut_after_bytes + 1);
+      bytes_left_ = std::min(faults_.cut_after_bytes, last > 0 ? last - 1 : 0);
     }
     co_return co_await inner_.start(std::move(head), content_length);
   }
@@ -118,7 +121,7 @@
     co_await refuse(core::ErrorCode::kUnavailable, kRefusalRetryAfter, response);
     co_return Verdict::kAnswered;
   }
-  const auto wait = bucket_.take(faults_.requests_per_second, clock_.now());
+  const auto wait = wait_by_rate_limit();
   if (wait) {
     co_await refuse(core::ErrorCode::kRateLimited, *wait, response);
     co_return Verdict::kAnswered;
@@ -131,6 +134,19 @@
   co_return Verdict::kPass;
 }
 
+std::optional<core::Duration> FaultGate::wait_by_rate_limit() {
+  const double rate = faults_.requests_per_second;
+  if (rate <= 0) {
+    return std::nullopt;
+  }
+  const core::MonotonicTime now = clock_.now();
+  if (!bucket_ || bucket_rate_ != rate) {
+    bucket_.emplace(core::TokenBucketSettings{rate, rate}, now);
+    bucket_rate_ = rate;
+  }
+  return bucket_->try_take(now, 0) ? std::nullopt : std::optional(bucket_->wait_for(now, 0));
+}
+
 asio::awaitable<void> FaultGate::refuse(core::ErrorCode code, core::Duration retry_after,
                                         http::ResponseWriter& response) {
   const core::Error error = core::make_error(code, "refused by a fault switch", retry_after);
