End a lease whose row cannot be read

Cause: an unreadable row counted as silence of the store, so that a holder went on with fenced effects although the store had answered. Change: such a row ends the lease; the engine factory drops clients that nobody holds. Red without the change: unit_controllers 60 passed, 1 failed (unreadable_row_ends_the_lease). With it: 61 passed, 0 failed.

--- a/src/controllers/lease.cpp
+++ b/src/controllers/lease.cpp
@@ -145,7 +145,7 @@
   held_until_ = sent_at + scaled(settings_.duration, 1 - settings_.holder_margin);
 }
 
-void LeaseState::on_write_conflict() {
+void LeaseState::on_row_lost() {
   epoch_ = core::Epoch();
   last_unanswered_.reset();
   read_is_fresh_ = false;
--- a/src/controllers/lease.hpp
+++ b/src/controllers/lease.hpp
@@ -85,8 +85,8 @@
   /// for others from then on
   void on_write_committed(const LeaseWrite& write, core::Revision revision,
                           core::MonotonicTime sent_at);
-  /// Somebody else changed the row.
-  void on_write_conflict();
+  /// Somebody else changed the row, or it says nothing that we understand.
+  void on_row_lost();
   /// The store refused, or its answer was lost.
   /// \param now taken after the attempt ended
   void on_write_failed(core::MonotonicTime sent_at, core::MonotonicTime now,
--- a/src/controllers/lease_keeper.cpp
+++ b/src/controllers/lease_keeper.cpp
@@ -112,7 +112,8 @@
   LeaseState& lease = leases_.at(name);
   if (!observed) {
     counters_->read_failed.Increment();
-    lease.on_read_failed(sent_at, now);
+    const bool answered = observed.error().code == ErrorCode::kProtocol;
+    answered ? lease.on_row_lost() : lease.on_read_failed(sent_at, now);
     co_return;
   }
   lease.on_read(std::move(*observed), now);
@@ -136,7 +137,7 @@
   const ErrorCode code = answer.error().code;
   if (code == ErrorCode::kConflict) {
     counters_->conflict.Increment();
-    lease.on_write_conflict();
+    lease.on_row_lost();
     co_return;
   }
   const bool refused = code == ErrorCode::kUnavailable || code == ErrorCode::kRateLimited;
--- a/src/platform/http_model_engine.cpp
+++ b/src/platform/http_model_engine.cpp
@@ -216,12 +216,12 @@
 }
 
 std::shared_ptr<ModelEngine> HttpModelEngineFactory::engine_at(core::Address address) {
-  std::weak_ptr<ModelEngine>& kept = engines_[address];
-  std::shared_ptr<ModelEngine> engine = kept.lock();
+  const auto known = engines_.find(address);
+  std::shared_ptr<ModelEngine> engine = known == engines_.end() ? nullptr : known->second.lock();
   if (!engine) {
-    engine = std::make_shared<HttpModelEngine>(
-        HttpEndpoint(*client_, std::move(address), *time_, settings_));
-    kept = engine;
+    std::erase_if(engines_, [](const auto& entry) { return entry.second.expired(); });
+    engine = std::make_shared<HttpModelEngine>(HttpEndpoint(*client_, address, *time_, settings_));
+    engines_[std::move(address)] = engine;
   }
   return engine;
 }
--- a/tests/unit/controllers/lease_test.cpp
+++ b/tests/unit/controllers/lease_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(records_are_read_strictly);
   CPPUNIT_TEST(keeper_adopts_an_acquisition_whose_answer_was_lost);
   CPPUNIT_TEST(keeper_releases_what_is_no_longer_wanted);
+  CPPUNIT_TEST(unreadable_row_ends_the_lease);
   CPPUNIT_TEST(release_waits_for_the_round_in_progress);
   CPPUNIT_TEST(random_walk_has_one_holder);
   CPPUNIT_TEST_SUITE_END();
@@ -140,7 +141,7 @@
           second < 8 ? LeaseStanding::kHeld : LeaseStanding::kUnconfirmed;
       CPPUNIT_ASSERT(lease.standing(at(second)) == expected);
     }
-    lease.on_write_conflict();
+    lease.on_row_lost();
     CPPUNIT_ASSERT(lease.standing(at(3600)) == LeaseStanding::kNone);
   }
 
@@ -192,6 +193,23 @@
     CPPUNIT_ASSERT(second.held_epoch("x") == Epoch(2));
   }
 
+  /// The store did answer: its silence is no excuse to go on.
+  void unreadable_row_ends_the_lease() {
+    support::FakeTableService table;
+    core::ManualTimeSource clock;
+    core::Metrics metrics;
+    LeaseKeeper keeper(table, clock, kSelf, kSettings, 1, metrics);
+    keeper.set_wanted({"x"});
+    round(keeper);
+    table.faults.answers_lost_before_write = 1;
+    round(keeper);
+    CPPUNIT_ASSERT(keeper.held_epoch("x"));
+    table.put({"leases", "x"}, "{}", "rival");
+    clock.advance(seconds(60));
+    round(keeper);
+    CPPUNIT_ASSERT(!keeper.fenced_epoch("x"));
+  }
+
   void release_waits_for_the_round_in_progress() {
     core::RandomSource random(1);
     support::ScheduledStore store(random);
