Tell of configuration revisions by the life that holds them

At 330 simulated members and 6 KB/s everyone's new revision took 12.4 s to be known everywhere, and so did the counts that operators wait for, while the limit is 8 s. A revision is now followed by 64-bit keys of the lives that hold it, 9 bytes each in place of some 22.

--- a/src/controllers/gossip_records.cpp
+++ b/src/controllers/gossip_records.cpp
@@ -1,5 +1,7 @@
 #include "controllers/gossip_records.hpp"
 
+#include <algorithm>
+
 #include "core/hash.hpp"
 #include "wire/gossip_codec.hpp"
 
@@ -43,13 +45,14 @@
 bool GossipRecords::merge(const wire::Member& member) {
   const auto [position, added] = members_.try_emplace(member.node, member);
   if (added) {
+    nodes_by_life_[wire::life_key(member)] = member.node;
     return true;
   }
   wire::Member merged = wire::merge_members(position->second, member);
   if (merged == position->second) {
     return false;
   }
-  position->second = std::move(merged);
+  replace(merged);
   return true;
 }
 
@@ -62,19 +65,31 @@
   return added || raise(position->second, mark.incarnation);
 }
 
-bool GossipRecords::merge(const wire::MemberRevision& revision) {
-  const auto found = members_.find(revision.node);
-  const bool same_life = found != members_.end() && wire::life_of(found->second.incarnation) ==
-                                                        wire::life_of(revision.incarnation);
-  return same_life && raise(found->second.configuration_revision, revision.revision);
+std::optional<core::NodeId> GossipRecords::merge_revision(std::uint64_t holder,
+                                                          core::Revision revision) {
+  const auto node = nodes_by_life_.find(holder);
+  if (node == nodes_by_life_.end() ||
+      !raise(members_.at(node->second).configuration_revision, revision)) {
+    return std::nullopt;
+  }
+  return node->second;
 }
 
 void GossipRecords::replace(const wire::Member& member) {
+  const auto known = members_.find(member.node);
+  if (known != members_.end()) {
+    nodes_by_life_.erase(wire::life_key(known->second));
+  }
   members_[member.node] = member;
+  nodes_by_life_[wire::life_key(member)] = member.node;
 }
 
 void GossipRecords::erase(const core::NodeId& node) {
-  members_.erase(node);
+  const auto known = members_.find(node);
+  if (known != members_.end()) {
+    nodes_by_life_.erase(wire::life_key(known->second));
+    members_.erase(known);
+  }
 }
 
 BucketHashes GossipRecords::bucket_hashes() const {
@@ -135,8 +150,19 @@
   if (member == nullptr) {
     return 0;
   }
-  const wire::MemberRevision revision{node, member->incarnation, member->configuration_revision};
-  return append_if_it_fits(revision, packet.revisions, space);
+  const core::Revision revision = member->configuration_revision;
+  auto group = std::find_if(packet.revisions.begin(), packet.revisions.end(),
+                            [&](const auto& holders) { return holders.revision == revision; });
+  const bool is_new = group == packet.revisions.end();
+  const std::size_t size = wire::kHolderBytes + (is_new ? wire::kRevisionBytes : 0);
+  if (size > space) {
+    return 0;
+  }
+  if (is_new) {
+    group = packet.revisions.insert(packet.revisions.end(), {revision, {}});
+  }
+  group->holders.push_back(wire::life_key(*member));
+  return size;
 }
 
 }  // namespace stoneport::controllers
--- a/src/controllers/gossip_records.hpp
+++ b/src/controllers/gossip_records.hpp
@@ -7,6 +7,8 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -36,8 +38,10 @@
   bool merge(const wire::Member& member);
   bool merge(const wire::PolicyVersion& version);
   bool merge(const wire::ReplicaDrainMark& mark);
-  /// A revision of a member that is not known, or of another life, is ignored.
-  bool merge(const wire::MemberRevision& revision);
+  /// Raises the configuration revision of the member whose life_key() is
+  /// \p holder; of one that is not known, or of another life, it is ignored.
+  /// \return the node, if anything changed.
+  std::optional<core::NodeId> merge_revision(std::uint64_t holder, core::Revision revision);
   /// Overwrites a record past the merge rule; for what only its owner decides.
   void replace(const wire::Member& member);
   void erase(const core::NodeId& node);
@@ -57,6 +61,7 @@
 
  private:
   std::map<core::NodeId, wire::Member> members_;
+  std::unordered_map<std::uint64_t, core::NodeId> nodes_by_life_;
   std::map<core::PolicyName, core::WeightVersion> policy_versions_;
   std::map<core::ReplicaId, core::Incarnation> drain_marks_;
 };
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -105,7 +105,7 @@
   for (const wire::ReplicaDrainMark& mark : packet.drain_marks) {
     merge_drain_mark(mark);
   }
-  for (const wire::MemberRevision& revision : packet.revisions) {
+  for (const wire::RevisionHolders& revision : packet.revisions) {
     merge_revision(revision);
   }
 }
@@ -196,10 +196,17 @@
   }
 }
 
-void GossipState::merge_revision(const wire::MemberRevision& revision) {
-  if (revision.node != self_ && records_.merge(revision)) {
-    news_.add(revision.node, NewsPriority::kConfiguration);
-    ++members_version_;
+void GossipState::merge_revision(const wire::RevisionHolders& revision) {
+  const std::uint64_t own_key = wire::life_key(self());
+  for (const std::uint64_t holder : revision.holders) {
+    if (holder == own_key) {
+      continue;  // only we say what is in force here
+    }
+    const auto node = records_.merge_revision(holder, revision.revision);
+    if (node) {
+      news_.add(*node, NewsPriority::kConfiguration);
+      ++members_version_;
+    }
   }
 }
 
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -111,7 +111,7 @@
   void merge_about_self(const wire::Member& member);
   void merge_policy(const wire::PolicyVersion& version);
   void merge_drain_mark(const wire::ReplicaDrainMark& mark);
-  void merge_revision(const wire::MemberRevision& revision);
+  void merge_revision(const wire::RevisionHolders& revision);
   void update_self(const wire::Member& member, NewsPriority priority);
   void suspect(const core::NodeId& node, core::MonotonicTime now);
   void expire_suspicions(core::MonotonicTime now);
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -172,16 +172,14 @@
   return reader.ok();
 }
 
-Json write_revision(const MemberRevision& revision) {
-  return Json::array(
-      {revision.node.value(), revision.incarnation.value(), revision.revision.value()});
+Json write_revision(const RevisionHolders& revision) {
+  return Json::array({revision.revision.value(), Json(revision.holders)});
 }
 
-bool read_revision(const Json& json, MemberRevision& revision) {
-  ArrayReader reader(json, 3);
-  revision.node = reader.next_name<core::NodeId>();
-  revision.incarnation = reader.next_counter<core::Incarnation>();
+bool read_revision(const Json& json, RevisionHolders& revision) {
+  ArrayReader reader(json, 2);
   revision.revision = reader.next_counter<core::Revision>();
+  revision.holders = reader.next_list<std::uint64_t>(read_unsigned64);
   return reader.ok();
 }
 
@@ -403,7 +401,7 @@
   packet.members = reader.next_list<Member>(read_member);
   packet.policy_versions = reader.next_list<PolicyVersion>(read_policy_version);
   packet.drain_marks = reader.next_list<ReplicaDrainMark>(read_drain_mark);
-  packet.revisions = reader.next_list<MemberRevision>(read_revision);
+  packet.revisions = reader.next_list<RevisionHolders>(read_revision);
   if (!head_ok || !reader.ok()) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet breaks its format");
   }
@@ -419,9 +417,6 @@
 std::size_t encoded_size(const ReplicaDrainMark& mark) {
   return to_bytes(write_drain_mark(mark)).size();
 }
-std::size_t encoded_size(const MemberRevision& revision) {
-  return to_bytes(write_revision(revision)).size();
-}
 std::size_t encoded_size(const ReplicaReport& report) {
   return to_bytes(write_report(report)).size();
 }
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -20,6 +20,10 @@
 /// First element of each packet; another version is refused.
 inline constexpr std::uint64_t kGossipProtocolVersion = 1;
 
+/// Most bytes that a further revision, and a further holder of one, add.
+inline constexpr std::size_t kRevisionBytes = 13;
+inline constexpr std::size_t kHolderBytes = 9;
+
 std::string encode_packet(const GossipPacket& packet);
 /// \return the packet; kTooLarge beyond kMaxPacketBytes, kProtocol for anything
 /// that encode_packet() would not have written.
@@ -29,7 +33,6 @@
 std::size_t encoded_size(const Member& member);
 std::size_t encoded_size(const PolicyVersion& version);
 std::size_t encoded_size(const ReplicaDrainMark& mark);
-std::size_t encoded_size(const MemberRevision& revision);
 std::size_t encoded_size(const ReplicaReport& report);
 
 }  // namespace stoneport::wire
--- a/src/wire/gossip_messages.hpp
+++ b/src/wire/gossip_messages.hpp
@@ -99,12 +99,12 @@
   bool operator==(const ReplicaDrainMark&) const = default;
 };
 
-/// A member's configuration revision alone: what changes most, in fewer bytes.
-struct MemberRevision {
-  core::NodeId node;
-  core::Incarnation incarnation;
+/// Members, by life_key(), on which one configuration revision is in force: what
+/// changes most, in the fewest bytes.
+struct RevisionHolders {
   core::Revision revision;
-  bool operator==(const MemberRevision&) const = default;
+  std::vector<std::uint64_t> holders;
+  bool operator==(const RevisionHolders&) const = default;
 };
 
 struct GossipPacket {
@@ -113,7 +113,7 @@
   std::vector<Member> members;
   std::vector<PolicyVersion> policy_versions;
   std::vector<ReplicaDrainMark> drain_marks;
-  std::vector<MemberRevision> revisions;
+  std::vector<RevisionHolders> revisions;
   bool operator==(const GossipPacket&) const = default;
 };
 
--- a/src/wire/member.cpp
+++ b/src/wire/member.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <tuple>
 
+#include "core/hash.hpp"
+
 namespace stoneport::wire {
 namespace {
 
@@ -53,6 +55,10 @@
   return "unknown";
 }
 
+std::uint64_t life_key(const Member& member) {
+  return core::hash64(member.node.value(), life_of(member.incarnation));
+}
+
 Member merge_members(const Member& left, const Member& right) {
   const std::uint64_t left_life = life_of(left.incarnation);
   const std::uint64_t right_life = life_of(right.incarnation);
--- a/src/wire/member.hpp
+++ b/src/wire/member.hpp
@@ -47,6 +47,9 @@
   return incarnation.value() >> kRefutationBits;
 }
 
+/// \return a short name of one life of one node, the same everywhere.
+std::uint64_t life_key(const Member& member);
+
 /// Merges two records of one node. Commutative, associative and idempotent, so
 /// the order in which records arrive makes no difference.
 Member merge_members(const Member& left, const Member& right);
--- a/tests/unit/wire/gossip_codec_test.cpp
+++ b/tests/unit/wire/gossip_codec_test.cpp
@@ -54,7 +54,7 @@
   packet.members = {full_member(), full_member()};
   packet.policy_versions = {{core::PolicyName("compounds"), core::WeightVersion(4)}};
   packet.drain_marks = {{core::ReplicaId("engine-1"), core::Incarnation(3)}};
-  packet.revisions = {{core::NodeId("node-2"), first_incarnation(5), core::Revision(43)}};
+  packet.revisions = {{core::Revision(43), {1, ~std::uint64_t{0}}}};
   return packet;
 }
 
@@ -140,7 +140,7 @@
         {"a broken member", damaged([](Json& packet) { packet[3][1].erase(0); })},
         {"a broken policy", damaged([](Json& packet) { packet[4][0][1] = "4"; })},
         {"a broken drain mark", damaged([](Json& packet) { packet[5][0][0] = 1; })},
-        {"a broken revision", damaged([](Json& packet) { packet[6][0][2] = -1; })},
+        {"a broken revision", damaged([](Json& packet) { packet[6][0][1][0] = -1; })},
         {"a wide sequence", damaged([](Json& packet) { packet[2][1] = std::uint64_t{1} << 32; },
                                     Ping{1, core::NodeId("node-2")})},
         {"hashes that are text",
