--- a/src/controllers/gossip_simulation.cpp
+++ b/src/controllers/gossip_simulation.cpp
@@ -41,7 +41,11 @@
   self.peer_address = {self.gossip_address.ip, kGossipPort + 1};
   auto state = std::make_unique<GossipState>(self, settings_.gossip,
                                              random_.uniform(1, std::uint64_t{1} << 60));
-  state->set_seeds({address_of(0), address_of(1 % settings_.members)});
+  std::vector<core::Address> seeds;
+  for (std::size_t seed = 0; seed < std::min(settings_.seeds, settings_.members); ++seed) {
+    seeds.push_back(address_of(seed));
+  }
+  state->set_seeds(std::move(seeds));
   return state;
 }
 
--- a/src/controllers/gossip_simulation.hpp
+++ b/src/controllers/gossip_simulation.hpp
@@ -17,7 +17,8 @@
 struct GossipSimulationSettings {
   std::size_t members = 3;
   std::uint64_t seed = 1;
-  double loss = 0;  ///< share of packets lost
+  std::size_t seeds = 2;  ///< how many addresses a new process is given
+  double loss = 0;        ///< share of packets lost
   core::Duration latency = std::chrono::milliseconds(1);
   core::Duration tick = std::chrono::milliseconds(100);
   GossipSettings gossip;
