Let a daemon take the whole when its own content does not fit

After the store had been put back to an older state and others had published from there, a daemon with content that the store had lost could never match the hash of a newer head: it added what changed to what it had. A difference that does not fit is now followed by a request for the whole, from the store and from peers; a delta since revision zero replaces what the receiver has. The revision still never goes down. A publish refused because the store is behind says so.

--- a/src/config/configuration_record.cpp
+++ b/src/config/configuration_record.cpp
@@ -147,7 +147,8 @@
 }
 
 ConfigurationRecord apply_delta(const ConfigurationRecord& base, const ConfigurationDelta& delta) {
-  ConfigurationRecord whole = base;
+  const bool is_whole = delta.since == core::Revision();
+  ConfigurationRecord whole = is_whole ? ConfigurationRecord() : base;
   whole.revision = delta.changed.revision;
   for (const auto& [key, document] : delta.changed.documents) {
     whole.documents[key] = document;
--- a/src/config/configuration_record.hpp
+++ b/src/config/configuration_record.hpp
@@ -35,7 +35,8 @@
   const DocumentRecord* find(const DocumentKey& key) const;
 };
 
-/// Documents that changed after `since`, and what the whole must hash to.
+/// Documents that changed after `since`, and what the whole must hash to. Since
+/// zero, they are the whole, whatever the receiver has.
 struct ConfigurationDelta {
   core::Revision since;
   ConfigurationRecord changed;  ///< its revision is that of the whole
@@ -55,7 +56,8 @@
 
 /// \return what a daemon at \p since lacks of \p record.
 ConfigurationDelta delta_since(const ConfigurationRecord& record, core::Revision since);
-/// \return \p base with the documents of \p delta in it, at its revision. It is
+/// \return \p base with the documents of \p delta in it, at its revision; without
+/// \p base where the delta is the whole. It is
 /// the whole that the delta was taken from only if its hash is the stated one.
 ConfigurationRecord apply_delta(const ConfigurationRecord& base, const ConfigurationDelta& delta);
 
--- a/src/controllers/configuration_controller.cpp
+++ b/src/controllers/configuration_controller.cpp
@@ -98,7 +98,7 @@
 
 asio::awaitable<void> ConfigurationController::run_store_loop() {
   while (!stopping_) {
-    core::Result<void> asked = co_await ask_store(TablePriority::kBackground);
+    core::Result<ConfigurationHead> asked = co_await ask_store(TablePriority::kBackground);
     count("store_read", asked.has_value() ? "ok" : "failed");
     const core::Duration shortest =
         ready() ? options_.shortest_store_poll : options_.starting_store_poll;
@@ -136,12 +136,15 @@
 }
 
 asio::awaitable<core::Result<void>> ConfigurationController::ask_peer(wire::Member peer) {
+  const core::Revision since =
+      peer_reach_ == Reach::kWhole ? core::Revision() : adoption_.revision();
   core::Result<PeerConfiguration> answer =
-      co_await peer_client_.fetch(peer, adoption_.revision(), options_.exchange_timeout);
+      co_await peer_client_.fetch(peer, since, options_.exchange_timeout);
   if (answer.has_error()) {
     co_return answer.error();
   }
   const AdoptionVerdict verdict = take(*answer);
+  peer_reach_ = verdict == AdoptionVerdict::kBadHash ? Reach::kWhole : Reach::kNewer;
   if (is_refusal(verdict)) {
     co_return refusal(verdict);
   }
@@ -152,16 +155,21 @@
   co_return core::Result<void>();
 }
 
-asio::awaitable<core::Result<void>> ConfigurationController::ask_store(TablePriority priority) {
-  core::Result<void> outcome;
+/// Reads the head and, where it is newer, what lies behind it. A publication
+/// between the two readings shows as a hash that does not match; so does content
+/// of ours that the store never held. The next reading is of the whole.
+asio::awaitable<core::Result<ConfigurationHead>> ConfigurationController::ask_store(
+    TablePriority priority) {
+  core::Error error;
   for (int reading = 0; reading < kMostReadings; ++reading) {
     core::Result<ConfigurationHead> head = co_await store_.read_head(priority);
     if (head.has_error()) {
       co_return head.error();
     }
-    outcome = core::Result<void>();
+    core::Result<void> outcome;
     if (head->revision > adoption_.revision()) {
-      outcome = co_await read_newer(*head, priority);
+      const Reach reach = reading == 0 ? Reach::kNewer : Reach::kWhole;
+      outcome = co_await read_newer(*head, reach, priority);
     } else {
       count("head", adoption_.compare(head->revision, head->hash));
     }
@@ -169,26 +177,27 @@
       remember(*head);
       adoption_.heard_store();
       check_ready();
-      co_return outcome;
+      co_return head;
     }
-    if (outcome.error().code != core::ErrorCode::kProtocol) {
-      co_return outcome;
+    error = outcome.error();
+    if (error.code != core::ErrorCode::kProtocol) {
+      break;
     }
   }
-  co_return outcome;
+  co_return error;
 }
 
-/// Reads the documents that changed. A publication between the two readings
-/// shows as a hash that does not match: kProtocol, and the caller reads again.
 asio::awaitable<core::Result<void>> ConfigurationController::read_newer(ConfigurationHead head,
+                                                                        Reach reach,
                                                                         TablePriority priority) {
+  const ConfigurationHead start = reach == Reach::kWhole ? ConfigurationHead() : known_head_;
   core::Result<std::map<config::DocumentKey, config::DocumentRecord>> documents =
-      co_await store_.read_documents(known_head_.row, priority);
+      co_await store_.read_documents(start.row, priority);
   if (documents.has_error()) {
     co_return documents.error();
   }
   config::ConfigurationDelta delta;
-  delta.since = std::min(known_head_.revision, adoption_.revision());
+  delta.since = std::min(start.revision, adoption_.revision());
   delta.whole_hash = head.hash;
   delta.changed.revision = head.revision;
   delta.changed.documents = std::move(*documents);
@@ -215,7 +224,7 @@
   if (outcome.has_error() && outcome.error().code == core::ErrorCode::kConflict) {
     co_return core::make_error(
         core::ErrorCode::kUnavailable,
-        "not accepted, other publications came first each time: " + outcome.error().message,
+        fmt::format("not accepted after {} attempts: {}", kMostAttempts, outcome.error().message),
         kRetryAfterRaces);
   }
   co_return outcome;
@@ -224,19 +233,19 @@
 /// One reading of the newest whole and one attempt to commit on top of it.
 asio::awaitable<core::Result<PublishOutcome>> ConfigurationController::try_publish(
     config::PublishRequest request) {
-  core::Result<void> fresh = co_await ask_store(TablePriority::kInteractive);
-  if (fresh.has_error()) {
+  core::Result<ConfigurationHead> head = co_await ask_store(TablePriority::kInteractive);
+  if (head.has_error()) {
     co_return core::make_error(
         core::ErrorCode::kUnavailable,
-        "not accepted: the newest configuration could not be read: " + fresh.error().message);
+        "not accepted: the newest configuration could not be read: " + head.error().message);
   }
-  if (known_head_.revision != adoption_.revision()) {
+  if (head->revision != adoption_.revision()) {
     co_return core::make_error(core::ErrorCode::kConflict,
-                               "the store holds another configuration than the one in force");
+                               "the store holds an older configuration than the one in force");
   }
   config::PublishPlan plan = config::plan_publish(record(), request, time_.wall_now());
   if (auto* commit = std::get_if<config::PublishCommit>(&plan)) {
-    co_return co_await carry_out(std::move(*commit), known_head_);
+    co_return co_await carry_out(std::move(*commit), *head);
   }
   if (const auto* unchanged = std::get_if<config::PublishUnchanged>(&plan)) {
     co_return PublishOutcome(PublishAccepted{unchanged->key, unchanged->revision, true, 0});
--- a/src/controllers/configuration_controller.hpp
+++ b/src/controllers/configuration_controller.hpp
@@ -92,12 +92,15 @@
   const boost::asio::any_io_executor& executor() const { return executor_; }
 
  private:
+  enum class Reach { kNewer, kWhole };  ///< how much of a configuration to ask for
+
   boost::asio::awaitable<void> run_peer_loop();
   boost::asio::awaitable<void> run_store_loop();
   boost::asio::awaitable<void> look_at_peers();
   boost::asio::awaitable<core::Result<void>> ask_peer(wire::Member peer);
-  boost::asio::awaitable<core::Result<void>> ask_store(platform::TablePriority priority);
-  boost::asio::awaitable<core::Result<void>> read_newer(ConfigurationHead head,
+  boost::asio::awaitable<core::Result<ConfigurationHead>> ask_store(
+      platform::TablePriority priority);
+  boost::asio::awaitable<core::Result<void>> read_newer(ConfigurationHead head, Reach reach,
                                                         platform::TablePriority priority);
   boost::asio::awaitable<core::Result<PublishOutcome>> try_publish(config::PublishRequest request);
   boost::asio::awaitable<core::Result<PublishOutcome>> carry_out(config::PublishCommit commit,
@@ -133,6 +136,7 @@
   boost::asio::steady_timer store_timer_;
   bool stopping_ = false;
   bool members_changed_ = false;
+  Reach peer_reach_ = Reach::kNewer;  ///< whole after a difference that did not fit
   prometheus::Gauge& revision_gauge_;
 };
 
--- a/tests/unit/controllers/configuration_controller_test.cpp
+++ b/tests/unit/controllers/configuration_controller_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(a_store_that_is_down_refuses_and_nothing_changes);
   CPPUNIT_TEST(a_daemon_frozen_over_two_revisions_catches_up);
   CPPUNIT_TEST(a_store_that_went_back_is_not_followed);
+  CPPUNIT_TEST(a_daemon_with_content_that_the_store_lost_takes_the_whole);
   CPPUNIT_TEST(a_new_daemon_is_ready_by_peers_in_two_zones);
   CPPUNIT_TEST(peers_of_one_zone_or_unready_ones_do_not_vouch);
   CPPUNIT_TEST(offers_that_do_not_verify_are_refused);
@@ -60,7 +61,7 @@
     ConfigurationDaemon& first = add_daemon("a", peers_only_options());
     table_.before_commit = [this](const platform::Transaction&) {
       table_.before_commit = nullptr;
-      commit_first_revision(event_template("u"));
+      commit_elsewhere(event_template("u"));
     };
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, accepted(first, event_template("t"), 0));
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.controller.record().documents.size());
@@ -135,9 +136,32 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, daemon.revision());
     const auto refused = publish(daemon, event_template("t", 3), 2);
     CPPUNIT_ASSERT(refused.error().code == core::ErrorCode::kUnavailable);
+    CPPUNIT_ASSERT(refused.error().message.find("the store holds an older") != std::string::npos);
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, daemon.revision());
   }
 
+  /// The store went back to revision 1 and others published from there.
+  void a_daemon_with_content_that_the_store_lost_takes_the_whole() {
+    for (const bool by_store : {true, false}) {
+      const auto options = by_store ? quick_options() : peers_only_options();
+      ConfigurationDaemon& daemon = add_daemon("a", options);
+      CPPUNIT_ASSERT(run_until_ready(daemon));
+    }
+    accepted(*daemons_[0], event_template("t", 1), 0);
+    CPPUNIT_ASSERT(everywhere(1));
+    const support::MemoryTables backup = table_.tables;
+    accepted(*daemons_[0], event_template("lost"), 0);
+    CPPUNIT_ASSERT(everywhere(2));
+    table_.tables = backup;
+    commit_elsewhere(event_template("u"));
+    commit_elsewhere(event_template("v"));
+    CPPUNIT_ASSERT(everywhere(3));
+    for (const auto& daemon : daemons_) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, daemon->controller.record().documents.size());
+      CPPUNIT_ASSERT(!daemon->controller.record().find(key_of(event_template("lost"))));
+    }
+  }
+
   void a_new_daemon_is_ready_by_peers_in_two_zones() {
     CPPUNIT_ASSERT(run_until_ready(add_daemon("a")));
     CPPUNIT_ASSERT(run_until_ready(add_daemon("b")));
@@ -216,14 +240,20 @@
   }
 
  private:
-  /// Commits \p document as revision 1, as another daemon would.
-  void commit_first_revision(const config::Document& document) {
+  /// Publishes \p document, a new one, on the store's newest whole, as a daemon
+  /// would that shares nothing else with ours.
+  void commit_elsewhere(const config::Document& document) {
     boost::asio::io_context other;
-    ConfigurationStore store(table_, "other");
+    ConfigurationStore store(table_, "other-" + key_of(document).name);
+    const auto priority = platform::TablePriority::kInteractive;
+    const ConfigurationHead head = *support::run_task(other, store.read_head(priority));
+    config::ConfigurationRecord newest;
+    newest.revision = head.revision;
+    newest.documents = *support::run_task(other, store.read_documents({}, priority));
     const config::PublishRequest request{document, core::Revision(), "abebe", ""};
-    const auto plan = config::plan_publish({}, request, core::WallTime());
-    const auto committed = support::run_task(
-        other, store.commit(std::get<config::PublishCommit>(plan), ConfigurationHead()));
+    const auto plan = config::plan_publish(newest, request, core::WallTime());
+    const auto committed =
+        support::run_task(other, store.commit(std::get<config::PublishCommit>(plan), head));
     CPPUNIT_ASSERT(committed.has_value());
   }
 };
