--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -30,8 +30,8 @@
   posix_spawn_file_actions_addopen(&actions, 1, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
-  const int failure = posix_spawn(&process_id_, raw_arguments[0], &actions, nullptr,
-                                  raw_arguments.data(), environ);
+  const int failure =
+      posix_spawn(&process_id_, raw_arguments[0], &actions, nullptr, raw_arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   if (failure != 0) {
     throw std::runtime_error("cannot start " + arguments.front());
