State the outcome on what the callers' server refuses by itself

A malformed or oversized head, a missing Host and a connection above the limit never reach the filter chain, so their responses carried no outcome. The server's limits now take header fields for its own refusals; the callers' server says 'not run' there.

--- a/src/daemon/traffic_worker.cpp
+++ b/src/daemon/traffic_worker.cpp
@@ -30,7 +30,7 @@
           .traffic_threads = settings.traffic_threads,
           .seed = seed,
       }),
-      server_(executor_, "caller", http::ServerLimits(), handler_, metrics) {}
+      server_(executor_, "caller", filters::caller_server_limits(), handler_, metrics) {}
 
 core::Result<void> TrafficWorker::listen() {
   return server_.listen(address_);
--- a/src/filters/caller_handler.cpp
+++ b/src/filters/caller_handler.cpp
@@ -1,6 +1,7 @@
 #include "filters/caller_handler.hpp"
 
 #include "filters/back_end_exchange.hpp"
+#include "filters/caller_headers.hpp"
 
 namespace stoneport::filters {
 namespace asio = boost::asio;
@@ -8,6 +9,12 @@
 constexpr std::string_view kCompletionsPath = "/v1/completions";
 }  // namespace
 
+http::ServerLimits caller_server_limits(http::ServerLimits limits) {
+  limits.refusal_headers.set(kOutcomeHeader, std::string(to_string(OutcomeKind::kNotRun)));
+  limits.refusal_headers.set("Retry-After", "1");
+  return limits;
+}
+
 CallerHandler::CallerHandler(CallerDependencies dependencies)
     : time_(dependencies.time),
       metrics_(dependencies.metrics),
--- a/src/filters/caller_handler.hpp
+++ b/src/filters/caller_handler.hpp
@@ -38,6 +38,10 @@
   routing::DeadlineRules completion_deadlines = {std::chrono::minutes(2), std::chrono::minutes(10)};
 };
 
+/// \return \p limits for the callers' server: what it refuses by itself, such as
+/// a malformed head, is "not run" and says so.
+http::ServerLimits caller_server_limits(http::ServerLimits limits = {});
+
 /// Answers callers on one traffic thread. It must outlive the server and the
 /// last request in flight.
 class CallerHandler : public http::RequestHandler {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -17,9 +17,17 @@
 /// Pause after a failed accept, most likely for want of file descriptors.
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(50);
 
-constexpr std::string_view kTooManyConnections =
-    "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n"
-    "Retry-After: 1\r\n\r\n";
+std::string too_many_connections(const HeaderMap& refusal_headers) {
+  std::string text =
+      "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n";
+  for (const auto& [name, value] : refusal_headers.fields()) {
+    text += name + ": " + value + "\r\n";
+  }
+  if (!refusal_headers.find("Retry-After")) {
+    text += "Retry-After: 1\r\n";
+  }
+  return text + "\r\n";
+}
 
 std::string metric_name(std::string_view suffix) {
   return "stoneport_http_server_" + std::string(suffix);
@@ -214,7 +222,8 @@
     state_->counters.refused_connection_limit.Increment();
     boost::system::error_code ignored;
     socket.non_blocking(true, ignored);
-    socket.write_some(asio::buffer(kTooManyConnections), ignored);
+    const std::string text = too_many_connections(state_->limits.refusal_headers);
+    socket.write_some(asio::buffer(text), ignored);
   }
 
   asio::ip::tcp::acceptor acceptor_;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -76,6 +76,9 @@
   /// that a request already on its way is answered and not cut.
   core::Duration drain_grace = std::chrono::milliseconds(200);
   std::uint32_t max_connections = 4096;
+  /// Put on the responses with which the server itself refuses a request that
+  /// never reaches its handler.
+  HeaderMap refusal_headers = {};
 };
 
 /// The handler must outlive the server and the last turn of its executor.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -49,6 +49,13 @@
   return std::nullopt;
 }
 
+Response with_headers(Response response, const HeaderMap& headers) {
+  for (const auto& [name, value] : headers.fields()) {
+    response.head.headers.set(name, value);
+  }
+  return response;
+}
+
 /// \return the bytes of a response after which the connection closes.
 std::string closing_response(const Response& response) {
   beast::http::response<beast::http::empty_body> message;
@@ -185,7 +192,8 @@
       status = 505;
     }
   }
-  const std::string text = closing_response(error_response(status, refusal));
+  const std::string text = closing_response(
+      with_headers(error_response(status, refusal), state_->limits.refusal_headers));
   io_->write_timer.arm(state_->limits.transfer_timeout);
   co_await asio::async_write(io_->socket, asio::buffer(text), kAwaitTuple);
   io_->write_timer.disarm();
@@ -203,7 +211,8 @@
   std::optional<Response> objection = objection_to(parser);
   if (objection) {
     state_->counters.refused_malformed_head.Increment();
-    co_await response.send(std::move(*objection));
+    Response refusal = with_headers(std::move(*objection), state_->limits.refusal_headers);
+    co_await response.send(std::move(refusal));
   } else {
     const RequestHead head = to_request_head(parser);
     co_await state_->handler.handle(head, body, response);
--- a/tests/contract/caller_fixture.hpp
+++ b/tests/contract/caller_fixture.hpp
@@ -83,6 +83,7 @@
 struct CallerOptions {
   routing::AdmissionOptions admission = {};
   platform::ModelEngineFactory* engines = nullptr;
+  http::ServerLimits server_limits = {};
 };
 
 class CallerFixture {
@@ -91,7 +92,8 @@
       : back_end_client(context.get_executor(), "back_end", metrics),
         caller_client(context.get_executor(), "caller", metrics),
         handler(dependencies(options)),
-        server(context.get_executor(), "caller", {}, handler, metrics) {
+        server(context.get_executor(), "caller",
+               filters::caller_server_limits(options.server_limits), handler, metrics) {
     server.listen({"127.0.0.1", 0}).value();
     auto configuration = std::make_shared<config::Configuration>();
     config::ServiceTemplate ledger;
--- a/tests/contract/caller_services_test.cpp
+++ b/tests/contract/caller_services_test.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(long_bodies_stream_both_ways);
   CPPUNIT_TEST(a_cut_upload_is_never_whole);
   CPPUNIT_TEST(refusals_say_why_and_when_to_come_back);
+  CPPUNIT_TEST(what_the_server_refuses_is_not_run);
   CPPUNIT_TEST(a_full_queue_refuses_without_sending);
   CPPUNIT_TEST(higher_priority_takes_the_place_of_lower);
   CPPUNIT_TEST(a_deadline_in_the_queue_is_not_run);
@@ -220,6 +221,36 @@
     CPPUNIT_ASSERT_EQUAL(0, back_end.connections);
   }
 
+  void what_the_server_refuses_is_not_run() {
+    struct Case {
+      const char* name;
+      std::string text;
+      const char* status;
+    };
+    const std::vector<Case> cases = {
+        {"malformed", "GET\r\n\r\n", "400"},
+        {"no host", "GET /services/ledger/a HTTP/1.1\r\n\r\n", "400"},
+        {"long head", "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(20'000, 'x'), "431"},
+        {"long body",
+         "PUT /services/ledger/a HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999999\r\n\r\n", "413"},
+        {"too many connections", "", "503"},
+    };
+    for (const Case& test : cases) {
+      CallerOptions options;
+      options.server_limits.max_connections = test.text.empty() ? 0 : 1;
+      CallerFixture fixture(options);
+      tcp::socket caller(fixture.context);
+      const core::Address address = fixture.server.local_address();
+      caller.connect(tcp::endpoint(asio::ip::make_address(address.ip), address.port));
+      http_test::run(fixture.context, http_test::write_raw(caller, test.text));
+      std::string answer;
+      http_test::run(fixture.context, read_to_mark(caller, answer, "\r\n\r\n"));
+      CPPUNIT_ASSERT_MESSAGE(test.name, answer.starts_with(std::string("HTTP/1.1 ") + test.status));
+      CPPUNIT_ASSERT_MESSAGE(test.name, has_line(answer, "stoneport-outcome: not-run"));
+      CPPUNIT_ASSERT_MESSAGE(test.name, has_line(answer, "retry-after: 1"));
+    }
+  }
+
   void a_full_queue_refuses_without_sending() {
     CallerFixture fixture(limited(1, 1));
     FaultyBackEnd back_end(fixture.context);
