Cut the connection of a lost answer at once

A lost answer to a completion held its connection until the stream's end, which a real cut does not.

--- a/src/emulator/fault_gate.cpp
+++ b/src/emulator/fault_gate.cpp
@@ -13,18 +13,22 @@
 constexpr core::Duration kHangPoll = std::chrono::milliseconds(20);
 constexpr core::Duration kRefusalRetryAfter = std::chrono::milliseconds(500);
 
-/// Takes an answer and sends nothing of it.
-class SilentWriter : public http::ResponseWriter {
+core::Error cut_by_switch() {
+  return core::make_error(core::ErrorCode::kCancelled, "cut by a fault switch");
+}
+
+/// Refuses an answer when it begins, which is after the request took effect.
+class LosingWriter : public http::ResponseWriter {
  public:
   asio::awaitable<core::Result<void>> start(http::ResponseHead,
                                             std::optional<std::uint64_t>) override {
     started_ = true;
-    co_return core::Result<void>{};
+    co_return cut_by_switch();
   }
   asio::awaitable<core::Result<void>> write(std::string_view) override {
-    co_return core::Result<void>{};
+    co_return cut_by_switch();
   }
-  asio::awaitable<core::Result<void>> finish() override { co_return core::Result<void>{}; }
+  asio::awaitable<core::Result<void>> finish() override { co_return cut_by_switch(); }
   bool started() const override { return started_; }
   bool client_gone() const override { return false; }
 
@@ -64,12 +68,12 @@
     if (!rest.empty()) {
       co_await inner_.write(rest);
     }
-    co_return core::make_error(core::ErrorCode::kCancelled, "cut by a fault switch");
+    co_return cut_by_switch();
   }
 
   asio::awaitable<core::Result<void>> finish() override {
     if (bytes_left_) {
-      co_return core::make_error(core::ErrorCode::kCancelled, "cut by a fault switch");
+      co_return cut_by_switch();
     }
     co_return co_await inner_.finish();
   }
@@ -97,7 +101,7 @@
     FaultyWriter writer(response, faults_);
     co_await inner_.handle(request, body, writer);
   } else if (verdict == Verdict::kLoseAnswer) {
-    SilentWriter writer;
+    LosingWriter writer;
     co_await inner_.handle(request, body, writer);
   }
 }
--- a/tests/unit/emulator/emulator_test.cpp
+++ b/tests/unit/emulator/emulator_test.cpp
@@ -167,6 +167,7 @@
   CPPUNIT_TEST_SUITE(EmulatorTest);
   CPPUNIT_TEST(listener_faults);
   CPPUNIT_TEST(lost_answer_takes_effect);
+  CPPUNIT_TEST(stream_goes_on_when_its_answer_is_lost);
   CPPUNIT_TEST(port_in_use_is_refused);
   CPPUNIT_TEST(unknown_switch_is_refused);
   CPPUNIT_TEST(stream_is_whole_and_can_be_read_again);
@@ -284,6 +285,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scan.document().at("rows").size());
   }
 
+  void stream_goes_on_when_its_answer_is_lost() {
+    set_faults(kEngine, R"({"lost_answers":1})");
+    const auto start = [this] {
+      return client_.send(engine(kEngine), "POST", "/v1/completions", completion("e/1")).status;
+    };
+    CPPUNIT_ASSERT_EQUAL(0U, start());
+    CPPUNIT_ASSERT_EQUAL(409U, start());
+    const Outcome stream = client_.send(engine(kEngine), "GET", "/v1/streams/e%2F1");
+    CPPUNIT_ASSERT(stream.body.ends_with("data: [DONE]\n\n"));
+  }
+
   void port_in_use_is_refused() {
     EmulatorSettings settings;
     settings.listeners.table_service = table().port;
