--- a/src/steps/step_runner.cpp
+++ b/src/steps/step_runner.cpp
@@ -12,6 +12,10 @@
 /// come back is waited for.
 constexpr core::Duration kRepeatWindow = std::chrono::seconds(2);
 
+/// A trainer that polled before and has not for this long is taken as gone by a
+/// daemon that wants to leave.
+constexpr core::Duration kSilentTrainer = std::chrono::seconds(10);
+
 const char* name_of(StepStop reason) {
   switch (reason) {
     case StepStop::kCancelled:
@@ -110,7 +114,9 @@
     if (answer.complete || !answer.samples.empty() || left.count() <= 0) {
       co_return answer;
     }
+    ++polls_waiting_;
     co_await changed_.wait_for(left);
+    --polls_waiting_;
   }
 }
 
@@ -157,6 +163,9 @@
 void StepRunner::reopened() {
   heard_of_trainer();
   completed_at_.reset();
+  // A poll from before may name samples that the trainer has lost since.
+  ++newest_poll_;
+  changed_.notify();
   work_->ledger().forget_acknowledgements();
   work_->pause_starts();
   runtime::start(context_.dependencies.executor, "step grace",
@@ -197,7 +206,12 @@
   if (stopped_ || work_->ledger().all_held()) {
     return true;
   }
-  return completed_at_ && context_.now() - *completed_at_ > kRepeatWindow;
+  if (polls_waiting_ > 0) {
+    return false;
+  }
+  const core::MonotonicTime now = context_.now();
+  const bool is_complete = completed_at_ && now - *completed_at_ > kRepeatWindow;
+  return is_complete || now - last_heard_ > kSilentTrainer;
 }
 
 core::Error StepRunner::stop_error() const {
--- a/src/steps/step_runner.hpp
+++ b/src/steps/step_runner.hpp
@@ -52,7 +52,9 @@
 
   const StepPlan& plan() const { return plan_; }
   std::optional<StepStop> stopped() const { return stopped_; }
-  /// \return whether nothing is left to do but a repeat of a lost answer.
+  /// \return whether a leaving daemon need not wait for this step: nothing is
+  /// left but a repeat of a lost answer, or the trainer is silent. Should it come
+  /// back, it opens the step at the replacement.
   bool is_finished() const;
   bool all_held() { return work_->ledger().all_held(); }
   std::size_t running_attempts() const { return work_->running_attempts(); }
@@ -74,6 +76,7 @@
   std::shared_ptr<StepWork> work_;
   Signal changed_;
   std::uint64_t newest_poll_ = 0;
+  std::uint32_t polls_waiting_ = 0;
   core::MonotonicTime last_heard_;
   std::optional<core::MonotonicTime> completed_at_;  ///< the last sample was handed over
   bool counted_complete_ = false;
