Start long groups first and keep moves off older engines in the runner

It now orders idle slots by the expected length of their group and gives the straggler decision the versions of engines. Waiting for fresh weights is not called here: the daemon has no sure sign of how many steps a trainer has in hand, and a wrong guess would stall the trainer.

--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -98,7 +98,8 @@
       continue;
     }
     const double for_one = digest.tokens_per_second / std::max(1u, digest.running);
-    result.push_back(rollout::MigrationTarget{replica.id, digest.max_running - load, for_one});
+    result.push_back(
+        rollout::MigrationTarget{replica.id, digest.max_running - load, for_one, digest.version});
   }
   return result;
 }
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <numeric>
 
 #include "core/hash.hpp"
 #include "rollout/over_sampling.hpp"
@@ -28,7 +29,8 @@
       listener_(std::move(listener)),
       ledger_(plan_.content.shape()),
       chooser_(context, rules_.event_template.model, plan_.content.prompts),
-      placement_(chooser_, {}) {}
+      placement_(chooser_, {}),
+      finished_groups_(plan_.content.prompts.size()) {}
 
 const EventRules& StepWork::rules() {
   if (auto in_force = find_rules(context_.dependencies, plan_.event)) {
@@ -132,8 +134,22 @@
   }
 }
 
+std::vector<SlotId> StepWork::order_of_start(std::vector<SlotId> idle) {
+  if (idle.empty()) {
+    return idle;
+  }
+  std::vector<rollout::GroupProgress> groups = finished_groups_;
+  for (const auto& [key, attempt] : attempts_) {
+    groups[key.first.prompt].tokens += attempt->is_reading() ? attempt->content().token_count() : 0;
+  }
+  const std::vector<std::uint64_t>& lengths = context_.events[plan_.event].lengths;
+  const auto sum = static_cast<double>(std::accumulate(lengths.begin(), lengths.end(), 0ULL));
+  const double usual = lengths.empty() ? 0 : sum / static_cast<double>(lengths.size());
+  return rollout::order_of_start(std::move(idle), groups, usual);
+}
+
 std::vector<SlotId> StepWork::wanted_slots() {
-  std::vector<SlotId> wanted = ledger_.idle_slots();
+  std::vector<SlotId> wanted = order_of_start(ledger_.idle_slots());
   const rollout::StepShape shape = ledger_.shape();
   const std::uint32_t spares =
       rollout::spare_count(shape.samples_per_prompt, rules_.event_template.over_sampling);
@@ -333,6 +349,8 @@
     case rollout::FinishOutcome::kAccepted:
       context_.metrics.samples_accepted.Increment();
       finished_lengths_.push_back(attempt.content().token_count());
+      finished_groups_[slot->prompt].tokens += attempt.content().token_count();
+      ++finished_groups_[slot->prompt].finished;
       return true;
     case rollout::FinishOutcome::kDuplicate:
       context_.metrics.samples_duplicate.Increment();
--- a/src/steps/step_work.hpp
+++ b/src/steps/step_work.hpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <vector>
 
+#include "rollout/start_order.hpp"
 #include "rollout/step_ledger.hpp"
 #include "steps/attempt.hpp"
 #include "steps/engine_chooser.hpp"
@@ -64,6 +65,7 @@
   void end_too_old(const rollout::AgeRule& rule);
   void start_idle();
   std::vector<core::SlotId> wanted_slots();
+  std::vector<core::SlotId> order_of_start(std::vector<core::SlotId> idle);
   bool start_attempt(core::SlotId slot, const rollout::AgeRule& rule);
   void start_run(std::shared_ptr<Attempt> attempt);
   Attempt::Order order_for(core::SlotId slot, std::uint32_t number, routing::Replica engine);
@@ -97,6 +99,7 @@
   };
   std::map<core::SlotId, Pause> pauses_;
   std::vector<std::uint64_t> finished_lengths_;
+  std::vector<rollout::GroupProgress> finished_groups_;  ///< by prompt
   core::MonotonicTime next_straggler_check_{};
   bool begun_ = false;
   bool starts_paused_ = false;
--- a/src/steps/step_work_stragglers.cpp
+++ b/src/steps/step_work_stragglers.cpp
@@ -35,6 +35,10 @@
     sample.tokens_per_second = attempt->tokens_per_second();
     sample.raised = attempt->is_raised();
     sample.migrations = attempt->migrations();
+    const auto engine = context_.engines.find(rules_.event_template.model, sample.engine);
+    if (engine && engine->digest) {
+      sample.version = engine->digest->version;
+    }
     input.running.push_back(std::move(sample));
   }
   return input;
