Close completed steps of silent trainers as closed; clear the lint

A complete step whose trainer never came back counted as abandoned. A trainer that opens a step again after losing what it held gets the same samples once more, without a second generation; a test now says so.

--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -28,9 +28,9 @@
 }
 
 const EngineDirectory::Usage& EngineDirectory::usage(const core::ReplicaId& replica) const {
-  static const Usage kUnused;
+  static const Usage unused;
   const auto found = usage_.find(replica);
-  return found == usage_.end() ? kUnused : found->second;
+  return found == usage_.end() ? unused : found->second;
 }
 
 bool EngineDirectory::is_full(const routing::Replica& replica) {
--- a/src/steps/step_runner.cpp
+++ b/src/steps/step_runner.cpp
@@ -84,7 +84,7 @@
   const core::Duration limit =
       work_->rules().parameters.step_deadline * context_.settings().abandon_after_deadlines;
   if (silence > limit) {
-    stop(StepStop::kAbandoned);
+    stop(completed_at_ ? StepStop::kClosed : StepStop::kAbandoned);
   }
 }
 
--- a/src/steps/trainer_handler.cpp
+++ b/src/steps/trainer_handler.cpp
@@ -91,8 +91,8 @@
   if (!runner) {
     co_return refusal(runner.error());
   }
-  const std::shared_ptr<StepRunner> step = *runner;
-  const std::size_t slot_count = step->plan().content.shape().slot_count();
+  StepRunner& step = **runner;  // kept by the result
+  const std::size_t slot_count = step.plan().content.shape().slot_count();
   auto held = rollout::SlotBitmap::parse(message->held, slot_count);
   if (!held) {
     co_return refusal(held.error());
@@ -101,7 +101,7 @@
     service_.observe_version(*key, *message->policy_version);
   }
   PollRequest poll{std::move(*held), message->epoch_seen, message->wait, message->max_samples};
-  const core::Result<PollAnswer> answer = co_await step->poll(std::move(poll));
+  const core::Result<PollAnswer> answer = co_await step.poll(std::move(poll));
   if (!answer) {
     co_return refusal(answer.error());
   }
--- a/tests/unit/steps/step_service_test.cpp
+++ b/tests/unit/steps/step_service_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(straggler_is_moved);
   CPPUNIT_TEST(spares_fill_a_group);
   CPPUNIT_TEST(newer_poll_ends_the_older);
+  CPPUNIT_TEST(trainer_that_lost_its_samples_gets_them_again);
   CPPUNIT_TEST(draining_refuses_new_steps_and_finishes_open_ones);
   CPPUNIT_TEST(cancelled_step_frees_the_engines);
   CPPUNIT_TEST(concurrency_is_kept);
@@ -310,6 +311,21 @@
     CPPUNIT_ASSERT(!(*older)->complete);
   }
 
+  void trainer_that_lost_its_samples_gets_them_again() {
+    StepWorld world;
+    const auto daemon = world.daemon();
+    TestTrainer before(world, 2, 2);
+    before.open(*daemon);
+    CPPUNIT_ASSERT(before.complete(*daemon));
+    before.poll(*daemon, kNoWait);
+    TestTrainer after(world, 2, 2);
+    after.epoch_seen = before.epoch_seen;
+    after.open(*daemon);
+    CPPUNIT_ASSERT(after.complete(*daemon));
+    CPPUNIT_ASSERT(after.is_clean());
+    CPPUNIT_ASSERT_EQUAL(4u, world.generations());
+  }
+
   void draining_refuses_new_steps_and_finishes_open_ones() {
     StepWorld world;
     const auto daemon = world.daemon();
