Ask engines for seeds that they take; wait for engines before taking over

Change: seeds have 32 bits, and the fake engines refuse more; a replacement waits for its first table, at most ten seconds; an engine that makes tokens over the bound is closed for a while.

--- a/src/steps/dependencies.hpp
+++ b/src/steps/dependencies.hpp
@@ -47,6 +47,8 @@
   core::Duration longest_wait = std::chrono::seconds(60);  ///< of one long poll
   /// Step deadlines without a word from the trainer until a step is given up.
   std::uint32_t abandon_after_deadlines = 2;
+  /// A replacement waits this long for its first routing table.
+  core::Duration routing_limit = std::chrono::seconds(10);
   core::Duration rebuild_limit = std::chrono::seconds(2);  ///< for engines to list streams
   core::Duration score_timeout = std::chrono::seconds(10);
   core::Duration backoff_first = std::chrono::milliseconds(50);
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -47,6 +47,7 @@
 asio::awaitable<void> StepWork::begin(std::shared_ptr<StepWork> self) {
   const StepPlan& plan = self->plan_;
   if (plan.taken_over) {
+    co_await wait_for_engines(self);
     const std::vector<FoundStream> found =
         co_await find_streams(self->context_, self->rules_.event_template.model, plan.event,
                               plan.step, plan.content.digest());
@@ -58,6 +59,17 @@
   self->sweep();
 }
 
+asio::awaitable<void> StepWork::wait_for_engines(std::shared_ptr<StepWork> self) {
+  StepContext& context = self->context_;
+  const core::MonotonicTime limit = context.now() + context.settings().routing_limit;
+  const auto knows_engines = [&] {
+    return !context.engines.all(self->rules_.event_template.model).empty();
+  };
+  while (!knows_engines() && !self->stopped_ && context.now() < limit) {
+    co_await runtime::sleep_for(context.settings().sweep_interval);
+  }
+}
+
 void StepWork::adopt(const std::vector<FoundStream>& found) {
   for (const FoundStream& stream : found) {
     const SlotId slot = stream.name.slot;
@@ -130,6 +142,10 @@
     if (!attempt->is_stopping() && oldest && !rule.allows(*oldest)) {
       attempt->cancel();
       context_.metrics.attempts_cancelled_too_old.Increment();
+      if (!rule.allows(attempt->content().spans().back().version)) {
+        // It still makes tokens that are too old, whatever its last report said.
+        context_.engines.refused(attempt->engine().id, std::nullopt);
+      }
     }
   }
 }
@@ -227,8 +243,9 @@
   request.max_tokens = rules_.event_template.max_tokens;
   request.priority = rules_.parameters.priority;
   request.temperature = rules_.event_template.temperature;
-  request.seed =
-      core::hash64(rollout::to_stream_id(order.name).value(), context_.dependencies.seed);
+  // Engines take seeds of 32 bits at least; not all take more.
+  request.seed = static_cast<std::uint32_t>(
+      core::hash64(rollout::to_stream_id(order.name).value(), context_.dependencies.seed));
   request.epoch = plan_.epoch;
   return order;
 }
--- a/src/steps/step_work.hpp
+++ b/src/steps/step_work.hpp
@@ -60,6 +60,8 @@
   bool is_needed(core::SlotId slot) const;
   bool group_is_open(std::uint32_t prompt) const;
 
+  /// A daemon that was just started has no routing table yet.
+  static boost::asio::awaitable<void> wait_for_engines(std::shared_ptr<StepWork> self);
   void adopt(const std::vector<FoundStream>& found);
   void end_unneeded();
   void end_too_old(const rollout::AgeRule& rule);
--- a/tests/support/fake_model_engine.hpp
+++ b/tests/support/fake_model_engine.hpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/any_io_executor.hpp>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -182,6 +183,9 @@
   if (fake_engine_detail::take(faults.refuse)) {
     co_return fake_engine_detail::error(core::ErrorCode::kRateLimited);
   }
+  if (request.seed > std::numeric_limits<std::uint32_t>::max()) {
+    co_return fake_engine_detail::error(core::ErrorCode::kInvalidArgument);
+  }
   const std::string& id = request.stream.value();
   core::Epoch& fence = fences_[id.substr(0, id.rfind('/'))];
   if (request.epoch < fence) {
--- a/tests/unit/steps/step_service_test.cpp
+++ b/tests/unit/steps/step_service_test.cpp
@@ -76,6 +76,9 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t{16}, trainer.samples.size());
       const auto last = trainer.poll(*daemon, kNoWait);
       CPPUNIT_ASSERT_MESSAGE(one.name, last && last->complete && last->samples.empty());
+      const auto& failed =
+          world.metrics.counter("stoneport_attempts_total", "", {{"event", "failed"}});
+      CPPUNIT_ASSERT_MESSAGE("none", one.name != "none" || failed.Value() == 0);
     }
   }
 
@@ -101,10 +104,15 @@
     trainer.open(*first);
     trainer.poll(*first, kNoWait);
     CPPUNIT_ASSERT(world.run_until([&] { return world.generations() == 6; }));
+    // A daemon that has just started knows no engines yet.
+    const auto table = world.routing.current();
+    world.routing.publish(std::make_shared<routing::RoutingTable>());
     const auto second = world.daemon("second");
     CPPUNIT_ASSERT(trainer.poll(*second, kNoWait).error().code == ErrorCode::kNotFound);
     const core::Epoch before = trainer.epoch_seen;
     CPPUNIT_ASSERT(trainer.open(*second)->epoch > before);
+    trainer.poll(*second, kShortWait);
+    world.routing.publish(table);
     for (const auto& engine : world.engines) {
       engine->tokens_allowed = 100;
     }
