Go by the versions seen in streams until a newer report comes

Cause: a daemon that was just started has no reports, so it started the whole step on engines whose weights were over the bound, cancelled it at the first chunk and did so again. Change: a version seen in a stream stands for its engine for two seconds unless a newer report came.

--- a/src/steps/attempt.cpp
+++ b/src/steps/attempt.cpp
@@ -150,6 +150,9 @@
   if (content_.add(generated)) {
     return AttemptEnd::kUnfit;
   }
+  if (!order_.adopted) {  // an adopted stream begins with what was made long ago
+    context_.engines.saw_version(order_.engine.id, *chunk.version);
+  }
   if (first_token_count_ == 0 && content_.token_count() > 0) {
     first_token_at_ = context_.now();
     first_token_count_ = content_.token_count();
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -11,6 +11,9 @@
 /// there so that its batch stays full; more would wait without being movable.
 constexpr double kMostStreamsPerPlace = 1.25;
 
+/// How long a version seen in a stream stands for an engine without a newer report.
+constexpr core::Duration kSeenVersionLifetime = std::chrono::seconds(2);
+
 bool takes_new_work(const routing::Replica& replica) {
   return replica.state == routing::ReplicaState::kUsable ||
          replica.state == routing::ReplicaState::kSuspect;
@@ -65,8 +68,8 @@
     if (replica.digest) {
       candidate.reported = replica.digest->running + replica.digest->waiting;
       candidate.max_running = replica.digest->max_running;
-      candidate.version = replica.digest->version;
     }
+    candidate.version = version_of(replica);
     result.push_back(std::move(candidate));
   }
   return result;
@@ -158,6 +161,23 @@
   own.closed_until = now + pause;
 }
 
+void EngineDirectory::saw_version(const core::ReplicaId& replica, core::WeightVersion version) {
+  Usage& own = usage_[replica];
+  own.seen_version = version;
+  own.seen_at = dependencies_.time.now();
+}
+
+std::optional<core::WeightVersion> EngineDirectory::version_of(
+    const routing::Replica& replica) const {
+  const Usage& own = usage(replica.id);
+  const bool is_recent =
+      own.seen_version && dependencies_.time.now() - own.seen_at < kSeenVersionLifetime;
+  if (is_recent && (!replica.digest || replica.digest->taken_at < own.seen_at)) {
+    return own.seen_version;
+  }
+  return replica.digest ? std::optional(replica.digest->version) : std::nullopt;
+}
+
 void EngineDirectory::worked(const core::ReplicaId& replica) {
   Usage& own = usage_[replica];
   own.failures = 0;
--- a/src/steps/engine_directory.hpp
+++ b/src/steps/engine_directory.hpp
@@ -37,6 +37,9 @@
   /// \p replica refused or failed a stream: nothing new goes there for a while.
   void refused(const core::ReplicaId& replica, std::optional<core::Duration> retry_after);
   void worked(const core::ReplicaId& replica);
+  /// \p replica has just made tokens under \p version. Its reports lag, and a
+  /// daemon that was just started has none.
+  void saw_version(const core::ReplicaId& replica, core::WeightVersion version);
   /// This daemon's own streams and recent prompts, by engine.
   routing::ReplicaLoads& loads() { return loads_; }
 
@@ -44,11 +47,14 @@
   struct Usage {
     std::uint32_t failures = 0;
     core::MonotonicTime closed_until{};
+    std::optional<core::WeightVersion> seen_version;
+    core::MonotonicTime seen_at{};
   };
 
   const std::vector<routing::Replica>* replicas(const routing::RoutingTable& table,
                                                 const core::ModelName& model) const;
   const Usage& usage(const core::ReplicaId& replica) const;
+  std::optional<core::WeightVersion> version_of(const routing::Replica& replica) const;
   bool is_full(const routing::Replica& replica);
 
   const StepDependencies& dependencies_;
