--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -29,8 +29,8 @@
   void fail() { ok_ = false; }
 
   const Json& next() {
-    static const Json kNull;
-    return ok_ ? array_[position_++] : kNull;
+    static const Json null_value;
+    return ok_ ? array_[position_++] : null_value;
   }
   std::uint64_t next_unsigned(std::uint64_t limit = std::numeric_limits<std::uint64_t>::max()) {
     const Json& value = next();
