--- a/src/controllers/gossip_endpoint.hpp
+++ b/src/controllers/gossip_endpoint.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <memory>
 
--- a/src/controllers/operator_routes.cpp
+++ b/src/controllers/operator_routes.cpp
@@ -88,9 +88,8 @@
   } else {
     // The mark spreads by gossip and sticks, also where the daemon itself cannot
     // be reached; asking it only makes it faster and says whether it heard.
-    const wire::Member member = *found;
     context->gossip.mark_leaving(node);
-    confirmed = co_await ask_to_drain(context, member);
+    confirmed = co_await ask_to_drain(context, *found);
   }
   const Json answer = {{"node", node.value()}, {"state", "leaving"}, {"confirmed", confirmed}};
   co_return http::json_response(kAccepted, answer.dump());
