--- a/src/daemon/steps_worker.cpp
+++ b/src/daemon/steps_worker.cpp
@@ -33,6 +33,8 @@
           .node = settings.node,
           .seed = seed,
           .settings = {},
+          .zone = settings.zone,
+          .region = settings.region,
       }),
       handler_(service_),
       server_(executor_, "trainer", http::ServerLimits(), handler_, metrics) {}
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -58,6 +58,7 @@
   std::string write_file(const std::string& name, const std::string& text);
 
   // The emulator.
+  core::Address control_address() const { return platform(20000); }
   nlohmann::json emulator_get(const std::string& target);
   void emulator_send(const std::string& method, const std::string& target,
                      const nlohmann::json& body = nlohmann::json::object());
