Read weights as many at a time as use up the store, in the daemon and the simulation

Cause: three transfers at a time suit eight engines whose store serves two at full speed; 280 engines of one policy would take 93 s where 5 s are allowed. Change: RolloutSettings::most_parallel_prefetches lets the number grow to the store's rate over the fastest transfer seen, which counts the report's delay and so errs towards sharing. Zero, the default, keeps the fixed limit; the daemon and the simulation set 600, three at first, and switch each engine as ready. Ruled out: growing without the setting; it broke the pinned limit of three in all_prefetch_within_the_limit_and_then_switch_together (84 of 85 passed). unit_controllers: 85 passed, unit_bench: 24 passed.

--- a/src/bench/simulation/weight_distribution.cpp
+++ b/src/bench/simulation/weight_distribution.cpp
@@ -12,6 +12,7 @@
 constexpr core::Duration kPace = std::chrono::milliseconds(250);
 constexpr double kBytesPerGigabyte = 1e9;
 constexpr std::uint32_t kParallelPrefetches = 3;
+constexpr std::uint32_t kMostParallelPrefetches = 600;
 
 std::uint64_t to_bytes(double gigabytes) {
   return static_cast<std::uint64_t>(gigabytes * kBytesPerGigabyte);
@@ -23,6 +24,7 @@
   controllers::RolloutSettings settings;
   settings.switch_order = controllers::SwitchOrder::kAsReady;
   settings.parallel_prefetches = kParallelPrefetches;
+  settings.most_parallel_prefetches = kMostParallelPrefetches;
   return settings;
 }
 
--- a/src/controllers/weights_rollout.cpp
+++ b/src/controllers/weights_rollout.cpp
@@ -1,6 +1,7 @@
 #include "controllers/weights_rollout.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace stoneport::controllers {
@@ -50,9 +51,34 @@
   return core::from_seconds(bytes / static_cast<double>(target_.bytes_per_second));
 }
 
+/// The time includes the report's delay, so the rate is never taken for higher
+/// than it is and the store is rather shared by too many than left idle.
+void WeightsRollout::note_transfer(Progress& progress, core::MonotonicTime now) {
+  if (!progress.prefetch_sent || progress.transfer_noted) {
+    return;
+  }
+  progress.transfer_noted = true;
+  const double seconds = core::to_seconds(now - *progress.prefetch_sent);
+  if (seconds > 0) {
+    const double rate = static_cast<double>(target_.size_bytes) / seconds;
+    fastest_bytes_per_second_ = std::max(fastest_bytes_per_second_, rate);
+  }
+}
+
+std::uint32_t WeightsRollout::parallel_prefetches() const {
+  if (fastest_bytes_per_second_ <= 0) {
+    return settings_.parallel_prefetches;
+  }
+  const double needed =
+      std::ceil(static_cast<double>(target_.bytes_per_second) / fastest_bytes_per_second_);
+  const double most = std::max(settings_.parallel_prefetches, settings_.most_parallel_prefetches);
+  return std::max(settings_.parallel_prefetches,
+                  static_cast<std::uint32_t>(std::min(needed, most)));
+}
+
 core::Duration WeightsRollout::prefetch_timeout() const {
   return std::max(settings_.shortest_prefetch_timeout,
-                  kPatience * transfer_time(settings_.parallel_prefetches));
+                  kPatience * transfer_time(parallel_prefetches()));
 }
 
 void WeightsRollout::follow(const std::vector<ReplicaWeights>& replicas) {
@@ -110,6 +136,9 @@
   std::vector<const ReplicaWeights*> waiting;
   for (const ReplicaWeights* replica : behind) {
     Progress& progress = progress_.at(replica->replica);
+    if (is_prefetched(*replica)) {
+      note_transfer(progress, now);
+    }
     if (is_prefetched(*replica) || progress.load_sent || progress.prefetch_given_up) {
       continue;
     }
@@ -122,7 +151,7 @@
     }
   }
   for (const ReplicaWeights* replica : waiting) {
-    if (in_flight >= settings_.parallel_prefetches) {
+    if (in_flight >= parallel_prefetches()) {
       return;
     }
     ++in_flight;
--- a/src/controllers/weights_rollout.hpp
+++ b/src/controllers/weights_rollout.hpp
@@ -44,6 +44,9 @@
 struct RolloutSettings {
   /// Replicas that read from the weight store at a time.
   std::uint32_t parallel_prefetches = 8;
+  /// Up to so many once transfers have shown that fewer do not use up the store's
+  /// rate; zero: never more than above.
+  std::uint32_t most_parallel_prefetches = 0;
   /// Least time that a prefetch is given before it is ordered again.
   core::Duration shortest_prefetch_timeout = std::chrono::seconds(5);
   /// A swap that reports do not confirm is ordered again after this time, and
@@ -85,6 +88,7 @@
     std::uint32_t prefetch_failures = 0;
     std::uint32_t loads = 0;
     bool prefetch_given_up = false;
+    bool transfer_noted = false;
   };
   void follow(const std::vector<ReplicaWeights>& replicas);
   bool is_behind(const ReplicaWeights& replica) const;
@@ -96,11 +100,15 @@
   bool load_is_due(const Progress& progress, core::MonotonicTime now) const;
   core::Duration transfer_time(std::size_t replica_count) const;
   core::Duration prefetch_timeout() const;
+  void note_transfer(Progress& progress, core::MonotonicTime now);
+  std::uint32_t parallel_prefetches() const;
 
   RolloutSettings settings_;
   RolloutTarget target_;
   RolloutPhase phase_ = RolloutPhase::kIdle;
   std::map<core::ReplicaId, Progress> progress_;
+  /// Of the fastest transfer to one replica so far, over all targets.
+  double fastest_bytes_per_second_ = 0;
 };
 
 }  // namespace stoneport::controllers
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -35,6 +35,17 @@
   return watcher;
 }
 
+/// Each engine switches as soon as it has its weights, few read at a time so that
+/// the first ones have them early, and more where the store's rate allows
+/// (docs/design/simulation.md).
+controllers::RolloutSettings rollout_settings() {
+  controllers::RolloutSettings rollout;
+  rollout.switch_order = controllers::SwitchOrder::kAsReady;
+  rollout.parallel_prefetches = 3;
+  rollout.most_parallel_prefetches = 600;
+  return rollout;
+}
+
 controllers::ConfigurationOptions configuration_options(std::uint64_t seed) {
   controllers::ConfigurationOptions options;
   options.seed = seed;
@@ -77,7 +88,7 @@
       leases_(table_, time, {self_.node, self_.incarnation}, lease_settings(settings),
               seed_for(self_, "lease"), metrics),
       weights_(executor_, weights_inputs(), gossip_, policy_versions_, leases_, weight_store_,
-               engines_, controllers::RolloutSettings(), time, metrics),
+               engines_, rollout_settings(), time, metrics),
       claims_(executor_, table_, object_store_, time, self_.node, self_.incarnation, metrics) {}
 
 core::Result<void> ControlPlane::open() {
