--- a/src/bench/scale_measurement.cpp
+++ b/src/bench/scale_measurement.cpp
@@ -7,6 +7,8 @@
 #include <fstream>
 #include <thread>
 
+#include "controllers/gossip_simulation.hpp"
+
 namespace stoneport::bench {
 
 namespace {
@@ -190,6 +192,23 @@
   return result;
 }
 
+ScaleMeasurement measure_scale_in_virtual_time(std::uint32_t members, std::uint64_t seed) {
+  controllers::GossipSimulationSettings settings;
+  settings.members = members;
+  settings.seed = seed;
+  settings.gossip = controllers::gossip_settings(config::DaemonSettings());
+  const controllers::GossipMeasurement measured = controllers::measure_gossip(settings);
+  ScaleMeasurement result;
+  result.members = members;
+  result.join = measured.join;
+  result.bytes_per_second = measured.idle_bytes_per_second;
+  result.quiet.revision = measured.revision;
+  result.quiet.drain_mark = measured.drain_mark;
+  result.failures_known = measured.failures;
+  result.bytes_per_second_after_kill = measured.busiest_bytes_per_second;
+  return result;
+}
+
 Slope fit(const std::vector<std::pair<double, double>>& points) {
   Slope slope;
   const auto count = static_cast<double>(points.size());
--- a/src/bench/scale_measurement.hpp
+++ b/src/bench/scale_measurement.hpp
@@ -28,13 +28,19 @@
   SpreadTimes quiet;
   SpreadTimes after_kill;                        ///< announced at the moment a tenth was killed
   std::optional<core::Duration> failures_known;  ///< until all know the killed are dead
-  double bytes_per_second_after_kill = 0;        ///< sent by one member until then
+  /// Sent by one member until then; in virtual time the most over any second.
+  double bytes_per_second_after_kill = 0;
 };
 
 /// \param window length over which the quiet cluster is measured
 core::Result<ScaleMeasurement> measure_scale(const HollowClusterSettings& settings,
                                              core::Duration window);
 
+/// The same from the controllers' own measurement in virtual time, whose times do
+/// not depend on how busy the machine is. Processor time, memory and what is
+/// announced during the kill are not measured.
+ScaleMeasurement measure_scale_in_virtual_time(std::uint32_t members, std::uint64_t seed);
+
 /// Least squares through (members, value).
 struct Slope {
   double at_zero = 0;
--- a/src/bench/simulation/rollout_daemon.hpp
+++ b/src/bench/simulation/rollout_daemon.hpp
@@ -105,6 +105,8 @@
   std::unique_ptr<routing::ReplicaChooser> chooser_;
   routing::ReplicaLoads loads_;
   std::vector<std::uint32_t> in_flight_;  ///< own streams, by engine
+  /// Engines that refused a stream get nothing new until then.
+  std::vector<core::MonotonicTime> closed_until_;
   std::unordered_map<StreamKey, Stream> streams_;
   std::uint64_t next_stream_ = 1;
   core::Duration run_length_{};
--- a/src/bench/simulation/simulated_service.hpp
+++ b/src/bench/simulation/simulated_service.hpp
@@ -18,8 +18,9 @@
 /// How an exchange with a replica ended, as its sender sees it.
 enum class ServiceAnswer {
   kDone,
-  kRefused,  ///< the queue was full, or the connection was refused: not run
-  kCut,      ///< the replica went down while it had the request
+  kRefused,      ///< the queue was full: not run
+  kUnreachable,  ///< the connection was refused: not run
+  kCut,          ///< the replica went down while it had the request
 };
 
 /// One request as a replica gets it.
