--- a/tests/unit/emulator/emulator_test.cpp
+++ b/tests/unit/emulator/emulator_test.cpp
@@ -5,8 +5,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include "emulator/http_answers.hpp"
@@ -90,6 +93,8 @@
     router_.add("POST", "/v1/events/{event}/steps", at_once([this](const Request& request) {
                   return open(json::parse(request.body));
                 }));
+    router_.add("DELETE", "/v1/events/{event}/steps/{step}",
+                at_once([](const Request&) { return empty_answer(); }));
     router_.add(
         "POST", "/v1/events/{event}/steps/{step}/poll",
         at_once([this](const Request& request) { return poll(json::parse(request.body)); }));
@@ -162,6 +167,7 @@
   CPPUNIT_TEST_SUITE(EmulatorTest);
   CPPUNIT_TEST(listener_faults);
   CPPUNIT_TEST(lost_answer_takes_effect);
+  CPPUNIT_TEST(stream_goes_on_when_its_answer_is_lost);
   CPPUNIT_TEST(port_in_use_is_refused);
   CPPUNIT_TEST(unknown_switch_is_refused);
   CPPUNIT_TEST(stream_is_whole_and_can_be_read_again);
@@ -171,6 +177,7 @@
   CPPUNIT_TEST(leaving_back_end_is_listed_and_watched);
   CPPUNIT_TEST(top_ups_are_counted);
   CPPUNIT_TEST(trainer_runs_its_steps);
+  CPPUNIT_TEST(stopped_trainer_cancels_its_step);
   CPPUNIT_TEST(tcp_relay_is_cut_and_heals);
   CPPUNIT_TEST(udp_relay_is_cut_and_heals);
   CPPUNIT_TEST_SUITE_END();
@@ -203,6 +210,19 @@
     return {};
   }
 
+  void point_trainer_to(TestDaemon& daemon) {
+    const core::Address address = daemon.start();
+    const json place = {{"ip", address.ip}, {"port", address.port}};
+    CPPUNIT_ASSERT_EQUAL(204U, control("PUT", "trainers/trainer/daemon", place.dump()).status);
+  }
+  json report_at_end() {
+    json report;
+    do {
+      report = control("GET", "trainers/trainer").document();
+    } while (report.at("state") == "running");
+    return report;
+  }
+
  public:
   void setUp() override {
     auto settings = parse_settings(kSettings);
@@ -265,6 +285,17 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, scan.document().at("rows").size());
   }
 
+  void stream_goes_on_when_its_answer_is_lost() {
+    set_faults(kEngine, R"({"lost_answers":1})");
+    const auto start = [this] {
+      return client_.send(engine(kEngine), "POST", "/v1/completions", completion("e/1")).status;
+    };
+    CPPUNIT_ASSERT_EQUAL(0U, start());
+    CPPUNIT_ASSERT_EQUAL(409U, start());
+    const Outcome stream = client_.send(engine(kEngine), "GET", "/v1/streams/e%2F1");
+    CPPUNIT_ASSERT(stream.body.ends_with("data: [DONE]\n\n"));
+  }
+
   void port_in_use_is_refused() {
     EmulatorSettings settings;
     settings.listeners.table_service = table().port;
@@ -369,19 +400,14 @@
 
   void trainer_runs_its_steps() {
     TestDaemon daemon;
-    const core::Address address = daemon.start();
-    const json place = {{"ip", address.ip}, {"port", address.port}};
-    CPPUNIT_ASSERT_EQUAL(204U, control("PUT", "trainers/trainer/daemon", place.dump()).status);
+    point_trainer_to(daemon);
     CPPUNIT_ASSERT_EQUAL(
         204U, control("PUT", "trainers/trainer/switches", R"({"lost_poll_answers":2})").status);
     const std::string run =
         R"({"event":"event","policy":"policy","steps":2,"prompts":3,"samples_per_prompt":4,)"
         R"("age_bound":0,"publish_after_samples":5})";
     CPPUNIT_ASSERT_EQUAL(202U, control("POST", "trainers/trainer/run", run).status);
-    json report;
-    do {
-      report = control("GET", "trainers/trainer").document();
-    } while (report.at("state") == "running");
+    const json report = report_at_end();
     CPPUNIT_ASSERT_EQUAL_MESSAGE(report.dump(), std::string("finished"),
                                  report.at("state").get<std::string>());
     CPPUNIT_ASSERT_EQUAL(24, report.at("samples_expected").get<int>());
@@ -398,6 +424,22 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{4}, weights.document().at("sets").size());
   }
 
+  void stopped_trainer_cancels_its_step() {
+    TestDaemon daemon;
+    point_trainer_to(daemon);
+    CPPUNIT_ASSERT_EQUAL(
+        204U,
+        control("PUT", "trainers/trainer/switches", R"({"lost_poll_answers":1000000000})").status);
+    const std::string run = R"({"event":"event","policy":"policy"})";
+    CPPUNIT_ASSERT_EQUAL(202U, control("POST", "trainers/trainer/run", run).status);
+    CPPUNIT_ASSERT_EQUAL(409U, control("POST", "trainers/trainer/run", run).status);
+    CPPUNIT_ASSERT_EQUAL(204U, control("POST", "trainers/trainer/stop").status);
+    const json report = report_at_end();
+    CPPUNIT_ASSERT_EQUAL(std::string("failed"), report.at("state").get<std::string>());
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(report.dump(), 1, report.at("steps_cancelled").get<int>());
+    CPPUNIT_ASSERT_EQUAL(0, report.at("samples_delivered").get<int>());
+  }
+
   void tcp_relay_is_cut_and_heals() {
     runtime::EventLoopThread loop("relay");
     const auto relay = make_tcp_relay(loop.executor(), replica());
