--- /dev/null
+++ b/tests/contract/malformed_answers_test.cpp
@@ -0,0 +1,112 @@
+/// \file
+/// Answers that no service of the platform should give, to every read of every
+/// port: a typed error, whether they come as an answer or as a refusal.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "contract/platform_fixture.hpp"
+#include "platform/engine_codec.hpp"
+#include "platform/http_machine_list.hpp"
+#include "platform/http_model_engine.hpp"
+#include "platform/http_scoring_service.hpp"
+#include "platform/http_table_service.hpp"
+#include "platform/http_weight_store.hpp"
+#include "support/malformed_input.hpp"
+
+namespace stoneport::platform_test {
+namespace {
+
+using platform::HttpEndpoint;
+using platform::TablePriority;
+
+template <class Port, class Function>
+PortCall port_call(const char* name, Function function) {
+  return {name, CallKind::kRead, [function](HttpEndpoint endpoint) -> asio::awaitable<CallEnd> {
+            Port port(endpoint);
+            co_return co_await end_of(function(port));
+          }};
+}
+
+std::vector<PortCall> calls_that_read_an_answer() {
+  using Table = platform::HttpTableService;
+  using Engine = platform::HttpModelEngine;
+  return {
+      port_call<Table>("table read",
+                       [](Table& table) {
+                         return table.read({"claims", "key"}, TablePriority::kInteractive);
+                       }),
+      port_call<Table>("table scan",
+                       [](Table& table) {
+                         return table.scan("claims", "", core::Revision(),
+                                           TablePriority::kBackground);
+                       }),
+      port_call<Table>("table commit",
+                       [](Table& table) {
+                         platform::Transaction transaction;
+                         transaction.write_id = core::WriteId("write");
+                         transaction.writes.push_back({{"claims", "key"}, "value"});
+                         return table.commit(std::move(transaction), TablePriority::kOwnership);
+                       }),
+      port_call<platform::HttpMachineList>("machine list", [](auto& list) { return list.list(); }),
+      port_call<platform::HttpWeightStore>(
+          "weight store", [](auto& store) { return store.status(core::PolicyName("policy")); }),
+      port_call<platform::HttpScoringService>(
+          "scoring",
+          [](auto& service) {
+            platform::ScoringRequest request{"prompt", "completion"};
+            return service.score(core::ServiceName("judge"), std::move(request), http_test::soon());
+          }),
+      port_call<Engine>("engine report", [](Engine& engine) { return engine.report(); }),
+      port_call<Engine>("engine streams", [](Engine& engine) { return engine.list_streams("a"); }),
+      port_call<Engine>("engine cache", [](Engine& engine) { return engine.cache_events(0); }),
+      port_call<Engine>("engine export",
+                        [](Engine& engine) { return engine.export_kv(core::StreamId("s")); }),
+  };
+}
+
+class MalformedAnswersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MalformedAnswersTest);
+  CPPUNIT_TEST(answers_get_typed_errors);
+  CPPUNIT_TEST(refusals_keep_their_code);
+  CPPUNIT_TEST(stream_events_get_typed_errors);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void answers_get_typed_errors() {
+    for (const PortCall& call : calls_that_read_an_answer()) {
+      for (const tests::MalformedDocument& document : tests::malformed_documents()) {
+        const CallEnd end = call_scripted(call, {200, document.bytes, ""});
+        const std::string name = std::string(call.name) + ", " + document.fault;
+        CPPUNIT_ASSERT_MESSAGE(
+            name + ": " + describe(end),
+            end && (end->code == ErrorCode::kProtocol || end->code == ErrorCode::kTooLarge));
+      }
+    }
+  }
+
+  void refusals_keep_their_code() {
+    for (const PortCall& call : calls_that_read_an_answer()) {
+      for (const tests::MalformedDocument& document : tests::malformed_documents()) {
+        const CallEnd end = call_scripted(call, {429, document.bytes, "1e999"});
+        const std::string name = std::string(call.name) + ", " + document.fault;
+        // A refusal beyond the answer limit is not read at all.
+        CPPUNIT_ASSERT_MESSAGE(
+            name + ": " + describe(end),
+            end && (end->code == ErrorCode::kRateLimited || end->code == ErrorCode::kTooLarge));
+        CPPUNIT_ASSERT_MESSAGE(name, !end->retry_after);
+      }
+    }
+  }
+
+  void stream_events_get_typed_errors() {
+    for (const tests::MalformedDocument& document : tests::malformed_documents()) {
+      platform::StreamEventParser parser(core::StreamId("stream"), 0);
+      const auto item = parser.parse(document.bytes);
+      CPPUNIT_ASSERT_MESSAGE(document.fault, !item && item.error().code == ErrorCode::kProtocol);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MalformedAnswersTest);
+
+}  // namespace
+}  // namespace stoneport::platform_test
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -37,6 +37,9 @@
   core::Address caller(std::size_t daemon) const { return address_of(daemon, 7000); }
   core::Address trainer(std::size_t daemon) const { return address_of(daemon, 7001); }
   core::Address admin(std::size_t daemon) const { return address_of(daemon, 7002); }
+  core::Address peer(std::size_t daemon) const { return address_of(daemon, 7003); }
+  core::Address gossip(std::size_t daemon) const { return address_of(daemon, 7004); }
+  core::Address emulator_control() const { return platform(20000); }
   void start_daemon(std::size_t daemon);
   void signal_daemon(std::size_t daemon, int signal_number);
   /// Kills the process and waits for its end.
