--- a/scripts/lint-one.sh
+++ b/scripts/lint-one.sh
@@ -5,9 +5,9 @@
 file=$2
 cache=$build/clean
 mkdir -p "$cache"
-# The key covers the rules, the file and all headers of the project.
-headers=$(git ls-files -s 'src/*.hpp' 'tests/*.hpp'; git diff HEAD -- 'src/*.hpp' 'tests/*.hpp')
-key=$( (cat .clang-tidy "$file"; echo "$headers") | sha256sum | cut -d' ' -f1)
+# The key covers the rules, the linter, the file and all headers of the project.
+# LINT_KEY is what all files share; scripts/lint.sh makes it once.
+key=$( (echo "$LINT_KEY"; cat "$file") | sha256sum | cut -d' ' -f1)
 if [ -e "$cache/$key" ]; then
   exit 0
 fi
--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs every test executable through ctest. Tests listed in KNOWN-RED.txt (one a
-# line: "executable/test: cause, issue") may fail; they are printed, and any
+# line: "Suite::test: cause, issue") may fail; they are printed, and any
 # other failure fails the run.
 # Usage: scripts/run-tests.sh BUILD_FOLDER [ctest arguments]
 set -uo pipefail
--- a/tests/unit/rollout/freshness_test.cpp
+++ b/tests/unit/rollout/freshness_test.cpp
@@ -42,7 +42,7 @@
         {2, 40, 100, 80, true},   // another step before this one
         {1, 0, 120, 0, false},    // the publication is due
         {1, 0, 150, 0, false},    // and overdue
-        {2, 20, 150, 0, false},  // however much it seems to have in hand
+        {2, 20, 150, 0, false},   // however much it seems to have in hand
     };
     for (const Case& one : cases) {
       const FreshnessInput input{one.in_hand, seconds(one.expected_step), at(one.now)};
