Send no 100 Continue once the response has started

Cause: the interim answer was due until the body's first read. A handler that starts its response first, as a relay does when the back end answers early, got it written into the middle of its response.

Ruled out: refusing to read the body then; a client may send it unasked.

Change: starting a response drops the interim answer that is still due; the connection closes after the response, as before.

Test: contract case "expected continue, response started first", failing before (the 100 stood behind the head), passing after.

--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -146,8 +146,7 @@
 }
 
 ServerResponseWriter::ServerResponseWriter(ServerState& state, ServerSocket& io, ClientWatch& watch,
-                                           const RequestParser& parser,
-                                           const ServerRequestBody& body)
+                                           const RequestParser& parser, ServerRequestBody& body)
     : state_(state), io_(io), watch_(watch), parser_(parser), body_(body) {}
 
 core::Result<std::string> ServerResponseWriter::begin(const ResponseHead& head,
@@ -185,6 +184,7 @@
   }
   message.keep_alive(keep_alive_);
   started_ = true;
+  body_.drop_continue();
   return serialize_head(message);
 }
 
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -16,6 +16,9 @@
   bool complete() const { return parser_.is_done(); }
   /// \return whether what is left unread is small enough to be read and dropped.
   bool can_be_skipped() const;
+  /// A "100 Continue" that is still due is not sent: it would stand within the
+  /// response, which has started.
+  void drop_continue() { must_send_continue_ = false; }
   /// Reads the rest. \return whether the body's end was reached.
   boost::asio::awaitable<bool> skip();
 
@@ -35,7 +38,7 @@
 class ServerResponseWriter : public ResponseWriter {
  public:
   ServerResponseWriter(ServerState& state, ServerSocket& io, ClientWatch& watch,
-                       const RequestParser& parser, const ServerRequestBody& body);
+                       const RequestParser& parser, ServerRequestBody& body);
 
   boost::asio::awaitable<core::Result<void>> start(
       ResponseHead head, std::optional<std::uint64_t> content_length) override;
@@ -62,7 +65,7 @@
   ServerSocket& io_;
   ClientWatch& watch_;
   const RequestParser& parser_;
-  const ServerRequestBody& body_;
+  ServerRequestBody& body_;
   Framing framing_ = Framing::kNoBody;
   std::uint64_t remaining_ = 0;
   bool started_ = false;
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -21,6 +21,13 @@
     co_await response.write("");
     co_await response.write("de");
     co_await response.finish();
+  } else if (path == "/started-first") {
+    co_await response.start(head, std::nullopt);
+    core::Result<std::string> text = co_await http::read_whole(body, 1000);
+    if (text) {
+      co_await response.write(*text);
+    }
+    co_await response.finish();
   } else if (path == "/unread") {
     co_await http::respond_json(response, 429, "{}");
   } else if (path == "/204" || path == "/304") {
@@ -87,6 +94,11 @@
        "POST /unread HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n",
        {"HTTP/1.1 429", "Connection: close"},
        {"100 Continue"}},
+      {"expected continue, response started first",
+       "POST /started-first HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n" + last +
+           "abc",
+       {"HTTP/1.1 200", "Connection: close", "\r\n\r\n3\r\nabc\r\n0\r\n\r\n"},
+       {"100 Continue"}},
       {"small body left unread",
        "POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc" + last_get,
        {"HTTP/1.1 429", "GET /z []"},
