--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -59,6 +59,7 @@
   std::uint32_t max_header_bytes = 64 * 1024;
 };
 
+/// The metrics must outlive the execution context of its executor.
 class Client {
  public:
   /// \param name label of the client's metrics, such as "engine"
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -78,7 +78,8 @@
   std::uint32_t max_connections = 4096;
 };
 
-/// The handler must outlive the server and the last turn of its executor.
+/// The handler and the metrics must outlive the server and the execution context
+/// of its executor: connections that end with the context still count.
 class Server {
  public:
   /// \param name label of the server's metrics, such as "caller"
--- a/tests/contract/http_client_faults_test.cpp
+++ b/tests/contract/http_client_faults_test.cpp
@@ -36,8 +36,8 @@
     return metrics.counter("stoneport_http_client_" + name, "", {{"client", "test"}}).Value();
   }
 
-  asio::io_context context;
   core::Metrics metrics;
+  asio::io_context context;
   http::Client client{context.get_executor(), "test", metrics};
   Script script;
   tcp::acceptor acceptor;
@@ -191,8 +191,8 @@
   }
 
   void nothing_sent_is_said_only_before_the_first_byte() {
-    asio::io_context context;
     core::Metrics metrics;
+    asio::io_context context;
     http::Client client(context.get_executor(), "test", metrics);
     tcp::acceptor closed(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     const core::Address refused{"127.0.0.1", closed.local_endpoint().port()};
--- a/tests/contract/http_fixture.hpp
+++ b/tests/contract/http_fixture.hpp
@@ -175,8 +175,9 @@
     return metrics.counter("stoneport_http_server_" + name, "", labels).Value();
   }
 
-  asio::io_context context;
+  // Before the context: connections that end with it still count.
   core::Metrics metrics;
+  asio::io_context context;
   FunctionHandler handler;
   http::Server server;
 };
