--- a/src/controllers/lease_keeper.cpp
+++ b/src/controllers/lease_keeper.cpp
@@ -11,6 +11,7 @@
 constexpr const char* kTable = "leases";
 /// Rounds within one duration: three renewals may fail before a lease lapses.
 constexpr int kRoundsPerDuration = 4;
+constexpr core::Duration kRoundPoll = std::chrono::milliseconds(10);
 
 core::Result<std::optional<ObservedLease>> observed_lease(
     const core::Result<std::optional<platform::Row>>& answer) {
@@ -111,7 +112,8 @@
   LeaseState& lease = leases_.at(name);
   if (!observed) {
     counters_->read_failed.Increment();
-    lease.on_read_failed(sent_at, now);
+    const bool answered = observed.error().code == ErrorCode::kProtocol;
+    answered ? lease.on_row_lost() : lease.on_read_failed(sent_at, now);
     co_return;
   }
   lease.on_read(std::move(*observed), now);
@@ -135,7 +137,7 @@
   const ErrorCode code = answer.error().code;
   if (code == ErrorCode::kConflict) {
     counters_->conflict.Increment();
-    lease.on_write_conflict();
+    lease.on_row_lost();
     co_return;
   }
   const bool refused = code == ErrorCode::kUnavailable || code == ErrorCode::kRateLimited;
@@ -159,6 +161,10 @@
 }
 
 boost::asio::awaitable<void> LeaseKeeper::run_round() {
+  while (round_in_progress_) {
+    co_await runtime::sleep_for(kRoundPoll);
+  }
+  round_in_progress_ = true;
   std::vector<std::string> names;
   for (const auto& [name, lease] : leases_) {
     names.push_back(name);
@@ -167,6 +173,7 @@
     const bool wanted = wanted_.contains(name);
     co_await advance(name, wanted);
   }
+  round_in_progress_ = false;
 }
 
 boost::asio::awaitable<void> LeaseKeeper::run() {
--- a/src/emulator/fault_gate.cpp
+++ b/src/emulator/fault_gate.cpp
@@ -1,5 +1,7 @@
 #include "emulator/fault_gate.hpp"
 
+#include <algorithm>
+
 #include "emulator/http_answers.hpp"
 #include "runtime/tasks.hpp"
 
@@ -11,18 +13,22 @@
 constexpr core::Duration kHangPoll = std::chrono::milliseconds(20);
 constexpr core::Duration kRefusalRetryAfter = std::chrono::milliseconds(500);
 
-/// Takes an answer and sends nothing of it.
-class SilentWriter : public http::ResponseWriter {
+core::Error cut_by_switch() {
+  return core::make_error(core::ErrorCode::kCancelled, "cut by a fault switch");
+}
+
+/// Refuses an answer when it begins, which is after the request took effect.
+class LosingWriter : public http::ResponseWriter {
  public:
   asio::awaitable<core::Result<void>> start(http::ResponseHead,
                                             std::optional<std::uint64_t>) override {
     started_ = true;
-    co_return core::Result<void>{};
+    co_return cut_by_switch();
   }
   asio::awaitable<core::Result<void>> write(std::string_view) override {
-    co_return core::Result<void>{};
+    co_return cut_by_switch();
   }
-  asio::awaitable<core::Result<void>> finish() override { co_return core::Result<void>{}; }
+  asio::awaitable<core::Result<void>> finish() override { co_return cut_by_switch(); }
   bool started() const override { return started_; }
   bool client_gone() const override { return false; }
 
@@ -40,7 +46,8 @@
                                             std::optional<std::uint64_t> content_length) override {
     if (faults_.cut_bodies > 0) {
       --faults_.cut_bodies;
-      bytes_left_ = faults_.cut_after_bytes;
+      const std::uint64_t last = content_length.value_or(faults_.cut_after_bytes + 1);
+      bytes_left_ = std::min(faults_.cut_after_bytes, last > 0 ? last - 1 : 0);
     }
     co_return co_await inner_.start(std::move(head), content_length);
   }
@@ -61,12 +68,12 @@
     if (!rest.empty()) {
       co_await inner_.write(rest);
     }
-    co_return core::make_error(core::ErrorCode::kCancelled, "cut by a fault switch");
+    co_return cut_by_switch();
   }
 
   asio::awaitable<core::Result<void>> finish() override {
     if (bytes_left_) {
-      co_return core::make_error(core::ErrorCode::kCancelled, "cut by a fault switch");
+      co_return cut_by_switch();
     }
     co_return co_await inner_.finish();
   }
@@ -94,7 +101,7 @@
     FaultyWriter writer(response, faults_);
     co_await inner_.handle(request, body, writer);
   } else if (verdict == Verdict::kLoseAnswer) {
-    SilentWriter writer;
+    LosingWriter writer;
     co_await inner_.handle(request, body, writer);
   }
 }
@@ -118,7 +125,7 @@
     co_await refuse(core::ErrorCode::kUnavailable, kRefusalRetryAfter, response);
     co_return Verdict::kAnswered;
   }
-  const auto wait = bucket_.take(faults_.requests_per_second, clock_.now());
+  const auto wait = wait_by_rate_limit();
   if (wait) {
     co_await refuse(core::ErrorCode::kRateLimited, *wait, response);
     co_return Verdict::kAnswered;
@@ -131,6 +138,19 @@
   co_return Verdict::kPass;
 }
 
+std::optional<core::Duration> FaultGate::wait_by_rate_limit() {
+  const double rate = faults_.requests_per_second;
+  if (rate <= 0) {
+    return std::nullopt;
+  }
+  const core::MonotonicTime now = clock_.now();
+  if (!bucket_ || bucket_rate_ != rate) {
+    bucket_.emplace(core::TokenBucketSettings{rate, rate}, now);
+    bucket_rate_ = rate;
+  }
+  return bucket_->try_take(now, 0) ? std::nullopt : std::optional(bucket_->wait_for(now, 0));
+}
+
 asio::awaitable<void> FaultGate::refuse(core::ErrorCode code, core::Duration retry_after,
                                         http::ResponseWriter& response) {
   const core::Error error = core::make_error(code, "refused by a fault switch", retry_after);
--- a/src/emulator/trainer_driver.cpp
+++ b/src/emulator/trainer_driver.cpp
@@ -50,11 +50,19 @@
   running_ = true;
   stopping_ = false;
   publish_requested_ = false;
+  switches_.age_bound = run.age_bound;
   ledger_ = std::make_unique<TrainerLedger>(run, truth_);
   runtime::start(executor_, "trainer " + name_, run_all(std::move(run)));
   return {};
 }
 
+void TrainerDriver::set_switches(const TrainerSwitches& switches) {
+  switches_ = switches;
+  if (ledger_) {
+    ledger_->set_age_bound(switches.age_bound);
+  }
+}
+
 TrainerReport TrainerDriver::report() const {
   return ledger_ ? ledger_->summary() : TrainerReport{};
 }
@@ -106,10 +114,19 @@
     // Tells the daemon that every slot is held; a lost answer does no harm.
     const core::Result<void> acknowledged = co_await poll(run, step, time_.now() + kCallTimeout);
     ledger_->report().failed_calls += acknowledged ? 0 : 1;
+  } else {
+    co_await cancel_step(run, step);
   }
   co_return outcome;
 }
 
+asio::awaitable<void> TrainerDriver::cancel_step(const TrainerRun& run, std::uint64_t step) {
+  const std::string target = steps_path(run) + "/" + std::to_string(step);
+  const core::MonotonicTime deadline = time_.now() + kCallTimeout;
+  const Call cancelled = co_await call("DELETE", target, "", deadline);
+  ledger_->report().steps_cancelled += cancelled.outcome == CallOutcome::kDone ? 1 : 0;
+}
+
 asio::awaitable<core::Result<void>> TrainerDriver::open_step(const TrainerRun& run,
                                                              std::uint64_t step,
                                                              core::MonotonicTime deadline) {
@@ -123,7 +140,7 @@
                  {"prompts", prompts_},
                  {"samples_per_prompt", run.samples_per_prompt},
                  {"epoch_seen", ledger_->report().epoch_seen}};
-    const Call opened = co_await call(steps_path(run), std::move(body), deadline);
+    const Call opened = co_await call("POST", steps_path(run), body.dump(), deadline);
     if (opened.outcome == CallOutcome::kRefused) {
       co_return core::make_error(ErrorCode::kProtocol, "open: " + refusal_);
     }
@@ -159,7 +176,7 @@
   const std::string target = steps_path(run) + "/" + std::to_string(step) + "/poll";
   const core::MonotonicTime call_deadline =
       std::min(deadline, time_.now() + run.poll_wait + kCallTimeout);
-  const Call polled = co_await call(target, std::move(body), call_deadline);
+  const Call polled = co_await call("POST", target, body.dump(), call_deadline);
   if (polled.outcome == CallOutcome::kStepUnknown && ledger_->complete()) {
     co_return core::Result<void>{};
   }
@@ -170,6 +187,12 @@
   if (polled.outcome == CallOutcome::kRefused) {
     co_return core::make_error(ErrorCode::kProtocol, "poll: " + refusal_);
   }
+  const bool lost = polled.outcome == CallOutcome::kDone && switches_.lost_poll_answers > 0;
+  if (lost) {
+    --switches_.lost_poll_answers;
+    ++ledger_->report().lost_poll_answers;
+    co_return core::Result<void>{};
+  }
   if (polled.outcome == CallOutcome::kDone) {
     const auto answer = parse_json<PollAnswer>(polled.body, UnknownKeys::kIgnore);
     if (!answer) {
@@ -200,7 +223,7 @@
       "/v1/policies/" + http::percent_encode(run.policy.value()) + "/versions";
   while (check_going_on(deadline)) {
     json body = {{"version", next.value()}, {"size_bytes", run.weight_bytes}};
-    const Call published = co_await call(target, std::move(body), deadline);
+    const Call published = co_await call("POST", target, body.dump(), deadline);
     if (published.outcome == CallOutcome::kDone) {
       ledger_->set_current_version(next);
       ++ledger_->report().versions_published;
@@ -212,13 +235,14 @@
   }
 }
 
-asio::awaitable<TrainerDriver::Call> TrainerDriver::call(std::string target, json body,
+asio::awaitable<TrainerDriver::Call> TrainerDriver::call(std::string method, std::string target,
+                                                         std::string body,
                                                          core::MonotonicTime deadline) {
   http::Request request;
-  request.head.method = "POST";
+  request.head.method = std::move(method);
   request.head.target = std::move(target);
   request.head.headers.set("Content-Type", "application/json");
-  request.body = body.dump();
+  request.body = std::move(body);
   http::SendOptions options;
   options.deadline = deadline;
   auto answer = co_await client_.fetch(daemon_, std::move(request), options);
@@ -230,7 +254,7 @@
   }
   done.body = std::move(answer->body);
   const unsigned status = answer->head.status;
-  if (status == 200) {
+  if (status == 200 || status == 204) {
     done.outcome = CallOutcome::kDone;
   } else if (status == 404) {
     done.outcome = CallOutcome::kStepUnknown;
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -11,6 +11,9 @@
 /// there so that its batch stays full; more would wait without being movable.
 constexpr double kMostStreamsPerPlace = 1.25;
 
+/// How long a version seen in a stream stands for an engine without a newer report.
+constexpr core::Duration kSeenVersionLifetime = std::chrono::seconds(2);
+
 bool takes_new_work(const routing::Replica& replica) {
   return replica.state == routing::ReplicaState::kUsable ||
          replica.state == routing::ReplicaState::kSuspect;
@@ -28,20 +31,23 @@
 }
 
 const EngineDirectory::Usage& EngineDirectory::usage(const core::ReplicaId& replica) const {
-  static const Usage kUnused;
+  static const Usage unused;
   const auto found = usage_.find(replica);
-  return found == usage_.end() ? kUnused : found->second;
+  return found == usage_.end() ? unused : found->second;
 }
 
-bool EngineDirectory::is_full(const routing::Replica& replica) const {
+bool EngineDirectory::is_full(const routing::Replica& replica) {
+  const routing::ReplicaLoad& own = loads_.of(replica.id);
+  if (!own.has_room()) {
+    return true;
+  }
   if (!replica.digest || replica.digest->max_running == 0) {
     return false;
   }
-  return usage(replica.id).in_flight >= kMostStreamsPerPlace * replica.digest->max_running;
+  return own.in_flight() >= kMostStreamsPerPlace * replica.digest->max_running;
 }
 
-std::vector<rollout::EngineCandidate> EngineDirectory::candidates(
-    const core::ModelName& model) const {
+std::vector<rollout::EngineCandidate> EngineDirectory::candidates(const core::ModelName& model) {
   std::vector<rollout::EngineCandidate> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
@@ -56,21 +62,21 @@
     const Usage& own = usage(replica.id);
     rollout::EngineCandidate candidate;
     candidate.id = replica.id;
-    candidate.in_flight = own.in_flight;
+    candidate.in_flight = loads_.of(replica.id).in_flight();
     candidate.suspect = replica.state == routing::ReplicaState::kSuspect;
     candidate.closed = now < own.closed_until || is_full(replica);
     if (replica.digest) {
       candidate.reported = replica.digest->running + replica.digest->waiting;
       candidate.max_running = replica.digest->max_running;
-      candidate.version = replica.digest->version;
     }
+    candidate.version = version_of(replica);
     result.push_back(std::move(candidate));
   }
   return result;
 }
 
 std::vector<rollout::MigrationTarget> EngineDirectory::migration_targets(
-    const core::ModelName& model, const rollout::AgeRule& rule) const {
+    const core::ModelName& model, const rollout::AgeRule& rule) {
   std::vector<rollout::MigrationTarget> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
@@ -89,12 +95,14 @@
     if (!rule.allows(digest.version)) {
       continue;
     }
-    const std::uint32_t load = std::max(own.in_flight, digest.running + digest.waiting);
+    const std::uint32_t load =
+        std::max(loads_.of(replica.id).in_flight(), digest.running + digest.waiting);
     if (load >= digest.max_running || digest.tokens_per_second <= 0) {
       continue;
     }
     const double for_one = digest.tokens_per_second / std::max(1u, digest.running);
-    result.push_back(rollout::MigrationTarget{replica.id, digest.max_running - load, for_one});
+    result.push_back(
+        rollout::MigrationTarget{replica.id, digest.max_running - load, for_one, digest.version});
   }
   return result;
 }
@@ -129,14 +137,11 @@
 }
 
 void EngineDirectory::stream_started(const core::ReplicaId& replica) {
-  ++usage_[replica].in_flight;
+  loads_.of(replica).started(dependencies_.time.now());
 }
 
-void EngineDirectory::stream_ended(const core::ReplicaId& replica) {
-  Usage& own = usage_[replica];
-  if (own.in_flight > 0) {
-    --own.in_flight;
-  }
+void EngineDirectory::stream_ended(const core::ReplicaId& replica, routing::LoadSignal signal) {
+  loads_.of(replica).finished(signal, dependencies_.time.now());
 }
 
 void EngineDirectory::refused(const core::ReplicaId& replica,
@@ -156,6 +161,23 @@
   own.closed_until = now + pause;
 }
 
+void EngineDirectory::saw_version(const core::ReplicaId& replica, core::WeightVersion version) {
+  Usage& own = usage_[replica];
+  own.seen_version = version;
+  own.seen_at = dependencies_.time.now();
+}
+
+std::optional<core::WeightVersion> EngineDirectory::version_of(
+    const routing::Replica& replica) const {
+  const Usage& own = usage(replica.id);
+  const bool is_recent =
+      own.seen_version && dependencies_.time.now() - own.seen_at < kSeenVersionLifetime;
+  if (is_recent && (!replica.digest || replica.digest->taken_at < own.seen_at)) {
+    return own.seen_version;
+  }
+  return replica.digest ? std::optional(replica.digest->version) : std::nullopt;
+}
+
 void EngineDirectory::worked(const core::ReplicaId& replica) {
   Usage& own = usage_[replica];
   own.failures = 0;
--- a/src/steps/step_runner.cpp
+++ b/src/steps/step_runner.cpp
@@ -12,6 +12,10 @@
 /// come back is waited for.
 constexpr core::Duration kRepeatWindow = std::chrono::seconds(2);
 
+/// A trainer that polled before and has not for this long is taken as gone by a
+/// daemon that wants to leave.
+constexpr core::Duration kSilentTrainer = std::chrono::seconds(10);
+
 const char* name_of(StepStop reason) {
   switch (reason) {
     case StepStop::kCancelled:
@@ -45,15 +49,16 @@
   spdlog::info("step {}/{}: opened, epoch {}, {} prompts of {} samples{}", plan_.event.value(),
                plan_.step.value(), plan_.epoch.value(), plan_.content.prompts.size(),
                plan_.content.samples_per_prompt, plan_.taken_over ? ", taken over" : "");
-  runtime::start(context_.dependencies.executor, "step sweeps", sweep_until_stopped());
-  runtime::start(context_.dependencies.executor, "step grace", start_after_grace());
+  runtime::start(context_.dependencies.executor, "step sweeps",
+                 sweep_until_stopped(shared_from_this()));
+  runtime::start(context_.dependencies.executor, "step grace",
+                 start_after_grace(shared_from_this()));
 }
 
-asio::awaitable<void> StepRunner::start_after_grace() {
-  const auto self = shared_from_this();
-  co_await runtime::sleep_for(context_.settings().start_grace);
-  begin_once();
-  work_->resume_starts();
+asio::awaitable<void> StepRunner::start_after_grace(std::shared_ptr<StepRunner> self) {
+  co_await runtime::sleep_for(self->context_.settings().start_grace);
+  self->begin_once();
+  self->work_->resume_starts();
 }
 
 void StepRunner::begin_once() {
@@ -61,26 +66,28 @@
     return;
   }
   begun_ = true;
-  runtime::start(context_.dependencies.executor, "step work", work_->begin());
+  runtime::start(context_.dependencies.executor, "step work", StepWork::begin(work_));
 }
 
-asio::awaitable<void> StepRunner::sweep_until_stopped() {
-  const auto self = shared_from_this();
-  while (!stopped_) {
-    co_await runtime::sleep_for(context_.settings().sweep_interval);
-    if (stopped_) {
-      co_return;
-    }
-    work_->sweep();
-    const core::Duration silence = context_.now() - last_heard_;
-    const core::Duration limit =
-        work_->rules().parameters.step_deadline * context_.settings().abandon_after_deadlines;
-    if (silence > limit) {
-      stop(StepStop::kAbandoned);
+asio::awaitable<void> StepRunner::sweep_until_stopped(std::shared_ptr<StepRunner> self) {
+  while (!self->stopped_) {
+    co_await runtime::sleep_for(self->context_.settings().sweep_interval);
+    if (!self->stopped_) {
+      self->sweep();
     }
   }
 }
 
+void StepRunner::sweep() {
+  work_->sweep();
+  const core::Duration silence = context_.now() - last_heard_;
+  const core::Duration limit =
+      work_->rules().parameters.step_deadline * context_.settings().abandon_after_deadlines;
+  if (silence > limit) {
+    stop(completed_at_ ? StepStop::kClosed : StepStop::kAbandoned);
+  }
+}
+
 asio::awaitable<core::Result<PollAnswer>> StepRunner::poll(PollRequest request) {
   const auto self = shared_from_this();
   context_.metrics.polls.Increment();
@@ -107,7 +114,9 @@
     if (answer.complete || !answer.samples.empty() || left.count() <= 0) {
       co_return answer;
     }
+    ++polls_waiting_;
     co_await changed_.wait_for(left);
+    --polls_waiting_;
   }
 }
 
@@ -154,9 +163,13 @@
 void StepRunner::reopened() {
   heard_of_trainer();
   completed_at_.reset();
+  // A poll from before may name samples that the trainer has lost since.
+  ++newest_poll_;
+  changed_.notify();
   work_->ledger().forget_acknowledgements();
   work_->pause_starts();
-  runtime::start(context_.dependencies.executor, "step grace", start_after_grace());
+  runtime::start(context_.dependencies.executor, "step grace",
+                 start_after_grace(shared_from_this()));
 }
 
 void StepRunner::stop(StepStop reason) {
@@ -193,7 +206,12 @@
   if (stopped_ || work_->ledger().all_held()) {
     return true;
   }
-  return completed_at_ && context_.now() - *completed_at_ > kRepeatWindow;
+  if (polls_waiting_ > 0) {
+    return false;
+  }
+  const core::MonotonicTime now = context_.now();
+  const bool is_complete = completed_at_ && now - *completed_at_ > kRepeatWindow;
+  return is_complete || now - last_heard_ > kSilentTrainer;
 }
 
 core::Error StepRunner::stop_error() const {
--- a/src/steps/step_runner.hpp
+++ b/src/steps/step_runner.hpp
@@ -52,14 +52,18 @@
 
   const StepPlan& plan() const { return plan_; }
   std::optional<StepStop> stopped() const { return stopped_; }
-  /// \return whether nothing is left to do but a repeat of a lost answer.
+  /// \return whether a leaving daemon need not wait for this step: nothing is
+  /// left but a repeat of a lost answer, or the trainer is silent. Should it come
+  /// back, it opens the step at the replacement.
   bool is_finished() const;
   bool all_held() { return work_->ledger().all_held(); }
   std::size_t running_attempts() const { return work_->running_attempts(); }
 
  private:
-  boost::asio::awaitable<void> sweep_until_stopped();
-  boost::asio::awaitable<void> start_after_grace();
+  // Tasks are handed the pointer that keeps this object: they may start later.
+  static boost::asio::awaitable<void> sweep_until_stopped(std::shared_ptr<StepRunner> self);
+  static boost::asio::awaitable<void> start_after_grace(std::shared_ptr<StepRunner> self);
+  void sweep();
   void begin_once();
   void heard_of_trainer();
   void note_completion();
@@ -72,6 +76,7 @@
   std::shared_ptr<StepWork> work_;
   Signal changed_;
   std::uint64_t newest_poll_ = 0;
+  std::uint32_t polls_waiting_ = 0;
   core::MonotonicTime last_heard_;
   std::optional<core::MonotonicTime> completed_at_;  ///< the last sample was handed over
   bool counted_complete_ = false;
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -3,8 +3,10 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <numeric>
 
 #include "core/hash.hpp"
+#include "rollout/freshness.hpp"
 #include "rollout/over_sampling.hpp"
 #include "runtime/tasks.hpp"
 #include "steps/backoff.hpp"
@@ -27,7 +29,9 @@
       rules_(std::move(rules)),
       listener_(std::move(listener)),
       ledger_(plan_.content.shape()),
-      placement_(chooser_, {}) {}
+      chooser_(context, rules_.event_template.model, plan_.content.prompts),
+      placement_(chooser_, {}),
+      finished_groups_(ledger_.shape().prompts) {}
 
 const EventRules& StepWork::rules() {
   if (auto in_force = find_rules(context_.dependencies, plan_.event)) {
@@ -41,17 +45,30 @@
   return {context_.policies.current(parameters.policy), parameters.age_bound};
 }
 
-asio::awaitable<void> StepWork::begin() {
-  const auto self = shared_from_this();
-  if (plan_.taken_over) {
-    const std::vector<FoundStream> found = co_await find_streams(
-        context_, rules_.event_template.model, plan_.event, plan_.step, plan_.content.digest());
-    if (!stopped_) {
-      adopt(found);
+asio::awaitable<void> StepWork::begin(std::shared_ptr<StepWork> self) {
+  const StepPlan& plan = self->plan_;
+  if (plan.taken_over) {
+    co_await wait_for_engines(self);
+    const std::vector<FoundStream> found =
+        co_await find_streams(self->context_, self->rules_.event_template.model, plan.event,
+                              plan.step, plan.content.digest());
+    if (!self->stopped_) {
+      self->adopt(found);
     }
   }
-  begun_ = true;
-  sweep();
+  self->begun_ = true;
+  self->sweep();
+}
+
+asio::awaitable<void> StepWork::wait_for_engines(std::shared_ptr<StepWork> self) {
+  StepContext& context = self->context_;
+  const core::MonotonicTime limit = context.now() + context.settings().routing_limit;
+  const auto knows_engines = [&] {
+    return !context.engines.all(self->rules_.event_template.model).empty();
+  };
+  while (!knows_engines() && !self->stopped_ && context.now() < limit) {
+    co_await runtime::sleep_for(context.settings().sweep_interval);
+  }
 }
 
 void StepWork::adopt(const std::vector<FoundStream>& found) {
@@ -126,12 +143,17 @@
     if (!attempt->is_stopping() && oldest && !rule.allows(*oldest)) {
       attempt->cancel();
       context_.metrics.attempts_cancelled_too_old.Increment();
+      if (!rule.allows(attempt->content().spans().back().version)) {
+        // It still makes tokens that are too old, whatever its last report said.
+        context_.engines.refused(attempt->engine().id, std::nullopt);
+      }
     }
   }
 }
 
 std::vector<SlotId> StepWork::wanted_slots() {
-  std::vector<SlotId> wanted = ledger_.idle_slots();
+  std::vector<SlotId> wanted =
+      rollout::order_of_start(ledger_.idle_slots(), group_progress(), usual_length());
   const rollout::StepShape shape = ledger_.shape();
   const std::uint32_t spares =
       rollout::spare_count(shape.samples_per_prompt, rules_.event_template.over_sampling);
@@ -151,6 +173,20 @@
   return wanted;
 }
 
+std::vector<rollout::GroupProgress> StepWork::group_progress() const {
+  std::vector<rollout::GroupProgress> groups = finished_groups_;
+  for (const auto& [key, attempt] : attempts_) {
+    groups[key.first.prompt].tokens += attempt->content().token_count();
+  }
+  return groups;
+}
+
+double StepWork::usual_length() {
+  const std::vector<std::uint64_t>& lengths = context_.events[plan_.event].lengths;
+  const double sum = std::accumulate(lengths.begin(), lengths.end(), 0.0);
+  return lengths.empty() ? 0 : sum / static_cast<double>(lengths.size());
+}
+
 void StepWork::start_idle() {
   if (starts_paused_) {
     return;
@@ -176,6 +212,11 @@
   input.rule = rule;
   input.now = context_.now();
   input.expected_run = context_.events[plan_.event].run_length;
+  if (should_wait_for_fresh(rule)) {
+    std::erase_if(input.candidates, [&](const rollout::EngineCandidate& candidate) {
+      return candidate.version && *candidate.version < rule.current;
+    });
+  }
   const auto chosen = placement_.place(input, context_.policies.rhythm(rules_.parameters.policy));
   if (!chosen) {
     return false;
@@ -192,10 +233,24 @@
   return true;
 }
 
+bool StepWork::should_wait_for_fresh(const rollout::AgeRule& rule) {
+  const EventHistory& history = context_.events[plan_.event];
+  rollout::FreshnessInput input;
+  input.steps_in_hand = history.steps_in_hand(rule.current);
+  input.expected_step = history.step_length;
+  input.now = context_.now();
+  return rollout::should_wait_for_fresh(input, context_.policies.rhythm(rules_.parameters.policy));
+}
+
 Attempt::Order StepWork::order_for(SlotId slot, std::uint32_t number, routing::Replica engine) {
   Attempt::Order order;
-  order.name = rollout::StreamName{plan_.event, plan_.step,  slot,
-                                   number,      plan_.epoch, plan_.content.digest()};
+  order.name.event = plan_.event;
+  order.name.step = plan_.step;
+  order.name.slot = slot;
+  order.name.attempt = number;
+  order.name.epoch = plan_.epoch;
+  order.name.content = plan_.content.digest();
+  order.name.owner = context_.owner;
   order.engine = std::move(engine);
   order.deadline = context_.now() + rules_.parameters.step_deadline;
   platform::GenerationRequest& request = order.request;
@@ -204,30 +259,37 @@
   request.max_tokens = rules_.event_template.max_tokens;
   request.priority = rules_.parameters.priority;
   request.temperature = rules_.event_template.temperature;
-  request.seed =
-      core::hash64(rollout::to_stream_id(order.name).value(), context_.dependencies.seed);
+  // Engines take seeds of 32 bits at least; not all take more.
+  request.seed = static_cast<std::uint32_t>(
+      core::hash64(rollout::to_stream_id(order.name).value(), context_.dependencies.seed));
   request.epoch = plan_.epoch;
   return order;
 }
 
 void StepWork::start_run(std::shared_ptr<Attempt> attempt) {
   ++context_.events[plan_.event].in_flight;
+  first_start_ = first_start_ ? first_start_ : context_.now();
   attempts_[{attempt->slot(), attempt->name().attempt}] = attempt;
-  runtime::start(context_.dependencies.executor, "attempt", run_attempt(std::move(attempt)));
+  runtime::start(context_.dependencies.executor, "attempt",
+                 run_attempt(shared_from_this(), std::move(attempt)));
 }
 
-asio::awaitable<void> StepWork::run_attempt(std::shared_ptr<Attempt> attempt) {
-  const auto self = shared_from_this();
+asio::awaitable<void> StepWork::run_attempt(std::shared_ptr<StepWork> self,
+                                            std::shared_ptr<Attempt> attempt) {
   // The caller may be in the middle of a loop over the attempts.
   co_await asio::post(asio::use_awaitable);
   const AttemptEnd end = co_await attempt->run();
-  --context_.events[plan_.event].in_flight;
-  if (end == AttemptEnd::kFinished && !stopped_) {
-    co_await finish(attempt);
+  --self->context_.events[self->plan_.event].in_flight;
+  if (end == AttemptEnd::kFinished && !self->stopped_) {
+    co_await self->finish(attempt);
   } else {
-    attempt_failed(*attempt, end);
+    self->attempt_failed(*attempt, end);
   }
-  attempts_.erase({attempt->slot(), attempt->name().attempt});
+  self->attempt_ended(*attempt, end);
+}
+
+void StepWork::attempt_ended(const Attempt& attempt, AttemptEnd end) {
+  attempts_.erase({attempt.slot(), attempt.name().attempt});
   if (end == AttemptEnd::kFenced && !stopped_) {
     spdlog::warn("step {}/{}: fenced by an engine, epoch {}", plan_.event.value(),
                  plan_.step.value(), plan_.epoch.value());
@@ -321,6 +383,8 @@
     case rollout::FinishOutcome::kAccepted:
       context_.metrics.samples_accepted.Increment();
       finished_lengths_.push_back(attempt.content().token_count());
+      finished_groups_[attempt.slot().prompt].tokens += attempt.content().token_count();
+      ++finished_groups_[attempt.slot().prompt].finished;
       return true;
     case rollout::FinishOutcome::kDuplicate:
       context_.metrics.samples_duplicate.Increment();
@@ -342,6 +406,16 @@
 }
 
 void StepWork::leave_history() {
+  constexpr double kNewestWeight = 0.5;
+  EventHistory& history = context_.events[plan_.event];
+  const double length = core::to_seconds(context_.now() - first_start_.value_or(context_.now()));
+  const double known = core::to_seconds(history.step_length);
+  history.step_length =
+      core::from_seconds(known > 0 ? kNewestWeight * length + (1 - kNewestWeight) * known : length);
+  if (history.steps_completed == 0) {
+    history.counted_from = age_rule().current;
+  }
+  ++history.steps_completed;
   if (!finished_lengths_.empty()) {
     context_.events[plan_.event].lengths = finished_lengths_;
   }
--- a/src/steps/step_work.hpp
+++ b/src/steps/step_work.hpp
@@ -10,8 +10,10 @@
 #include <set>
 #include <vector>
 
+#include "rollout/start_order.hpp"
 #include "rollout/step_ledger.hpp"
 #include "steps/attempt.hpp"
+#include "steps/engine_chooser.hpp"
 #include "steps/step_context.hpp"
 #include "steps/step_plan.hpp"
 #include "steps/stream_search.hpp"
@@ -28,7 +30,7 @@
   StepWork(StepContext& context, StepPlan plan, EventRules rules, Listener listener);
 
   /// Looks for an earlier owner's streams where the plan says so, then starts.
-  boost::asio::awaitable<void> begin();
+  static boost::asio::awaitable<void> begin(std::shared_ptr<StepWork> self);
   /// Drops what became too old, ends work that is not needed any more, looks
   /// after stragglers and starts what is idle. Called at intervals and after
   /// each change.
@@ -58,16 +60,24 @@
   bool is_needed(core::SlotId slot) const;
   bool group_is_open(std::uint32_t prompt) const;
 
+  /// A daemon that was just started has no routing table yet.
+  static boost::asio::awaitable<void> wait_for_engines(std::shared_ptr<StepWork> self);
   void adopt(const std::vector<FoundStream>& found);
   void end_unneeded();
   void end_too_old(const rollout::AgeRule& rule);
   void start_idle();
   std::vector<core::SlotId> wanted_slots();
+  std::vector<rollout::GroupProgress> group_progress() const;
+  double usual_length();
+  /// \return whether there is time to wait for engines with the newest weights.
+  bool should_wait_for_fresh(const rollout::AgeRule& rule);
   bool start_attempt(core::SlotId slot, const rollout::AgeRule& rule);
   void start_run(std::shared_ptr<Attempt> attempt);
   Attempt::Order order_for(core::SlotId slot, std::uint32_t number, routing::Replica engine);
 
-  boost::asio::awaitable<void> run_attempt(std::shared_ptr<Attempt> attempt);
+  static boost::asio::awaitable<void> run_attempt(std::shared_ptr<StepWork> self,
+                                                  std::shared_ptr<Attempt> attempt);
+  void attempt_ended(const Attempt& attempt, AttemptEnd end);
   boost::asio::awaitable<void> finish(std::shared_ptr<Attempt> attempt);
   boost::asio::awaitable<std::optional<double>> score(std::string prompt, std::string completion);
   bool enter(const Attempt& attempt, double score);
@@ -84,7 +94,7 @@
   EventRules rules_;
   Listener listener_;
   rollout::StepLedger ledger_;
-  rollout::LeastLoadedChooser chooser_;
+  CostEngineChooser chooser_;
   rollout::GroupPlacement placement_;
   std::map<AttemptKey, std::shared_ptr<Attempt>> attempts_;
   std::set<core::SlotId> spares_started_;
@@ -94,6 +104,8 @@
   };
   std::map<core::SlotId, Pause> pauses_;
   std::vector<std::uint64_t> finished_lengths_;
+  std::vector<rollout::GroupProgress> finished_groups_;  ///< by prompt
+  std::optional<core::MonotonicTime> first_start_;
   core::MonotonicTime next_straggler_check_{};
   bool begun_ = false;
   bool starts_paused_ = false;
--- a/tests/contract/caller_fixture.hpp
+++ b/tests/contract/caller_fixture.hpp
@@ -19,6 +19,9 @@
       co_return core::make_error(core::ErrorCode::kUnavailable, "claims are down");
     }
     const std::string name = name_of(key);
+    if (stall) {
+      co_await stall->async_wait(http_test::kTuple);
+    }
     const auto found = entries.find(name);
     if (found == entries.end()) {
       entries[name].fingerprint = key.fingerprint;
@@ -47,6 +50,7 @@
   int recorded = 0;
   int released = 0;
   bool is_down = false;
+  std::shared_ptr<asio::steady_timer> stall;  ///< claims wait until it is cancelled
 
  private:
   static std::string name_of(const filters::ClaimKey& key) {
@@ -79,6 +83,7 @@
 struct CallerOptions {
   routing::AdmissionOptions admission = {};
   platform::ModelEngineFactory* engines = nullptr;
+  http::ServerLimits server_limits = {};
 };
 
 class CallerFixture {
@@ -87,7 +92,8 @@
       : back_end_client(context.get_executor(), "back_end", metrics),
         caller_client(context.get_executor(), "caller", metrics),
         handler(dependencies(options)),
-        server(context.get_executor(), "caller", {}, handler, metrics) {
+        server(context.get_executor(), "caller",
+               filters::caller_server_limits(options.server_limits), handler, metrics) {
     server.listen({"127.0.0.1", 0}).value();
     auto configuration = std::make_shared<config::Configuration>();
     config::ServiceTemplate ledger;
--- a/tests/contract/http_client_faults_test.cpp
+++ b/tests/contract/http_client_faults_test.cpp
@@ -36,7 +36,7 @@
     return metrics.counter("stoneport_http_client_" + name, "", {{"client", "test"}}).Value();
   }
 
-  core::Metrics metrics;
+  core::Metrics metrics;  // what is left on the context counts its end
   asio::io_context context;
   http::Client client{context.get_executor(), "test", metrics};
   Script script;
@@ -191,7 +191,7 @@
   }
 
   void nothing_sent_is_said_only_before_the_first_byte() {
-    core::Metrics metrics;
+    core::Metrics metrics;  // what is left on the context counts its end
     asio::io_context context;
     http::Client client(context.get_executor(), "test", metrics);
     tcp::acceptor closed(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
--- a/tests/contract/http_fixture.hpp
+++ b/tests/contract/http_fixture.hpp
@@ -175,8 +175,7 @@
     return metrics.counter("stoneport_http_server_" + name, "", labels).Value();
   }
 
-  // Before the context: connections that end with it still count.
-  core::Metrics metrics;
+  core::Metrics metrics;  // what is left on the context counts its end
   asio::io_context context;
   FunctionHandler handler;
   http::Server server;
--- a/tests/unit/steps/step_service_test.cpp
+++ b/tests/unit/steps/step_service_test.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(straggler_is_moved);
   CPPUNIT_TEST(spares_fill_a_group);
   CPPUNIT_TEST(newer_poll_ends_the_older);
+  CPPUNIT_TEST(trainer_that_lost_its_samples_gets_them_again);
   CPPUNIT_TEST(draining_refuses_new_steps_and_finishes_open_ones);
   CPPUNIT_TEST(cancelled_step_frees_the_engines);
   CPPUNIT_TEST(concurrency_is_kept);
@@ -75,6 +76,9 @@
       CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t{16}, trainer.samples.size());
       const auto last = trainer.poll(*daemon, kNoWait);
       CPPUNIT_ASSERT_MESSAGE(one.name, last && last->complete && last->samples.empty());
+      const auto& failed =
+          world.metrics.counter("stoneport_attempts_total", "", {{"event", "failed"}});
+      CPPUNIT_ASSERT_MESSAGE("none", one.name != "none" || failed.Value() == 0);
     }
   }
 
@@ -100,10 +104,15 @@
     trainer.open(*first);
     trainer.poll(*first, kNoWait);
     CPPUNIT_ASSERT(world.run_until([&] { return world.generations() == 6; }));
+    // A daemon that has just started knows no engines yet.
+    const auto table = world.routing.current();
+    world.routing.publish(std::make_shared<routing::RoutingTable>());
     const auto second = world.daemon("second");
     CPPUNIT_ASSERT(trainer.poll(*second, kNoWait).error().code == ErrorCode::kNotFound);
     const core::Epoch before = trainer.epoch_seen;
     CPPUNIT_ASSERT(trainer.open(*second)->epoch > before);
+    trainer.poll(*second, kShortWait);
+    world.routing.publish(table);
     for (const auto& engine : world.engines) {
       engine->tokens_allowed = 100;
     }
@@ -310,6 +319,21 @@
     CPPUNIT_ASSERT(!(*older)->complete);
   }
 
+  void trainer_that_lost_its_samples_gets_them_again() {
+    StepWorld world;
+    const auto daemon = world.daemon();
+    TestTrainer before(world, 2, 2);
+    before.open(*daemon);
+    CPPUNIT_ASSERT(before.complete(*daemon));
+    before.poll(*daemon, kNoWait);
+    TestTrainer after(world, 2, 2);
+    after.epoch_seen = before.epoch_seen;
+    after.open(*daemon);
+    CPPUNIT_ASSERT(after.complete(*daemon));
+    CPPUNIT_ASSERT(after.is_clean());
+    CPPUNIT_ASSERT_EQUAL(4u, world.generations());
+  }
+
   void draining_refuses_new_steps_and_finishes_open_ones() {
     StepWorld world;
     const auto daemon = world.daemon();
