Read whole numbers and compute back-off in one place

Cause: ten files parsed whole numbers with from_chars and a check of their own, and the steps had a second back-off beside core's, with the same doubling, cap and jitter.

The steps use core::backoff_delay() and core::BackoffSettings. Left apart: the field readers of JSON, whose errors, ranges and defaults differ by interface, and the test body of a service, which bench makes by itself so as to check the emulator's.

--- a/src/bench/command_line.cpp
+++ b/src/bench/command_line.cpp
@@ -1,10 +1,10 @@
 #include "bench/command_line.hpp"
 
 #include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <iostream>
 
 #include "bench/commands.hpp"
+#include "core/numbers.hpp"
 
 namespace stoneport::bench {
 
@@ -19,11 +19,11 @@
   address.ip = text.substr(0, colon);
   boost::system::error_code error;
   boost::asio::ip::make_address(address.ip, error);
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end || address.port == 0) {
+  const auto port = core::parse_number<std::uint16_t>(std::string_view(text).substr(colon + 1));
+  if (error || !port || *port == 0) {
     return wrong;
   }
+  address.port = *port;
   return address;
 }
 
@@ -33,4 +33,18 @@
   return kExitUsage;
 }
 
+int run_with_options(CommandLine line, int argument_count, char** arguments,
+                     int (*execute)(const cxxopts::ParseResult& parsed)) {
+  try {
+    const cxxopts::ParseResult parsed = line.options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << line.options.help() << line.examples;
+      return kExitSuccess;
+    }
+    return execute(parsed);
+  } catch (const cxxopts::exceptions::exception& error) {
+    return report_usage_error(line.command, error.what());
+  }
+}
+
 }  // namespace stoneport::bench
--- a/src/config/configuration_record.cpp
+++ b/src/config/configuration_record.cpp
@@ -2,11 +2,10 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
-
 #include "config/configuration_check.hpp"
 #include "config/value_codec.hpp"
 #include "core/hash.hpp"
+#include "core/numbers.hpp"
 
 namespace stoneport::config {
 namespace {
@@ -126,11 +125,7 @@
 }
 
 std::optional<std::uint64_t> parse_hash(const std::string& text) {
-  std::uint64_t hash = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, hash, kHexadecimal);
-  const bool whole = parsed.ec == std::errc() && parsed.ptr == end;
-  return whole ? std::optional<std::uint64_t>(hash) : std::nullopt;
+  return core::parse_number<std::uint64_t>(text, kHexadecimal);
 }
 
 ConfigurationDelta delta_since(const ConfigurationRecord& record, core::Revision since) {
--- a/src/config/value_codec.cpp
+++ b/src/config/value_codec.cpp
@@ -6,9 +6,10 @@
 #include <array>
 #include <boost/algorithm/string/join.hpp>
 #include <boost/algorithm/string/split.hpp>
-#include <charconv>
 #include <ctime>
 
+#include "core/numbers.hpp"
+
 namespace stoneport::config {
 namespace {
 
@@ -25,12 +26,6 @@
                                                          {"us", core::Duration(1)}}};
 constexpr std::size_t kLongestName = 63;
 
-template <class Number>
-bool parse_whole(std::string_view text, Number& number) {
-  const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
-  return failure == std::errc() && end == text.data() + text.size();
-}
-
 bool is_ip_number(const std::string& text) {
   std::array<unsigned char, sizeof(in6_addr)> binary{};
   return inet_pton(AF_INET, text.c_str(), binary.data()) == 1 ||
@@ -73,14 +68,16 @@
   if (text == "Z" || text == "z") {
     return 0;
   }
-  int hours = 0;
-  int minutes = 0;
   const bool shaped = text.size() == 6 && (text[0] == '+' || text[0] == '-') && text[3] == ':';
-  if (!shaped || !parse_whole(std::string_view(text).substr(1, 2), hours) ||
-      !parse_whole(std::string_view(text).substr(4, 2), minutes) || hours > 23 || minutes > 59) {
+  if (!shaped) {
     return std::nullopt;
   }
-  const int seconds = (hours * kMinutesPerHour + minutes) * kSecondsPerMinute;
+  const auto hours = core::parse_number<int>(std::string_view(text).substr(1, 2));
+  const auto minutes = core::parse_number<int>(std::string_view(text).substr(4, 2));
+  if (!hours || !minutes || *hours > 23 || *minutes > 59) {
+    return std::nullopt;
+  }
+  const int seconds = (*hours * kMinutesPerHour + *minutes) * kSecondsPerMinute;
   return text[0] == '-' ? -seconds : seconds;
 }
 
@@ -96,8 +93,7 @@
   }
   position += digits.size();
   digits.resize(3, '0');
-  int milliseconds = 0;
-  return parse_whole(digits, milliseconds) ? std::optional<int>(milliseconds) : std::nullopt;
+  return core::parse_number<int>(digits);
 }
 
 }  // namespace
@@ -132,15 +128,17 @@
 
 std::optional<core::Duration> parse_duration(const std::string& text) {
   const std::size_t unit_start = text.find_first_not_of("0123456789");
-  std::int64_t count = 0;
-  if (unit_start == std::string::npos ||
-      !parse_whole(std::string_view(text).substr(0, unit_start), count)) {
+  if (unit_start == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto count = core::parse_number<std::int64_t>(std::string_view(text).substr(0, unit_start));
+  if (!count) {
     return std::nullopt;
   }
   for (const DurationUnit& unit : kDurationUnits) {
     if (text.compare(unit_start, std::string::npos, unit.name) == 0) {
-      const bool fits = count <= core::Duration::max() / unit.length;
-      return fits ? std::optional<core::Duration>(count * unit.length) : std::nullopt;
+      const bool fits = *count <= core::Duration::max() / unit.length;
+      return fits ? std::optional<core::Duration>(*count * unit.length) : std::nullopt;
     }
   }
   return std::nullopt;
@@ -184,11 +182,15 @@
 
 std::optional<core::Address> parse_address(const std::string& text) {
   const std::size_t colon = text.rfind(':');
-  core::Address address;
-  if (colon == std::string::npos ||
-      !parse_whole(std::string_view(text).substr(colon + 1), address.port)) {
+  if (colon == std::string::npos) {
     return std::nullopt;
   }
+  const auto port = core::parse_number<std::uint16_t>(std::string_view(text).substr(colon + 1));
+  if (!port) {
+    return std::nullopt;
+  }
+  core::Address address;
+  address.port = *port;
   address.ip = text.substr(0, colon);
   const bool bracketed = address.ip.size() > 2 && address.ip.front() == '[';
   if (bracketed && address.ip.back() == ']') {
@@ -202,9 +204,8 @@
 }
 
 std::optional<core::Revision> parse_revision(std::string_view text) {
-  std::uint64_t value = 0;
-  return parse_whole(text, value) ? std::optional<core::Revision>(core::Revision(value))
-                                  : std::nullopt;
+  const auto value = core::parse_number<std::uint64_t>(text);
+  return value ? std::optional<core::Revision>(core::Revision(*value)) : std::nullopt;
 }
 
 bool is_valid_name(const std::string& text) {
--- a/src/emulator/http_answers.cpp
+++ b/src/emulator/http_answers.cpp
@@ -1,6 +1,6 @@
 #include "emulator/http_answers.hpp"
 
-#include <charconv>
+#include "core/numbers.hpp"
 
 namespace stoneport::emulator {
 namespace {
@@ -63,13 +63,7 @@
 }
 
 std::uint64_t number_or(std::optional<std::string> text, std::uint64_t otherwise) {
-  if (!text) {
-    return otherwise;
-  }
-  std::uint64_t number = 0;
-  const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), number);
-  const bool whole = error == std::errc() && end == text->data() + text->size();
-  return whole ? number : otherwise;
+  return core::parse_number<std::uint64_t>(text.value_or("")).value_or(otherwise);
 }
 
 }  // namespace stoneport::emulator
--- a/src/filters/back_end_exchange.cpp
+++ b/src/filters/back_end_exchange.cpp
@@ -6,8 +6,8 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
-#include <charconv>
 
+#include "core/numbers.hpp"
 #include "filters/caller_headers.hpp"
 #include "routing/deadline.hpp"
 
@@ -17,16 +17,6 @@
 
 using SendResult = http::ClientResult<std::unique_ptr<http::ClientResponse>>;
 
-std::optional<std::uint64_t> parse_whole(std::string_view text) {
-  std::uint64_t value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stopped_at, failure] = std::from_chars(text.data(), end, value);
-  if (failure != std::errc() || stopped_at != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 http::SendOptions send_options(const RequestContext& request) {
   http::SendOptions options;
   options.deadline = request.deadline;
@@ -58,7 +48,7 @@
 
 std::optional<core::Duration> retry_after_of(const http::ResponseHead& head) {
   const auto value = head.headers.find("Retry-After");
-  const auto seconds = value ? parse_whole(*value) : std::nullopt;
+  const auto seconds = value ? core::parse_number<std::uint64_t>(*value) : std::nullopt;
   constexpr std::uint64_t kLongestSeconds = 3600;
   if (!seconds) {
     return std::nullopt;
@@ -72,7 +62,7 @@
     return std::nullopt;
   }
   const auto length = headers.find("Content-Length");
-  return length ? parse_whole(*length) : without_length;
+  return length ? core::parse_number<std::uint64_t>(*length) : without_length;
 }
 
 asio::awaitable<SendResult> send_to_back_end(http::Client& client, RequestContext& request,
--- a/src/filters/identity_filter.cpp
+++ b/src/filters/identity_filter.cpp
@@ -1,7 +1,6 @@
 #include "filters/identity_filter.hpp"
 
-#include <charconv>
-
+#include "core/numbers.hpp"
 #include "filters/caller_headers.hpp"
 
 namespace stoneport::filters {
@@ -14,16 +13,6 @@
   return core::make_error(core::ErrorCode::kInvalidArgument, std::string(header) + " " + rule);
 }
 
-std::optional<std::int32_t> parse_priority(std::string_view text) {
-  std::int32_t value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stopped_at, failure] = std::from_chars(text.data(), end, value);
-  if (failure != std::errc() || stopped_at != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 }  // namespace
 
 core::Result<CallerIdentity> parse_identity(const http::HeaderMap& headers) {
@@ -35,7 +24,7 @@
     identity.tenant = core::TenantName(std::string(*tenant));
   }
   if (const auto priority = headers.find(kPriorityHeader)) {
-    identity.priority = parse_priority(*priority);
+    identity.priority = core::parse_number<std::int32_t>(*priority);
     if (!identity.priority) {
       return invalid(kPriorityHeader, "must be a whole number");
     }
--- a/src/platform/engine_codec.cpp
+++ b/src/platform/engine_codec.cpp
@@ -1,7 +1,6 @@
 #include "platform/engine_codec.hpp"
 
-#include <charconv>
-
+#include "core/numbers.hpp"
 #include "platform/json_fields.hpp"
 
 namespace stoneport::platform {
@@ -98,13 +97,11 @@
 }
 
 std::uint64_t decode_decimal(const JsonFields& fields, const char* field) {
-  const std::string text = fields.text(field);
-  std::uint64_t value = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (parsed.ec != std::errc() || parsed.ptr != text.data() + text.size()) {
+  const auto value = core::parse_number<std::uint64_t>(fields.text(field));
+  if (!value) {
     fields.reject(field, "a decimal number in a string is expected");
   }
-  return value;
+  return value.value_or(0);
 }
 
 EngineReport decode_report(const JsonFields& fields) {
--- a/src/rollout/stream_name.cpp
+++ b/src/rollout/stream_name.cpp
@@ -1,21 +1,20 @@
 #include "rollout/stream_name.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <string_view>
 
+#include "core/numbers.hpp"
+
 namespace stoneport::rollout {
 namespace {
 
 /// Takes the number before the next \p separator, or all that is left.
 std::optional<std::uint64_t> take_number(std::string_view& text, char separator) {
   const std::size_t end = std::min(text.find(separator), text.size());
-  std::uint64_t value = 0;
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + end, value);
-  if (error != std::errc() || stop != text.data() + end) {
-    return std::nullopt;
+  const auto value = core::parse_number<std::uint64_t>(text.substr(0, end));
+  if (value) {
+    text.remove_prefix(std::min(end + 1, text.size()));
   }
-  text.remove_prefix(std::min(end + 1, text.size()));
   return value;
 }
 
--- a/src/routing/deadline.cpp
+++ b/src/routing/deadline.cpp
@@ -1,23 +1,11 @@
 #include "routing/deadline.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdint>
 
-namespace stoneport::routing {
-namespace {
+#include "core/numbers.hpp"
 
-std::optional<std::uint64_t> parse_whole(std::string_view text) {
-  std::uint64_t value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stopped_at, failure] = std::from_chars(text.data(), end, value);
-  if (failure != std::errc() || stopped_at != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-}  // namespace
+namespace stoneport::routing {
 
 core::Result<core::MonotonicTime> request_deadline(std::optional<std::string_view> header,
                                                    const DeadlineRules& rules,
@@ -25,7 +13,7 @@
   if (!header) {
     return now + std::min(rules.default_deadline, rules.longest_deadline);
   }
-  const std::optional<std::uint64_t> milliseconds = parse_whole(*header);
+  const std::optional<std::uint64_t> milliseconds = core::parse_number<std::uint64_t>(*header);
   if (!milliseconds || *milliseconds == 0) {
     return core::make_error(core::ErrorCode::kInvalidArgument,
                             "Stoneport-Deadline-Ms must be a whole number above 0");
--- a/src/steps/attempt.cpp
+++ b/src/steps/attempt.cpp
@@ -1,7 +1,7 @@
 #include "steps/attempt.hpp"
 
+#include "core/backoff.hpp"
 #include "runtime/tasks.hpp"
-#include "steps/backoff.hpp"
 
 namespace stoneport::steps {
 namespace asio = boost::asio;
@@ -185,7 +185,7 @@
       break;
     }
     const core::Duration pause =
-        backoff_after(attempt, settings.backoff_first, settings.backoff_longest, context_.random);
+        core::backoff_delay(settings.backoff, attempt - 1, context_.random);
     co_await runtime::sleep_for(pause);
   }
   context_.engines.refused(order_.engine.id, std::nullopt);
--- a/src/steps/dependencies.hpp
+++ b/src/steps/dependencies.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "config/configuration.hpp"
+#include "core/backoff.hpp"
 #include "core/error.hpp"
 #include "core/identifiers.hpp"
 #include "core/metrics.hpp"
@@ -51,8 +52,7 @@
   core::Duration routing_limit = std::chrono::seconds(10);
   core::Duration rebuild_limit = std::chrono::seconds(2);  ///< for engines to list streams
   core::Duration score_timeout = std::chrono::seconds(10);
-  core::Duration backoff_first = std::chrono::milliseconds(50);
-  core::Duration backoff_longest = std::chrono::seconds(2);
+  core::BackoffSettings backoff;
   std::uint32_t resume_tries = 3;
   std::uint32_t most_open_steps = 64;
   core::Duration retry_after = std::chrono::seconds(1);  ///< told to refused trainers
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "steps/backoff.hpp"
+#include "core/backoff.hpp"
 
 namespace stoneport::steps {
 namespace {
@@ -152,11 +152,9 @@
   if (now < own.closed_until) {
     return;  // one refusal for all streams that were on their way
   }
-  ++own.failures;
-  core::Duration pause =
-      backoff_after(own.failures, settings.backoff_first, settings.backoff_longest, random_);
+  core::Duration pause = core::backoff_delay(settings.backoff, own.failures++, random_);
   if (retry_after) {
-    pause = std::clamp(*retry_after, pause, settings.backoff_longest);
+    pause = std::clamp(*retry_after, pause, settings.backoff.longest);
   }
   own.closed_until = now + pause;
 }
--- a/src/steps/step_service.cpp
+++ b/src/steps/step_service.cpp
@@ -4,17 +4,17 @@
 
 #include <algorithm>
 
+#include "core/backoff.hpp"
 #include "rollout/stream_name.hpp"
 #include "runtime/tasks.hpp"
-#include "steps/backoff.hpp"
 
 namespace stoneport::steps {
 namespace asio = boost::asio;
 using core::ErrorCode;
 namespace {
 
-constexpr core::Duration kEpochRetryFirst = std::chrono::milliseconds(500);
-constexpr core::Duration kEpochRetryLongest = std::chrono::seconds(30);
+constexpr core::BackoffSettings kEpochRetry{std::chrono::milliseconds(500),
+                                            std::chrono::seconds(30)};
 
 core::Error not_open() {
   return core::make_error(ErrorCode::kNotFound, "no such step is open here");
@@ -37,8 +37,7 @@
       spdlog::info("steps: granted epoch {}", granted->value());
       co_return;
     }
-    const core::Duration pause =
-        backoff_after(++failures, kEpochRetryFirst, kEpochRetryLongest, context_.random);
+    const core::Duration pause = core::backoff_delay(kEpochRetry, failures++, context_.random);
     co_await runtime::sleep_for(pause);
   }
 }
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -5,11 +5,11 @@
 #include <algorithm>
 #include <numeric>
 
+#include "core/backoff.hpp"
 #include "core/hash.hpp"
 #include "rollout/freshness.hpp"
 #include "rollout/over_sampling.hpp"
 #include "runtime/tasks.hpp"
-#include "steps/backoff.hpp"
 
 namespace stoneport::steps {
 namespace asio = boost::asio;
@@ -320,10 +320,8 @@
       return;
   }
   Pause& pause = pauses_[attempt.slot()];
-  ++pause.failures;
-  pause.until =
-      context_.now() + backoff_after(pause.failures, context_.settings().backoff_first,
-                                     context_.settings().backoff_longest, context_.random);
+  pause.until = context_.now() +
+                core::backoff_delay(context_.settings().backoff, pause.failures++, context_.random);
 }
 
 asio::awaitable<void> StepWork::finish(std::shared_ptr<Attempt> attempt) {
--- a/src/steps/step_work_scoring.cpp
+++ b/src/steps/step_work_scoring.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// Scoring of finished samples.
+#include "core/backoff.hpp"
 #include "runtime/tasks.hpp"
-#include "steps/backoff.hpp"
 #include "steps/step_work.hpp"
 
 namespace stoneport::steps {
@@ -31,8 +31,8 @@
         break;
       }
       context_.metrics.scoring_retries.Increment();
-      const core::Duration pause = backoff_after(++failures, settings.backoff_first,
-                                                 settings.backoff_longest, context_.random);
+      const core::Duration pause =
+          core::backoff_delay(settings.backoff, failures++, context_.random);
       co_await runtime::sleep_for(pause);
     }
   }
--- a/src/steps/trainer_messages.cpp
+++ b/src/steps/trainer_messages.cpp
@@ -1,9 +1,10 @@
 #include "steps/trainer_messages.hpp"
 
-#include <charconv>
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "core/numbers.hpp"
+
 namespace stoneport::steps {
 using nlohmann::json;
 namespace {
@@ -169,12 +170,11 @@
 }
 
 core::Result<core::StepNumber> parse_step_number(const std::string& text) {
-  std::uint64_t value = 0;
-  const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || stop != text.data() + text.size() || value > kMostCounter) {
+  const auto value = core::parse_number<std::uint64_t>(text);
+  if (!value || *value > kMostCounter) {
     return invalid("the step in the path must be a whole number");
   }
-  return core::StepNumber(value);
+  return core::StepNumber(*value);
 }
 
 std::string format_open_answer(const OpenAnswer& answer) {
--- a/tests/support/step_world.hpp
+++ b/tests/support/step_world.hpp
@@ -82,8 +82,8 @@
     steps::StepSettings settings;
     settings.sweep_interval = std::chrono::milliseconds(2);
     settings.straggler_interval = std::chrono::milliseconds(2);
-    settings.backoff_first = std::chrono::milliseconds(1);
-    settings.backoff_longest = std::chrono::milliseconds(5);
+    settings.backoff.first = std::chrono::milliseconds(1);
+    settings.backoff.longest = std::chrono::milliseconds(5);
     settings.rebuild_limit = std::chrono::milliseconds(500);
     steps::StepDependencies dependencies{context.get_executor(),
                                          configuration.subscribe(context.get_executor()),
