--- a/src/bench/demo_summary_command.cpp
+++ b/src/bench/demo_summary_command.cpp
@@ -163,28 +163,22 @@
   return summary;
 }
 
+int execute(const cxxopts::ParseResult& parsed) {
+  const auto summary = summarize(parsed);
+  if (!summary) {
+    return report_usage_error("demo-summary", summary.error().message);
+  }
+  for (const std::string& problem : summary->problems()) {
+    std::cerr << "does not hold: " << problem << "\n";
+  }
+  std::cout << summary->to_json().dump() << std::endl;
+  return summary->problems().empty() ? kExitSuccess : kExitGuaranteeBroken;
+}
+
 }  // namespace
 
 int run_demo_summary_command(int argument_count, char** arguments) {
-  cxxopts::Options options = make_options();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(argument_count, arguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help();
-      return kExitSuccess;
-    }
-    const auto summary = summarize(parsed);
-    if (!summary) {
-      return report_usage_error("demo-summary", summary.error().message);
-    }
-    for (const std::string& problem : summary->problems()) {
-      std::cerr << "does not hold: " << problem << "\n";
-    }
-    std::cout << summary->to_json().dump() << std::endl;
-    return summary->problems().empty() ? kExitSuccess : kExitGuaranteeBroken;
-  } catch (const cxxopts::exceptions::exception& error) {
-    return report_usage_error("demo-summary", error.what());
-  }
+  return run_with_options({"demo-summary", make_options()}, argument_count, arguments, execute);
 }
 
 }  // namespace stoneport::bench
--- a/src/bench/load_command.cpp
+++ b/src/bench/load_command.cpp
@@ -106,35 +106,29 @@
   }
 }
 
+int execute(const cxxopts::ParseResult& parsed) {
+  const auto settings = read_settings(parsed);
+  if (!settings) {
+    return report_usage_error("load", settings.error().message);
+  }
+  const LoadReport report = run_load(*settings);
+  const nlohmann::json json = to_json(report);
+  if (parsed.count("json") > 0) {
+    std::cout << json.dump() << std::endl;
+  } else {
+    print_counts("through stoneport", report.through);
+    if (report.direct.sent > 0) {
+      print_counts("direct", report.direct);
+      std::cout << "added latency: " << json["added_latency"].dump() << "\n";
+    }
+  }
+  return json["ok"].get<bool>() ? kExitSuccess : kExitGuaranteeBroken;
+}
+
 }  // namespace
 
 int run_load_command(int argument_count, char** arguments) {
-  cxxopts::Options options = make_options();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(argument_count, arguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << kExamples;
-      return kExitSuccess;
-    }
-    const auto settings = read_settings(parsed);
-    if (!settings) {
-      return report_usage_error("load", settings.error().message);
-    }
-    const LoadReport report = run_load(*settings);
-    const nlohmann::json json = to_json(report);
-    if (parsed.count("json") > 0) {
-      std::cout << json.dump() << std::endl;
-    } else {
-      print_counts("through stoneport", report.through);
-      if (report.direct.sent > 0) {
-        print_counts("direct", report.direct);
-        std::cout << "added latency: " << json["added_latency"].dump() << "\n";
-      }
-    }
-    return json["ok"].get<bool>() ? kExitSuccess : kExitGuaranteeBroken;
-  } catch (const cxxopts::exceptions::exception& error) {
-    return report_usage_error("load", error.what());
-  }
+  return run_with_options({"load", make_options(), kExamples}, argument_count, arguments, execute);
 }
 
 }  // namespace stoneport::bench
--- a/src/bench/report_command.cpp
+++ b/src/bench/report_command.cpp
@@ -28,43 +28,37 @@
   return options;
 }
 
-}  // namespace
-
-int run_report_command(int argument_count, char** arguments) {
-  cxxopts::Options options = make_options();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(argument_count, arguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help();
-      return kExitSuccess;
-    }
-    std::vector<ScenarioReport> reports;
-    bool ok = true;
-    for (const std::string& name : parsed["scenarios"].as<std::vector<std::string>>()) {
-      ScenarioReport report{name, "", {}};
-      for (const std::uint64_t seed : parsed["seeds"].as<std::vector<std::uint64_t>>()) {
-        const auto plan = plan_experiment(name, {}, seed);
-        if (!plan) {
-          return report_usage_error("report", plan.error().message);
-        }
-        report.summary = plan->scenario->summary;
-        report.experiments.push_back(
-            run_experiment(*plan, std::max(1u, parsed["threads"].as<unsigned>())));
-        ok = ok && report.experiments.back().ok();
+int execute(const cxxopts::ParseResult& parsed) {
+  std::vector<ScenarioReport> reports;
+  bool ok = true;
+  for (const std::string& name : parsed["scenarios"].as<std::vector<std::string>>()) {
+    ScenarioReport report{name, "", {}};
+    for (const std::uint64_t seed : parsed["seeds"].as<std::vector<std::uint64_t>>()) {
+      const auto plan = plan_experiment(name, {}, seed);
+      if (!plan) {
+        return report_usage_error("report", plan.error().message);
       }
-      reports.push_back(std::move(report));
-    }
-    const std::string file = parsed["output"].as<std::string>();
-    std::ofstream out(file);
-    out << report_page(reports);
-    out.close();
-    if (!out) {
-      return report_usage_error("report", "cannot write " + file);
+      report.summary = plan->scenario->summary;
+      report.experiments.push_back(
+          run_experiment(*plan, std::max(1u, parsed["threads"].as<unsigned>())));
+      ok = ok && report.experiments.back().ok();
     }
-    return ok ? kExitSuccess : kExitGuaranteeBroken;
-  } catch (const cxxopts::exceptions::exception& error) {
-    return report_usage_error("report", error.what());
+    reports.push_back(std::move(report));
+  }
+  const std::string file = parsed["output"].as<std::string>();
+  std::ofstream out(file);
+  out << report_page(reports);
+  out.close();
+  if (!out) {
+    return report_usage_error("report", "cannot write " + file);
   }
+  return ok ? kExitSuccess : kExitGuaranteeBroken;
+}
+
+}  // namespace
+
+int run_report_command(int argument_count, char** arguments) {
+  return run_with_options({"report", make_options()}, argument_count, arguments, execute);
 }
 
 }  // namespace stoneport::bench
--- a/src/bench/run_command.cpp
+++ b/src/bench/run_command.cpp
@@ -63,39 +63,33 @@
             << experiment.results.front().metrics.trainer_idle_ratio_bound << "\n";
 }
 
+int execute(const cxxopts::ParseResult& parsed) {
+  if (parsed.count("scenario") == 0) {
+    return report_usage_error("run", "no scenario named");
+  }
+  std::vector<std::string> names;
+  if (parsed.count("variant") > 0) {
+    names = parsed["variant"].as<std::vector<std::string>>();
+  }
+  const auto plan = plan_experiment(parsed["scenario"].as<std::string>(), names,
+                                    parsed["seed"].as<std::uint64_t>());
+  if (!plan) {
+    return report_usage_error("run", plan.error().message);
+  }
+  const Experiment experiment =
+      run_experiment(*plan, std::max(1u, parsed["threads"].as<unsigned>()));
+  if (parsed.count("json") > 0) {
+    std::cout << to_json(experiment).dump() << std::endl;
+  } else {
+    print_table(experiment);
+  }
+  return experiment.ok() ? kExitSuccess : kExitGuaranteeBroken;
+}
+
 }  // namespace
 
 int run_run_command(int argument_count, char** arguments) {
-  cxxopts::Options options = make_options();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(argument_count, arguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << kExamples;
-      return kExitSuccess;
-    }
-    if (parsed.count("scenario") == 0) {
-      return report_usage_error("run", "no scenario named");
-    }
-    std::vector<std::string> names;
-    if (parsed.count("variant") > 0) {
-      names = parsed["variant"].as<std::vector<std::string>>();
-    }
-    const auto plan = plan_experiment(parsed["scenario"].as<std::string>(), names,
-                                      parsed["seed"].as<std::uint64_t>());
-    if (!plan) {
-      return report_usage_error("run", plan.error().message);
-    }
-    const Experiment experiment =
-        run_experiment(*plan, std::max(1u, parsed["threads"].as<unsigned>()));
-    if (parsed.count("json") > 0) {
-      std::cout << to_json(experiment).dump() << std::endl;
-    } else {
-      print_table(experiment);
-    }
-    return experiment.ok() ? kExitSuccess : kExitGuaranteeBroken;
-  } catch (const cxxopts::exceptions::exception& error) {
-    return report_usage_error("run", error.what());
-  }
+  return run_with_options({"run", make_options(), kExamples}, argument_count, arguments, execute);
 }
 
 int run_list_command(int, char**) {
--- a/src/bench/scale_run_command.cpp
+++ b/src/bench/scale_run_command.cpp
@@ -73,52 +73,46 @@
   return settings;
 }
 
-}  // namespace
-
-int run_scale_run_command(int argument_count, char** arguments) {
-  cxxopts::Options options = make_options();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(argument_count, arguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help();
-      return kExitSuccess;
-    }
-    const auto settings = read_settings(parsed);
-    if (!settings) {
-      return report_usage_error("scale-run", settings.error().message);
+int execute(const cxxopts::ParseResult& parsed) {
+  const auto settings = read_settings(parsed);
+  if (!settings) {
+    return report_usage_error("scale-run", settings.error().message);
+  }
+  const bool as_json = parsed.count("json") > 0;
+  std::vector<ScaleMeasurement> measurements;
+  bool ok = true;
+  for (const std::uint32_t size : parsed["sizes"].as<std::vector<std::uint32_t>>()) {
+    if (size < 2 || size > kMostMembers) {
+      return report_usage_error("scale-run", "a size is from 2 to 330");
     }
-    const bool as_json = parsed.count("json") > 0;
-    std::vector<ScaleMeasurement> measurements;
-    bool ok = true;
-    for (const std::uint32_t size : parsed["sizes"].as<std::vector<std::uint32_t>>()) {
-      if (size < 2 || size > kMostMembers) {
-        return report_usage_error("scale-run", "a size is from 2 to 330");
-      }
-      HollowClusterSettings sized = *settings;
-      sized.members = size;
-      const auto measured =
-          measure_scale(sized, std::chrono::seconds(parsed["window"].as<std::uint32_t>()));
-      if (!measured) {
-        std::cerr << "stoneport-bench scale-run: " << measured.error().message << "\n";
-        return kExitGuaranteeBroken;
-      }
-      ok = ok && reached_all(*measured);
-      measurements.push_back(*measured);
-      if (!as_json) {
-        print_measurement(*measured);
-      }
+    HollowClusterSettings sized = *settings;
+    sized.members = size;
+    const auto measured =
+        measure_scale(sized, std::chrono::seconds(parsed["window"].as<std::uint32_t>()));
+    if (!measured) {
+      std::cerr << "stoneport-bench scale-run: " << measured.error().message << "\n";
+      return kExitGuaranteeBroken;
     }
-    nlohmann::json json = to_json(measurements);
-    if (as_json) {
-      json["ok"] = ok;
-      std::cout << json.dump() << std::endl;
-    } else {
-      std::cout << "slopes: " << json["slopes"].dump() << "\n";
+    ok = ok && reached_all(*measured);
+    measurements.push_back(*measured);
+    if (!as_json) {
+      print_measurement(*measured);
     }
-    return ok ? kExitSuccess : kExitGuaranteeBroken;
-  } catch (const cxxopts::exceptions::exception& error) {
-    return report_usage_error("scale-run", error.what());
   }
+  nlohmann::json json = to_json(measurements);
+  if (as_json) {
+    json["ok"] = ok;
+    std::cout << json.dump() << std::endl;
+  } else {
+    std::cout << "slopes: " << json["slopes"].dump() << "\n";
+  }
+  return ok ? kExitSuccess : kExitGuaranteeBroken;
+}
+
+}  // namespace
+
+int run_scale_run_command(int argument_count, char** arguments) {
+  return run_with_options({"scale-run", make_options()}, argument_count, arguments, execute);
 }
 
 }  // namespace stoneport::bench
