--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -88,7 +88,7 @@
   }
   // Posted after the snapshots, so that the first request finds them in place.
   for (const auto& worker : traffic_workers_) {
-    asio::post(worker->executor(), [this, worker = worker.get()] {
+    asio::post(worker->executor(), [worker = worker.get()] {
       const core::Result<void> listening = worker->listen();
       if (!listening) {
         spdlog::critical("caller listener: {}", listening.error().message);
