Bound and guard every document that comes from outside

Cause: a policy's version published under a name that is no UTF-8 ended the daemon: the answer quoted the name with a strict writer, and the exception left the trainer's connection. Gossip took names of any bytes, which an operator's list of members then quoted.

Change: parse_json (bounded depth) and write_json (invalid UTF-8 replaced) read and write every document of the trainer, callers, operators, peers, the platform's ports, rows of the table service and the emulator. A policy's name must be a valid name, in the request and in its row. Gossip names must be UTF-8, and a packet's nesting is checked before the recursive reader sees it. Ids of the machine list have 1 to 128 bytes, as gossip can carry them. The emulator's durations are bounded. The emulator's trainer-facing documents were not found unguarded, nor were the platform's answers.

--- a/src/controllers/configuration_peers.cpp
+++ b/src/controllers/configuration_peers.cpp
@@ -63,7 +63,7 @@
   request.head.method = "POST";
   request.head.target = "/peer/configuration";
   request.head.headers.set("Content-Type", "application/json");
-  request.body = to_json_value(offer).dump();
+  request.body = core::write_json(to_json_value(offer));
   core::Result<std::string> body = co_await exchange(std::move(peer), std::move(request), timeout);
   if (body.has_error()) {
     co_return body.error();
--- a/src/controllers/lease.cpp
+++ b/src/controllers/lease.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::controllers {
 namespace {
 using nlohmann::json;
@@ -30,14 +32,15 @@
     value["node"] = record.holder->node.value();
     value["incarnation"] = record.holder->incarnation.value();
   }
-  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  return core::write_json(value);
 }
 
 core::Result<LeaseRecord> parse_lease(const std::string& text) {
-  const json value = json::parse(text, nullptr, false);
-  if (!value.is_object()) {
+  const std::optional<json> parsed = core::parse_json(text);
+  if (!parsed || !parsed->is_object()) {
     return bad_record();
   }
+  const json& value = *parsed;
   const auto epoch = whole_field(value, "epoch");
   const auto duration = whole_field(value, "duration_us");
   constexpr std::uint64_t kLongestDuration = 86'400'000'000;  // a day
--- a/src/controllers/operator_json.cpp
+++ b/src/controllers/operator_json.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::controllers {
 namespace {
 
@@ -86,14 +88,14 @@
   for (const wire::Member& member : members) {
     documents.push_back(member_document(member));
   }
-  return Json{{"members", std::move(documents)}}.dump();
+  return core::write_json({{"members", std::move(documents)}});
 }
 
 std::string replicas_json(const routing::RoutingTable& table, core::MonotonicTime now) {
   Json documents = Json::array();
   add_replicas(table.models, "engine", now, documents);
   add_replicas(table.services, "service", now, documents);
-  return Json{{"generation", table.generation}, {"replicas", std::move(documents)}}.dump();
+  return core::write_json({{"generation", table.generation}, {"replicas", std::move(documents)}});
 }
 
 std::string weights_json(const std::map<core::PolicyName, core::WeightVersion>& newest,
@@ -116,20 +118,19 @@
                         {"newest", version.value()},
                         {"replicas", std::move(replicas)}});
   }
-  return Json{{"policies", std::move(policies)}}.dump();
+  return core::write_json({{"policies", std::move(policies)}});
 }
 
 std::string status_json(const StatusSummary& status) {
-  return Json{{"node", status.self.node.value()},
-              {"zone", status.self.zone.value()},
-              {"region", status.self.region.value()},
-              {"state", wire::to_string(status.self.state)},
-              {"incarnation", status.self.incarnation.value()},
-              {"ready", status.ready},
-              {"configuration_revision", status.self.configuration_revision.value()},
-              {"members", status.members},
-              {"store", status.store}}
-      .dump();
+  return core::write_json({{"node", status.self.node.value()},
+                           {"zone", status.self.zone.value()},
+                           {"region", status.self.region.value()},
+                           {"state", wire::to_string(status.self.state)},
+                           {"incarnation", status.self.incarnation.value()},
+                           {"ready", status.ready},
+                           {"configuration_revision", status.self.configuration_revision.value()},
+                           {"members", status.members},
+                           {"store", status.store}});
 }
 
 }  // namespace stoneport::controllers
--- a/src/controllers/operator_routes.cpp
+++ b/src/controllers/operator_routes.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "controllers/operator_json.hpp"
+#include "core/json_text.hpp"
 #include "http/server.hpp"
 #include "runtime/tasks.hpp"
 
@@ -64,8 +65,8 @@
   http::Request request;
   request.head.method = "POST";
   request.head.target = kPeerDrainPath;
-  request.body =
-      Json{{"node", member.node.value()}, {"life", wire::life_of(member.incarnation)}}.dump();
+  request.body = core::write_json(
+      {{"node", member.node.value()}, {"life", wire::life_of(member.incarnation)}});
   http::SendOptions options;
   options.deadline = context->time.now() + kPeerTimeout;
   options.connect_timeout = kPeerTimeout;
@@ -92,7 +93,7 @@
     confirmed = co_await ask_to_drain(context, *found);
   }
   const Json answer = {{"node", node.value()}, {"state", "leaving"}, {"confirmed", confirmed}};
-  co_return http::json_response(kAccepted, answer.dump());
+  co_return http::json_response(kAccepted, core::write_json(answer));
 }
 
 Answer drain_replica(Context context, http::RoutedRequest request) {
@@ -101,11 +102,11 @@
     co_return error_answer(core::ErrorCode::kNotFound, "no replica " + replica.value());
   }
   const Json answer = {{"replica", replica.value()}, {"state", "leaving"}};
-  co_return http::json_response(kAccepted, answer.dump());
+  co_return http::json_response(kAccepted, core::write_json(answer));
 }
 
 Answer drain_for_peer(Context context, http::RoutedRequest request) {
-  const Json body = Json::parse(request.body, nullptr, false);
+  const Json body = core::parse_json(request.body).value_or(Json());
   const bool well_formed = body.is_object() && body.contains("node") &&
                            body.at("node").is_string() && body.contains("life") &&
                            body.at("life").is_number_unsigned();
--- a/src/controllers/policy_versions_controller.cpp
+++ b/src/controllers/policy_versions_controller.cpp
@@ -2,7 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/value_codec.hpp"
 #include "core/backoff.hpp"
+#include "core/json_text.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
@@ -17,17 +19,17 @@
 constexpr core::Duration kIdleInterval = std::chrono::milliseconds(500);
 
 std::string encode_version(core::WeightVersion version) {
-  return nlohmann::json{{kVersionField, version.value()}}.dump();
+  return core::write_json({{kVersionField, version.value()}});
 }
 
 /// \return the row's version; nothing when the row is not ours to understand.
 std::optional<core::WeightVersion> decode_version(const std::string& value) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
-  if (!json.is_object() || !json.contains(kVersionField) ||
-      !json.at(kVersionField).is_number_unsigned()) {
+  const std::optional<nlohmann::json> json = core::parse_json(value);
+  if (!json || !json->is_object() || !json->contains(kVersionField) ||
+      !json->at(kVersionField).is_number_unsigned()) {
     return std::nullopt;
   }
-  return core::WeightVersion(json.at(kVersionField).get<std::uint64_t>());
+  return core::WeightVersion(json->at(kVersionField).get<std::uint64_t>());
 }
 
 }  // namespace
@@ -116,7 +118,7 @@
   }
   for (const platform::Row& row : *rows) {
     const auto version = decode_version(row.value);
-    if (version) {
+    if (version && config::is_valid_name(row.key.key)) {
       gossip_.announce_policy_version({core::PolicyName(row.key.key), *version});
     }
   }
--- a/src/controllers/table_claim_registry.cpp
+++ b/src/controllers/table_claim_registry.cpp
@@ -1,5 +1,6 @@
 #include "controllers/table_claim_registry.hpp"
 
+#include "core/json_text.hpp"
 #include "platform/json_fields.hpp"
 #include "runtime/tasks.hpp"
 
@@ -41,7 +42,7 @@
 
 /// \return whether the body can stand in the row itself.
 bool fits_row(const StoredOutcome& outcome) {
-  return outcome.body.size() <= kMostInlineBytes && platform::is_utf8(outcome.body);
+  return outcome.body.size() <= kMostInlineBytes && core::is_utf8(outcome.body);
 }
 
 core::Error claim_lost() {
--- a/src/core/json_text.cpp
+++ b/src/core/json_text.cpp
@@ -1,5 +1,7 @@
 #include "core/json_text.hpp"
 
+#include <boost/locale/utf.hpp>
+
 namespace stoneport::core {
 
 std::optional<nlohmann::json> parse_json(std::string_view text, int deepest) {
@@ -18,6 +20,17 @@
   return std::optional<nlohmann::json>(std::in_place, std::move(value));
 }
 
+bool is_utf8(std::string_view text) {
+  using Utf8 = boost::locale::utf::utf_traits<char>;
+  auto position = text.begin();
+  while (position != text.end()) {
+    if (!boost::locale::utf::is_valid_codepoint(Utf8::decode(position, text.end()))) {
+      return false;
+    }
+  }
+  return true;
+}
+
 std::string write_json(const nlohmann::json& value) {
   return value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
--- a/src/core/json_text.hpp
+++ b/src/core/json_text.hpp
@@ -17,6 +17,9 @@
 /// arrays and objects more than \p deepest levels.
 std::optional<nlohmann::json> parse_json(std::string_view text, int deepest = kDeepestJson);
 
+/// \return whether \p text is valid UTF-8.
+bool is_utf8(std::string_view text);
+
 /// \return \p value as compact JSON, with U+FFFD in the place of invalid UTF-8.
 std::string write_json(const nlohmann::json& value);
 
--- a/src/daemon/store_epoch_source.cpp
+++ b/src/daemon/store_epoch_source.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::daemon {
@@ -13,7 +14,7 @@
 const platform::RowKey kEpochRow{"epochs", "steps"};
 
 core::Result<core::Epoch> parse_epoch(const std::string& text) {
-  const auto value = nlohmann::json::parse(text, nullptr, false);
+  const nlohmann::json value = core::parse_json(text).value_or(nlohmann::json());
   if (!value.is_object() || !value.contains("epoch") || !value["epoch"].is_number_unsigned()) {
     return core::make_error(core::ErrorCode::kProtocol, "the epoch row is not readable");
   }
@@ -60,7 +61,7 @@
   platform::Transaction transaction;
   transaction.write_id = write_ids_.next();
   transaction.conditions.push_back({kEpochRow, revision});
-  transaction.writes.push_back({kEpochRow, nlohmann::json{{"epoch", next.value()}}.dump()});
+  transaction.writes.push_back({kEpochRow, core::write_json({{"epoch", next.value()}})});
   const auto committed =
       co_await table_.commit(std::move(transaction), platform::TablePriority::kOwnership);
   if (!committed) {
--- a/src/emulator/control_interface.cpp
+++ b/src/emulator/control_interface.cpp
@@ -1,5 +1,6 @@
 #include "emulator/control_interface.hpp"
 
+#include "core/json_text.hpp"
 #include "emulator/emulator.hpp"
 #include "emulator/http_answers.hpp"
 #include "runtime/tasks.hpp"
@@ -198,7 +199,7 @@
   if (engine != emulator_.engines_.end()) {
     co_return co_await put_engine_faults(*engine->second, std::move(body));
   }
-  const json changes = json::parse(body, nullptr, false);
+  const json changes = core::parse_json(body).value_or(json());
   if (party == kMachineList) {
     MachineListSwitches switches{listener->faults(), emulator_.catalog_.faults()};
     const core::Result<void> read = read_json(changes, switches);
@@ -215,7 +216,7 @@
 
 ControlInterface::Answer ControlInterface::put_engine_faults(EngineListener& engine,
                                                              std::string body) {
-  const json changes = json::parse(body, nullptr, false);
+  const json changes = core::parse_json(body).value_or(json());
   const auto change = [&]() -> core::Result<void> {
     EngineSwitches switches{engine.faults(), engine.model().faults()};
     const core::Result<void> read = read_json(changes, switches);
@@ -362,7 +363,7 @@
   const auto& entries = emulator_.catalog_.entries();
   const auto known = entries.find(id);
   MachineEntry entry = known == entries.end() ? MachineEntry{} : known->second;
-  const json changes = json::parse(request.body, nullptr, false);
+  const json changes = core::parse_json(request.body).value_or(json());
   const core::Result<void> read = read_json(changes, entry);
   if (read) {
     entry.id = id;
--- a/src/emulator/control_trainers.cpp
+++ b/src/emulator/control_trainers.cpp
@@ -1,5 +1,6 @@
 /// \file
 /// The routes of ControlInterface for trainers and relays.
+#include "core/json_text.hpp"
 #include "emulator/control_interface.hpp"
 #include "emulator/emulator.hpp"
 #include "emulator/http_answers.hpp"
@@ -48,7 +49,7 @@
   router.add("PUT", trainer + "/switches",
              with_trainer([](TrainerDriver& driver, const http::RoutedRequest& request) {
                TrainerSwitches switches = driver.switches();
-               const json body = json::parse(request.body, nullptr, false);
+               const json body = core::parse_json(request.body).value_or(json());
                const core::Result<void> read = read_json(body, switches);
                if (read) {
                  driver.set_switches(switches);
@@ -88,7 +89,7 @@
     return not_found_answer("relay");
   }
   RelaySwitches switches = found->second->switches();
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = core::parse_json(request.body).value_or(json());
   const core::Result<void> read = read_json(body, switches);
   if (read) {
     found->second->set(switches);
--- a/src/emulator/engine_listener_streams.cpp
+++ b/src/emulator/engine_listener_streams.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 
+#include "core/json_text.hpp"
 #include "emulator/engine_listener.hpp"
 #include "emulator/http_answers.hpp"
 #include "http/server_sent_events.hpp"
@@ -38,7 +39,7 @@
   const json end = {{"stream_id", stream.request.stream.value()},
                     {"finish_reason", finish_name(stream.finish)},
                     {"token_count", stream.generated}};
-  return http::format_event(end.dump()) + http::format_event("[DONE]");
+  return http::format_event(core::write_json(end)) + http::format_event("[DONE]");
 }
 
 }  // namespace
@@ -205,7 +206,7 @@
       if (!model_->take_version_loss()) {
         chunk["version"] = span.version.value();
       }
-      events += http::format_event(chunk.dump());
+      events += http::format_event(core::write_json(chunk));
       offset = span_end;
     }
     span_begin = span_end;
--- a/src/emulator/http_answers.cpp
+++ b/src/emulator/http_answers.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::emulator {
 namespace {
 
@@ -29,7 +31,7 @@
   http::Response response;
   response.head.status = status;
   response.head.headers.set("Content-Type", "application/json");
-  response.body = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  response.body = core::write_json(document);
   return response;
 }
 
--- a/src/emulator/json_fields.hpp
+++ b/src/emulator/json_fields.hpp
@@ -15,12 +15,16 @@
 
 #include "core/error.hpp"
 #include "core/identifiers.hpp"
+#include "core/json_text.hpp"
 #include "core/time.hpp"
 
 namespace stoneport::emulator {
 
 enum class UnknownKeys { kRefuse, kIgnore };
 
+/// A year. Longer durations are refused; they would not fit a clock.
+inline constexpr double kLongestDurationMilliseconds = 365.0 * 24 * 3600 * 1000;
+
 /// Visitor that fills a struct from an object. Absent keys leave the field as it
 /// is; a wrong type or an unknown key becomes an error, and all are collected.
 class JsonFieldReader {
@@ -59,7 +63,8 @@
     } else if constexpr (std::is_integral_v<Value>) {
       json.is_number_integer() ? void(value = json.get<Value>()) : expected(path, "a whole number");
     } else if constexpr (std::is_same_v<Value, core::Duration>) {
-      const bool valid = json.is_number() && json.get<double>() >= 0;
+      const bool valid = json.is_number() && json.get<double>() >= 0 &&
+                         json.get<double>() <= kLongestDurationMilliseconds;
       valid ? void(value = core::from_seconds(json.get<double>() / 1000))
             : expected(path, "milliseconds");
     } else {
@@ -215,7 +220,7 @@
 core::Result<Struct> parse_json(const std::string& text,
                                 UnknownKeys unknown = UnknownKeys::kRefuse) {
   const nlohmann::json json =
-      text.empty() ? nlohmann::json::object() : nlohmann::json::parse(text, nullptr, false);
+      text.empty() ? nlohmann::json::object() : core::parse_json(text).value_or(nlohmann::json());
   Struct value;
   const auto read = read_json(json, value, unknown);
   if (!read) {
--- a/src/emulator/trainer_driver.cpp
+++ b/src/emulator/trainer_driver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/json_text.hpp"
 #include "emulator/http_answers.hpp"
 #include "runtime/tasks.hpp"
 
@@ -140,7 +141,7 @@
                  {"prompts", prompts_},
                  {"samples_per_prompt", run.samples_per_prompt},
                  {"epoch_seen", ledger_->report().epoch_seen}};
-    const Call opened = co_await call("POST", steps_path(run), body.dump(), deadline);
+    const Call opened = co_await call("POST", steps_path(run), core::write_json(body), deadline);
     if (opened.outcome == CallOutcome::kRefused) {
       co_return core::make_error(ErrorCode::kProtocol, "open: " + refusal_);
     }
@@ -176,7 +177,7 @@
   const std::string target = steps_path(run) + "/" + std::to_string(step) + "/poll";
   const core::MonotonicTime call_deadline =
       std::min(deadline, time_.now() + run.poll_wait + kCallTimeout);
-  const Call polled = co_await call("POST", target, body.dump(), call_deadline);
+  const Call polled = co_await call("POST", target, core::write_json(body), call_deadline);
   if (polled.outcome == CallOutcome::kStepUnknown && ledger_->complete()) {
     co_return core::Result<void>{};
   }
@@ -223,7 +224,7 @@
       "/v1/policies/" + http::percent_encode(run.policy.value()) + "/versions";
   while (check_going_on(deadline)) {
     json body = {{"version", next.value()}, {"size_bytes", run.weight_bytes}};
-    const Call published = co_await call("POST", target, body.dump(), deadline);
+    const Call published = co_await call("POST", target, core::write_json(body), deadline);
     if (published.outcome == CallOutcome::kDone) {
       ledger_->set_current_version(next);
       ++ledger_->report().versions_published;
--- a/src/filters/completion_request.cpp
+++ b/src/filters/completion_request.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::filters {
 namespace {
 
@@ -89,7 +91,7 @@
 }  // namespace
 
 core::Result<CompletionRequest> parse_completion_request(const std::string& text) {
-  const Json document = Json::parse(text, nullptr, false);
+  const Json document = core::parse_json(text).value_or(Json());
   if (!document.is_object()) {
     return invalid("the body must be a JSON object");
   }
--- a/src/filters/completion_text.cpp
+++ b/src/filters/completion_text.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::filters {
 namespace {
 
@@ -47,11 +49,6 @@
   return document;
 }
 
-/// Engines may cut a multi-byte character between two chunks.
-std::string dump(const Json& document) {
-  return document.dump(-1, ' ', false, Json::error_handler_t::replace);
-}
-
 }  // namespace
 
 core::Result<void> CompletionText::add(const platform::TokenChunk& chunk) {
@@ -88,15 +85,15 @@
 }
 
 std::string completion_document(const CompletionIdentity& identity, const CompletionText& text) {
-  return dump(ended_document(identity, text));
+  return core::write_json(ended_document(identity, text));
 }
 
 std::string chunk_event(const CompletionIdentity& identity, const std::string& text) {
-  return dump(base_document(identity, text, nullptr));
+  return core::write_json(base_document(identity, text, nullptr));
 }
 
 std::string final_event(const CompletionIdentity& identity, const CompletionText& text) {
-  return dump(ended_document(identity, text));
+  return core::write_json(ended_document(identity, text));
 }
 
 }  // namespace stoneport::filters
--- a/src/http/server_responses.cpp
+++ b/src/http/server_responses.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
 #include "http/router.hpp"
 #include "http/server.hpp"
 
@@ -50,9 +51,7 @@
     document["retry_after_ms"] = milliseconds.count();
     retry_after = std::to_string(std::chrono::ceil<std::chrono::seconds>(milliseconds).count());
   }
-  // Messages may quote bytes that came from outside and are no valid UTF-8.
-  constexpr auto kReplaceInvalid = nlohmann::json::error_handler_t::replace;
-  Response response = json_response(status, document.dump(-1, ' ', false, kReplaceInvalid));
+  Response response = json_response(status, core::write_json(document));
   if (retry_after) {
     response.head.headers.set("Retry-After", *retry_after);
   }
--- a/src/platform/http_endpoint.cpp
+++ b/src/platform/http_endpoint.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::platform {
 namespace {
 using core::ErrorCode;
@@ -40,11 +42,11 @@
 }
 
 ErrorDocument error_document(const std::string& body) {
-  const auto value = nlohmann::json::parse(body, nullptr, false);
-  if (!value.is_object()) {
+  const std::optional<nlohmann::json> value = core::parse_json(body);
+  if (!value || !value->is_object()) {
     return {};
   }
-  return {text_or_empty(value, "code"), text_or_empty(value, "message")};
+  return {text_or_empty(*value, "code"), text_or_empty(*value, "message")};
 }
 
 ErrorCode code_of(unsigned status, const std::string& code, CallKind kind) {
--- a/src/platform/http_machine_list.cpp
+++ b/src/platform/http_machine_list.cpp
@@ -5,6 +5,17 @@
 namespace stoneport::platform {
 namespace {
 
+/// As long as a name in a packet between daemons may be.
+constexpr std::size_t kLongestId = 128;
+
+std::string decode_id(const JsonFields& fields) {
+  std::string id = fields.text("id");
+  if (id.empty() || id.size() > kLongestId) {
+    fields.reject("id", "1 to 128 bytes are expected");
+  }
+  return id;
+}
+
 MachineRole decode_role(const JsonFields& fields) {
   const std::string role = fields.text("role");
   if (role == "node") {
@@ -38,7 +49,7 @@
 
 Machine decode_machine(const JsonFields& fields) {
   Machine machine;
-  machine.id = fields.text("id");
+  machine.id = decode_id(fields);
   machine.role = decode_role(fields);
   machine.serves = fields.text("serves");
   machine.address = core::Address{fields.text("ip"), decode_port(fields)};
--- a/src/platform/http_model_engine.cpp
+++ b/src/platform/http_model_engine.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
 #include "http/server_sent_events.hpp"
 #include "platform/engine_codec.hpp"
 
@@ -162,7 +163,7 @@
                                                                          std::int32_t priority) {
   std::string target = stream_target(stream) + "/priority";
   const nlohmann::json body = {{"priority", priority}};
-  std::string encoded = body.dump();
+  std::string encoded = core::write_json(body);
   const auto answer =
       co_await endpoint_.post(std::move(target), std::move(encoded), CallKind::kEffect);
   co_return without_value(answer);
--- a/src/platform/http_weight_store.cpp
+++ b/src/platform/http_weight_store.cpp
@@ -1,5 +1,6 @@
 #include "platform/http_weight_store.hpp"
 
+#include "core/json_text.hpp"
 #include "platform/json_fields.hpp"
 
 namespace stoneport::platform {
@@ -42,7 +43,7 @@
       policy_target(set.policy) + "/versions/" + std::to_string(set.version.value());
   const nlohmann::json body = {{"size_bytes", set.size_bytes}};
   std::string content_type = "application/json";
-  std::string encoded = body.dump();
+  std::string encoded = core::write_json(body);
   auto answer =
       co_await endpoint_.put(std::move(target), std::move(encoded), std::move(content_type));
   if (!answer) {
--- a/src/platform/json_fields.cpp
+++ b/src/platform/json_fields.cpp
@@ -1,5 +1,7 @@
 #include "platform/json_fields.hpp"
 
+#include "core/json_text.hpp"
+
 namespace stoneport::platform {
 namespace {
 using nlohmann::json;
@@ -99,11 +101,12 @@
 }
 
 core::Result<JsonDocument> JsonDocument::parse(std::string_view text) {
-  JsonDocument document;
-  document.value_ = json::parse(text, nullptr, /*allow_exceptions=*/false);
-  if (document.value_.is_discarded() || !document.value_.is_object()) {
+  std::optional<json> value = core::parse_json(text);
+  if (!value || !value->is_object()) {
     return fault("a JSON object is expected");
   }
+  JsonDocument document;
+  document.value_ = std::move(*value);
   return document;
 }
 
@@ -122,8 +125,4 @@
   }
 }
 
-bool is_utf8(const std::string& text) {
-  return encode_json(text).has_value();
-}
-
 }  // namespace stoneport::platform
--- a/src/platform/json_fields.hpp
+++ b/src/platform/json_fields.hpp
@@ -58,9 +58,6 @@
 /// \return kInvalidArgument when a string within \p value is not UTF-8.
 core::Result<std::string> encode_json(const nlohmann::json& value);
 
-/// \return whether \p text can stand in a JSON string.
-bool is_utf8(const std::string& text);
-
 /// Parses \p text and decodes its root with \p decode (JsonFields to a value).
 /// \return kProtocol when the text or one of its fields is not as expected.
 template <class Decode>
--- a/src/steps/trainer_handler.cpp
+++ b/src/steps/trainer_handler.cpp
@@ -2,6 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include "config/value_codec.hpp"
+#include "core/json_text.hpp"
+
 namespace stoneport::steps {
 namespace asio = boost::asio;
 namespace {
@@ -54,6 +57,10 @@
     co_return refusal(message.error());
   }
   core::PolicyName policy(request.parameters.at("policy"));
+  if (!config::is_valid_name(policy.value())) {
+    co_return refusal(core::make_error(core::ErrorCode::kInvalidArgument,
+                                       std::string("a policy's name is ") + config::kNameRule));
+  }
   const auto published =
       co_await service_.publish(std::move(policy), message->version, message->size_bytes);
   if (!published) {
@@ -61,7 +68,7 @@
   }
   const nlohmann::json answer = {{"policy", request.parameters.at("policy")},
                                  {"version", message->version.value()}};
-  co_return http::json_response(kOk, answer.dump());
+  co_return http::json_response(kOk, core::write_json(answer));
 }
 
 asio::awaitable<http::Response> TrainerHandler::open(http::RoutedRequest request) {
--- a/src/steps/trainer_messages.cpp
+++ b/src/steps/trainer_messages.cpp
@@ -4,6 +4,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::steps {
 using nlohmann::json;
 namespace {
@@ -97,11 +99,11 @@
 /// Parses \p body as an object and fills a message from it with \p read.
 template <class Message, class Read>
 core::Result<Message> parse_message(const std::string& body, Read read) {
-  const json document = json::parse(body, nullptr, false);
-  if (document.is_discarded() || !document.is_object()) {
+  const std::optional<json> document = core::parse_json(body);
+  if (!document || !document->is_object()) {
     return invalid("the body is not a JSON object");
   }
-  FieldReader fields(document);
+  FieldReader fields(*document);
   Message message;
   read(fields, message);
   return fields.result(std::move(message));
@@ -118,11 +120,6 @@
       {"engine", sample.engine.value()},   {"attempts", sample.attempts}};
 }
 
-/// Text from engines may hold broken UTF-8; an answer must not fail over it.
-std::string dump(const json& document) {
-  return document.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 }  // namespace
 
 core::Result<PublishMessage> parse_publish(const std::string& body) {
@@ -180,7 +177,7 @@
 std::string format_open_answer(const OpenAnswer& answer) {
   const json document = {{"epoch", answer.epoch.value()},
                          {"samples_expected", answer.samples_expected}};
-  return document.dump();
+  return core::write_json(document);
 }
 
 std::string format_poll_answer(const PollAnswer& answer) {
@@ -191,7 +188,7 @@
   const json document = {{"epoch", answer.epoch.value()},
                          {"complete", answer.complete},
                          {"samples", std::move(samples)}};
-  return dump(document);
+  return core::write_json(document);
 }
 
 }  // namespace stoneport::steps
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -3,11 +3,16 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "core/json_text.hpp"
+
 namespace stoneport::wire {
 namespace {
 
 using Json = nlohmann::json;
 
+/// Levels of arrays that a packet of this version has, with some to spare.
+constexpr int kDeepestPacket = 8;
+
 enum class MessageKind : std::uint8_t {
   kNews,
   kPing,
@@ -51,7 +56,7 @@
       return {};
     }
     const auto& text = value.get_ref<const std::string&>();
-    if (text.size() < shortest || text.size() > kMaxNameBytes) {
+    if (text.size() < shortest || text.size() > kMaxNameBytes || !core::is_utf8(text)) {
       fail();
       return {};
     }
@@ -121,7 +126,7 @@
   }
   const auto& text = json.get_ref<const std::string&>();
   replica = core::ReplicaId(text);
-  return !text.empty() && text.size() <= kMaxNameBytes;
+  return !text.empty() && text.size() <= kMaxNameBytes && core::is_utf8(text);
 }
 
 Json write_member(const Member& member) {
@@ -362,9 +367,37 @@
   return bytes;
 }
 
-/// \return the parsed bytes, or a discarded value. The library reports an
-/// absurd length by an exception even when exceptions are switched off.
+/// Accepts a document as long as it nests no deeper than a packet may.
+class DepthCheck : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool key(string_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kDeepestPacket; }
+  bool end_object() override { return --depth_ >= 0; }
+  bool start_array(std::size_t) override { return ++depth_ <= kDeepestPacket; }
+  bool end_array() override { return --depth_ >= 0; }
+  bool parse_error(std::size_t, const std::string&, const Json::exception&) override {
+    return false;
+  }
+
+ private:
+  int depth_ = 0;
+};
+
+/// \return the parsed bytes, or a discarded value. The library descends once a
+/// level of nesting, and reports an absurd length by an exception even when
+/// exceptions are switched off.
 Json parse_cbor(std::string_view bytes) {
+  DepthCheck check;
+  if (!Json::sax_parse(bytes.begin(), bytes.end(), &check, Json::input_format_t::cbor)) {
+    return Json(Json::value_t::discarded);
+  }
   try {
     return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
   } catch (const Json::exception&) {
--- a/tests/contract/platform_stores_contract.cpp
+++ b/tests/contract/platform_stores_contract.cpp
@@ -155,6 +155,8 @@
                        {"{}"},
                        {R"({"machines":[{}]})"},
                        {machine_with("id", 1)},
+                       {machine_with("id", "")},
+                       {machine_with("id", std::string(129, 'n'))},
                        {machine_with("role", "printer")},
                        {machine_with("state", "gone")},
                        {machine_with("port", 0)},
--- a/tests/unit/core/json_text_test.cpp
+++ b/tests/unit/core/json_text_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(JsonTextTest);
   CPPUNIT_TEST(refuses_what_is_no_json_or_too_deep);
   CPPUNIT_TEST(writes_invalid_bytes_replaced);
+  CPPUNIT_TEST(knows_valid_utf8);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -40,6 +41,25 @@
   void writes_invalid_bytes_replaced() {
     CPPUNIT_ASSERT_EQUAL(std::string("\"a\xef\xbf\xbd\""), write_json("a\xff"));
   }
+
+  void knows_valid_utf8() {
+    const std::vector<std::pair<std::string, bool>> cases = {
+        {"", true},
+        {"name-1", true},
+        {std::string("a\0b", 3), true},
+        {"\xe1\x88\x80 \xf0\x9f\x98\x80", true},
+        {"\xff", false},
+        {"a\xc3", false},
+        {"\xc3(", false},
+        {"\x80", false},
+        {"\xc0\x80", false},          // longer than needed
+        {"\xed\xa0\x80", false},      // a surrogate
+        {"\xf4\x90\x80\x80", false},  // beyond U+10FFFF
+    };
+    for (const auto& [text, valid] : cases) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, valid, is_utf8(text));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JsonTextTest);
--- a/tests/unit/wire/gossip_codec_test.cpp
+++ b/tests/unit/wire/gossip_codec_test.cpp
@@ -126,6 +126,7 @@
         {"a sender of another kind", damaged([](Json& packet) { packet[1] = "node"; })},
         {"an empty node name", damaged([](Json& packet) { packet[1][0] = ""; })},
         {"a long node name", damaged([&](Json& packet) { packet[1][0] = long_name; })},
+        {"a node name of invalid UTF-8", damaged([](Json& packet) { packet[1][0] = "\xff"; })},
         {"a negative incarnation", damaged([](Json& packet) { packet[1][1] = -5; })},
         {"a fractional incarnation", damaged([](Json& packet) { packet[1][1] = 1.5; })},
         {"an unknown state", damaged([](Json& packet) { packet[1][2] = 4; })},
