Begin a rollout with as many transfers as the store serves soon

The first publication after a controller took over began with three transfers at a time and learned from the first, a report later, how many use up the store. That is not the whole cause: what was learned could also be too low a number, as the fastest transfer among few says how many a link would need and not how many fit into one round, so that later publications took two rounds, each with its report.

A rollout now begins with as many transfers as the store's rate serves within 2.5 s, between parallel_prefetches and most_parallel_prefetches; whatever rate a replica reaches, to begin with fewer gains nobody anything. With fewer served than the least nothing changes.

--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -24,6 +24,8 @@
             stoneport::bench::run_report_command},
     Command{"scale-run", "measure the control plane's gossip at several sizes",
             stoneport::bench::run_scale_run_command},
+    Command{"weights-run", "measure publications of weights at several sizes",
+            stoneport::bench::run_weights_run_command},
     Command{"load", "send ordinary requests over sockets and check every answer",
             stoneport::bench::run_load_command},
     Command{"demo-summary", "print the demo's final JSON line",
--- a/src/controllers/weights_rollout.cpp
+++ b/src/controllers/weights_rollout.cpp
@@ -65,15 +65,29 @@
   }
 }
 
-std::uint32_t WeightsRollout::parallel_prefetches() const {
+/// Whoever reads beside so many still has its weights within short_transfer, whatever
+/// rate one replica reaches: to begin with fewer would gain nobody anything.
+double WeightsRollout::served_in_short_transfer() const {
+  if (target_.size_bytes == 0) {
+    return 0;
+  }
+  const double bytes =
+      static_cast<double>(target_.bytes_per_second) * core::to_seconds(settings_.short_transfer);
+  return std::floor(bytes / static_cast<double>(target_.size_bytes));
+}
+
+double WeightsRollout::needed_to_use_up_store() const {
   if (fastest_bytes_per_second_ <= 0) {
-    return settings_.parallel_prefetches;
+    return 0;
   }
-  const double needed =
-      std::ceil(static_cast<double>(target_.bytes_per_second) / fastest_bytes_per_second_);
+  return std::ceil(static_cast<double>(target_.bytes_per_second) / fastest_bytes_per_second_);
+}
+
+std::uint32_t WeightsRollout::parallel_prefetches() const {
+  const double least = settings_.parallel_prefetches;
   const double most = std::max(settings_.parallel_prefetches, settings_.most_parallel_prefetches);
-  return std::max(settings_.parallel_prefetches,
-                  static_cast<std::uint32_t>(std::min(needed, most)));
+  const double wanted = std::max(served_in_short_transfer(), needed_to_use_up_store());
+  return static_cast<std::uint32_t>(std::clamp(wanted, least, most));
 }
 
 core::Duration WeightsRollout::prefetch_timeout() const {
--- a/src/controllers/weights_rollout.hpp
+++ b/src/controllers/weights_rollout.hpp
@@ -44,9 +44,12 @@
 struct RolloutSettings {
   /// Replicas that read from the weight store at a time.
   std::uint32_t parallel_prefetches = 8;
-  /// Up to so many once transfers have shown that fewer do not use up the store's
-  /// rate; zero: never more than above.
+  /// Up to so many where short_transfer allows it, or once transfers have shown that
+  /// fewer do not use up the store's rate; zero: never more than above.
   std::uint32_t most_parallel_prefetches = 0;
+  /// As many read at a time as the store's rate serves within this time. The default
+  /// is what reports of 1.25 s at each of the two steps leave of 5 s.
+  core::Duration short_transfer = std::chrono::milliseconds(2'500);
   /// Least time that a prefetch is given before it is ordered again.
   core::Duration shortest_prefetch_timeout = std::chrono::seconds(5);
   /// A swap that reports do not confirm is ordered again after this time, and
@@ -101,6 +104,8 @@
   core::Duration transfer_time(std::size_t replica_count) const;
   core::Duration prefetch_timeout() const;
   void note_transfer(Progress& progress, core::MonotonicTime now);
+  double served_in_short_transfer() const;
+  double needed_to_use_up_store() const;
   std::uint32_t parallel_prefetches() const;
 
   RolloutSettings settings_;
--- a/tests/unit/controllers/weights_rollout_test.cpp
+++ b/tests/unit/controllers/weights_rollout_test.cpp
@@ -155,6 +155,8 @@
   CPPUNIT_TEST(an_unusable_engine_gets_no_order);
   CPPUNIT_TEST(a_newer_target_replaces_the_older_and_never_the_other_way);
   CPPUNIT_TEST(a_new_owner_continues_from_the_reports);
+  CPPUNIT_TEST(begins_with_as_many_as_the_store_serves_in_a_short_time);
+  CPPUNIT_TEST(a_slow_engine_does_not_hold_those_that_began_with_it);
   CPPUNIT_TEST(converges_over_random_faults);
   CPPUNIT_TEST_SUITE_END();
 
@@ -243,6 +245,60 @@
     CPPUNIT_ASSERT_EQUAL(prefetches, world.prefetch_times.size());
   }
 
+  void begins_with_as_many_as_the_store_serves_in_a_short_time() {
+    struct Case {
+      std::string name;
+      std::uint64_t size_bytes;
+      std::uint64_t bytes_per_second;
+      std::uint32_t most;
+      std::size_t expected;
+    };
+    // 20 engines, at least 3 at a time, 2.5 s: 2.5 times the rate over the size.
+    const std::vector<Case> cases = {
+        {"the store serves all", 100, 800, 600, 20},
+        {"the store serves all, to the byte", 100, 1'000, 600, 20},
+        {"the store serves some", 100, 400, 600, 10},
+        {"a part of an engine does not count", 100, 439, 600, 10},
+        {"the store serves fewer than the least", 100, 50, 600, 3},
+        {"no more than the most", 100, 800, 7, 7},
+        {"a most below the least", 100, 800, 2, 3},
+        {"no most: the least", 100, 800, 0, 3},
+        {"unknown size", 0, 800, 600, 3},
+        {"unknown rate", 100, 0, 600, 3},
+        {"beyond any count", 1, 18'000'000'000'000'000'000ULL, 600, 20},
+    };
+    for (const Case& one : cases) {
+      RolloutSettings settings;
+      settings.parallel_prefetches = 3;
+      settings.most_parallel_prefetches = one.most;
+      World world(20, settings);
+      world.rollout.set_target({core::PolicyName("policy"), core::WeightVersion(2), one.size_bytes,
+                                one.bytes_per_second});
+      world.step();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.expected, world.prefetch_times.size());
+      world.step();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.expected, world.prefetch_times.size());
+    }
+  }
+
+  void a_slow_engine_does_not_hold_those_that_began_with_it() {
+    RolloutSettings settings;
+    settings.parallel_prefetches = 3;
+    settings.most_parallel_prefetches = 600;
+    settings.switch_order = SwitchOrder::kAsReady;
+    World world(20, settings);
+    world.engine(7).fetch_time = 1000s;
+    world.aim(2);
+    const core::MonotonicTime start = world.now;
+    while (world.load_times.size() < 19 && world.now - start < 60s) {
+      world.step();
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{20}, world.most_fetching);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{19}, world.load_times.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, world.engine(7).loads);
+    CPPUNIT_ASSERT(world.load_times.back() - start < 5s);
+  }
+
   void converges_over_random_faults() {
     constexpr std::uint64_t kSchedules = 500;
     for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
