Prove what a daemon that was frozen sends to a back end that left

Cause: a daemon that wakes from a freeze goes on with its old routing table until gossip has told it the mark. The test freezes a daemon, marks a lookup replica as leaving through another one, waits until work there counts as late, queues 120 lookups at the frozen daemon and wakes it.

--- a/tests/system/request_system_test.cpp
+++ b/tests/system/request_system_test.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(key_repeated_through_a_replaced_daemon);
   CPPUNIT_TEST(key_is_refused_while_the_store_is_down);
   CPPUNIT_TEST(leaving_back_end_while_the_list_lags);
+  CPPUNIT_TEST(back_end_leaves_while_a_daemon_is_frozen);
   CPPUNIT_TEST(planned_stop_finishes_requests_in_flight);
   CPPUNIT_TEST_SUITE_END();
 
@@ -207,6 +208,69 @@
     judge(cluster, "back end leaving under load");
   }
 
+  static json service_replica(TestCluster& cluster, const std::string& id) {
+    const json services = cluster.emulator_get("/control/services");
+    for (const json& replica : services["replicas"]) {
+      if (replica["id"] == id) {
+        return replica;
+      }
+    }
+    return {};
+  }
+
+  static std::vector<HttpCall> lookups(const core::Address& address, std::size_t count) {
+    std::vector<HttpCall> calls(count);
+    for (std::size_t index = 0; index < count; ++index) {
+      calls[index].address = address;
+      calls[index].request.head.target = "/services/materials/items/" + std::to_string(index);
+    }
+    return calls;
+  }
+
+  /// The lookups wait in the frozen daemon's sockets and are the first that it
+  /// sees when it wakes, before any news.
+  void back_end_leaves_while_a_daemon_is_frozen() {
+    constexpr std::size_t kFrozen = 1;
+    TestCluster cluster;
+    cluster.publish_examples();
+    const std::string leaving = kLookupReplicas[kFrozen];
+    cluster.set_fault("machine_list", {{"frozen", true}});
+    // Before the freeze, the daemon uses the replica.
+    cluster.http().send_all(lookups(cluster.caller(kFrozen), 60), nullptr);
+    const auto runs_before = service_replica(cluster, leaving)["runs"].get<std::uint64_t>();
+    CPPUNIT_ASSERT(runs_before > 0);
+
+    cluster.signal_daemon(kFrozen, SIGSTOP);
+    cluster.emulator_send("POST", "/control/back_ends/" + leaving + "/leave");
+    const HttpAnswer drained = cluster.http().send(
+        cluster.admin(2), "POST", "/v1/operator/replicas/" + leaving + "/drain", json::object());
+    CPPUNIT_ASSERT_MESSAGE(drained.body, drained.ok());
+    const auto left_at = std::chrono::steady_clock::now();
+    const std::chrono::milliseconds limit(static_cast<int>(kLatestWorkMs));
+    wait_until("work at the leaving back end counts as late",
+               [&] { return std::chrono::steady_clock::now() - left_at > limit; });
+    const auto answers = cluster.http().send_all(lookups(cluster.caller(kFrozen), 120),
+                                                 [&] { cluster.signal_daemon(kFrozen, SIGCONT); });
+
+    const json replica = service_replica(cluster, leaving);
+    const auto work = replica["work_while_leaving"].get<std::uint64_t>();
+    std::uint64_t completed = 0;
+    for (const HttpAnswer& answer : answers) {
+      const bool refused = outcome_of(answer) == "not-run" && answer.headers.find("Retry-After");
+      CPPUNIT_ASSERT_MESSAGE(answer.body + answer.failure, refused || answer.ok());
+      completed += answer.ok() ? 1 : 0;
+    }
+    report_guarantee("a leaving back end gets no new work after a few seconds",
+                     "daemon frozen when it left, woken with 120 lookups queued, " +
+                         std::to_string(completed) + " completed",
+                     work);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, work);
+    CPPUNIT_ASSERT_EQUAL(runs_before, replica["runs"].get<std::uint64_t>());
+    wait_until("the woken daemon serves", [&] {
+      return cluster.http().get(cluster.caller(kFrozen), "/services/materials/items/1").ok();
+    });
+  }
+
   void planned_stop_finishes_requests_in_flight() {
     TestCluster cluster;
     cluster.publish_examples();
