Do not use a routing table that may be older than a freeze

Cause: the control thread and the traffic threads of a frozen daemon wake together, and the first requests were sent by the table of before the freeze.

Change: a routing table says up to when it is known to be current, 4 s from its making. It is not renewed after a pause until a member has answered a request for news that was asked after it, or 1 s has passed without an answer. Traffic waits up to 1.5 s for a current table and then answers not-run; steps start nothing. Drain marks go first in an answer to a request for news, also when bytes are short.

Ruled out: the answer to a request for news as the proof, as one from before the pause may wait in the socket and a member that agrees sends none.

--- a/src/controllers/gossip_controller.hpp
+++ b/src/controllers/gossip_controller.hpp
@@ -71,6 +71,8 @@
   std::size_t send_message(const core::Address& to, wire::GossipMessage message);
   void on_message(MessageListener listener) { message_listener_ = std::move(listener); }
 
+  /// \return whether the records hold the news of the last pause of this process.
+  bool current() const { return state_.current(time_.now()); }
   const GossipCounts& counts() const { return state_.counts(); }
 
  private:
--- a/src/controllers/gossip_probes.cpp
+++ b/src/controllers/gossip_probes.cpp
@@ -28,7 +28,7 @@
   }
   const core::NodeId target = round_.back();
   round_.pop_back();
-  const std::uint32_t sequence = ++last_sequence_;
+  const std::uint32_t sequence = next_sequence();
   pending_[sequence] = Pending{target, now, false};
   return Probe{sequence, target};
 }
--- a/src/controllers/gossip_probes.hpp
+++ b/src/controllers/gossip_probes.hpp
@@ -41,6 +41,8 @@
   /// Probes \p target again at the next interval: the probe tells it that it is
   /// suspected, and its answer ends the suspicion of a leaving member.
   void retry(const core::NodeId& target) { round_.push_back(target); }
+  /// \return the sequence of a ping that is no probe: its failure says nothing.
+  std::uint32_t next_sequence() { return ++last_sequence_; }
   /// Registers a ping on another node's behalf. \return the sequence to use.
   std::uint32_t add_relay(Relay relay, core::MonotonicTime now);
   /// Ends the probe or relay of \p sequence.
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -270,7 +270,13 @@
     end += gap;
   }
   // The news of the meantime has been told to the end without us.
-  next_sync_ = now;
+  catching_up_ = true;
+  catch_up_pings_.clear();
+  next_catch_up_ = now;
+}
+
+bool GossipState::current(core::MonotonicTime now) const {
+  return last_tick_ && now - *last_tick_ <= settings_.longest_tick_gap && !catching_up_;
 }
 
 std::vector<OutgoingPacket> GossipState::on_tick(core::MonotonicTime now) {
@@ -281,6 +287,7 @@
   expire_suspicions(now);
   forget_dead(now);
   send_news(now, packets);
+  catch_up(now, packets);
   run_sync(now, packets);
   reconnect(now, packets);
   return packets;
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -36,6 +36,9 @@
   core::Duration dead_retention = std::chrono::hours(2);
   /// A longer gap between ticks means that this process was paused.
   core::Duration longest_tick_gap = std::chrono::milliseconds(1500);
+  /// After a pause, another member is asked for the news of the meantime this
+  /// often until one has answered.
+  core::Duration catch_up_retry = std::chrono::milliseconds(200);
   std::uint32_t indirect_probes = 3;
   std::uint32_t news_fanout = 2;
   std::uint32_t suspicion_multiplier = 5;
@@ -97,6 +100,11 @@
   /// Wraps a watcher's message; its bytes count against the caller's budget.
   OutgoingPacket wrap(const core::Address& to, wire::GossipMessage message);
 
+  /// \return whether this state has heard the others since the last pause of
+  /// this process, one that no tick has noticed yet included. True while no other
+  /// member is known.
+  bool current(core::MonotonicTime now) const;
+
   const wire::Member& self() const { return *records_.find(self_); }
   const GossipRecords& records() const { return records_; }
   const GossipCounts& counts() const { return counts_; }
@@ -138,6 +146,7 @@
   void run_probes(core::MonotonicTime now, std::vector<OutgoingPacket>& packets);
   void send_news(core::MonotonicTime now, std::vector<OutgoingPacket>& packets);
   void run_sync(core::MonotonicTime now, std::vector<OutgoingPacket>& packets);
+  void catch_up(core::MonotonicTime now, std::vector<OutgoingPacket>& packets);
   void reconnect(core::MonotonicTime now, std::vector<OutgoingPacket>& packets);
 
   /// \param about a record that must go along, for a receiver that is wrong
@@ -163,6 +172,10 @@
   std::map<core::NodeId, core::MonotonicTime> suspicion_ends_;
   std::map<core::NodeId, core::MonotonicTime> dead_since_;
   std::optional<core::MonotonicTime> last_tick_;
+  bool catching_up_ = false;
+  /// Pings that were sent right after a request for news, since the pause.
+  std::set<std::uint32_t> catch_up_pings_;
+  core::MonotonicTime next_catch_up_{};
   core::MonotonicTime next_news_{};
   core::MonotonicTime next_sync_{};
   core::MonotonicTime next_reconnect_{};
--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -27,6 +27,10 @@
   return wire::encode_packet(packet).size() + kListHeaderBytes;
 }
 
+bool is_drain_mark(const RecordKey& key) {
+  return std::holds_alternative<core::ReplicaId>(key);
+}
+
 std::vector<core::NodeId> pick(std::vector<core::NodeId> nodes, std::size_t count,
                                core::RandomSource& random) {
   shuffle(nodes, random);
@@ -124,6 +128,10 @@
 
 void GossipState::take_acknowledgement(const wire::Acknowledgement& acknowledgement,
                                        GossipOutput& output) {
+  if (catch_up_pings_.contains(acknowledgement.sequence)) {
+    catching_up_ = false;
+    catch_up_pings_.clear();
+  }
   const auto relay = probes_.acknowledge(acknowledgement.sequence, acknowledgement.target);
   const wire::Member* target = records_.find(acknowledgement.target);
   if (target != nullptr && target->state == MemberState::kLeaving) {
@@ -165,13 +173,21 @@
   }
   const BucketHashes own = records_.bucket_hashes();
   const bool same = std::equal(own.begin(), own.end(), sync.bucket_hashes.begin());
-  if (same || budget_.available() < settings_.packet_bytes) {
-    return;  // short of bytes, the asking side tries another member next time
+  if (same) {
+    return;
+  }
+  std::vector<RecordKey> keys = keys_in_differing_buckets(own, sync);
+  if (budget_.available() < settings_.packet_bytes) {
+    // The asking side tries another member next time. Marks do not wait for it:
+    // a member that was frozen sends work to what it does not know as leaving.
+    std::erase_if(keys, [](const RecordKey& key) { return !is_drain_mark(key); });
+    send_records(keys, from, output);
+    return;
   }
   if (sync.is_answer) {
     next_sync_ = std::min(next_sync_, now + settings_.catch_up_interval);
   }
-  send_records(keys_in_differing_buckets(own, sync), from, output);
+  send_records(keys, from, output);
   // Also where nothing of ours differs: the other side may know what we do not.
   if (!sync.is_answer) {
     output.packets.push_back(make_packet(from, sync_request(true)));
@@ -188,6 +204,8 @@
     }
   }
   shuffle(differing, random_);
+  // Not all may fit, and a mark that comes late sends work to a leaving replica.
+  std::stable_partition(differing.begin(), differing.end(), is_drain_mark);
   return differing;
 }
 
@@ -195,7 +213,8 @@
                                GossipOutput& output) {
   std::size_t position = 0;
   for (std::uint32_t count = 0; count < settings_.sync_packets; ++count) {
-    if (position == keys.size() || budget_.available() < settings_.packet_bytes) {
+    const bool is_short = budget_.available() < settings_.packet_bytes;
+    if (position == keys.size() || (is_short && !is_drain_mark(keys[position]))) {
       return;
     }
     wire::GossipPacket packet;
@@ -265,6 +284,27 @@
   }
 }
 
+void GossipState::catch_up(core::MonotonicTime now, std::vector<OutgoingPacket>& packets) {
+  if (!catching_up_ || now < next_catch_up_) {
+    return;
+  }
+  const std::vector<core::NodeId> asked = pick(other_members(), 1, random_);
+  if (asked.empty()) {
+    catching_up_ = false;
+    return;
+  }
+  next_catch_up_ = now + settings_.catch_up_retry;
+  next_sync_ = now + with_jitter(settings_.sync_interval, random_);
+  // An answer to the request alone proves nothing: one from before the pause may
+  // still wait in the socket, and a member that agrees sends none. The answer to
+  // a ping of now comes behind both.
+  const core::Address address = records_.find(asked.front())->gossip_address;
+  packets.push_back(make_packet(address, sync_request(false)));
+  const std::uint32_t sequence = probes_.next_sequence();
+  catch_up_pings_.insert(sequence);
+  packets.push_back(make_packet(address, wire::Ping{sequence, asked.front()}));
+}
+
 std::vector<core::Address> GossipState::unreached_addresses() const {
   std::set<core::Address> reached;
   std::set<core::Address> unreached(seeds_.begin(), seeds_.end());
--- a/src/controllers/routing_table_controller.cpp
+++ b/src/controllers/routing_table_controller.cpp
@@ -40,7 +40,9 @@
       time_(time),
       rebuilds_(metrics.counter("stoneport_routing_table_builds_total", "Routing tables built")),
       refusals_total_(metrics.counter("stoneport_refused_connections_total",
-                                      "Connections that back ends refused, as traffic told")) {}
+                                      "Connections that back ends refused, as traffic told")),
+      catch_ups_(metrics.counter("stoneport_routing_catch_ups_total",
+                                 "Times that the routing table waited for news after a pause")) {}
 
 void RoutingTableController::start() {
   alive_ = std::make_shared<bool>(true);
@@ -72,6 +74,17 @@
   std::erase_if(refusals_, [&](const auto& entry) { return now - entry.second > kRefusalLength; });
 }
 
+void RoutingTableController::update_freshness() {
+  const bool was_current = current_;
+  current_ = freshness_.update(gossip_.current(), time_.now());
+  if (current_ && !was_current) {
+    changed_ = true;  // traffic waits for it
+  }
+  if (was_current && !current_) {
+    catch_ups_.Increment();
+  }
+}
+
 void RoutingTableController::rebuild() {
   forget_old_refusals();
   const auto machines = machines_.machines();
@@ -82,6 +95,7 @@
   }
   auto table = std::make_shared<routing::RoutingTable>(build_routing_table(inputs));
   table->generation = ++generation_;
+  table->current_until = freshness_.current_until();
   publisher_.publish(std::move(table));
   rebuilds_.Increment();
   rebuilt_at_ = now;
@@ -90,6 +104,7 @@
 
 asio::awaitable<void> RoutingTableController::run(std::weak_ptr<bool> alive) {
   while (!alive.expired()) {
+    update_freshness();
     if (changed_ || time_.now() - rebuilt_at_ >= kLongestAge) {
       rebuild();
     }
--- a/src/controllers/routing_table_controller.hpp
+++ b/src/controllers/routing_table_controller.hpp
@@ -9,6 +9,7 @@
 #include "controllers/gossip_controller.hpp"
 #include "controllers/machine_list_controller.hpp"
 #include "controllers/replica_watcher.hpp"
+#include "controllers/routing_freshness.hpp"
 #include "controllers/routing_table_builder.hpp"
 #include "runtime/snapshot.hpp"
 
@@ -38,6 +39,7 @@
   boost::asio::awaitable<void> run(std::weak_ptr<bool> alive);
   void rebuild();
   void forget_old_refusals();
+  void update_freshness();
 
   boost::asio::any_io_executor executor_;
   MachineListController& machines_;
@@ -46,9 +48,12 @@
   const core::TimeSource& time_;
   prometheus::Counter& rebuilds_;
   prometheus::Counter& refusals_total_;
+  prometheus::Counter& catch_ups_;
   runtime::SnapshotPublisher<routing::RoutingTable> publisher_;
   Refusals refusals_;
   std::uint64_t generation_ = 0;
+  RoutingFreshness freshness_;
+  bool current_ = false;  ///< as the last freshness update said
   bool changed_ = true;
   core::MonotonicTime rebuilt_at_{};
   std::shared_ptr<bool> alive_;
--- a/src/filters/attempt_filter.cpp
+++ b/src/filters/attempt_filter.cpp
@@ -38,6 +38,14 @@
       co_return attempts.refuse(
           core::make_error(core::ErrorCode::kDeadlineExceeded, "the deadline has passed"));
     }
+    if (!pools_.current(now)) {
+      const core::Result<void> waited = co_await pools_.wait_until_current(time_);
+      if (!waited) {
+        co_return attempts.refuse(waited.error());
+      }
+      pools_.of_service(*request.service_template);  // takes the new table in
+      continue;
+    }
     routing::ChoiceRequest choice;
     choice.excluded = attempts.replicas;
     core::Result<routing::ChosenReplica> replica = pool.choose(choice, now);
--- a/src/filters/completion_filter.cpp
+++ b/src/filters/completion_filter.cpp
@@ -85,6 +85,12 @@
   pools_.of_model(completion.model).retry_budget().first_attempt(time_.now());
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
   while (true) {
+    if (!pools_.current(time_.now())) {
+      const core::Result<void> waited = co_await pools_.wait_until_current(time_);
+      if (!waited) {
+        co_return Refused{run.kind(), waited.error()};
+      }
+    }
     routing::ChoiceRequest choice;
     choice.prefixes = run.prefixes;
     choice.prompt_bytes = completion.prompt.size();
--- a/src/filters/replica_pools.cpp
+++ b/src/filters/replica_pools.cpp
@@ -1,8 +1,18 @@
 #include "filters/replica_pools.hpp"
 
 #include "routing/replica_choice.hpp"
+#include "runtime/tasks.hpp"
 
 namespace stoneport::filters {
+namespace {
+
+/// Longest wait of one request for a current table. Longer than a daemon that
+/// wakes needs to hear one answer, and than its wait when none comes.
+constexpr core::Duration kLongestTableWait = std::chrono::milliseconds(1500);
+constexpr core::Duration kTablePoll = std::chrono::milliseconds(20);
+constexpr core::Duration kRetryAfterStaleTable = std::chrono::seconds(1);
+
+}  // namespace
 
 routing::ReplicaPool& ReplicaPools::of_service(const config::ServiceTemplate& service) {
   routing::ReplicaPool& pool =
@@ -20,6 +30,20 @@
   return view_->get()->models.contains(model);
 }
 
+boost::asio::awaitable<core::Result<void>> ReplicaPools::wait_until_current(
+    const core::TimeSource& time) {
+  const core::MonotonicTime end = time.now() + kLongestTableWait;
+  while (!current(time.now())) {
+    if (time.now() >= end) {
+      co_return core::make_error(core::ErrorCode::kUnavailable,
+                                 "the daemon does not know yet which back ends are leaving",
+                                 kRetryAfterStaleTable);
+    }
+    co_await runtime::sleep_for(kTablePoll);
+  }
+  co_return core::Result<void>();
+}
+
 template <class Name>
 routing::ReplicaPool& ReplicaPools::updated(
     Pools<Name>& pools, const Name& name,
--- a/src/filters/replica_pools.hpp
+++ b/src/filters/replica_pools.hpp
@@ -3,6 +3,7 @@
 /// the routing table that the control thread publishes.
 #pragma once
 
+#include <boost/asio/awaitable.hpp>
 #include <unordered_map>
 
 #include "config/configuration.hpp"
@@ -33,6 +34,11 @@
   routing::ReplicaPool& of_model(const core::ModelName& model);
   /// \return whether the newest routing table names \p model.
   bool knows_model(const core::ModelName& model) const;
+  /// \return whether the newest routing table may be used for new work.
+  bool current(core::MonotonicTime now) const { return now <= view_->get()->current_until; }
+  /// Waits for a table that is current, for a short time.
+  /// \return kUnavailable with a time to try again when none came.
+  boost::asio::awaitable<core::Result<void>> wait_until_current(const core::TimeSource& time);
 
  private:
   template <class Name>
--- a/src/routing/routing_table.hpp
+++ b/src/routing/routing_table.hpp
@@ -50,6 +50,9 @@
 /// Replicas of each model and service, by name, each list in order of id.
 struct RoutingTable {
   std::uint64_t generation = 0;
+  /// The table is not to be used for new work after this: its process may have
+  /// been frozen and not know what has happened since.
+  core::MonotonicTime current_until = core::MonotonicTime::max();
   std::map<core::ModelName, std::vector<Replica>> models;
   std::map<core::ServiceName, std::vector<Replica>> services;
 };
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -51,10 +51,10 @@
   std::vector<rollout::EngineCandidate> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
-  if (known == nullptr) {
+  const core::MonotonicTime now = dependencies_.time.now();
+  if (known == nullptr || now > table->current_until) {
     return result;
   }
-  const core::MonotonicTime now = dependencies_.time.now();
   for (const routing::Replica& replica : *known) {
     if (!takes_new_work(replica)) {
       continue;
@@ -80,10 +80,10 @@
   std::vector<rollout::MigrationTarget> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
-  if (known == nullptr) {
+  const core::MonotonicTime now = dependencies_.time.now();
+  if (known == nullptr || now > table->current_until) {
     return result;
   }
-  const core::MonotonicTime now = dependencies_.time.now();
   for (const routing::Replica& replica : *known) {
     const Usage& own = usage(replica.id);
     const bool is_open = replica.state == routing::ReplicaState::kUsable && replica.digest &&
--- a/src/steps/engine_directory.hpp
+++ b/src/steps/engine_directory.hpp
@@ -20,7 +20,8 @@
  public:
   EngineDirectory(const StepDependencies& dependencies, core::RandomSource& random);
 
-  /// \return every engine of \p model that may get new streams.
+  /// \return every engine of \p model that may get new streams; none while the
+  /// routing table is not known to be current.
   std::vector<rollout::EngineCandidate> candidates(const core::ModelName& model);
   /// \return engines of \p model with room for a moved stream and weights that
   /// \p rule allows, given their reports.
--- a/tests/contract/caller_fixture.hpp
+++ b/tests/contract/caller_fixture.hpp
@@ -114,8 +114,10 @@
   /// Publishes a table with these replicas of "ledger". The first is of our own
   /// region and therefore taken first; the others are far.
   void use(const std::vector<core::Address>& addresses,
-           routing::ReplicaState state_of_first = routing::ReplicaState::kUsable) {
+           routing::ReplicaState state_of_first = routing::ReplicaState::kUsable,
+           core::MonotonicTime current_until = core::MonotonicTime::max()) {
     auto table = std::make_shared<routing::RoutingTable>();
+    table->current_until = current_until;
     std::vector<routing::Replica>& replicas = table->services[core::ServiceName("ledger")];
     for (std::size_t index = 0; index < addresses.size(); ++index) {
       routing::Replica replica;
--- a/tests/contract/caller_services_test.cpp
+++ b/tests/contract/caller_services_test.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST(a_deadline_in_the_queue_is_not_run);
   CPPUNIT_TEST(a_new_configuration_is_in_force_at_the_next_request);
   CPPUNIT_TEST(a_drain_cuts_nothing);
+  CPPUNIT_TEST(a_table_that_is_not_current_is_waited_for_and_not_used);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -319,6 +320,29 @@
     CPPUNIT_ASSERT_EQUAL(404u, fixture.call("GET", "/services/ledger/a").status);
   }
 
+  void a_table_that_is_not_current_is_waited_for_and_not_used() {
+    CallerFixture fixture;
+    FaultyBackEnd old_choice(fixture.context);
+    FaultyBackEnd new_choice(fixture.context);
+    const core::MonotonicTime past = core::SystemTimeSource().now() - std::chrono::seconds(1);
+    fixture.use({old_choice.address()}, routing::ReplicaState::kUsable, past);
+    std::optional<CallerView> refused;
+    fixture.start(get_with("X-Case", "no table comes"), refused);
+    fixture.run_until([&] { return refused.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(503u, refused->status);
+    CPPUNIT_ASSERT_EQUAL(std::string("not-run"), refused->outcome);
+    CPPUNIT_ASSERT(refused->headers.find("Retry-After").has_value());
+
+    std::optional<CallerView> answered;
+    fixture.start(get_with("X-Case", "a table comes"), answered);
+    fixture.run_until([&] { return fixture.handler.requests_in_flight() == 1; });
+    fixture.use({new_choice.address()});
+    fixture.run_until([&] { return answered.has_value(); });
+    CPPUNIT_ASSERT_EQUAL(200u, answered->status);
+    CPPUNIT_ASSERT_EQUAL(0, static_cast<int>(old_choice.runs));
+    CPPUNIT_ASSERT_EQUAL(1, static_cast<int>(new_choice.runs));
+  }
+
   void a_drain_cuts_nothing() {
     CallerFixture fixture;
     FaultyBackEnd back_end(fixture.context);
--- a/tests/system/request_system_test.cpp
+++ b/tests/system/request_system_test.cpp
@@ -21,6 +21,9 @@
 /// the statement "no new work after a few seconds".
 constexpr double kLatestWorkMs = 5000;
 
+/// Longer than any routing table is used without being confirmed.
+constexpr std::chrono::seconds kLongFreeze(5);
+
 HttpCall top_up(const core::Address& address, const std::string& key) {
   HttpCall call{address, {}};
   call.request.head.method = "POST";
@@ -44,6 +47,7 @@
   CPPUNIT_TEST(key_is_refused_while_the_store_is_down);
   CPPUNIT_TEST(leaving_back_end_while_the_list_lags);
   CPPUNIT_TEST(back_end_leaves_while_a_daemon_is_frozen);
+  CPPUNIT_TEST(woken_daemon_serves_when_no_other_answers);
   CPPUNIT_TEST(planned_stop_finishes_requests_in_flight);
   CPPUNIT_TEST_SUITE_END();
 
@@ -271,6 +275,25 @@
     });
   }
 
+  /// With the store and the other daemons gone, nobody can tell it anything.
+  void woken_daemon_serves_when_no_other_answers() {
+    constexpr std::size_t kFrozen = 1;
+    TestCluster cluster;
+    cluster.publish_examples();
+    cluster.signal_daemon(kFrozen, SIGSTOP);
+    cluster.kill_daemon(0);
+    cluster.kill_daemon(2);
+    cluster.set_fault("table_service", {{"disconnect", true}});
+    const auto frozen_at = std::chrono::steady_clock::now();
+    wait_until("every table of before the freeze is too old",
+               [&] { return std::chrono::steady_clock::now() - frozen_at > kLongFreeze; });
+    const auto answers = cluster.http().send_all(lookups(cluster.caller(kFrozen), 20),
+                                                 [&] { cluster.signal_daemon(kFrozen, SIGCONT); });
+    for (const HttpAnswer& answer : answers) {
+      CPPUNIT_ASSERT_MESSAGE(answer.body + answer.failure, answer.ok());
+    }
+  }
+
   void planned_stop_finishes_requests_in_flight() {
     TestCluster cluster;
     cluster.publish_examples();
--- a/tests/unit/controllers/gossip_state_test.cpp
+++ b/tests/unit/controllers/gossip_state_test.cpp
@@ -51,6 +51,8 @@
   CPPUNIT_TEST(a_frozen_process_accuses_nobody_when_it_wakes);
   CPPUNIT_TEST(a_process_marked_while_frozen_wakes_leaving);
   CPPUNIT_TEST(news_told_during_a_pause_is_caught_up_with_at_once);
+  CPPUNIT_TEST(a_woken_process_is_not_current_before_it_has_the_marks);
+  CPPUNIT_TEST(a_woken_process_alone_goes_on_asking);
   CPPUNIT_TEST(a_mark_outlasts_death_and_not_a_new_process);
   CPPUNIT_TEST(a_cut_heals_without_false_deaths_on_either_side);
   CPPUNIT_TEST(a_farewell_needs_no_timeout);
@@ -131,6 +133,39 @@
     }
   }
 
+  void a_woken_process_is_not_current_before_it_has_the_marks() {
+    for (std::uint64_t trial = 0; trial < 20; ++trial) {
+      Cluster cluster(8);
+      cluster.run(trial * 300ms);
+      GossipSimulation& simulation = cluster.simulation;
+      CPPUNIT_ASSERT(simulation.state(3).current(simulation.now()));
+      simulation.freeze(3);
+      cluster.run(2s);
+      for (int replica = 0; replica < 50; ++replica) {
+        simulation.state(1).mark_replica_draining(
+            {core::ReplicaId("engine-" + std::to_string(replica)), core::Incarnation(1)});
+      }
+      cluster.run(20s);
+      simulation.wake(3);
+      CPPUNIT_ASSERT(!simulation.state(3).current(simulation.now()));
+      cluster.until([&] { return simulation.state(3).current(simulation.now()); }, 1s);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{50}, simulation.state(3).records().drain_marks().size());
+    }
+  }
+
+  void a_woken_process_alone_goes_on_asking() {
+    Cluster cluster(2);
+    GossipSimulation& simulation = cluster.simulation;
+    simulation.freeze(0);
+    cluster.run(5s);
+    simulation.freeze(1);
+    simulation.wake(0);
+    cluster.run(2s);
+    CPPUNIT_ASSERT(!simulation.state(0).current(simulation.now()));
+    simulation.wake(1);
+    cluster.until([&] { return simulation.state(0).current(simulation.now()); }, 1s);
+  }
+
   void a_mark_outlasts_death_and_not_a_new_process() {
     Cluster cluster(5);
     cluster.simulation.state(2).announce_leaving();
