Refuse a taken port at the daemon's start

Cause: every server bound its port with SO_REUSEPORT, so that two daemons of one user on one port shared its requests silently.

Ruled out: one listening socket for all threads (wakes each of them for every connection) and a lock file (a second truth beside the port).

Change: Server::listen binds alone unless the address is asked for as shared, which the callers' listener alone does for its traffic threads. The daemon probes the callers' and trainers' ports at its start and the callers' again before they open. Not closed: two daemons that become ready in the same instant both pass.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -15,6 +15,14 @@
 
 constexpr core::Duration kReadyPollInterval = std::chrono::milliseconds(50);
 
+/// Ends the daemon when \p listening failed.
+void require_listener(const char* name, const core::Result<void>& listening) {
+  if (!listening) {
+    spdlog::critical("{} listener: {}", name, listening.error().message);
+    std::raise(SIGTERM);
+  }
+}
+
 }  // namespace
 
 Daemon::Daemon(config::DaemonSettings settings)
@@ -59,8 +67,20 @@
   return {};
 }
 
+/// These listeners open only when the daemon is ready.
+core::Result<void> Daemon::check_late_listeners() const {
+  core::Result<void> free = http::check_address_free(settings_.caller_listener);
+  if (free && settings_.trainer_listener) {
+    free = http::check_address_free(*settings_.trainer_listener);
+  }
+  return free;
+}
+
 core::Result<void> Daemon::start() {
-  core::Result<void> opened = control_.open();
+  core::Result<void> opened = check_late_listeners();
+  if (opened) {
+    opened = control_.open();
+  }
   if (opened) {
     opened = admin_.listen();
   }
@@ -86,24 +106,20 @@
   while (!control_.ready()) {
     co_await runtime::sleep_for(kReadyPollInterval);
   }
+  // The traffic threads share the address; with another process they must not.
+  const core::Result<void> free = http::check_address_free(settings_.caller_listener);
+  if (!free) {
+    require_listener("caller", free);
+    co_return;
+  }
   // Posted after the snapshots, so that the first request finds them in place.
   for (const auto& worker : traffic_workers_) {
-    asio::post(worker->executor(), [this, worker = worker.get()] {
-      const core::Result<void> listening = worker->listen();
-      if (!listening) {
-        spdlog::critical("caller listener: {}", listening.error().message);
-        std::raise(SIGTERM);
-      }
-    });
+    asio::post(worker->executor(),
+               [worker = worker.get()] { require_listener("caller", worker->listen()); });
   }
   if (steps_worker_) {
-    asio::post(steps_worker_->executor(), [this] {
-      const core::Result<void> listening = steps_worker_->listen();
-      if (!listening) {
-        spdlog::critical("trainer listener: {}", listening.error().message);
-        std::raise(SIGTERM);
-      }
-    });
+    asio::post(steps_worker_->executor(),
+               [this] { require_listener("trainer", steps_worker_->listen()); });
   }
   spdlog::info("serving at configuration revision {}",
                control_.configuration().record().revision.value());
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -34,6 +34,7 @@
   core::Result<void> run();
 
  private:
+  core::Result<void> check_late_listeners() const;
   core::Result<void> start();
   void stop_threads();
   boost::asio::awaitable<void> serve_when_ready();
--- a/src/daemon/traffic_worker.cpp
+++ b/src/daemon/traffic_worker.cpp
@@ -33,7 +33,7 @@
       server_(executor_, "caller", filters::caller_server_limits(), handler_, metrics) {}
 
 core::Result<void> TrafficWorker::listen() {
-  return server_.listen(address_);
+  return server_.listen(address_, http::AddressUse::kShared);
 }
 
 }  // namespace stoneport::daemon
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,34 @@
 
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+core::Result<asio::ip::tcp::endpoint> endpoint_of(const core::Address& address) {
+  boost::system::error_code error;
+  const asio::ip::address ip = asio::ip::make_address(address.ip, error);
+  if (error) {
+    return core::make_error(core::ErrorCode::kInvalidArgument, "not an IP number: " + address.ip);
+  }
+  return asio::ip::tcp::endpoint(ip, address.port);
+}
+
+core::Error cannot_listen(const core::Address& address, const boost::system::error_code& error) {
+  return core::make_error(core::ErrorCode::kUnavailable,
+                          "cannot listen on " + core::to_string(address) + ": " + error.message());
+}
+
+void bind_listener(asio::ip::tcp::acceptor& acceptor, const asio::ip::tcp::endpoint& endpoint,
+                   AddressUse use, boost::system::error_code& error) {
+  acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error && use == AddressUse::kShared) {
+    acceptor.set_option(ReusePort(true), error);
+  }
+  if (!error) {
+    acceptor.bind(endpoint, error);
+  }
+}
+
 /// Pause after a failed accept, most likely for want of file descriptors.
 constexpr core::Duration kAcceptPause = std::chrono::milliseconds(50);
 
@@ -89,20 +117,17 @@
     };
   }
 
-  core::Result<void> listen(const core::Address& address) {
-    boost::system::error_code error;
-    const asio::ip::address ip = asio::ip::make_address(address.ip, error);
-    if (error) {
-      return core::make_error(core::ErrorCode::kInvalidArgument, "not an IP number: " + address.ip);
+  core::Result<void> listen(const core::Address& address, AddressUse use) {
+    const core::Result<asio::ip::tcp::endpoint> endpoint = endpoint_of(address);
+    if (!endpoint) {
+      return endpoint.error();
     }
-    const asio::ip::tcp::endpoint endpoint(ip, address.port);
-    open_listener(endpoint, error);
+    boost::system::error_code error;
+    open_listener(*endpoint, use, error);
     if (error) {
       boost::system::error_code ignored;
       acceptor_.close(ignored);
-      return core::make_error(
-          core::ErrorCode::kUnavailable,
-          "cannot listen on " + core::to_string(address) + ": " + error.message());
+      return cannot_listen(address, error);
     }
     start_task(acceptor_.get_executor(), "http server accept", accept_loop(shared_from_this()));
     return {};
@@ -153,17 +178,9 @@
   std::size_t requests_in_flight() const { return state_->requests_in_flight; }
 
  private:
-  void open_listener(const asio::ip::tcp::endpoint& endpoint, boost::system::error_code& error) {
-    acceptor_.open(endpoint.protocol(), error);
-    if (!error) {
-      acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    }
-    if (!error) {
-      acceptor_.set_option(ReusePort(true), error);
-    }
-    if (!error) {
-      acceptor_.bind(endpoint, error);
-    }
+  void open_listener(const asio::ip::tcp::endpoint& endpoint, AddressUse use,
+                     boost::system::error_code& error) {
+    bind_listener(acceptor_, endpoint, use, error);
     if (!error) {
       acceptor_.listen(asio::socket_base::max_listen_connections, error);
     }
@@ -232,6 +249,21 @@
   core::Address last_address_;
 };
 
+core::Result<void> check_address_free(const core::Address& address) {
+  const core::Result<asio::ip::tcp::endpoint> endpoint = endpoint_of(address);
+  if (!endpoint) {
+    return endpoint.error();
+  }
+  asio::io_context context;
+  asio::ip::tcp::acceptor probe(context);
+  boost::system::error_code error;
+  bind_listener(probe, *endpoint, AddressUse::kExclusive, error);
+  if (error) {
+    return cannot_listen(address, error);
+  }
+  return {};
+}
+
 Server::Server(asio::any_io_executor executor, std::string name, ServerLimits limits,
                RequestHandler& handler, core::Metrics& metrics)
     : implementation_(std::make_shared<Implementation>(std::move(executor), std::move(name), limits,
@@ -243,8 +275,8 @@
   implementation_->abort();
 }
 
-core::Result<void> Server::listen(const core::Address& address) {
-  return implementation_->listen(address);
+core::Result<void> Server::listen(const core::Address& address, AddressUse use) {
+  return implementation_->listen(address, use);
 }
 core::Address Server::local_address() const {
   return implementation_->local_address();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// HTTP/1.1 server on one io_context. Each traffic thread owns one Server for
-/// the same address (SO_REUSEPORT); a Server and its connections live on that
-/// thread alone and take no lock.
+/// the same address (AddressUse::kShared); a Server and its connections live on
+/// that thread alone and take no lock.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -81,6 +81,17 @@
   HeaderMap refusal_headers = {};
 };
 
+/// Whether several servers may listen on one address, each getting a part of
+/// its connections.
+enum class AddressUse {
+  kExclusive,  ///< a second listener on the address is refused
+  kShared,     ///< with every other server that shares it, whatever its process
+};
+
+/// \return kUnavailable when anybody listens on \p address, shared or not. For
+/// one that will be shared within the process and with nobody else.
+core::Result<void> check_address_free(const core::Address& address);
+
 /// The handler must outlive the server and the last turn of its executor.
 class Server {
  public:
@@ -92,7 +103,8 @@
   Server& operator=(const Server&) = delete;
 
   /// Binds and accepts. Port 0 takes any free one.
-  core::Result<void> listen(const core::Address& address);
+  /// \return kUnavailable when the address is taken.
+  core::Result<void> listen(const core::Address& address, AddressUse use = AddressUse::kExclusive);
   core::Address local_address() const;
   /// Closes the listener; connections between requests close after the grace of
   /// ServerLimits, those within one finish it with "Connection: close".
--- a/tests/contract/http_server_test.cpp
+++ b/tests/contract/http_server_test.cpp
@@ -117,6 +117,7 @@
   CPPUNIT_TEST(client_that_leaves_is_noticed);
   CPPUNIT_TEST(pipelined_bytes_are_no_leaving);
   CPPUNIT_TEST(two_servers_share_an_address);
+  CPPUNIT_TEST(address_is_refused_unless_both_share_it);
   CPPUNIT_TEST(stop_answers_what_has_arrived);
   CPPUNIT_TEST(stop_lets_running_requests_finish);
   CPPUNIT_TEST(abort_resets_connections);
@@ -199,11 +200,36 @@
     CPPUNIT_ASSERT(answer.text.ends_with("{}"));
   }
 
+  struct TwoServers : ServerFixture {
+    http::Server first{context.get_executor(), "first", {}, handler, metrics};
+    http::Server second{context.get_executor(), "second", {}, handler, metrics};
+  };
+
   void two_servers_share_an_address() {
-    ServerFixture first;
-    http::Server second(first.context.get_executor(), "second", {}, first.handler, first.metrics);
-    CPPUNIT_ASSERT(second.listen(first.server.local_address()).has_value());
-    CPPUNIT_ASSERT_EQUAL(first.server.local_address().port, second.local_address().port);
+    TwoServers servers;
+    servers.first.listen({"127.0.0.1", 0}, http::AddressUse::kShared).value();
+    const core::Address address = servers.first.local_address();
+    CPPUNIT_ASSERT(servers.second.listen(address, http::AddressUse::kShared).has_value());
+    CPPUNIT_ASSERT_EQUAL(address.port, servers.second.local_address().port);
+  }
+
+  void address_is_refused_unless_both_share_it() {
+    constexpr auto kShared = http::AddressUse::kShared;
+    constexpr auto kExclusive = http::AddressUse::kExclusive;
+    const std::vector<std::pair<http::AddressUse, http::AddressUse>> cases = {
+        {kExclusive, kExclusive}, {kExclusive, kShared}, {kShared, kExclusive}};
+    for (const auto& [first_use, second_use] : cases) {
+      TwoServers servers;
+      servers.first.listen({"127.0.0.1", 0}, first_use).value();
+      const core::Address address = servers.first.local_address();
+      const core::Result<void> refused = servers.second.listen(address, second_use);
+      CPPUNIT_ASSERT(!refused);
+      CPPUNIT_ASSERT(refused.error().code == core::ErrorCode::kUnavailable);
+      CPPUNIT_ASSERT(!http::check_address_free(address));
+      servers.first.abort();
+      CPPUNIT_ASSERT(http::check_address_free(address).has_value());
+      CPPUNIT_ASSERT(servers.second.listen(address, second_use).has_value());
+    }
   }
 
   void stop_answers_what_has_arrived() {
