--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -92,7 +92,8 @@
 /// one that will be shared within the process and with nobody else.
 core::Result<void> check_address_free(const core::Address& address);
 
-/// The handler must outlive the server and the last turn of its executor.
+/// The handler and the metrics must outlive the server and the execution context
+/// of its executor: connections that end with the context still count.
 class Server {
  public:
   /// \param name label of the server's metrics, such as "caller"
