Take the straggler's lengths and addresses from one place

Cause: the daemon and the simulation each gathered finished and running lengths for the same decision, so that one could drift from the other, and stoneport-bench had a second reader of "ip:port".

Change: rollout::observed_lengths() serves both; bench reads addresses by config::parse_address() and refuses port 0 as before. An IPv6 number now needs its brackets there, as in every other setting.

--- a/src/bench/command_line.cpp
+++ b/src/bench/command_line.cpp
@@ -1,30 +1,20 @@
 #include "bench/command_line.hpp"
 
-#include <boost/asio/ip/address.hpp>
 #include <iostream>
 
 #include "bench/commands.hpp"
-#include "core/numbers.hpp"
+#include "config/value_codec.hpp"
 
 namespace stoneport::bench {
 
 core::Result<core::Address> parse_address(const std::string& text) {
-  const auto wrong = core::make_error(core::ErrorCode::kInvalidArgument,
-                                      "'" + text + "' is not an address of the form ip:port");
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+  const core::Error wrong = core::make_error(
+      core::ErrorCode::kInvalidArgument, "'" + text + "' is not an address of the form ip:port");
+  const std::optional<core::Address> address = config::parse_address(text);
+  if (!address || address->port == 0) {
     return wrong;
   }
-  core::Address address;
-  address.ip = text.substr(0, colon);
-  boost::system::error_code error;
-  boost::asio::ip::make_address(address.ip, error);
-  const auto port = core::parse_number<std::uint16_t>(std::string_view(text).substr(colon + 1));
-  if (error || !port || *port == 0) {
-    return wrong;
-  }
-  address.port = *port;
-  return address;
+  return *address;
 }
 
 int report_usage_error(const std::string& command, const std::string& message) {
--- a/src/bench/simulation/simulated_step.cpp
+++ b/src/bench/simulation/simulated_step.cpp
@@ -317,14 +317,8 @@
     return;
   }
   const rollout::StragglerInput input = straggler_input();
-  std::vector<std::uint64_t> finished = finished_lengths_;
-  finished.insert(finished.end(), earlier_lengths_.begin(), earlier_lengths_.end());
-  std::vector<std::uint64_t> running;
-  for (const rollout::RunningSample& sample : input.running) {
-    running.push_back(sample.tokens_so_far);
-  }
-  const rollout::LengthDistribution lengths(std::move(finished), std::move(running),
-                                            trainer_.length.longest);
+  const rollout::LengthDistribution lengths = rollout::observed_lengths(
+      input, finished_lengths_, earlier_lengths_, trainer_.length.longest);
   rollout::StragglerSettings settings;
   settings.migrate = variant.migration;
   apply(rollout::decide_stragglers(input, lengths, settings));
--- a/src/rollout/stragglers.cpp
+++ b/src/rollout/stragglers.cpp
@@ -145,4 +145,17 @@
   return decision;
 }
 
+LengthDistribution observed_lengths(const StragglerInput& input,
+                                    std::vector<std::uint64_t> finished,
+                                    const std::vector<std::uint64_t>& earlier,
+                                    std::uint64_t longest) {
+  finished.insert(finished.end(), earlier.begin(), earlier.end());
+  std::vector<std::uint64_t> running;
+  running.reserve(input.running.size());
+  for (const RunningSample& sample : input.running) {
+    running.push_back(sample.tokens_so_far);
+  }
+  return LengthDistribution(std::move(finished), std::move(running), longest);
+}
+
 }  // namespace stoneport::rollout
--- a/src/rollout/stragglers.hpp
+++ b/src/rollout/stragglers.hpp
@@ -87,4 +87,13 @@
 StragglerDecision decide_stragglers(const StragglerInput& input, const LengthDistribution& lengths,
                                     const StragglerSettings& settings);
 
+/// \param finished lengths in tokens of this step's finished samples
+/// \param earlier of samples that finished in steps before
+/// \param longest length in tokens at which engines stop a sample
+/// \return the lengths that those and the running samples of \p input tell of.
+LengthDistribution observed_lengths(const StragglerInput& input,
+                                    std::vector<std::uint64_t> finished,
+                                    const std::vector<std::uint64_t>& earlier,
+                                    std::uint64_t longest);
+
 }  // namespace stoneport::rollout
--- a/src/steps/step_work_stragglers.cpp
+++ b/src/steps/step_work_stragglers.cpp
@@ -54,15 +54,9 @@
   if (input.running.empty()) {
     return;
   }
-  std::vector<std::uint64_t> finished = finished_lengths_;
-  const std::vector<std::uint64_t>& earlier = context_.events[plan_.event].lengths;
-  finished.insert(finished.end(), earlier.begin(), earlier.end());
-  std::vector<std::uint64_t> running;
-  for (const rollout::RunningSample& sample : input.running) {
-    running.push_back(sample.tokens_so_far);
-  }
-  const rollout::LengthDistribution lengths(std::move(finished), std::move(running),
-                                            rules_.event_template.max_tokens);
+  const rollout::LengthDistribution lengths =
+      rollout::observed_lengths(input, finished_lengths_, context_.events[plan_.event].lengths,
+                                rules_.event_template.max_tokens);
   rollout::StragglerSettings settings;
   settings.migrate = rules_.event_template.allow_migration;
   const rollout::StragglerDecision decision = rollout::decide_stragglers(input, lengths, settings);
