--- a/tests/contract/http_streaming_test.cpp
+++ b/tests/contract/http_streaming_test.cpp
@@ -16,14 +16,14 @@
   /// lost or doubled piece of any usual size shows.
   static std::string_view bytes_at(std::uint64_t position, std::size_t length) {
     constexpr std::size_t kPeriod = 65521;
-    static const std::string kBytes = [] {
+    static const std::string periods = [] {
       std::string bytes;
       for (std::size_t index = 0; index < 4 * kPeriod; ++index) {
         bytes.push_back(static_cast<char>((index % kPeriod * 2654435761u) >> 13));
       }
       return bytes;
     }();
-    return std::string_view(kBytes).substr(position % kPeriod, length);
+    return std::string_view(periods).substr(position % kPeriod, length);
   }
   asio::awaitable<core::Result<std::optional<std::string>>> next() override {
     const std::uint64_t length = std::min<std::uint64_t>(kBodyBytes - made, 100000);
