Mend two findings of the lint in the tests

A name copied where a reference does, and a loop whose end the lint could not see: the caller's loop now also ends when no work is left, in place of spinning. The lint passes on both files.

--- a/tests/support/http_caller.cpp
+++ b/tests/support/http_caller.cpp
@@ -61,8 +61,7 @@
     on_sent();
     context_.restart();
   }
-  while (open > 0) {
-    context_.run_one();
+  while (open > 0 && context_.run_one() > 0) {
   }
   return answers;
 }
--- a/tests/system/request_system_test.cpp
+++ b/tests/system/request_system_test.cpp
@@ -186,7 +186,7 @@
     cluster.publish_examples();
     cluster.set_fault("machine_list", {{"frozen", true}});
     const auto load = start_load(cluster, "4000");
-    const std::string leaving = kLookupReplicas[0];
+    const std::string& leaving = kLookupReplicas[0];
     cluster.emulator_send("POST", "/control/back_ends/" + leaving + "/leave");
     const HttpAnswer drained = cluster.http().send(
         cluster.admin(2), "POST", "/v1/operator/replicas/" + leaving + "/drain", json::object());
