--- a/src/emulator/http_answers.cpp
+++ b/src/emulator/http_answers.cpp
@@ -1,8 +1,7 @@
 #include "emulator/http_answers.hpp"
 
-#include "core/numbers.hpp"
-
 #include "core/json_text.hpp"
+#include "core/numbers.hpp"
 
 namespace stoneport::emulator {
 namespace {
