Build the trainer's refusals by fmt

g++ 12 took the concatenation for an access out of bounds (-Warray-bounds, its known false positive); the texts are unchanged and the file compiles without a warning.

--- a/src/steps/trainer_messages.cpp
+++ b/src/steps/trainer_messages.cpp
@@ -1,5 +1,7 @@
 #include "steps/trainer_messages.hpp"
 
+#include <fmt/format.h>
+
 #include <limits>
 #include <nlohmann/json.hpp>
 
@@ -51,7 +53,7 @@
   std::string text(const char* name) {
     const auto found = object_.find(name);
     if (found == object_.end() || !found->is_string()) {
-      fail(std::string(name) + " must be a string");
+      fail(fmt::format("{} must be a string", name));
       return "";
     }
     return found->get<std::string>();
@@ -59,8 +61,7 @@
 
   std::vector<std::string> texts(const char* name, std::size_t most) {
     const auto found = object_.find(name);
-    const std::string rule =
-        std::string(name) + " must be a list of 1 to " + std::to_string(most) + " strings";
+    const std::string rule = fmt::format("{} must be a list of 1 to {} strings", name, most);
     if (found == object_.end() || !found->is_array() || found->empty() || found->size() > most) {
       fail(rule);
       return {};
