Make the proof of a woken process's marks able to fail

Cause: the test of what a woken process knows stayed green with the catch-up off and with marks not going first: answers came within one tick of the simulation, and the news of the marks waited in the frozen socket.

Change: an answer takes more than a tick, the marks are made once the others hold the frozen process for dead, and every other trial is short of bytes.

--- a/tests/unit/controllers/gossip_state_test.cpp
+++ b/tests/unit/controllers/gossip_state_test.cpp
@@ -18,7 +18,8 @@
 
 class Cluster {
  public:
-  explicit Cluster(std::size_t members, double loss = 0) : simulation(settings(members, loss)) {
+  explicit Cluster(std::size_t members, double loss = 0) : Cluster(settings(members, loss)) {}
+  explicit Cluster(const GossipSimulationSettings& settings) : simulation(settings) {
     until([&] { return simulation.converged(); }, 60s);
   }
   void until(const std::function<bool()>& condition, core::Duration limit) {
@@ -135,12 +136,18 @@
 
   void a_woken_process_is_not_current_before_it_has_the_marks() {
     for (std::uint64_t trial = 0; trial < 20; ++trial) {
-      Cluster cluster(8);
+      GossipSimulationSettings settings;
+      settings.members = 8;
+      settings.latency = 120ms;  // an answer takes more than a tick
+      // In every other trial nobody ever has the bytes for a whole answer.
+      settings.gossip.bytes_per_second = trial % 2 == 0 ? 6000 : 2000;
+      Cluster cluster(settings);
       cluster.run(trial * 300ms);
       GossipSimulation& simulation = cluster.simulation;
       CPPUNIT_ASSERT(simulation.state(3).current(simulation.now()));
       simulation.freeze(3);
-      cluster.run(2s);
+      // Dead to the others, so that no news of the marks waits in its socket.
+      cluster.until([&] { return cluster.sees(1, 3).state == MemberState::kDead; }, 30s);
       for (int replica = 0; replica < 50; ++replica) {
         simulation.state(1).mark_replica_draining(
             {core::ReplicaId("engine-" + std::to_string(replica)), core::Incarnation(1)});
