--- a/tests/system/weights_system_test.cpp
+++ b/tests/system/weights_system_test.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint16_t kTableServicePort = 20001;
 constexpr std::uint64_t kOldVersion = 1;
 constexpr std::uint64_t kNewVersion = 2;
-/// Refuses the swap more often than one owner tries in the time of the test's faults.
+/// Refuses its first swaps, so that it must be ordered to swap again.
 const char* const kFailingEngine = "proposal-sululta-hall-1";
 constexpr int kSwapFailures = 3;
 
