Tell cancelled streams from finished ones

Cause: the list of streams named both alike. A replacement adopted cancelled streams, read an end without a whole text and started their slots anew only after the first pause.

Change: the list carries finish_reason (null while a stream runs). The port passes it on; an engine that does not send it is read as before. A replacement leaves cancelled streams alone and counts them in stoneport_streams_found_cancelled_total; their slots are idle at once. The fake engine of the unit tests lists cancelled streams as the emulator does, where it hid them.

Ruled out: leaving cancelled streams out of the list. The trainer's side of an exported stream and operators still want to see them.

--- a/src/emulator/engine_listener.cpp
+++ b/src/emulator/engine_listener.cpp
@@ -134,9 +134,12 @@
   const std::string prefix = http::query_parameter(request.head.target, "prefix").value_or("");
   json streams = json::array();
   for (const EngineStream* stream : model_->streams(prefix)) {
-    streams.push_back({{"stream_id", stream->request.stream.value()},
-                       {"token_count", stream->generated},
-                       {"finished", stream->state == StreamState::kFinished}});
+    const bool is_finished = stream->state == StreamState::kFinished;
+    streams.push_back(
+        {{"stream_id", stream->request.stream.value()},
+         {"token_count", stream->generated},
+         {"finished", is_finished},
+         {"finish_reason", is_finished ? json(finish_name(stream->finish)) : json()}});
   }
   return json_answer(200, {{"streams", std::move(streams)}});
 }
--- a/src/emulator/engine_listener_streams.cpp
+++ b/src/emulator/engine_listener_streams.cpp
@@ -1,7 +1,6 @@
 /// \file
 /// The routes of EngineListener that carry the tokens of a stream.
 #include <algorithm>
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 
 #include "emulator/engine_listener.hpp"
@@ -19,11 +18,6 @@
 constexpr std::size_t kLongestRequest = std::size_t{16} << 20;
 constexpr core::Duration kExportFetchTimeout = std::chrono::seconds(5);
 
-std::string_view finish_name(StreamFinish finish) {
-  constexpr std::array<std::string_view, 3> kNames = {"stop", "length", "cancelled"};
-  return kNames.at(static_cast<std::size_t>(finish));
-}
-
 struct CompletionBody {
   StreamRequest request;
   std::string model;
--- a/src/emulator/engine_messages.hpp
+++ b/src/emulator/engine_messages.hpp
@@ -2,7 +2,9 @@
 /// JSON forms of engine settings, faults and requests.
 #pragma once
 
+#include <array>
 #include <string>
+#include <string_view>
 
 #include "emulator/engine_model.hpp"
 #include "emulator/json_fields.hpp"
@@ -88,6 +90,12 @@
   visitor("size_bytes", exported.size_bytes);
 }
 
+/// \return the word for \p finish in the engine's dialect.
+inline std::string_view finish_name(StreamFinish finish) {
+  constexpr std::array<std::string_view, 3> kNames = {"stop", "length", "cancelled"};
+  return kNames.at(static_cast<std::size_t>(finish));
+}
+
 struct ImportBody {
   std::string handle;
   std::string source_ip;
--- a/src/platform/engine_codec.cpp
+++ b/src/platform/engine_codec.cpp
@@ -147,6 +147,9 @@
     status.stream = core::StreamId(element.text("stream_id"));
     status.token_count = element.whole("token_count");
     status.finished = element.flag("finished");
+    if (element.has("finish_reason")) {
+      status.finish_reason = decode_finish_reason(element);
+    }
     streams.push_back(std::move(status));
   }
   return streams;
--- a/src/platform/model_engine.hpp
+++ b/src/platform/model_engine.hpp
@@ -62,6 +62,8 @@
   core::StreamId stream;
   std::uint64_t token_count = 0;
   bool finished = false;
+  /// Why it ended; nothing while it runs, or when the engine does not say.
+  std::optional<FinishReason> finish_reason = std::nullopt;
 };
 
 /// Handle to a stream's KV cache, exported by one engine for another.
--- a/src/steps/step_metrics.cpp
+++ b/src/steps/step_metrics.cpp
@@ -35,6 +35,9 @@
       samples_unfit(samples(metrics, "unfit")),
       attempts_started(attempts(metrics, "started")),
       attempts_adopted(attempts(metrics, "adopted")),
+      streams_found_cancelled(
+          counter(metrics, "streams_found_cancelled",
+                  "Streams of an earlier owner that were left because they were cancelled")),
       attempts_refused(attempts(metrics, "refused")),
       attempts_failed(attempts(metrics, "failed")),
       attempts_cancelled_too_old(attempts(metrics, "cancelled_too_old")),
--- a/src/steps/step_metrics.hpp
+++ b/src/steps/step_metrics.hpp
@@ -24,6 +24,7 @@
   prometheus::Counter& samples_unfit;
   prometheus::Counter& attempts_started;
   prometheus::Counter& attempts_adopted;
+  prometheus::Counter& streams_found_cancelled;
   prometheus::Counter& attempts_refused;
   prometheus::Counter& attempts_failed;
   prometheus::Counter& attempts_cancelled_too_old;
--- a/src/steps/stream_search.cpp
+++ b/src/steps/stream_search.cpp
@@ -24,7 +24,9 @@
   if (listed) {
     for (const platform::StreamStatus& status : *listed) {
       if (const auto name = rollout::parse_stream_id(status.stream)) {
-        search->found.push_back(FoundStream{*name, replica, status.token_count, status.finished});
+        const bool is_cancelled = status.finish_reason == platform::FinishReason::kCancelled;
+        search->found.push_back(
+            FoundStream{*name, replica, status.token_count, status.finished, is_cancelled});
       }
     }
   }
@@ -54,6 +56,9 @@
   std::erase_if(result, [&](const FoundStream& stream) {
     return stream.name.event != event || stream.name.step != step || stream.name.content != content;
   });
+  const std::size_t cancelled =
+      std::erase_if(result, [](const FoundStream& stream) { return stream.cancelled; });
+  context.metrics.streams_found_cancelled.Increment(static_cast<double>(cancelled));
   std::sort(result.begin(), result.end(), [](const FoundStream& left, const FoundStream& right) {
     return left.token_count != right.token_count ? left.token_count > right.token_count
                                                  : left.name < right.name;
--- a/src/steps/stream_search.hpp
+++ b/src/steps/stream_search.hpp
@@ -16,11 +16,13 @@
   routing::Replica engine;
   std::uint64_t token_count = 0;
   bool finished = false;
+  bool cancelled = false;  ///< ended without its text being whole
 };
 
 /// Asks all engines of \p model at once. An engine that does not answer within
 /// the rebuild limit counts as having none: its work is then made again.
-/// \return streams of the step with the same content, the longest first.
+/// \return streams of the step with the same content, the longest first, without
+/// cancelled ones: these hold nothing that could be read to its end.
 boost::asio::awaitable<std::vector<FoundStream>> find_streams(StepContext& context,
                                                               core::ModelName model,
                                                               core::EventName event,
--- a/tests/contract/platform_model_engine_contract.cpp
+++ b/tests/contract/platform_model_engine_contract.cpp
@@ -313,6 +313,7 @@
     const auto listed = fixture.run(fixture.engine(0)->list_streams("event/1/"));
     CPPUNIT_ASSERT(listed && listed->size() == 1);
     CPPUNIT_ASSERT(listed->front().stream == kStream && listed->front().finished);
+    CPPUNIT_ASSERT(listed->front().finish_reason == whole.end->reason);
     CPPUNIT_ASSERT(fixture.run(fixture.engine(0)->cancel_stream(kStream)));
     CPPUNIT_ASSERT(fixture.run(fixture.engine(0)->cancel_stream(core::StreamId("none"))));
   }
--- a/tests/support/fake_model_engine.hpp
+++ b/tests/support/fake_model_engine.hpp
@@ -249,10 +249,17 @@
   }
   std::vector<platform::StreamStatus> found;
   for (const auto& [id, state] : streams) {
-    const bool is_live = !state.cancelled && !state.exported;
-    if (is_live && id.value().starts_with(prefix)) {
-      found.push_back(platform::StreamStatus{id, state.text.size(), state.finished()});
+    if (!id.value().starts_with(prefix)) {
+      continue;
     }
+    platform::StreamStatus status{id, state.text.size(), state.finished()};
+    if (state.cancelled || state.exported) {
+      status.finished = true;
+      status.finish_reason = platform::FinishReason::kCancelled;
+    } else if (state.finished()) {
+      status.finish_reason = platform::FinishReason::kStop;
+    }
+    found.push_back(std::move(status));
   }
   co_return found;
 }
