Serve events and steps to operators and warm scheduled events

Cause: stoneportctl events called a route that nobody served, and an event's scheduled start had no effect.

Change: GET /v1/operator/events lists the events in force, their phase and the steps of the answering daemon, fetched from the steps thread. A controller on the control thread follows each scheduled event through its warm-up: the newest weights on every engine, the configuration at every member, and a connection from the steps' own client to every engine, opened late, spread, and kept open. An event that starts before all was warm is counted. The contract test of the events view now runs against the real route in place of a canned answer.

Ruled out: ordering weights in the warm-up as well (docs/design/event-start.md).

--- a/src/ctl/view_commands.cpp
+++ b/src/ctl/view_commands.cpp
@@ -21,12 +21,25 @@
 
 std::string events_text(const nlohmann::json& body) {
   nlohmann::json rows = nlohmann::json::array();
+  nlohmann::json steps = nlohmann::json::array();
   for (const nlohmann::json& event : body["events"]) {
     nlohmann::json row = event;
-    row["steps"] = event.value("steps", nlohmann::json::array()).size();
+    const nlohmann::json own = event.value("steps", nlohmann::json::array());
+    row["steps"] = own.size();
     rows.push_back(std::move(row));
+    for (nlohmann::json step : own) {
+      step["event"] = event.value("event", nlohmann::json());
+      steps.push_back(std::move(step));
+    }
+  }
+  std::string text = format_objects(rows, {"event", "tenant", "policy", "steps", "phase",
+                                           "scheduled_start", "template", "age_bound"});
+  if (!steps.empty()) {
+    text += "\n" + format_objects(
+                       steps, {"event", "step", "epoch", "samples_expected", "samples_held",
+                               "samples_ready", "running_attempts", "oldest_staleness", "since"});
   }
-  return format_objects(rows, {"event", "tenant", "policy", "steps"});
+  return text;
 }
 
 /// One row a replica; a policy without replicas has one row of its own.
--- a/src/daemon/admin_interface.cpp
+++ b/src/daemon/admin_interface.cpp
@@ -24,8 +24,9 @@
 }  // namespace
 
 AdminInterface::AdminInterface(ControlPlane& control, controllers::DrainController& drain,
-                               const config::DaemonSettings& settings, const core::TimeSource& time,
-                               core::Metrics& metrics)
+                               const config::DaemonSettings& settings,
+                               std::shared_ptr<controllers::OperatorEventContext> events,
+                               const core::TimeSource& time, core::Metrics& metrics)
     : control_(control),
       drain_(drain),
       settings_(settings),
@@ -34,6 +35,7 @@
       peer_server_(control.executor(), "peer", http::ServerLimits(), peer_router_, metrics) {
   add_health_routes();
   add_operator_routes(time);
+  controllers::register_operator_event_route(admin_router_, std::move(events));
   controllers::register_operator_configuration_routes(admin_router_, control.configuration());
   controllers::register_configuration_peer_routes(peer_router_, control.configuration());
 }
--- a/src/daemon/admin_interface.hpp
+++ b/src/daemon/admin_interface.hpp
@@ -5,6 +5,7 @@
 
 #include "config/settings.hpp"
 #include "controllers/drain_controller.hpp"
+#include "controllers/operator_events.hpp"
 #include "daemon/control_plane.hpp"
 #include "http/router.hpp"
 #include "http/server.hpp"
@@ -14,8 +15,9 @@
 class AdminInterface {
  public:
   AdminInterface(ControlPlane& control, controllers::DrainController& drain,
-                 const config::DaemonSettings& settings, const core::TimeSource& time,
-                 core::Metrics& metrics);
+                 const config::DaemonSettings& settings,
+                 std::shared_ptr<controllers::OperatorEventContext> events,
+                 const core::TimeSource& time, core::Metrics& metrics);
 
   /// Binds both listeners.
   core::Result<void> listen();
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -25,8 +25,10 @@
              [this] { runtime::start(control_.executor(), "drain", drain_and_stop()); }),
       drain_timeouts_(metrics_.counter("stoneport_drain_timeouts_total",
                                        "Planned stops that cut off work in flight")),
-      admin_(control_, drain_, settings_, time_, metrics_),
-      observer_(control_) {
+      admin_(control_, drain_, settings_, event_context(), time_, metrics_),
+      observer_(control_),
+      event_warm_up_(control_.executor(), event_warm_up_inputs(), control_.gossip(),
+                     control_.policy_versions(), time_, metrics_) {
   const std::uint64_t seed = core::hash64(settings_.node.value(), control_.incarnation().value());
   for (std::uint32_t index = 0; index < settings_.traffic_threads; ++index) {
     traffic_threads_.push_back(
@@ -59,6 +61,36 @@
   return {};
 }
 
+std::shared_ptr<controllers::OperatorEventContext> Daemon::event_context() {
+  auto context = std::make_shared<controllers::OperatorEventContext>();
+  context->control = control_.executor();
+  context->configuration = [this] { return control_.configuration().snapshots().current(); };
+  context->steps = [this] { return step_reports(); };
+  context->warm_up = [this](const core::EventName& event) { return event_warm_up_.find(event); };
+  return context;
+}
+
+asio::awaitable<std::vector<rollout::StepReport>> Daemon::step_reports() {
+  std::vector<rollout::StepReport> reports;
+  if (steps_worker_) {
+    asio::awaitable<std::vector<rollout::StepReport>> task = steps_worker_->reports();
+    reports = co_await runtime::run_on(steps_worker_->executor(), std::move(task));
+  }
+  co_return reports;
+}
+
+controllers::EventWarmUpInputs Daemon::event_warm_up_inputs() {
+  controllers::EventWarmUpInputs inputs;
+  inputs.configuration = [this] { return control_.configuration().snapshots().current(); };
+  inputs.routing = [this] { return control_.routing().current(); };
+  if (settings_.trainer_listener) {
+    inputs.reach = [this](const core::Address& address) {
+      return runtime::run_on(steps_worker_->executor(), steps_worker_->reach(address));
+    };
+  }
+  return inputs;
+}
+
 core::Result<void> Daemon::start() {
   core::Result<void> opened = control_.open();
   if (opened) {
@@ -77,6 +109,7 @@
   asio::post(control_.executor(), [this] {
     control_.start();
     drain_.start();
+    event_warm_up_.start();
   });
   runtime::start(control_.executor(), "serve-when-ready", serve_when_ready());
   return {};
@@ -125,6 +158,7 @@
     spdlog::warn("drain: work was still in flight after {} s",
                  core::to_seconds(settings_.drain_timeout));
   }
+  event_warm_up_.stop();
   co_await admin_.stop();
   co_await control_.stop();
   spdlog::info("drained");
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config/settings.hpp"
+#include "controllers/event_warm_up_controller.hpp"
 #include "core/metrics.hpp"
 #include "core/time.hpp"
 #include "daemon/admin_interface.hpp"
@@ -35,6 +36,10 @@
 
  private:
   core::Result<void> start();
+  std::shared_ptr<controllers::OperatorEventContext> event_context();
+  /// \return the state of the steps thread's open steps; none without that thread.
+  boost::asio::awaitable<std::vector<rollout::StepReport>> step_reports();
+  controllers::EventWarmUpInputs event_warm_up_inputs();
   void stop_threads();
   boost::asio::awaitable<void> serve_when_ready();
   /// Stops accepting, waits for what is in flight, hands over, ends run().
@@ -61,6 +66,7 @@
   ControlReplicaObserver observer_;
   std::vector<std::unique_ptr<TrafficWorker>> traffic_workers_;
   std::unique_ptr<StepsWorker> steps_worker_;
+  controllers::EventWarmUpController event_warm_up_;
 };
 
 }  // namespace stoneport::daemon
--- a/src/daemon/steps_worker.cpp
+++ b/src/daemon/steps_worker.cpp
@@ -44,6 +44,16 @@
   return server_.listen(address_);
 }
 
+asio::awaitable<std::vector<rollout::StepReport>> StepsWorker::reports() const {
+  co_return service_.reports();
+}
+
+asio::awaitable<bool> StepsWorker::reach(core::Address address) {
+  const std::shared_ptr<platform::ModelEngine> engine = engines_.engine_at(std::move(address));
+  const core::Result<platform::EngineReport> report = co_await engine->report();
+  co_return report.has_value();
+}
+
 asio::awaitable<bool> StepsWorker::wait_until_idle(core::Duration limit) {
   const bool steps_ended = co_await service_.wait_until_idle(limit);
   server_.stop_accepting();
--- a/src/daemon/steps_worker.hpp
+++ b/src/daemon/steps_worker.hpp
@@ -25,6 +25,11 @@
 
   const boost::asio::any_io_executor& executor() const { return executor_; }
   core::Result<void> listen();
+  /// \return the state of each open step.
+  boost::asio::awaitable<std::vector<rollout::StepReport>> reports() const;
+  /// Opens a connection of the steps' client to an engine, or uses a kept one.
+  /// \return whether the engine answered.
+  boost::asio::awaitable<bool> reach(core::Address address);
   /// Takes no new steps. The listener stays open: the trainer fetches the samples
   /// of the open ones through it.
   void stop_accepting() { service_.begin_drain(); }
--- a/src/rollout/step_ledger.cpp
+++ b/src/rollout/step_ledger.cpp
@@ -123,4 +123,15 @@
                     [](const Slot& entry) { return !entry.held && entry.sample.has_value(); }));
 }
 
+std::optional<core::WeightVersion> StepLedger::oldest_ready() const {
+  std::optional<core::WeightVersion> oldest;
+  for (const Slot& entry : slots_) {
+    if (!entry.held && entry.sample) {
+      const core::WeightVersion version = oldest_version(entry.sample->spans);
+      oldest = oldest ? std::min(*oldest, version) : version;
+    }
+  }
+  return oldest;
+}
+
 }  // namespace stoneport::rollout
--- a/src/rollout/step_ledger.hpp
+++ b/src/rollout/step_ledger.hpp
@@ -78,6 +78,8 @@
 
   std::size_t held_count() const { return held_count_; }
   std::size_t ready_count() const;
+  /// \return the oldest version in a sample that is ready; nothing without one.
+  std::optional<core::WeightVersion> oldest_ready() const;
   bool all_held() const { return held_count_ == slots_.size(); }
 
  private:
--- a/src/steps/step_runner.cpp
+++ b/src/steps/step_runner.cpp
@@ -37,7 +37,8 @@
       plan_(std::move(plan)),
       work_(std::make_shared<StepWork>(context, plan_, std::move(rules), listener())),
       changed_(context.dependencies.executor),
-      last_heard_(context.now()) {}
+      last_heard_(context.now()),
+      opened_at_(context.dependencies.time.wall_now()) {}
 
 StepWork::Listener StepRunner::listener() {
   // The work calls only until it is stopped, and stop() is called before this
@@ -214,6 +215,22 @@
   return is_complete || now - last_heard_ > kSilentTrainer;
 }
 
+rollout::StepReport StepRunner::report() const {
+  rollout::StepReport report;
+  report.event = plan_.event;
+  report.step = plan_.step;
+  report.epoch = plan_.epoch;
+  report.samples_expected = plan_.content.shape().slot_count();
+  report.samples_held = work_->ledger().held_count();
+  report.samples_ready = work_->ledger().ready_count();
+  report.running_attempts = work_->running_attempts();
+  if (const auto oldest = work_->oldest_version()) {
+    report.oldest_staleness = work_->age_rule().age_of(*oldest);
+  }
+  report.since = opened_at_;
+  return report;
+}
+
 core::Error StepRunner::stop_error() const {
   if (stopped_ == StepStop::kFenced) {
     return core::make_error(core::ErrorCode::kFenced, "a higher epoch is in force for this step");
--- a/src/steps/step_runner.hpp
+++ b/src/steps/step_runner.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 
+#include "rollout/step_report.hpp"
 #include "steps/signal.hpp"
 #include "steps/step_work.hpp"
 
@@ -58,6 +59,7 @@
   bool is_finished() const;
   bool all_held() { return work_->ledger().all_held(); }
   std::size_t running_attempts() const { return work_->running_attempts(); }
+  rollout::StepReport report() const;
 
  private:
   // Tasks are handed the pointer that keeps this object: they may start later.
@@ -78,6 +80,7 @@
   std::uint64_t newest_poll_ = 0;
   std::uint32_t polls_waiting_ = 0;
   core::MonotonicTime last_heard_;
+  const core::WallTime opened_at_;
   std::optional<core::MonotonicTime> completed_at_;  ///< the last sample was handed over
   bool counted_complete_ = false;
   bool begun_ = false;
--- a/src/steps/step_service.cpp
+++ b/src/steps/step_service.cpp
@@ -172,6 +172,16 @@
   context_.metrics.steps_open.Set(static_cast<double>(runners_.size()));
 }
 
+std::vector<rollout::StepReport> StepService::reports() const {
+  std::vector<rollout::StepReport> reports;
+  for (const auto& [key, runner] : runners_) {
+    if (!runner->stopped()) {
+      reports.push_back(runner->report());
+    }
+  }
+  return reports;
+}
+
 void StepService::begin_drain() {
   if (!draining_) {
     draining_ = true;
--- a/src/steps/step_service.hpp
+++ b/src/steps/step_service.hpp
@@ -61,6 +61,8 @@
   /// \return whether that happened within \p limit.
   boost::asio::awaitable<bool> wait_until_idle(core::Duration limit);
   std::size_t open_steps() const { return runners_.size(); }
+  /// \return the state of each step that is worked on, in order of event and step.
+  std::vector<rollout::StepReport> reports() const;
 
  private:
   boost::asio::awaitable<void> acquire_epoch();
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -128,6 +128,17 @@
   return is_spare(slot) ? group_is_open(slot.prompt) : ledger_.is_missing(slot);
 }
 
+std::optional<core::WeightVersion> StepWork::oldest_version() const {
+  std::optional<core::WeightVersion> oldest = ledger_.oldest_ready();
+  for (const auto& [key, attempt] : attempts_) {
+    const auto own = attempt->content().oldest();
+    if (own && (!oldest || *own < *oldest)) {
+      oldest = own;
+    }
+  }
+  return oldest;
+}
+
 void StepWork::end_unneeded() {
   for (const auto& [key, attempt] : attempts_) {
     if (!attempt->is_stopping() && !is_needed(key.first)) {
--- a/src/steps/step_work.hpp
+++ b/src/steps/step_work.hpp
@@ -50,6 +50,8 @@
   rollout::AgeRule age_rule();
   const EventRules& rules();
   std::size_t running_attempts() const { return attempts_.size(); }
+  /// \return the oldest version in ready samples and running attempts.
+  std::optional<core::WeightVersion> oldest_version() const;
 
  private:
   using AttemptKey = std::pair<core::SlotId, std::uint32_t>;
--- a/tests/contract/operator_api_examples_test.cpp
+++ b/tests/contract/operator_api_examples_test.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <sstream>
 
+#include "config/value_codec.hpp"
 #include "support/configuration_daemon.hpp"
 #include "support/fake_table_service.hpp"
 #include "support/run_task.hpp"
@@ -65,6 +66,7 @@
     self.zone = core::ZoneName("bole-hall");
     support::ConfigurationDaemon daemon(context.get_executor(), table, members, self,
                                         support::quick_options());
+    daemon.steps = {example_step()};
     const std::vector<Block> blocks = read_blocks("docs/api/operators.md");
     CPPUNIT_ASSERT(blocks.size() >= 20 && blocks.size() % 2 == 0);
     for (std::size_t index = 0; index < blocks.size(); index += 2) {
@@ -82,6 +84,21 @@
   }
 
  private:
+  /// The step that the page shows as open.
+  static rollout::StepReport example_step() {
+    rollout::StepReport step;
+    step.event = core::EventName("compounds");
+    step.step = core::StepNumber(12);
+    step.epoch = core::Epoch(3);
+    step.samples_expected = 64;
+    step.samples_held = 40;
+    step.samples_ready = 2;
+    step.running_attempts = 22;
+    step.oldest_staleness = 1;
+    step.since = *config::parse_wall_time("2026-12-02T08:00:00Z");
+    return step;
+  }
+
   static http::Response call(boost::asio::io_context& context, support::ConfigurationDaemon& daemon,
                              const Block& block) {
     http::Request request;
--- a/tests/contract/operator_commands_test.cpp
+++ b/tests/contract/operator_commands_test.cpp
@@ -147,10 +147,15 @@
   }
 
   void views() {
+    daemon_->steps = {open_step(12), open_step(13)};
     loop_->run();
+    check({{"template", "publish", "examples/compound-proposals.toml"}, ExitCode::kOk, "", ""});
+    check({{"parameters", "publish", "examples/compounds.toml"}, ExitCode::kOk, "", ""});
     check({{"status"}, ExitCode::kOk, "zone   bole-hall", ""});
     check({{"members"}, ExitCode::kOk, "node-1  alive", ""});
-    check({{"events"}, ExitCode::kOk, "compounds  abay    p       2", ""});
+    check(
+        {{"events"}, ExitCode::kOk, "compounds  abay    proposal-policy  2      unscheduled", ""});
+    check({{"events"}, ExitCode::kOk, "compounds  12    3      64", ""});
     check({{"weights"}, ExitCode::kOk, "p       7       e-1      6        false", ""});
     check({{"weights", "--output", "json"}, ExitCode::kOk, "\"newest\": 7", ""});
     check({{"drain", "node 9"}, ExitCode::kOk, "node 9 is draining", ""});
@@ -175,6 +180,15 @@
   }
 
  private:
+  static rollout::StepReport open_step(std::uint64_t number) {
+    rollout::StepReport step;
+    step.event = core::EventName("compounds");
+    step.step = core::StepNumber(number);
+    step.epoch = core::Epoch(3);
+    step.samples_expected = 64;
+    return step;
+  }
+
   static wire::Member member(const std::string& node) {
     wire::Member self;
     self.node = core::NodeId(node);
@@ -194,8 +208,6 @@
     add_view("GET", "/v1/operator/status", R"({"zone":"bole-hall","ready":true})");
     add_view("GET", "/v1/operator/members",
              R"({"members":[{"node":"node-1","state":"alive","zone":"a"}]})");
-    add_view("GET", "/v1/operator/events",
-             R"({"events":[{"event":"compounds","tenant":"abay","policy":"p","steps":[{},{}]}]})");
     add_view("GET", "/v1/operator/weights",
              R"({"policies":[{"policy":"p","newest":7,)"
              R"("replicas":[{"replica":"e-1","version":6,"swapping":false}]}]})");
--- a/tests/support/step_world.hpp
+++ b/tests/support/step_world.hpp
@@ -79,6 +79,10 @@
 
   /// A daemon of its own; several share the engines.
   std::unique_ptr<steps::StepService> daemon(const std::string& node = "node") {
+    return daemon(node, metrics);
+  }
+  /// A daemon whose counters are apart from those of the others.
+  std::unique_ptr<steps::StepService> daemon(const std::string& node, core::Metrics& own_metrics) {
     steps::StepSettings settings;
     settings.sweep_interval = std::chrono::milliseconds(2);
     settings.straggler_interval = std::chrono::milliseconds(2);
@@ -92,7 +96,7 @@
                                          scoring,
                                          publisher,
                                          epochs,
-                                         metrics,
+                                         own_metrics,
                                          time,
                                          core::NodeId(node),
                                          7,
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -172,6 +172,17 @@
              [&] { return http_.get(admin(daemon), "/readyz").ok(); });
 }
 
+double TestCluster::metric_of(std::size_t daemon, const std::string& series) {
+  std::istringstream lines(http_.get(admin(daemon), "/metrics").body);
+  const std::string start = series + " ";
+  for (std::string line; std::getline(lines, line);) {
+    if (line.starts_with(start)) {
+      return std::stod(line.substr(start.size()));
+    }
+  }
+  return 0;
+}
+
 std::uint64_t TestCluster::revision_of(std::size_t daemon) {
   const auto status = http_.get(admin(daemon), "/v1/operator/status").document();
   return status.is_object() ? status.value("configuration_revision", std::uint64_t{0}) : 0;
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -46,6 +46,8 @@
   bool daemon_running(std::size_t daemon) { return daemons_[daemon]->running(); }
   void wait_until_ready(std::size_t daemon);
   std::uint64_t revision_of(std::size_t daemon);
+  /// \return the value of \p series in the daemon's metrics, zero when it has none.
+  double metric_of(std::size_t daemon, const std::string& series);
   /// Waits until each of \p daemons has \p revision in force.
   void wait_until_in_force(std::uint64_t revision, const std::vector<std::size_t>& daemons);
 
--- a/tests/unit/controllers/weights_controller_test.cpp
+++ b/tests/unit/controllers/weights_controller_test.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "support/fake_policy_versions.hpp"
 #include "support/reporting_engine.hpp"
 
 namespace stoneport::controllers {
@@ -27,20 +28,6 @@
   void on_change(std::function<void()>) override {}
 };
 
-class FixedVersions : public PolicyVersions {
- public:
-  core::WeightVersion version;
-  boost::asio::awaitable<core::Result<void>> publish(core::PolicyName,
-                                                     core::WeightVersion) override {
-    co_return core::Result<void>{};
-  }
-  core::WeightVersion newest(const core::PolicyName&) const override { return version; }
-  std::map<core::PolicyName, core::WeightVersion> all() const override {
-    return {{kPolicy, version}};
-  }
-  void on_change(std::function<void()>) override {}
-};
-
 class FixedOwnership : public FencedOwnership {
  public:
   std::set<std::string> wanted;
@@ -186,7 +173,7 @@
   core::Metrics metrics_;
   ReplicaReports reports_;
   FixedMembership membership_;
-  FixedVersions versions_;
+  support::FakePolicyVersions versions_;
   FixedOwnership ownership_;
   FixedWeightStore store_;
   std::shared_ptr<support::ReportingEngine> engine_;
--- a/tests/unit/steps/step_service_test.cpp
+++ b/tests/unit/steps/step_service_test.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(step_completes_under_each_fault);
   CPPUNIT_TEST(lost_answer_is_handed_over_again);
   CPPUNIT_TEST(replacement_resumes_streams);
+  CPPUNIT_TEST(replacement_leaves_cancelled_streams);
+  CPPUNIT_TEST(reports_tell_the_state_of_open_steps);
   CPPUNIT_TEST(replacement_ignores_another_step_s_streams);
   CPPUNIT_TEST(woken_daemon_is_fenced_by_the_trainer);
   CPPUNIT_TEST(woken_daemon_is_fenced_by_an_engine);
@@ -121,6 +123,72 @@
     CPPUNIT_ASSERT_EQUAL(6u, world.generations());
   }
 
+  void replacement_leaves_cancelled_streams() {
+    StepWorld world;
+    for (const auto& engine : world.engines) {
+      engine->tokens_allowed = 6;
+    }
+    TestTrainer trainer(world, 3, 2);
+    const auto first = world.daemon("first");
+    trainer.open(*first);
+    trainer.poll(*first, kNoWait);
+    CPPUNIT_ASSERT(world.run_until([&] { return world.generations() == 6; }));
+    std::size_t cancelled = 0;
+    for (const auto& engine : world.engines) {
+      for (auto& [id, stream] : engine->streams) {
+        stream.cancelled = cancelled < 2;
+        cancelled += stream.cancelled ? 1 : 0;
+      }
+      engine->tokens_allowed = 100;
+    }
+    core::Metrics metrics;
+    const auto second = world.daemon("second", metrics);
+    trainer.poll(*second, kNoWait);
+    trainer.open(*second);
+    CPPUNIT_ASSERT(trainer.complete(*second));
+    CPPUNIT_ASSERT(trainer.is_clean());
+    const auto attempts = [&metrics](const char* event) {
+      return metrics.counter("stoneport_attempts_total", "", {{"event", event}}).Value();
+    };
+    CPPUNIT_ASSERT_EQUAL(4.0, attempts("adopted"));
+    CPPUNIT_ASSERT_EQUAL(2.0, attempts("started"));
+    CPPUNIT_ASSERT_EQUAL(0.0, attempts("failed"));
+    CPPUNIT_ASSERT_EQUAL(2.0,
+                         metrics.counter("stoneport_streams_found_cancelled_total", "").Value());
+  }
+
+  void reports_tell_the_state_of_open_steps() {
+    StepWorld world;
+    for (const auto& engine : world.engines) {
+      engine->tokens_allowed = 6;
+    }
+    const auto daemon = world.daemon();
+    CPPUNIT_ASSERT(daemon->reports().empty());
+    TestTrainer trainer(world, 3, 2);
+    trainer.open(*daemon);
+    trainer.poll(*daemon, kNoWait);
+    trainer.version = core::WeightVersion(2);
+    CPPUNIT_ASSERT(world.run_until([&] {
+      daemon->observe_version(trainer.key, trainer.version);
+      const auto reports = daemon->reports();
+      return reports.size() == 1 && reports[0].running_attempts == 6 &&
+             reports[0].oldest_staleness == 1u;
+    }));
+    for (const auto& engine : world.engines) {
+      engine->tokens_allowed = 100;
+    }
+    CPPUNIT_ASSERT(world.run_until([&] { return daemon->reports()[0].samples_ready == 6; }));
+    const rollout::StepReport ready = daemon->reports()[0];
+    CPPUNIT_ASSERT(ready.event == trainer.key.event && ready.step == trainer.key.step);
+    CPPUNIT_ASSERT(ready.epoch == trainer.epoch_seen && ready.samples_expected == 6);
+    CPPUNIT_ASSERT(ready.since <= world.time.wall_now() && ready.oldest_staleness == 1u);
+    CPPUNIT_ASSERT(trainer.complete(*daemon));
+    trainer.poll(*daemon, kNoWait);
+    const rollout::StepReport held = daemon->reports()[0];
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, held.samples_held);
+    CPPUNIT_ASSERT(held.samples_ready == 0 && !held.oldest_staleness);
+  }
+
   void replacement_ignores_another_step_s_streams() {
     StepWorld world;
     TestTrainer trainer(world, 1, 2);
