--- a/tests/unit/steps/step_service_test.cpp
+++ b/tests/unit/steps/step_service_test.cpp
@@ -96,16 +96,22 @@
     CPPUNIT_ASSERT_EQUAL(4u, world.generations());
   }
 
-  void replacement_resumes_streams() {
-    StepWorld world;
+  /// Opens a step of six samples whose streams stop in the middle.
+  static void start_and_hold_streams(StepWorld& world, TestTrainer& trainer,
+                                     steps::StepService& daemon) {
     for (const auto& engine : world.engines) {
       engine->tokens_allowed = 6;
     }
+    trainer.open(daemon);
+    trainer.poll(daemon, kNoWait);
+    CPPUNIT_ASSERT(world.run_until([&] { return world.generations() == 6; }));
+  }
+
+  void replacement_resumes_streams() {
+    StepWorld world;
     TestTrainer trainer(world, 3, 2);
     const auto first = world.daemon("first");
-    trainer.open(*first);
-    trainer.poll(*first, kNoWait);
-    CPPUNIT_ASSERT(world.run_until([&] { return world.generations() == 6; }));
+    start_and_hold_streams(world, trainer, *first);
     // A daemon that has just started knows no engines yet.
     const auto table = world.routing.current();
     world.routing.publish(std::make_shared<routing::RoutingTable>());
@@ -125,14 +131,9 @@
 
   void replacement_leaves_cancelled_streams() {
     StepWorld world;
-    for (const auto& engine : world.engines) {
-      engine->tokens_allowed = 6;
-    }
     TestTrainer trainer(world, 3, 2);
     const auto first = world.daemon("first");
-    trainer.open(*first);
-    trainer.poll(*first, kNoWait);
-    CPPUNIT_ASSERT(world.run_until([&] { return world.generations() == 6; }));
+    start_and_hold_streams(world, trainer, *first);
     std::size_t cancelled = 0;
     for (const auto& engine : world.engines) {
       for (auto& [id, stream] : engine->streams) {
