--- a/src/bench/command_line.cpp
+++ b/src/bench/command_line.cpp
@@ -1,30 +1,20 @@
 #include "bench/command_line.hpp"
 
-#include <boost/asio/ip/address.hpp>
-#include <charconv>
 #include <iostream>
 
 #include "bench/commands.hpp"
+#include "config/value_codec.hpp"
 
 namespace stoneport::bench {
 
 core::Result<core::Address> parse_address(const std::string& text) {
-  const auto wrong = core::make_error(core::ErrorCode::kInvalidArgument,
-                                      "'" + text + "' is not an address of the form ip:port");
-  const std::size_t colon = text.rfind(':');
-  if (colon == std::string::npos) {
+  const core::Error wrong = core::make_error(
+      core::ErrorCode::kInvalidArgument, "'" + text + "' is not an address of the form ip:port");
+  const std::optional<core::Address> address = config::parse_address(text);
+  if (!address || address->port == 0) {
     return wrong;
   }
-  core::Address address;
-  address.ip = text.substr(0, colon);
-  boost::system::error_code error;
-  boost::asio::ip::make_address(address.ip, error);
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data() + colon + 1, end, address.port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end || address.port == 0) {
-    return wrong;
-  }
-  return address;
+  return *address;
 }
 
 int report_usage_error(const std::string& command, const std::string& message) {
@@ -33,4 +23,18 @@
   return kExitUsage;
 }
 
+int run_with_options(CommandLine line, int argument_count, char** arguments,
+                     int (*execute)(const cxxopts::ParseResult& parsed)) {
+  try {
+    const cxxopts::ParseResult parsed = line.options.parse(argument_count, arguments);
+    if (parsed.count("help") > 0) {
+      std::cout << line.options.help() << line.examples;
+      return kExitSuccess;
+    }
+    return execute(parsed);
+  } catch (const cxxopts::exceptions::exception& error) {
+    return report_usage_error(line.command, error.what());
+  }
+}
+
 }  // namespace stoneport::bench
--- a/src/bench/scale_run_command.cpp
+++ b/src/bench/scale_run_command.cpp
@@ -27,6 +27,7 @@
       cxxopts::value<std::uint32_t>()->default_value("20"))(
       "join", "gossip address, ip:port, of a real daemon to run beside; repeatable",
       cxxopts::value<std::vector<std::string>>())(
+      "virtual", "in virtual time, without sockets: bytes and times alone")(
       "seed", "", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "json", "print one JSON object")("help", "print this text");
   return options;
@@ -50,12 +51,26 @@
             << " B/s a member\n";
 }
 
+void print_virtual_measurement(const ScaleMeasurement& one) {
+  std::cout << one.members << " members in virtual time: joined " << seconds_text(one.join)
+            << " s, " << one.bytes_per_second << " B/s a member\n"
+            << "  to reach all, s: revision " << seconds_text(one.quiet.revision) << ", drain mark "
+            << seconds_text(one.quiet.drain_mark) << ", a tenth killed known "
+            << seconds_text(one.failures_known) << "; busiest member and second "
+            << one.bytes_per_second_after_kill << " B\n";
+}
+
 bool reached_all(const ScaleMeasurement& one) {
   return one.join && one.quiet.revision && one.quiet.policy && one.quiet.drain_mark &&
          one.after_kill.revision && one.after_kill.policy && one.after_kill.drain_mark &&
          one.failures_known;
 }
 
+/// What is measured in virtual time is fewer.
+bool reached_all_in_virtual_time(const ScaleMeasurement& one) {
+  return one.join && one.quiet.revision && one.quiet.drain_mark && one.failures_known;
+}
+
 core::Result<HollowClusterSettings> read_settings(const cxxopts::ParseResult& parsed) {
   HollowClusterSettings settings;
   settings.threads = std::max(1u, parsed["threads"].as<std::uint32_t>());
@@ -73,52 +88,52 @@
   return settings;
 }
 
-}  // namespace
-
-int run_scale_run_command(int argument_count, char** arguments) {
-  cxxopts::Options options = make_options();
-  try {
-    const cxxopts::ParseResult parsed = options.parse(argument_count, arguments);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help();
-      return kExitSuccess;
-    }
-    const auto settings = read_settings(parsed);
-    if (!settings) {
-      return report_usage_error("scale-run", settings.error().message);
+int execute(const cxxopts::ParseResult& parsed) {
+  const auto settings = read_settings(parsed);
+  if (!settings) {
+    return report_usage_error("scale-run", settings.error().message);
+  }
+  const bool as_json = parsed.count("json") > 0;
+  std::vector<ScaleMeasurement> measurements;
+  bool ok = true;
+  for (const std::uint32_t size : parsed["sizes"].as<std::vector<std::uint32_t>>()) {
+    if (size < 2 || size > kMostMembers) {
+      return report_usage_error("scale-run", "a size is from 2 to 330");
     }
-    const bool as_json = parsed.count("json") > 0;
-    std::vector<ScaleMeasurement> measurements;
-    bool ok = true;
-    for (const std::uint32_t size : parsed["sizes"].as<std::vector<std::uint32_t>>()) {
-      if (size < 2 || size > kMostMembers) {
-        return report_usage_error("scale-run", "a size is from 2 to 330");
-      }
-      HollowClusterSettings sized = *settings;
-      sized.members = size;
-      const auto measured =
-          measure_scale(sized, std::chrono::seconds(parsed["window"].as<std::uint32_t>()));
-      if (!measured) {
-        std::cerr << "stoneport-bench scale-run: " << measured.error().message << "\n";
-        return kExitGuaranteeBroken;
-      }
-      ok = ok && reached_all(*measured);
-      measurements.push_back(*measured);
-      if (!as_json) {
-        print_measurement(*measured);
-      }
+    HollowClusterSettings sized = *settings;
+    sized.members = size;
+    const core::Duration window = std::chrono::seconds(parsed["window"].as<std::uint32_t>());
+    const bool in_virtual_time = parsed.count("virtual") > 0;
+    const core::Result<ScaleMeasurement> measured =
+        in_virtual_time
+            ? core::Result<ScaleMeasurement>(measure_scale_in_virtual_time(size, sized.seed))
+            : measure_scale(sized, window);
+    if (!measured) {
+      std::cerr << "stoneport-bench scale-run: " << measured.error().message << "\n";
+      return kExitGuaranteeBroken;
     }
-    nlohmann::json json = to_json(measurements);
-    if (as_json) {
-      json["ok"] = ok;
-      std::cout << json.dump() << std::endl;
-    } else {
-      std::cout << "slopes: " << json["slopes"].dump() << "\n";
+    ok = ok && (in_virtual_time ? reached_all_in_virtual_time(*measured) : reached_all(*measured));
+    measurements.push_back(*measured);
+    if (!as_json && in_virtual_time) {
+      print_virtual_measurement(*measured);
+    } else if (!as_json) {
+      print_measurement(*measured);
     }
-    return ok ? kExitSuccess : kExitGuaranteeBroken;
-  } catch (const cxxopts::exceptions::exception& error) {
-    return report_usage_error("scale-run", error.what());
   }
+  nlohmann::json json = to_json(measurements);
+  if (as_json) {
+    json["ok"] = ok;
+    std::cout << json.dump() << std::endl;
+  } else {
+    std::cout << "slopes: " << json["slopes"].dump() << "\n";
+  }
+  return ok ? kExitSuccess : kExitGuaranteeBroken;
+}
+
+}  // namespace
+
+int run_scale_run_command(int argument_count, char** arguments) {
+  return run_with_options({"scale-run", make_options()}, argument_count, arguments, execute);
 }
 
 }  // namespace stoneport::bench
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -35,6 +35,7 @@
   core::Result<void> run();
 
  private:
+  core::Result<void> check_late_listeners() const;
   core::Result<void> start();
   std::shared_ptr<controllers::OperatorEventContext> event_context();
   /// \return the state of the steps thread's open steps; none without that thread.
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "steps/backoff.hpp"
+#include "core/backoff.hpp"
 
 namespace stoneport::steps {
 namespace {
@@ -51,10 +51,10 @@
   std::vector<rollout::EngineCandidate> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
-  if (known == nullptr) {
+  const core::MonotonicTime now = dependencies_.time.now();
+  if (known == nullptr || now > table->current_until) {
     return result;
   }
-  const core::MonotonicTime now = dependencies_.time.now();
   for (const routing::Replica& replica : *known) {
     if (!takes_new_work(replica)) {
       continue;
@@ -80,10 +80,10 @@
   std::vector<rollout::MigrationTarget> result;
   const auto table = dependencies_.routing->get();
   const auto* known = replicas(*table, model);
-  if (known == nullptr) {
+  const core::MonotonicTime now = dependencies_.time.now();
+  if (known == nullptr || now > table->current_until) {
     return result;
   }
-  const core::MonotonicTime now = dependencies_.time.now();
   for (const routing::Replica& replica : *known) {
     const Usage& own = usage(replica.id);
     const bool is_open = replica.state == routing::ReplicaState::kUsable && replica.digest &&
@@ -152,11 +152,9 @@
   if (now < own.closed_until) {
     return;  // one refusal for all streams that were on their way
   }
-  ++own.failures;
-  core::Duration pause =
-      backoff_after(own.failures, settings.backoff_first, settings.backoff_longest, random_);
+  core::Duration pause = core::backoff_delay(settings.backoff, own.failures++, random_);
   if (retry_after) {
-    pause = std::clamp(*retry_after, pause, settings.backoff_longest);
+    pause = std::clamp(*retry_after, pause, settings.backoff.longest);
   }
   own.closed_until = now + pause;
 }
