--- a/src/controllers/operator_routes.cpp
+++ b/src/controllers/operator_routes.cpp
@@ -139,6 +139,7 @@
   router.add("GET", "/v1/operator/replicas", on_control(context, answer_replicas));
   router.add("GET", "/v1/operator/weights", on_control(context, answer_weights));
   router.add("GET", "/v1/operator/status", on_control(context, answer_status));
+  router.add("GET", "/status", on_control(context, answer_status));
   router.add("POST", "/v1/operator/members/{node}/drain", on_control(context, drain_member));
   router.add("POST", "/v1/operator/replicas/{id}/drain", on_control(context, drain_replica));
 }
--- a/src/controllers/operator_routes.hpp
+++ b/src/controllers/operator_routes.hpp
@@ -34,7 +34,7 @@
   std::function<std::string()> store_state;
 };
 
-/// Adds `GET /v1/operator/{members,weights,status,replicas}`,
+/// Adds `GET /status`, `GET /v1/operator/{members,weights,status,replicas}`,
 /// `POST /v1/operator/members/{node}/drain` and
 /// `POST /v1/operator/replicas/{id}/drain`.
 void register_operator_routes(http::Router& router, std::shared_ptr<OperatorContext> context);
--- a/tests/contract/peer_control_plane_test.cpp
+++ b/tests/contract/peer_control_plane_test.cpp
@@ -274,6 +274,7 @@
     CPPUNIT_ASSERT_EQUAL(4, policy.at("newest").get<int>());
     CPPUNIT_ASSERT_EQUAL(3, policy.at("replicas").at(1).at("version").get<int>());
     const Json status = get("/v1/operator/status");
+    CPPUNIT_ASSERT_EQUAL(status.dump(), get("/status").dump());
     CPPUNIT_ASSERT_EQUAL(std::string("node-0"), status.at("node").get<std::string>());
     CPPUNIT_ASSERT(status.at("ready").get<bool>());
     CPPUNIT_ASSERT_EQUAL(3, status.at("members").get<int>());
--- a/tests/system/request_system_test.cpp
+++ b/tests/system/request_system_test.cpp
@@ -237,7 +237,7 @@
     constexpr std::size_t kFrozen = 1;
     TestCluster cluster;
     cluster.publish_examples();
-    const std::string leaving = kLookupReplicas[kFrozen];
+    const std::string& leaving = kLookupReplicas[kFrozen];
     cluster.set_fault("machine_list", {{"frozen", true}});
     // Before the freeze, the daemon uses the replica.
     cluster.http().send_all(lookups(cluster.caller(kFrozen), 60), nullptr);
