--- a/src/bench/simulation/weight_distribution.cpp
+++ b/src/bench/simulation/weight_distribution.cpp
@@ -111,9 +111,9 @@
     rollout_.on_order_failed(order.replica);
     return;
   }
-  if (const auto* prefetch = std::get_if<platform::PrefetchVersion>(&order.order)) {
+  if (const auto* prefetch = std::get_if<ports::PrefetchVersion>(&order.order)) {
     fetch(index, prefetch->version);
-  } else if (const auto* loading = std::get_if<platform::LoadVersion>(&order.order)) {
+  } else if (const auto* loading = std::get_if<ports::LoadVersion>(&order.order)) {
     load(index, loading->version);
   }
 }
--- a/src/controllers/claim_record.cpp
+++ b/src/controllers/claim_record.cpp
@@ -3,12 +3,12 @@
 #include <nlohmann/json.hpp>
 
 #include "http/message.hpp"
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
 namespace stoneport::controllers {
 namespace {
 using nlohmann::json;
-using platform::JsonFields;
+using ports::JsonFields;
 
 json encode_outcome(const StoredOutcome& outcome) {
   json value = {{"status", outcome.status}, {"content_type", outcome.content_type}};
@@ -53,14 +53,14 @@
     outcomes.push_back(encode_outcome(*record.outcome));
   }
   const auto claimed_at = static_cast<std::uint64_t>(record.claimed_at.time_since_epoch().count());
-  return platform::encode_json({{"claim", record.claim.value()},
-                                {"fingerprint", record.fingerprint},
-                                {"claimed_at_ms", claimed_at},
-                                {"outcome", std::move(outcomes)}});
+  return ports::encode_json({{"claim", record.claim.value()},
+                             {"fingerprint", record.fingerprint},
+                             {"claimed_at_ms", claimed_at},
+                             {"outcome", std::move(outcomes)}});
 }
 
 core::Result<ClaimRecord> parse_claim(const std::string& text) {
-  return platform::decode_json(text, decode_claim);
+  return ports::decode_json(text, decode_claim);
 }
 
 std::string claim_row_key(const filters::ClaimKey& key) {
--- a/src/controllers/configuration_controller.cpp
+++ b/src/controllers/configuration_controller.cpp
@@ -12,7 +12,7 @@
 
 namespace asio = boost::asio;
 using config::AdoptionVerdict;
-using platform::TablePriority;
+using ports::TablePriority;
 
 constexpr int kMostAttempts = 8;
 constexpr int kMostReadings = 3;
@@ -51,9 +51,8 @@
 }  // namespace
 
 ConfigurationController::ConfigurationController(asio::any_io_executor executor,
-                                                 platform::TableService& table,
-                                                 Membership& membership, http::Client& client,
-                                                 const core::TimeSource& time,
+                                                 ports::TableService& table, Membership& membership,
+                                                 http::Client& client, const core::TimeSource& time,
                                                  core::Metrics& metrics,
                                                  ConfigurationOptions options)
     : executor_(executor),
--- a/src/controllers/configuration_controller.hpp
+++ b/src/controllers/configuration_controller.hpp
@@ -23,7 +23,7 @@
 #include "controllers/membership.hpp"
 #include "core/metrics.hpp"
 #include "core/random.hpp"
-#include "platform/table_service.hpp"
+#include "ports/table_service.hpp"
 #include "runtime/snapshot.hpp"
 
 namespace stoneport::controllers {
@@ -57,7 +57,7 @@
 
 class ConfigurationController {
  public:
-  ConfigurationController(boost::asio::any_io_executor executor, platform::TableService& table,
+  ConfigurationController(boost::asio::any_io_executor executor, ports::TableService& table,
                           Membership& membership, http::Client& client,
                           const core::TimeSource& time, core::Metrics& metrics,
                           ConfigurationOptions options);
@@ -98,10 +98,9 @@
   boost::asio::awaitable<void> run_store_loop();
   boost::asio::awaitable<void> look_at_peers();
   boost::asio::awaitable<core::Result<void>> ask_peer(wire::Member peer);
-  boost::asio::awaitable<core::Result<ConfigurationHead>> ask_store(
-      platform::TablePriority priority);
+  boost::asio::awaitable<core::Result<ConfigurationHead>> ask_store(ports::TablePriority priority);
   boost::asio::awaitable<core::Result<void>> read_newer(ConfigurationHead head, Reach reach,
-                                                        platform::TablePriority priority);
+                                                        ports::TablePriority priority);
   boost::asio::awaitable<core::Result<PublishOutcome>> try_publish(config::PublishRequest request);
   boost::asio::awaitable<core::Result<PublishOutcome>> carry_out(config::PublishCommit commit,
                                                                  ConfigurationHead head);
--- a/src/controllers/configuration_store.cpp
+++ b/src/controllers/configuration_store.cpp
@@ -10,7 +10,7 @@
 namespace asio = boost::asio;
 using config::DocumentKey;
 using config::DocumentRecord;
-using platform::RowKey;
+using ports::RowKey;
 
 const std::string kTable = "configuration";
 const std::string kDocumentPrefix = "documents/";
@@ -36,7 +36,7 @@
   return core::make_error(core::ErrorCode::kProtocol, "the stored row '" + key + "' is malformed");
 }
 
-core::Result<DocumentRecord> parse_record(const platform::Row& row) {
+core::Result<DocumentRecord> parse_record(const ports::Row& row) {
   const std::optional<nlohmann::json> value = core::parse_json(row.value);
   if (!value) {
     return bad_row(row.key.key);
@@ -48,7 +48,7 @@
   return record;
 }
 
-core::Result<ConfigurationHead> parse_head(const platform::Row& row) {
+core::Result<ConfigurationHead> parse_head(const ports::Row& row) {
   const nlohmann::json value = core::parse_json(row.value).value_or(nlohmann::json());
   const bool shaped = value.is_object() && value.contains("revision") && value.contains("hash") &&
                       value["revision"].is_number_unsigned() && value["hash"].is_string();
@@ -66,11 +66,11 @@
   return value.dump();
 }
 
-platform::Transaction transaction_for(const config::PublishCommit& commit,
-                                      const ConfigurationHead& head, core::Revision document_row) {
+ports::Transaction transaction_for(const config::PublishCommit& commit,
+                                   const ConfigurationHead& head, core::Revision document_row) {
   const DocumentRecord& document = commit.record.documents.at(commit.key);
   const std::string document_value = to_json_value(document).dump();
-  platform::Transaction transaction;
+  ports::Transaction transaction;
   transaction.conditions.push_back({head_key(), head.row});
   transaction.conditions.push_back({document_key(commit.key), document_row});
   transaction.writes.push_back({document_key(commit.key), document_value});
@@ -82,8 +82,8 @@
 }  // namespace
 
 asio::awaitable<core::Result<ConfigurationHead>> ConfigurationStore::read_head(
-    platform::TablePriority priority) {
-  core::Result<std::optional<platform::Row>> row = co_await table_.read(head_key(), priority);
+    ports::TablePriority priority) {
+  core::Result<std::optional<ports::Row>> row = co_await table_.read(head_key(), priority);
   if (row.has_error()) {
     co_return row.error();
   }
@@ -94,14 +94,14 @@
 }
 
 asio::awaitable<core::Result<std::map<DocumentKey, DocumentRecord>>>
-ConfigurationStore::read_documents(core::Revision after, platform::TablePriority priority) {
-  core::Result<std::vector<platform::Row>> rows =
+ConfigurationStore::read_documents(core::Revision after, ports::TablePriority priority) {
+  core::Result<std::vector<ports::Row>> rows =
       co_await table_.scan(kTable, kDocumentPrefix, after, priority);
   if (rows.has_error()) {
     co_return rows.error();
   }
   std::map<DocumentKey, DocumentRecord> documents;
-  for (const platform::Row& row : *rows) {
+  for (const ports::Row& row : *rows) {
     const auto key = config::parse_document_key(row.key.key.substr(kDocumentPrefix.size()));
     core::Result<DocumentRecord> record = parse_record(row);
     if (!key || record.has_error()) {
@@ -114,8 +114,8 @@
 
 asio::awaitable<core::Result<ConfigurationHead>> ConfigurationStore::commit(
     config::PublishCommit commit, ConfigurationHead head) {
-  const auto priority = platform::TablePriority::kInteractive;
-  core::Result<std::optional<platform::Row>> row =
+  const auto priority = ports::TablePriority::kInteractive;
+  core::Result<std::optional<ports::Row>> row =
       co_await table_.read(document_key(commit.key), priority);
   if (row.has_error()) {
     co_return core::make_error(core::ErrorCode::kUnavailable, row.error().message);
@@ -124,7 +124,7 @@
   if (document_row > head.row) {
     co_return core::make_error(core::ErrorCode::kConflict, "the document has just changed");
   }
-  platform::Transaction transaction = transaction_for(commit, head, document_row);
+  ports::Transaction transaction = transaction_for(commit, head, document_row);
   transaction.write_id = core::WriteId(fmt::format("{}/{}", write_prefix_, ++writes_));
   core::Result<core::Revision> committed = co_await table_.commit(std::move(transaction), priority);
   if (committed.has_error()) {
@@ -135,13 +135,13 @@
 
 asio::awaitable<core::Result<std::vector<DocumentRecord>>> ConfigurationStore::history(
     DocumentKey key) {
-  core::Result<std::vector<platform::Row>> rows = co_await table_.scan(
-      kTable, history_prefix(key), core::Revision(), platform::TablePriority::kInteractive);
+  core::Result<std::vector<ports::Row>> rows = co_await table_.scan(
+      kTable, history_prefix(key), core::Revision(), ports::TablePriority::kInteractive);
   if (rows.has_error()) {
     co_return rows.error();
   }
   std::vector<DocumentRecord> records;
-  for (const platform::Row& row : *rows) {
+  for (const ports::Row& row : *rows) {
     core::Result<DocumentRecord> record = parse_record(row);
     if (record.has_error()) {
       co_return record.error();
@@ -153,8 +153,8 @@
 
 asio::awaitable<core::Result<DocumentRecord>> ConfigurationStore::published_at(
     DocumentKey key, core::Revision revision) {
-  core::Result<std::optional<platform::Row>> row =
-      co_await table_.read(history_key(key, revision), platform::TablePriority::kInteractive);
+  core::Result<std::optional<ports::Row>> row =
+      co_await table_.read(history_key(key, revision), ports::TablePriority::kInteractive);
   if (row.has_error()) {
     co_return row.error();
   }
--- a/src/controllers/configuration_store.hpp
+++ b/src/controllers/configuration_store.hpp
@@ -17,7 +17,7 @@
 #include "config/configuration_record.hpp"
 #include "config/publish_plan.hpp"
 #include "core/error.hpp"
-#include "platform/table_service.hpp"
+#include "ports/table_service.hpp"
 
 namespace stoneport::controllers {
 
@@ -31,14 +31,13 @@
 class ConfigurationStore {
  public:
   /// \param write_prefix unique to this process's life; stands in write ids
-  ConfigurationStore(platform::TableService& table, std::string write_prefix)
+  ConfigurationStore(ports::TableService& table, std::string write_prefix)
       : table_(table), write_prefix_(std::move(write_prefix)) {}
 
-  boost::asio::awaitable<core::Result<ConfigurationHead>> read_head(
-      platform::TablePriority priority);
+  boost::asio::awaitable<core::Result<ConfigurationHead>> read_head(ports::TablePriority priority);
   /// \return the documents whose rows were written after the row revision \p after.
   boost::asio::awaitable<core::Result<std::map<config::DocumentKey, config::DocumentRecord>>>
-  read_documents(core::Revision after, platform::TablePriority priority);
+  read_documents(core::Revision after, ports::TablePriority priority);
   /// Commits what was planned against \p head.
   /// \return the new head; kConflict when the head or the document has changed;
   /// kOutcomeUnknown when the answer was lost and could not be settled.
@@ -52,7 +51,7 @@
       config::DocumentKey key, core::Revision revision);
 
  private:
-  platform::TableService& table_;
+  ports::TableService& table_;
   std::string write_prefix_;
   std::uint64_t writes_ = 0;
 };
--- a/src/controllers/lease_keeper.cpp
+++ b/src/controllers/lease_keeper.cpp
@@ -14,7 +14,7 @@
 constexpr core::Duration kRoundPoll = std::chrono::milliseconds(10);
 
 core::Result<std::optional<ObservedLease>> observed_lease(
-    const core::Result<std::optional<platform::Row>>& answer) {
+    const core::Result<std::optional<ports::Row>>& answer) {
   if (!answer) {
     return answer.error();
   }
@@ -44,9 +44,8 @@
   prometheus::Counter& read_failed = end("read_failed");
 };
 
-LeaseKeeper::LeaseKeeper(platform::TableService& table, const core::TimeSource& time,
-                         LeaseHolder self, LeaseSettings settings, std::uint64_t seed,
-                         core::Metrics& metrics)
+LeaseKeeper::LeaseKeeper(ports::TableService& table, const core::TimeSource& time, LeaseHolder self,
+                         LeaseSettings settings, std::uint64_t seed, core::Metrics& metrics)
     : table_(table),
       time_(time),
       self_(std::move(self)),
@@ -105,8 +104,8 @@
 
 boost::asio::awaitable<void> LeaseKeeper::read(std::string name) {
   const core::MonotonicTime sent_at = time_.now();
-  platform::RowKey key{kTable, name};
-  const auto answer = co_await table_.read(std::move(key), platform::TablePriority::kOwnership);
+  ports::RowKey key{kTable, name};
+  const auto answer = co_await table_.read(std::move(key), ports::TablePriority::kOwnership);
   const core::MonotonicTime now = time_.now();
   auto observed = observed_lease(answer);
   LeaseState& lease = leases_.at(name);
@@ -120,14 +119,14 @@
 }
 
 boost::asio::awaitable<void> LeaseKeeper::write(std::string name, LeaseWrite write) {
-  platform::Transaction transaction;
+  ports::Transaction transaction;
   transaction.write_id = write_ids_.next();
-  const platform::RowKey key{kTable, name};
+  const ports::RowKey key{kTable, name};
   transaction.conditions.push_back({key, write.condition});
   transaction.writes.push_back({key, encode_lease(write.record)});
   const core::MonotonicTime sent_at = time_.now();
   const auto answer =
-      co_await table_.commit(std::move(transaction), platform::TablePriority::kOwnership);
+      co_await table_.commit(std::move(transaction), ports::TablePriority::kOwnership);
   LeaseState& lease = leases_.at(name);
   if (answer) {
     counters_->committed.Increment();
--- a/src/controllers/lease_keeper.hpp
+++ b/src/controllers/lease_keeper.hpp
@@ -13,8 +13,8 @@
 #include "controllers/lease.hpp"
 #include "core/metrics.hpp"
 #include "core/random.hpp"
-#include "platform/table_service.hpp"
-#include "platform/write_id_source.hpp"
+#include "ports/table_service.hpp"
+#include "ports/write_id_source.hpp"
 
 namespace stoneport::controllers {
 
@@ -22,7 +22,7 @@
  public:
   /// \p table and \p time outlive the keeper. \p self names this process's life:
   /// its incarnation must differ from that of every earlier process of the node.
-  LeaseKeeper(platform::TableService& table, const core::TimeSource& time, LeaseHolder self,
+  LeaseKeeper(ports::TableService& table, const core::TimeSource& time, LeaseHolder self,
               LeaseSettings settings, std::uint64_t seed, core::Metrics& metrics);
   ~LeaseKeeper() override;
 
@@ -57,11 +57,11 @@
   boost::asio::awaitable<void> write(std::string name, LeaseWrite write);
   void log_change(const std::string& name, core::Epoch before);
 
-  platform::TableService& table_;
+  ports::TableService& table_;
   const core::TimeSource& time_;
   LeaseHolder self_;
   LeaseSettings settings_;
-  platform::WriteIdSource write_ids_;
+  ports::WriteIdSource write_ids_;
   core::RandomSource random_;
   std::unique_ptr<Counters> counters_;
   std::map<std::string, LeaseState> leases_;
--- a/src/controllers/machine_list_controller.cpp
+++ b/src/controllers/machine_list_controller.cpp
@@ -14,8 +14,8 @@
 /// Polls of many daemons are spread out by this share of the interval.
 constexpr double kJitter = 0.25;
 
-bool same(const platform::Machine& left, const platform::Machine& right) {
-  const auto fields = [](const platform::Machine& machine) {
+bool same(const ports::Machine& left, const ports::Machine& right) {
+  const auto fields = [](const ports::Machine& machine) {
     return std::tie(machine.id, machine.role, machine.serves, machine.address, machine.zone,
                     machine.region, machine.incarnation, machine.state);
   };
@@ -25,7 +25,7 @@
 }  // namespace
 
 MachineListController::MachineListController(asio::any_io_executor executor,
-                                             platform::MachineList& list, GossipController& gossip,
+                                             ports::MachineList& list, GossipController& gossip,
                                              core::Duration interval, std::uint64_t random_seed,
                                              core::Metrics& metrics)
     : executor_(std::move(executor)),
@@ -37,7 +37,7 @@
                                 "Polls of the machine list that failed")),
       empty_lists_(metrics.counter("stoneport_machine_list_empty_total",
                                    "Empty machine lists, not believed after a filled one")),
-      machines_(std::make_shared<const std::vector<platform::Machine>>()) {}
+      machines_(std::make_shared<const std::vector<ports::Machine>>()) {}
 
 void MachineListController::start() {
   alive_ = std::make_shared<bool>(true);
@@ -46,7 +46,7 @@
 
 asio::awaitable<void> MachineListController::run(std::weak_ptr<bool> alive) {
   while (!alive.expired()) {
-    core::Result<std::vector<platform::Machine>> machines = co_await list_.list();
+    core::Result<std::vector<ports::Machine>> machines = co_await list_.list();
     if (alive.expired()) {
       co_return;
     }
@@ -62,7 +62,7 @@
   }
 }
 
-void MachineListController::take(std::vector<platform::Machine> machines) {
+void MachineListController::take(std::vector<ports::Machine> machines) {
   if (machines.empty() && !machines_->empty()) {
     empty_lists_.Increment();
     return;
@@ -74,7 +74,7 @@
     return;
   }
   const auto before = machines_;
-  machines_ = std::make_shared<const std::vector<platform::Machine>>(std::move(machines));
+  machines_ = std::make_shared<const std::vector<ports::Machine>>(std::move(machines));
   gossip_.set_seeds(seed_addresses(*machines_, gossip_.self().node));
   for (const core::NodeId& node : newly_leaving_nodes(*before, *machines_)) {
     gossip_.mark_leaving(node);
--- a/src/controllers/machine_list_controller.hpp
+++ b/src/controllers/machine_list_controller.hpp
@@ -14,7 +14,7 @@
 class MachineListController {
  public:
   /// \param interval shortest time between polls; see poll_interval()
-  MachineListController(boost::asio::any_io_executor executor, platform::MachineList& list,
+  MachineListController(boost::asio::any_io_executor executor, ports::MachineList& list,
                         GossipController& gossip, core::Duration interval,
                         std::uint64_t random_seed, core::Metrics& metrics);
 
@@ -22,7 +22,7 @@
   void stop() { alive_.reset(); }
 
   /// \return the last list read; the shared value never changes.
-  std::shared_ptr<const std::vector<platform::Machine>> machines() const { return machines_; }
+  std::shared_ptr<const std::vector<ports::Machine>> machines() const { return machines_; }
   /// \return whether the list was read at least once.
   bool loaded() const { return loaded_; }
   /// Calls \p listener after each list that differs from the one before.
@@ -30,16 +30,16 @@
 
  private:
   boost::asio::awaitable<void> run(std::weak_ptr<bool> alive);
-  void take(std::vector<platform::Machine> machines);
+  void take(std::vector<ports::Machine> machines);
 
   boost::asio::any_io_executor executor_;
-  platform::MachineList& list_;
+  ports::MachineList& list_;
   GossipController& gossip_;
   core::Duration interval_;
   core::RandomSource random_;
   prometheus::Counter& failures_;
   prometheus::Counter& empty_lists_;
-  std::shared_ptr<const std::vector<platform::Machine>> machines_;
+  std::shared_ptr<const std::vector<ports::Machine>> machines_;
   bool loaded_ = false;
   std::vector<std::function<void()>> listeners_;
   std::shared_ptr<bool> alive_;
--- a/src/controllers/machine_list_view.cpp
+++ b/src/controllers/machine_list_view.cpp
@@ -6,9 +6,9 @@
 namespace stoneport::controllers {
 namespace {
 
-using platform::Machine;
-using platform::MachineRole;
-using platform::MachineState;
+using ports::Machine;
+using ports::MachineRole;
+using ports::MachineState;
 
 /// About what one machine takes in the list's JSON.
 constexpr double kBytesPerMachine = 180;
--- a/src/controllers/policy_versions_controller.cpp
+++ b/src/controllers/policy_versions_controller.cpp
@@ -36,7 +36,7 @@
 
 PolicyVersionsController::PolicyVersionsController(asio::any_io_executor executor,
                                                    GossipController& gossip,
-                                                   platform::TableService& table,
+                                                   ports::TableService& table,
                                                    core::Metrics& metrics)
     : executor_(std::move(executor)),
       gossip_(gossip),
@@ -72,8 +72,8 @@
 
 asio::awaitable<core::Result<void>> PolicyVersionsController::write(core::PolicyName policy,
                                                                     core::WeightVersion version) {
-  const platform::RowKey key{kTable, policy.value()};
-  const auto row = co_await table_.read(key, platform::TablePriority::kInteractive);
+  const ports::RowKey key{kTable, policy.value()};
+  const auto row = co_await table_.read(key, ports::TablePriority::kInteractive);
   if (!row) {
     co_return row.error();
   }
@@ -86,7 +86,7 @@
     }
     revision = (*row)->revision;
   }
-  platform::Transaction transaction;
+  ports::Transaction transaction;
   // The same write after a lost answer carries the same id.
   transaction.write_id =
       core::WriteId("policy:" + gossip_.self().node.value() + ":" + policy.value() + ":" +
@@ -94,7 +94,7 @@
   transaction.conditions.push_back({key, revision});
   transaction.writes.push_back({key, encode_version(version)});
   const auto committed =
-      co_await table_.commit(std::move(transaction), platform::TablePriority::kInteractive);
+      co_await table_.commit(std::move(transaction), ports::TablePriority::kInteractive);
   if (!committed) {
     co_return committed.error();
   }
@@ -112,11 +112,11 @@
 
 asio::awaitable<core::Result<void>> PolicyVersionsController::load() {
   const auto rows =
-      co_await table_.scan(kTable, "", core::Revision{}, platform::TablePriority::kBackground);
+      co_await table_.scan(kTable, "", core::Revision{}, ports::TablePriority::kBackground);
   if (!rows) {
     co_return rows.error();
   }
-  for (const platform::Row& row : *rows) {
+  for (const ports::Row& row : *rows) {
     const auto version = decode_version(row.value);
     if (version && config::is_valid_name(row.key.key)) {
       gossip_.announce_policy_version({core::PolicyName(row.key.key), *version});
--- a/src/controllers/policy_versions_controller.hpp
+++ b/src/controllers/policy_versions_controller.hpp
@@ -11,14 +11,14 @@
 
 #include "controllers/gossip_controller.hpp"
 #include "controllers/policy_versions.hpp"
-#include "platform/table_service.hpp"
+#include "ports/table_service.hpp"
 
 namespace stoneport::controllers {
 
 class PolicyVersionsController : public PolicyVersions {
  public:
   PolicyVersionsController(boost::asio::any_io_executor executor, GossipController& gossip,
-                           platform::TableService& table, core::Metrics& metrics);
+                           ports::TableService& table, core::Metrics& metrics);
 
   /// Starts reading the rows, and writing those that the store has not taken.
   void start();
@@ -47,7 +47,7 @@
 
   boost::asio::any_io_executor executor_;
   GossipController& gossip_;
-  platform::TableService& table_;
+  ports::TableService& table_;
   core::RandomSource random_;
   prometheus::Counter& write_failures_;
   std::map<core::PolicyName, core::WeightVersion> unwritten_;
--- a/src/controllers/prefix_sample.cpp
+++ b/src/controllers/prefix_sample.cpp
@@ -18,13 +18,13 @@
   }
 }
 
-void PrefixSample::apply(const platform::CacheEvents& events) {
+void PrefixSample::apply(const ports::CacheEvents& events) {
   if (events.gap) {
     // An eviction may be among the lost events: what was known proves nothing.
     hash_by_sequence_.clear();
     sequence_by_hash_.clear();
   }
-  for (const platform::CacheEvent& event : events.events) {
+  for (const ports::CacheEvent& event : events.events) {
     erase(event.prefix_hash);
     if (event.stored) {
       hash_by_sequence_[event.sequence] = event.prefix_hash;
--- a/src/controllers/prefix_sample.hpp
+++ b/src/controllers/prefix_sample.hpp
@@ -8,7 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 
 namespace stoneport::controllers {
 
@@ -19,7 +19,7 @@
 
 class PrefixSample {
  public:
-  void apply(const platform::CacheEvents& events);
+  void apply(const ports::CacheEvents& events);
   /// Forgets everything; for a replica that started anew.
   void clear();
   /// \return the sequence to ask for events after.
--- a/src/controllers/replica_watcher.cpp
+++ b/src/controllers/replica_watcher.cpp
@@ -25,7 +25,7 @@
   return static_cast<std::uint32_t>(std::min<std::uint64_t>(kPermille, part * kPermille / whole));
 }
 
-wire::ReplicaReport to_wire(const core::ReplicaId& replica, const platform::EngineReport& report) {
+wire::ReplicaReport to_wire(const core::ReplicaId& replica, const ports::EngineReport& report) {
   wire::ReplicaReport result;
   result.replica = replica;
   result.incarnation = report.incarnation;
@@ -64,7 +64,7 @@
 };
 
 ReplicaWatcher::ReplicaWatcher(asio::any_io_executor executor, MachineListController& machines,
-                               GossipController& gossip, platform::ModelEngineFactory& engines,
+                               GossipController& gossip, ports::ModelEngineFactory& engines,
                                http::Client& client, ReplicaWatcherSettings settings,
                                const core::TimeSource& time, core::Metrics& metrics)
     : executor_(std::move(executor)),
@@ -114,7 +114,7 @@
   const auto machines = machines_.machines();
   std::set<core::ReplicaId> listed;
   std::map<core::ReplicaId, std::shared_ptr<Watch>> chosen;
-  for (const platform::Machine& machine : *machines) {
+  for (const ports::Machine& machine : *machines) {
     if (!is_replica(machine)) {
       continue;
     }
@@ -171,7 +171,7 @@
 
 asio::awaitable<core::Result<wire::ReplicaReport>> ReplicaWatcher::read(
     std::shared_ptr<Watch> watch) {
-  if (watch->machine.role == platform::MachineRole::kEngine) {
+  if (watch->machine.role == ports::MachineRole::kEngine) {
     co_return co_await read_engine(watch);
   }
   co_return co_await read_service(watch);
@@ -179,7 +179,7 @@
 
 asio::awaitable<core::Result<wire::ReplicaReport>> ReplicaWatcher::read_engine(
     std::shared_ptr<Watch> watch) {
-  const std::shared_ptr<platform::ModelEngine> engine = engines_.engine_at(watch->machine.address);
+  const std::shared_ptr<ports::ModelEngine> engine = engines_.engine_at(watch->machine.address);
   const auto report = co_await engine->report();
   if (!report) {
     co_return report.error();
--- a/src/controllers/replica_watcher.hpp
+++ b/src/controllers/replica_watcher.hpp
@@ -13,7 +13,7 @@
 #include "controllers/machine_list_controller.hpp"
 #include "controllers/prefix_sample.hpp"
 #include "http/client.hpp"
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 
 namespace stoneport::controllers {
 
@@ -25,13 +25,12 @@
 class ReplicaWatcher {
  public:
   /// Which replicas this daemon routes to, out of the machine list.
-  using Interest =
-      std::function<std::vector<core::ReplicaId>(const std::vector<platform::Machine>&)>;
+  using Interest = std::function<std::vector<core::ReplicaId>(const std::vector<ports::Machine>&)>;
 
   ReplicaWatcher(boost::asio::any_io_executor executor, MachineListController& machines,
-                 GossipController& gossip, platform::ModelEngineFactory& engines,
-                 http::Client& client, ReplicaWatcherSettings settings,
-                 const core::TimeSource& time, core::Metrics& metrics);
+                 GossipController& gossip, ports::ModelEngineFactory& engines, http::Client& client,
+                 ReplicaWatcherSettings settings, const core::TimeSource& time,
+                 core::Metrics& metrics);
   ~ReplicaWatcher();
 
   /// Asks for reports of what \p interest names, beside what others name.
@@ -47,7 +46,7 @@
 
  private:
   struct Watch {
-    platform::Machine machine;
+    ports::Machine machine;
     PrefixSample prefixes;
     std::uint32_t failures = 0;
     bool polling = false;
@@ -72,7 +71,7 @@
   boost::asio::any_io_executor executor_;
   MachineListController& machines_;
   GossipController& gossip_;
-  platform::ModelEngineFactory& engines_;
+  ports::ModelEngineFactory& engines_;
   http::Client& client_;
   ReplicaWatcherSettings settings_;
   const core::TimeSource& time_;
--- a/src/controllers/routing_table_builder.cpp
+++ b/src/controllers/routing_table_builder.cpp
@@ -7,8 +7,8 @@
 namespace stoneport::controllers {
 namespace {
 
-using platform::Machine;
-using platform::MachineState;
+using ports::Machine;
+using ports::MachineState;
 using routing::ReplicaState;
 
 constexpr double kPermille = 1000;
@@ -88,7 +88,7 @@
   const TimedReport* report = inputs.reports.best(replica.id, inputs.now);
   replica.incarnation = newest_incarnation(machine, report);
   replica.state = state_of(machine, report, replica.incarnation, inputs);
-  if (report != nullptr && machine.role == platform::MachineRole::kEngine) {
+  if (report != nullptr && machine.role == ports::MachineRole::kEngine) {
     replica.digest = to_digest(*report);
   }
   return replica;
@@ -107,10 +107,10 @@
 routing::RoutingTable build_routing_table(const RoutingInputs& inputs) {
   routing::RoutingTable table;
   for (const Machine& machine : inputs.machines) {
-    if (machine.role == platform::MachineRole::kEngine) {
+    if (machine.role == ports::MachineRole::kEngine) {
       table.models[core::ModelName(machine.serves)].push_back(to_replica(machine, inputs));
     }
-    if (machine.role == platform::MachineRole::kService) {
+    if (machine.role == ports::MachineRole::kService) {
       table.services[core::ServiceName(machine.serves)].push_back(to_replica(machine, inputs));
     }
   }
--- a/src/controllers/routing_table_builder.hpp
+++ b/src/controllers/routing_table_builder.hpp
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "controllers/replica_reports.hpp"
-#include "platform/machine_list.hpp"
+#include "ports/machine_list.hpp"
 #include "routing/routing_table.hpp"
 #include "wire/gossip_messages.hpp"
 
@@ -22,7 +22,7 @@
 using Refusals = std::map<core::Address, core::MonotonicTime>;
 
 struct RoutingInputs {
-  const std::vector<platform::Machine>& machines;
+  const std::vector<ports::Machine>& machines;
   const ReplicaReports& reports;
   const DrainMarks& drain_marks;
   const Refusals& refusals;
--- a/src/controllers/table_claim_registry.cpp
+++ b/src/controllers/table_claim_registry.cpp
@@ -1,13 +1,13 @@
 #include "controllers/table_claim_registry.hpp"
 
 #include "core/json_text.hpp"
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
 namespace {
 using core::ErrorCode;
-using platform::TablePriority;
+using ports::TablePriority;
 
 constexpr const char* kTable = "claims";
 constexpr std::size_t kMostGranted = 4096;
@@ -18,7 +18,7 @@
 constexpr core::Duration kAbandonedMemory = std::chrono::minutes(10);
 
 core::Result<std::optional<StoredClaim>> stored_claim(
-    const core::Result<std::optional<platform::Row>>& answer) {
+    const core::Result<std::optional<ports::Row>>& answer) {
   if (!answer) {
     return answer.error();
   }
@@ -73,10 +73,9 @@
 };
 
 TableClaimRegistry::TableClaimRegistry(boost::asio::any_io_executor control,
-                                       platform::TableService& table,
-                                       platform::ObjectStore& objects, const core::TimeSource& time,
-                                       const core::NodeId& node, core::Incarnation incarnation,
-                                       core::Metrics& metrics)
+                                       ports::TableService& table, ports::ObjectStore& objects,
+                                       const core::TimeSource& time, const core::NodeId& node,
+                                       core::Incarnation incarnation, core::Metrics& metrics)
     : control_(std::move(control)),
       table_(table),
       objects_(objects),
@@ -114,8 +113,8 @@
   if (!encoded) {
     co_return encoded.error();
   }
-  const platform::RowKey key{kTable, row_key};
-  platform::Transaction transaction;
+  const ports::RowKey key{kTable, row_key};
+  ports::Transaction transaction;
   transaction.write_id = std::move(write_id);
   transaction.conditions.push_back({key, condition});
   transaction.writes.push_back({key, std::move(*encoded)});
@@ -124,7 +123,7 @@
 
 boost::asio::awaitable<core::Result<std::optional<StoredClaim>>> TableClaimRegistry::read(
     const std::string& row_key, TablePriority priority) {
-  platform::RowKey key{kTable, row_key};
+  ports::RowKey key{kTable, row_key};
   const auto answer = co_await table_.read(std::move(key), priority);
   co_return stored_claim(answer);
 }
@@ -232,8 +231,8 @@
                                                                      core::WriteId claim,
                                                                      core::Revision revision,
                                                                      TablePriority priority) {
-  const platform::RowKey key{kTable, std::move(row_key)};
-  platform::Transaction transaction;
+  const ports::RowKey key{kTable, std::move(row_key)};
+  ports::Transaction transaction;
   transaction.write_id = write_ids_.next();
   transaction.conditions.push_back({key, revision});
   transaction.writes.push_back({key, std::nullopt});
--- a/src/controllers/table_claim_registry.hpp
+++ b/src/controllers/table_claim_registry.hpp
@@ -11,9 +11,9 @@
 #include "controllers/claim_process.hpp"
 #include "core/metrics.hpp"
 #include "filters/claim_registry.hpp"
-#include "platform/object_store.hpp"
-#include "platform/table_service.hpp"
-#include "platform/write_id_source.hpp"
+#include "ports/object_store.hpp"
+#include "ports/table_service.hpp"
+#include "ports/write_id_source.hpp"
 
 namespace stoneport::controllers {
 
@@ -22,8 +22,8 @@
   /// \p table, \p objects and \p time outlive the registry and live on the thread
   /// of \p control.
   /// \param incarnation differs from that of every earlier process of \p node
-  TableClaimRegistry(boost::asio::any_io_executor control, platform::TableService& table,
-                     platform::ObjectStore& objects, const core::TimeSource& time,
+  TableClaimRegistry(boost::asio::any_io_executor control, ports::TableService& table,
+                     ports::ObjectStore& objects, const core::TimeSource& time,
                      const core::NodeId& node, core::Incarnation incarnation,
                      core::Metrics& metrics);
   ~TableClaimRegistry() override;
@@ -56,23 +56,23 @@
                                                              core::WriteId write_id,
                                                              core::Revision condition);
   boost::asio::awaitable<core::Result<std::optional<StoredClaim>>> read(
-      const std::string& row_key, platform::TablePriority priority);
+      const std::string& row_key, ports::TablePriority priority);
   boost::asio::awaitable<void> drive(ClaimProcess& process, const std::string& row_key,
                                      const ClaimRecord& ours);
   boost::asio::awaitable<filters::ClaimTaken> describe(ClaimRecord record,
                                                        std::uint64_t fingerprint);
   boost::asio::awaitable<core::Result<void>> erase(std::string row_key, core::WriteId claim,
                                                    core::Revision revision,
-                                                   platform::TablePriority priority);
+                                                   ports::TablePriority priority);
   boost::asio::awaitable<void> release_one(AbandonedClaim abandoned);
   void abandon(const std::string& row_key, const core::WriteId& claim);
 
   boost::asio::any_io_executor control_;
-  platform::TableService& table_;
-  platform::ObjectStore& objects_;
+  ports::TableService& table_;
+  ports::ObjectStore& objects_;
   const core::TimeSource& time_;
-  platform::WriteIdSource claim_ids_;
-  platform::WriteIdSource write_ids_;
+  ports::WriteIdSource claim_ids_;
+  ports::WriteIdSource write_ids_;
   GrantedClaims granted_;
   AbandonedClaims abandoned_;
   std::unique_ptr<Counters> counters_;
--- a/src/controllers/weights_controller.cpp
+++ b/src/controllers/weights_controller.cpp
@@ -48,10 +48,9 @@
 
 WeightsController::WeightsController(asio::any_io_executor executor, WeightsInputs inputs,
                                      Membership& membership, PolicyVersions& versions,
-                                     FencedOwnership& ownership, platform::WeightStore& store,
-                                     platform::ModelEngineFactory& engines,
-                                     RolloutSettings settings, const core::TimeSource& time,
-                                     core::Metrics& metrics)
+                                     FencedOwnership& ownership, ports::WeightStore& store,
+                                     ports::ModelEngineFactory& engines, RolloutSettings settings,
+                                     const core::TimeSource& time, core::Metrics& metrics)
     : executor_(std::move(executor)),
       inputs_(std::move(inputs)),
       membership_(membership),
@@ -107,8 +106,8 @@
 std::vector<ReplicaWeights> WeightsController::replicas_of(const core::ModelName& model) const {
   const auto machines = inputs_.machines();
   std::vector<ReplicaWeights> replicas;
-  for (const platform::Machine& machine : *machines) {
-    if (machine.role != platform::MachineRole::kEngine || machine.serves != model.value()) {
+  for (const ports::Machine& machine : *machines) {
+    if (machine.role != ports::MachineRole::kEngine || machine.serves != model.value()) {
       continue;
     }
     const core::ReplicaId replica(machine.id);
@@ -156,7 +155,7 @@
   const auto status = co_await store_.status(own->policy);
   if (status) {
     target.bytes_per_second = status->bytes_per_second;
-    for (const platform::WeightSet& set : status->sets) {
+    for (const ports::WeightSet& set : status->sets) {
       if (set.version == version) {
         target.size_bytes = set.size_bytes;
       }
@@ -171,7 +170,7 @@
 
 asio::awaitable<void> WeightsController::send(core::ModelName model, std::shared_ptr<OwnModel> own,
                                               RolloutOrder order) {
-  const std::shared_ptr<platform::ModelEngine> engine = engines_.engine_at(order.address);
+  const std::shared_ptr<ports::ModelEngine> engine = engines_.engine_at(order.address);
   // Asked again right before the effect: the lease may have lapsed since.
   const std::optional<core::Epoch> epoch = ownership_.fenced_epoch(weights_lease(model));
   if (!epoch || *epoch != own->epoch || own->fenced) {
@@ -193,10 +192,10 @@
 }
 
 std::vector<core::ReplicaId> WeightsController::replicas_of_own_models(
-    const std::vector<platform::Machine>& machines) const {
+    const std::vector<ports::Machine>& machines) const {
   std::vector<core::ReplicaId> replicas;
-  for (const platform::Machine& machine : machines) {
-    if (machine.role == platform::MachineRole::kEngine &&
+  for (const ports::Machine& machine : machines) {
+    if (machine.role == ports::MachineRole::kEngine &&
         own_models_.contains(core::ModelName(machine.serves))) {
       replicas.emplace_back(machine.id);
     }
--- a/src/controllers/weights_controller.hpp
+++ b/src/controllers/weights_controller.hpp
@@ -16,8 +16,8 @@
 #include "controllers/replica_reports.hpp"
 #include "controllers/weights_rollout.hpp"
 #include "core/metrics.hpp"
-#include "platform/machine_list.hpp"
-#include "platform/weight_store.hpp"
+#include "ports/machine_list.hpp"
+#include "ports/weight_store.hpp"
 
 namespace stoneport::controllers {
 
@@ -32,7 +32,7 @@
 /// Where the controller reads what it needs of other controllers.
 struct WeightsInputs {
   std::function<std::shared_ptr<const config::Configuration>()> configuration;
-  std::function<std::shared_ptr<const std::vector<platform::Machine>>()> machines;
+  std::function<std::shared_ptr<const std::vector<ports::Machine>>()> machines;
   const ReplicaReports& reports;
 };
 
@@ -40,7 +40,7 @@
  public:
   WeightsController(boost::asio::any_io_executor executor, WeightsInputs inputs,
                     Membership& membership, PolicyVersions& versions, FencedOwnership& ownership,
-                    platform::WeightStore& store, platform::ModelEngineFactory& engines,
+                    ports::WeightStore& store, ports::ModelEngineFactory& engines,
                     RolloutSettings settings, const core::TimeSource& time, core::Metrics& metrics);
   ~WeightsController();
   WeightsController(const WeightsController&) = delete;
@@ -54,7 +54,7 @@
   /// \return replicas of the models that this daemon looks after; an interest
   /// for the replica watcher.
   std::vector<core::ReplicaId> replicas_of_own_models(
-      const std::vector<platform::Machine>& machines) const;
+      const std::vector<ports::Machine>& machines) const;
   /// \return the phase of the rollout of each model that this daemon looks after.
   std::map<core::ModelName, RolloutPhase> phases() const;
 
@@ -81,8 +81,8 @@
   Membership& membership_;
   PolicyVersions& versions_;
   FencedOwnership& ownership_;
-  platform::WeightStore& store_;
-  platform::ModelEngineFactory& engines_;
+  ports::WeightStore& store_;
+  ports::ModelEngineFactory& engines_;
   RolloutSettings settings_;
   const core::TimeSource& time_;
   std::unique_ptr<Meters> meters_;
--- a/src/controllers/weights_rollout.cpp
+++ b/src/controllers/weights_rollout.cpp
@@ -171,7 +171,7 @@
     ++in_flight;
     progress_.at(replica->replica).prefetch_sent = now;
     orders.push_back({replica->replica, replica->address,
-                      platform::PrefetchVersion{target_.policy, target_.version}});
+                      ports::PrefetchVersion{target_.policy, target_.version}});
   }
 }
 
@@ -197,7 +197,7 @@
     progress.load_sent = now;
     ++progress.loads;
     orders.push_back({replica->replica, replica->address,
-                      platform::LoadVersion{target_.policy, target_.version, settings_.running}});
+                      ports::LoadVersion{target_.policy, target_.version, settings_.running}});
   }
 }
 
--- a/src/controllers/weights_rollout.hpp
+++ b/src/controllers/weights_rollout.hpp
@@ -12,7 +12,7 @@
 
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 
 namespace stoneport::controllers {
 
@@ -57,7 +57,7 @@
   core::Duration first_load_retry = std::chrono::seconds(3);
   core::Duration longest_load_retry = std::chrono::seconds(30);
   SwitchOrder switch_order = SwitchOrder::kTogether;
-  platform::LoadVersion::RunningStreams running = platform::LoadVersion::RunningStreams::kContinue;
+  ports::LoadVersion::RunningStreams running = ports::LoadVersion::RunningStreams::kContinue;
 };
 
 enum class RolloutPhase { kIdle, kPrefetching, kSwitching, kConverged };
@@ -65,7 +65,7 @@
 struct RolloutOrder {
   core::ReplicaId replica;
   core::Address address;
-  platform::EngineOrder order;
+  ports::EngineOrder order;
 };
 
 class WeightsRollout {
--- a/src/daemon/control_bridges.cpp
+++ b/src/daemon/control_bridges.cpp
@@ -56,11 +56,11 @@
 asio::awaitable<core::Result<void>> ControlPolicyPublisher::publish(core::PolicyName policy,
                                                                     core::WeightVersion version,
                                                                     std::uint64_t size_bytes) {
-  platform::WeightSet set{std::move(policy), version, size_bytes};
+  ports::WeightSet set{std::move(policy), version, size_bytes};
   return runtime::run_on(control_.executor(), publish_here(std::move(set)));
 }
 
-asio::awaitable<core::Result<void>> ControlPolicyPublisher::publish_here(platform::WeightSet set) {
+asio::awaitable<core::Result<void>> ControlPolicyPublisher::publish_here(ports::WeightSet set) {
   const core::Result<void> registered = co_await control_.weight_store().publish(set);
   if (!registered) {
     co_return registered.error();
--- a/src/daemon/control_bridges.hpp
+++ b/src/daemon/control_bridges.hpp
@@ -31,7 +31,7 @@
   core::WeightVersion newest(const core::PolicyName& policy) const override;
 
  private:
-  boost::asio::awaitable<core::Result<void>> publish_here(platform::WeightSet set);
+  boost::asio::awaitable<core::Result<void>> publish_here(ports::WeightSet set);
 
   ControlPlane& control_;
   std::shared_ptr<runtime::SnapshotView<PolicyVersionMap>> versions_;
--- a/src/daemon/control_plane.cpp
+++ b/src/daemon/control_plane.cpp
@@ -15,16 +15,16 @@
   return core::hash64(component, core::hash64(self.node.value(), self.incarnation.value()));
 }
 
-platform::GuardSettings guard_settings(const config::DaemonSettings& settings) {
-  platform::GuardSettings guard;
+ports::GuardSettings guard_settings(const config::DaemonSettings& settings) {
+  ports::GuardSettings guard;
   guard.budget.tokens_per_second = settings.table_requests_per_second;
   guard.budget.burst = settings.table_requests_per_second;
   return guard;
 }
 
-platform::EndpointSettings table_endpoint_settings() {
-  platform::EndpointSettings endpoint;
-  endpoint.timeout = platform::kTableAttemptTimeout;
+ports::EndpointSettings table_endpoint_settings() {
+  ports::EndpointSettings endpoint;
+  endpoint.timeout = ports::kTableAttemptTimeout;
   return endpoint;
 }
 
@@ -69,11 +69,11 @@
                                    time.wall_now())),
       client_(executor_, "control", metrics),
       bare_table_(
-          platform::HttpEndpoint(client_, settings.table_service, time, table_endpoint_settings())),
+          ports::HttpEndpoint(client_, settings.table_service, time, table_endpoint_settings())),
       table_(bare_table_, time, guard_settings(settings), seed_for(self_, "table"), metrics),
-      object_store_(platform::HttpEndpoint(client_, settings.object_store, time)),
-      weight_store_(platform::HttpEndpoint(client_, settings.weight_store, time)),
-      machine_list_(platform::HttpEndpoint(client_, settings.machine_list, time)),
+      object_store_(ports::HttpEndpoint(client_, settings.object_store, time)),
+      weight_store_(ports::HttpEndpoint(client_, settings.weight_store, time)),
+      machine_list_(ports::HttpEndpoint(client_, settings.machine_list, time)),
       engines_(client_, time),
       endpoint_(executor_, metrics),
       gossip_(executor_, endpoint_, self_, controllers::gossip_settings(settings),
@@ -131,7 +131,7 @@
 }
 
 std::vector<core::ReplicaId> ControlPlane::interest(
-    const std::vector<platform::Machine>& machines) const {
+    const std::vector<ports::Machine>& machines) const {
   InterestRules rules;
   rules.owner = {settings_.node, settings_.zone};
   rules.subset_size = settings_.subset_size;
--- a/src/daemon/control_plane.hpp
+++ b/src/daemon/control_plane.hpp
@@ -20,12 +20,12 @@
 #include "controllers/routing_table_controller.hpp"
 #include "controllers/table_claim_registry.hpp"
 #include "controllers/weights_controller.hpp"
-#include "platform/guarded_table_service.hpp"
-#include "platform/http_machine_list.hpp"
-#include "platform/http_model_engine.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_table_service.hpp"
-#include "platform/http_weight_store.hpp"
+#include "ports/guarded_table_service.hpp"
+#include "ports/http_machine_list.hpp"
+#include "ports/http_model_engine.hpp"
+#include "ports/http_object_store.hpp"
+#include "ports/http_table_service.hpp"
+#include "ports/http_weight_store.hpp"
 
 namespace stoneport::daemon {
 
@@ -47,10 +47,10 @@
 
   const boost::asio::any_io_executor& executor() const { return executor_; }
   core::Incarnation incarnation() const { return self_.incarnation; }
-  platform::TableService& table() { return table_; }
+  ports::TableService& table() { return table_; }
   bool store_available() const { return table_.breaker_state() == core::BreakerState::kClosed; }
   http::Client& client() { return client_; }
-  platform::WeightStore& weight_store() { return weight_store_; }
+  ports::WeightStore& weight_store() { return weight_store_; }
   filters::ClaimRegistry& claims() { return claims_; }
   controllers::GossipController& gossip() { return gossip_; }
   controllers::ConfigurationController& configuration() { return configuration_; }
@@ -65,7 +65,7 @@
   bool ready() const { return configuration_.ready() && machines_.loaded(); }
 
  private:
-  std::vector<core::ReplicaId> interest(const std::vector<platform::Machine>& machines) const;
+  std::vector<core::ReplicaId> interest(const std::vector<ports::Machine>& machines) const;
   controllers::WeightsInputs weights_inputs();
   void publish_policy_versions();
 
@@ -74,12 +74,12 @@
   wire::Member self_;
 
   http::Client client_;
-  platform::HttpTableService bare_table_;
-  platform::GuardedTableService table_;
-  platform::HttpObjectStore object_store_;
-  platform::HttpWeightStore weight_store_;
-  platform::HttpMachineList machine_list_;
-  platform::HttpModelEngineFactory engines_;
+  ports::HttpTableService bare_table_;
+  ports::GuardedTableService table_;
+  ports::HttpObjectStore object_store_;
+  ports::HttpWeightStore weight_store_;
+  ports::HttpMachineList machine_list_;
+  ports::HttpModelEngineFactory engines_;
 
   controllers::GossipEndpoint endpoint_;
   controllers::GossipController gossip_;
--- a/src/daemon/replica_interest.hpp
+++ b/src/daemon/replica_interest.hpp
@@ -5,7 +5,7 @@
 
 #include <vector>
 
-#include "platform/machine_list.hpp"
+#include "ports/machine_list.hpp"
 #include "routing/subset.hpp"
 
 namespace stoneport::daemon {
@@ -19,6 +19,6 @@
 
 /// \return the replicas of each model and service that \p rules choose.
 std::vector<core::ReplicaId> replicas_of_interest(const InterestRules& rules,
-                                                  const std::vector<platform::Machine>& machines);
+                                                  const std::vector<ports::Machine>& machines);
 
 }  // namespace stoneport::daemon
--- a/src/daemon/steps_worker.cpp
+++ b/src/daemon/steps_worker.cpp
@@ -17,7 +17,7 @@
       address_(settings.trainer_listener.value_or(core::Address())),
       client_(executor_, "steps", metrics),
       engines_(client_, time),
-      scoring_(platform::HttpEndpoint(client_, settings.scoring_service, time)),
+      scoring_(ports::HttpEndpoint(client_, settings.scoring_service, time)),
       policies_(control, executor_),
       epochs_(control.executor(), control.table(), settings.node, control.incarnation()),
       service_({
@@ -49,8 +49,8 @@
 }
 
 asio::awaitable<bool> StepsWorker::reach(core::Address address) {
-  const std::shared_ptr<platform::ModelEngine> engine = engines_.engine_at(std::move(address));
-  const core::Result<platform::EngineReport> report = co_await engine->report();
+  const std::shared_ptr<ports::ModelEngine> engine = engines_.engine_at(std::move(address));
+  const core::Result<ports::EngineReport> report = co_await engine->report();
   co_return report.has_value();
 }
 
--- a/src/daemon/steps_worker.hpp
+++ b/src/daemon/steps_worker.hpp
@@ -11,8 +11,8 @@
 #include "daemon/control_plane.hpp"
 #include "daemon/store_epoch_source.hpp"
 #include "http/server.hpp"
-#include "platform/http_model_engine.hpp"
-#include "platform/http_scoring_service.hpp"
+#include "ports/http_model_engine.hpp"
+#include "ports/http_scoring_service.hpp"
 #include "steps/trainer_handler.hpp"
 
 namespace stoneport::daemon {
@@ -41,8 +41,8 @@
   boost::asio::any_io_executor executor_;
   core::Address address_;
   http::Client client_;
-  platform::HttpModelEngineFactory engines_;
-  platform::HttpScoringService scoring_;
+  ports::HttpModelEngineFactory engines_;
+  ports::HttpScoringService scoring_;
   ControlPolicyPublisher policies_;
   StoreEpochSource epochs_;
   steps::StepService service_;
--- a/src/daemon/store_epoch_source.cpp
+++ b/src/daemon/store_epoch_source.cpp
@@ -11,7 +11,7 @@
 namespace asio = boost::asio;
 
 constexpr int kMostTries = 8;
-const platform::RowKey kEpochRow{"epochs", "steps"};
+const ports::RowKey kEpochRow{"epochs", "steps"};
 
 core::Result<core::Epoch> parse_epoch(const std::string& text) {
   const nlohmann::json value = core::parse_json(text).value_or(nlohmann::json());
@@ -23,7 +23,7 @@
 
 }  // namespace
 
-StoreEpochSource::StoreEpochSource(asio::any_io_executor control, platform::TableService& table,
+StoreEpochSource::StoreEpochSource(asio::any_io_executor control, ports::TableService& table,
                                    const core::NodeId& node, core::Incarnation incarnation)
     : control_(std::move(control)), table_(table), write_ids_("epoch", node, incarnation) {}
 
@@ -43,7 +43,7 @@
 }
 
 asio::awaitable<core::Result<core::Epoch>> StoreEpochSource::take_next() {
-  const auto row = co_await table_.read(kEpochRow, platform::TablePriority::kOwnership);
+  const auto row = co_await table_.read(kEpochRow, ports::TablePriority::kOwnership);
   if (!row) {
     co_return row.error();
   }
@@ -58,12 +58,12 @@
     revision = (*row)->revision;
   }
   const core::Epoch next = last.next();
-  platform::Transaction transaction;
+  ports::Transaction transaction;
   transaction.write_id = write_ids_.next();
   transaction.conditions.push_back({kEpochRow, revision});
   transaction.writes.push_back({kEpochRow, core::write_json({{"epoch", next.value()}})});
   const auto committed =
-      co_await table_.commit(std::move(transaction), platform::TablePriority::kOwnership);
+      co_await table_.commit(std::move(transaction), ports::TablePriority::kOwnership);
   if (!committed) {
     co_return committed.error();
   }
--- a/src/daemon/store_epoch_source.hpp
+++ b/src/daemon/store_epoch_source.hpp
@@ -5,8 +5,8 @@
 
 #include <boost/asio/any_io_executor.hpp>
 
-#include "platform/table_service.hpp"
-#include "platform/write_id_source.hpp"
+#include "ports/table_service.hpp"
+#include "ports/write_id_source.hpp"
 #include "steps/dependencies.hpp"
 
 namespace stoneport::daemon {
@@ -14,7 +14,7 @@
 class StoreEpochSource : public steps::EpochSource {
  public:
   /// \p table lives on the thread of \p control and outlives the source.
-  StoreEpochSource(boost::asio::any_io_executor control, platform::TableService& table,
+  StoreEpochSource(boost::asio::any_io_executor control, ports::TableService& table,
                    const core::NodeId& node, core::Incarnation incarnation);
 
   /// \return kConflict when other daemons kept taking the next epoch first, or
@@ -26,8 +26,8 @@
   boost::asio::awaitable<core::Result<core::Epoch>> take_next();
 
   boost::asio::any_io_executor control_;
-  platform::TableService& table_;
-  platform::WriteIdSource write_ids_;
+  ports::TableService& table_;
+  ports::WriteIdSource write_ids_;
 };
 
 }  // namespace stoneport::daemon
--- a/src/daemon/traffic_worker.hpp
+++ b/src/daemon/traffic_worker.hpp
@@ -10,7 +10,7 @@
 #include "daemon/control_plane.hpp"
 #include "filters/caller_handler.hpp"
 #include "http/server.hpp"
-#include "platform/http_model_engine.hpp"
+#include "ports/http_model_engine.hpp"
 
 namespace stoneport::daemon {
 
@@ -33,7 +33,7 @@
   boost::asio::any_io_executor executor_;
   core::Address address_;
   http::Client client_;
-  platform::HttpModelEngineFactory engines_;
+  ports::HttpModelEngineFactory engines_;
   filters::CallerHandler handler_;
   http::Server server_;
 };
--- a/src/filters/caller_handler.hpp
+++ b/src/filters/caller_handler.hpp
@@ -22,7 +22,7 @@
   RoutingView routing_table;
   http::Client& client;  ///< this thread's, towards ordinary services
   ClaimRegistry& claims;
-  platform::ModelEngineFactory& engines;  ///< this thread's
+  ports::ModelEngineFactory& engines;  ///< this thread's
   routing::ReplicaObserver& observer;
   core::Metrics& metrics;
   core::TimeSource& time;
--- a/src/filters/completion_filter.cpp
+++ b/src/filters/completion_filter.cpp
@@ -38,7 +38,7 @@
          code != ErrorCode::kDeadlineExceeded && code != ErrorCode::kCancelled;
 }
 
-asio::awaitable<void> cancel_on_engine(std::shared_ptr<platform::ModelEngine> engine,
+asio::awaitable<void> cancel_on_engine(std::shared_ptr<ports::ModelEngine> engine,
                                        core::StreamId stream) {
   // Best effort: an engine that does not hear it ends the stream by its own limit.
   co_await engine->cancel_stream(std::move(stream));
@@ -68,7 +68,7 @@
 /// One try on one engine.
 struct CompletionFilter::Attempt {
   routing::ChosenReplica replica;
-  std::shared_ptr<platform::ModelEngine> engine;
+  std::shared_ptr<ports::ModelEngine> engine;
   core::StreamId stream;
   bool started = false;  ///< the engine may hold the stream
   bool finished = false;
@@ -124,9 +124,9 @@
   }
 }
 
-platform::GenerationRequest CompletionFilter::generation(const Run& run,
-                                                         const Attempt& attempt) const {
-  platform::GenerationRequest generation;
+ports::GenerationRequest CompletionFilter::generation(const Run& run,
+                                                      const Attempt& attempt) const {
+  ports::GenerationRequest generation;
   generation.stream = attempt.stream;
   generation.model = run.completion.model;
   generation.adapter = run.completion.adapter;
@@ -140,7 +140,7 @@
 
 asio::awaitable<CompletionFilter::AttemptEnd> CompletionFilter::generate(Run& run,
                                                                          Attempt& attempt) {
-  platform::GenerationRequest request = generation(run, attempt);
+  ports::GenerationRequest request = generation(run, attempt);
   auto stream = co_await attempt.engine->generate(std::move(request), run.request.deadline);
   attempt.started = stream.has_value() || !is_not_started(stream.error().code);
   if (!stream) {
@@ -164,27 +164,27 @@
 }
 
 asio::awaitable<CompletionFilter::AttemptEnd> CompletionFilter::read_stream(
-    Run& run, Attempt& attempt, platform::TokenStream& stream) {
+    Run& run, Attempt& attempt, ports::TokenStream& stream) {
   http::ResponseWriter& response = *run.request.response;
   response.when_client_gone([&stream] { stream.cancel(); });
   AttemptEnd end;
   while (end && !attempt.finished) {
-    core::Result<platform::StreamItem> item = co_await stream.next();
+    core::Result<ports::StreamItem> item = co_await stream.next();
     if (!item) {
       end = item.error();
-    } else if (const auto* chunk = std::get_if<platform::TokenChunk>(&*item)) {
+    } else if (const auto* chunk = std::get_if<ports::TokenChunk>(&*item)) {
       end = run.text.add(*chunk);
       if (end) {
         end = co_await pass_on(run, *chunk);
       }
     } else {
-      end = run.text.end(std::get<platform::StreamEnd>(*item));
+      end = run.text.end(std::get<ports::StreamEnd>(*item));
       attempt.finished = end.has_value();
     }
   }
   response.when_client_gone({});
   const bool was_cancelled =
-      attempt.finished && run.text.finish_reason() == platform::FinishReason::kCancelled;
+      attempt.finished && run.text.finish_reason() == ports::FinishReason::kCancelled;
   if (was_cancelled) {
     end = core::make_error(ErrorCode::kUnavailable, "the engine cancelled the stream");
   }
@@ -192,7 +192,7 @@
 }
 
 asio::awaitable<CompletionFilter::AttemptEnd> CompletionFilter::pass_on(
-    Run& run, const platform::TokenChunk& chunk) {
+    Run& run, const ports::TokenChunk& chunk) {
   if (!run.completion.stream) {
     co_return AttemptEnd();
   }
@@ -221,7 +221,7 @@
     sent = co_await http::respond_json(response, 200, completion_document(run.identity, run.text));
   } else {
     if (!response.started()) {
-      sent = co_await pass_on(run, platform::TokenChunk());
+      sent = co_await pass_on(run, ports::TokenChunk());
     }
     std::string ending = http::format_event(final_event(run.identity, run.text));
     ending += http::format_event(kDoneMark);
--- a/src/filters/completion_filter.hpp
+++ b/src/filters/completion_filter.hpp
@@ -26,7 +26,7 @@
 
 class CompletionFilter : public Filter {
  public:
-  CompletionFilter(ReplicaPools& pools, platform::ModelEngineFactory& engines,
+  CompletionFilter(ReplicaPools& pools, ports::ModelEngineFactory& engines,
                    routing::ReplicaObserver& observer, core::TimeSource& time,
                    StreamIdSource& stream_ids, CallerMetrics& metrics)
       : pools_(pools),
@@ -45,15 +45,15 @@
 
   boost::asio::awaitable<AttemptEnd> generate(Run& run, Attempt& attempt);
   boost::asio::awaitable<AttemptEnd> read_stream(Run& run, Attempt& attempt,
-                                                 platform::TokenStream& stream);
-  boost::asio::awaitable<AttemptEnd> pass_on(Run& run, const platform::TokenChunk& chunk);
+                                                 ports::TokenStream& stream);
+  boost::asio::awaitable<AttemptEnd> pass_on(Run& run, const ports::TokenChunk& chunk);
   boost::asio::awaitable<Outcome> finish(Run& run);
   std::optional<Outcome> give_up(Run& run, const core::Error& error);
   void note_failure(Run& run, Attempt& attempt, const core::Error& error);
-  platform::GenerationRequest generation(const Run& run, const Attempt& attempt) const;
+  ports::GenerationRequest generation(const Run& run, const Attempt& attempt) const;
 
   ReplicaPools& pools_;
-  platform::ModelEngineFactory& engines_;
+  ports::ModelEngineFactory& engines_;
   routing::ReplicaObserver& observer_;
   core::TimeSource& time_;
   StreamIdSource& stream_ids_;
--- a/src/filters/completion_text.cpp
+++ b/src/filters/completion_text.cpp
@@ -9,13 +9,13 @@
 
 using Json = nlohmann::json;
 
-const char* finish_reason_name(platform::FinishReason reason) {
+const char* finish_reason_name(ports::FinishReason reason) {
   switch (reason) {
-    case platform::FinishReason::kStop:
+    case ports::FinishReason::kStop:
       return "stop";
-    case platform::FinishReason::kLength:
+    case ports::FinishReason::kLength:
       return "length";
-    case platform::FinishReason::kCancelled:
+    case ports::FinishReason::kCancelled:
       return "cancelled";
   }
   return "stop";
@@ -51,7 +51,7 @@
 
 }  // namespace
 
-core::Result<void> CompletionText::add(const platform::TokenChunk& chunk) {
+core::Result<void> CompletionText::add(const ports::TokenChunk& chunk) {
   if (chunk.offset != token_count_) {
     return core::make_error(core::ErrorCode::kProtocol,
                             "a chunk at token " + std::to_string(chunk.offset) + " after " +
@@ -68,7 +68,7 @@
   return {};
 }
 
-core::Result<void> CompletionText::end(const platform::StreamEnd& end) {
+core::Result<void> CompletionText::end(const ports::StreamEnd& end) {
   if (end.token_count != token_count_) {
     return core::make_error(
         core::ErrorCode::kTruncated,
--- a/src/filters/completion_text.hpp
+++ b/src/filters/completion_text.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "core/error.hpp"
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 
 namespace stoneport::filters {
 
@@ -25,23 +25,23 @@
   explicit CompletionText(bool keep_text) : keep_text_(keep_text) {}
 
   /// \return kProtocol when the chunk does not continue the text.
-  core::Result<void> add(const platform::TokenChunk& chunk);
+  core::Result<void> add(const ports::TokenChunk& chunk);
   /// \return kTruncated when the stream's own count is not what arrived.
-  core::Result<void> end(const platform::StreamEnd& end);
+  core::Result<void> end(const ports::StreamEnd& end);
   /// Forgets all, to begin again on another engine.
   void restart();
 
   std::uint64_t token_count() const { return token_count_; }
   const std::string& text() const { return text_; }
   const std::vector<VersionSpan>& spans() const { return spans_; }
-  platform::FinishReason finish_reason() const { return finish_reason_; }
+  ports::FinishReason finish_reason() const { return finish_reason_; }
 
  private:
   bool keep_text_;
   std::uint64_t token_count_ = 0;
   std::string text_;
   std::vector<VersionSpan> spans_;
-  platform::FinishReason finish_reason_ = platform::FinishReason::kStop;
+  ports::FinishReason finish_reason_ = ports::FinishReason::kStop;
 };
 
 /// What stands in every document of one completion.
--- a/src/platform/engine_codec.cpp
+++ b/src/ports/engine_codec.cpp
@@ -1,9 +1,9 @@
-#include "platform/engine_codec.hpp"
+#include "ports/engine_codec.hpp"
 
 #include "core/numbers.hpp"
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using nlohmann::json;
 
@@ -238,4 +238,4 @@
   });
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/engine_codec.hpp
+++ b/src/ports/engine_codec.hpp
@@ -7,9 +7,9 @@
 #include <variant>
 
 #include "core/error.hpp"
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 core::Result<std::string> encode_generation(const GenerationRequest& request);
 core::Result<std::string> encode_order(const EngineOrder& order, core::Epoch epoch);
@@ -34,4 +34,4 @@
   std::uint64_t next_offset_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/guarded_table_service.cpp
+++ b/src/ports/guarded_table_service.cpp
@@ -1,8 +1,8 @@
-#include "platform/guarded_table_service.hpp"
+#include "ports/guarded_table_service.hpp"
 
 #include "runtime/tasks.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using core::ErrorCode;
 
@@ -315,4 +315,4 @@
   return failure;
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/guarded_table_service.hpp
+++ b/src/ports/guarded_table_service.hpp
@@ -10,9 +10,9 @@
 #include "core/circuit_breaker.hpp"
 #include "core/metrics.hpp"
 #include "core/token_bucket.hpp"
-#include "platform/table_service.hpp"
+#include "ports/table_service.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 /// Longest time of one attempt, to be set on the bare client's endpoint: a call
 /// ends at its deadline plus this, at the latest.
@@ -83,4 +83,4 @@
   std::unique_ptr<Counters> counters_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_endpoint.cpp
+++ b/src/ports/http_endpoint.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_endpoint.hpp"
+#include "ports/http_endpoint.hpp"
 
 #include <charconv>
 #include <cmath>
@@ -6,7 +6,7 @@
 
 #include "core/json_text.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using core::ErrorCode;
 
@@ -162,4 +162,4 @@
   co_return co_await call(std::move(request), CallKind::kEffect, default_deadline());
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_endpoint.hpp
+++ b/src/ports/http_endpoint.hpp
@@ -11,7 +11,7 @@
 #include "core/time.hpp"
 #include "http/client.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 /// Whether a call may change something on the other side. It decides what a
 /// lost answer means.
@@ -64,4 +64,4 @@
 /// \return a request with a JSON body.
 http::Request json_request(std::string method, std::string target, std::string body);
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_machine_list.cpp
+++ b/src/ports/http_machine_list.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_machine_list.hpp"
+#include "ports/http_machine_list.hpp"
 
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 
 /// As long as a name in a packet between daemons may be.
@@ -80,4 +80,4 @@
   co_return parse_machines(*body);
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_machine_list.hpp
+++ b/src/ports/http_machine_list.hpp
@@ -2,10 +2,10 @@
 /// The HTTP client of the machine list (docs/EMULATOR.md).
 #pragma once
 
-#include "platform/http_endpoint.hpp"
-#include "platform/machine_list.hpp"
+#include "ports/http_endpoint.hpp"
+#include "ports/machine_list.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class HttpMachineList : public MachineList {
  public:
@@ -17,4 +17,4 @@
   HttpEndpoint endpoint_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_model_engine.cpp
+++ b/src/ports/http_model_engine.cpp
@@ -1,12 +1,12 @@
-#include "platform/http_model_engine.hpp"
+#include "ports/http_model_engine.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include "core/json_text.hpp"
 #include "http/server_sent_events.hpp"
-#include "platform/engine_codec.hpp"
+#include "ports/engine_codec.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using core::ErrorCode;
 using StreamResult = core::Result<std::unique_ptr<TokenStream>>;
@@ -227,4 +227,4 @@
   return engine;
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_model_engine.hpp
+++ b/src/ports/http_model_engine.hpp
@@ -5,10 +5,10 @@
 
 #include <map>
 
-#include "platform/http_endpoint.hpp"
-#include "platform/model_engine.hpp"
+#include "ports/http_endpoint.hpp"
+#include "ports/model_engine.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class HttpModelEngine : public ModelEngine {
  public:
@@ -54,4 +54,4 @@
   std::map<core::Address, std::weak_ptr<ModelEngine>> engines_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_object_store.cpp
+++ b/src/ports/http_object_store.cpp
@@ -1,6 +1,6 @@
-#include "platform/http_object_store.hpp"
+#include "ports/http_object_store.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 std::string object_target(const std::string& name) {
   return "/v1/objects/" + http::percent_encode(name);
@@ -24,4 +24,4 @@
   co_return co_await endpoint_.get(std::move(target));
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_object_store.hpp
+++ b/src/ports/http_object_store.hpp
@@ -2,10 +2,10 @@
 /// The HTTP client of the object store (docs/EMULATOR.md).
 #pragma once
 
-#include "platform/http_endpoint.hpp"
-#include "platform/object_store.hpp"
+#include "ports/http_endpoint.hpp"
+#include "ports/object_store.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class HttpObjectStore : public ObjectStore {
  public:
@@ -18,4 +18,4 @@
   HttpEndpoint endpoint_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_scoring_service.cpp
+++ b/src/ports/http_scoring_service.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_scoring_service.hpp"
+#include "ports/http_scoring_service.hpp"
 
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 boost::asio::awaitable<core::Result<double>> HttpScoringService::score(
     core::ServiceName scorer, ScoringRequest request, core::MonotonicTime deadline) {
@@ -19,4 +19,4 @@
   co_return decode_json(*body, [](const JsonFields& fields) { return fields.number("score"); });
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_scoring_service.hpp
+++ b/src/ports/http_scoring_service.hpp
@@ -2,10 +2,10 @@
 /// The HTTP client of a scoring service (docs/EMULATOR.md).
 #pragma once
 
-#include "platform/http_endpoint.hpp"
-#include "platform/scoring_service.hpp"
+#include "ports/http_endpoint.hpp"
+#include "ports/scoring_service.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class HttpScoringService : public ScoringService {
  public:
@@ -19,4 +19,4 @@
   HttpEndpoint endpoint_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_table_service.cpp
+++ b/src/ports/http_table_service.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_table_service.hpp"
+#include "ports/http_table_service.hpp"
 
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using nlohmann::json;
 
@@ -122,4 +122,4 @@
   co_return parse_revision(*body);
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_table_service.hpp
+++ b/src/ports/http_table_service.hpp
@@ -3,10 +3,10 @@
 /// request, no retry. GuardedTableService stands around it.
 #pragma once
 
-#include "platform/http_endpoint.hpp"
-#include "platform/table_service.hpp"
+#include "ports/http_endpoint.hpp"
+#include "ports/table_service.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class HttpTableService : public TableService {
  public:
@@ -25,4 +25,4 @@
   HttpEndpoint endpoint_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_weight_store.cpp
+++ b/src/ports/http_weight_store.cpp
@@ -1,9 +1,9 @@
-#include "platform/http_weight_store.hpp"
+#include "ports/http_weight_store.hpp"
 
 #include "core/json_text.hpp"
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 
 std::string policy_target(const core::PolicyName& policy) {
@@ -52,4 +52,4 @@
   co_return core::Result<void>();
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/http_weight_store.hpp
+++ b/src/ports/http_weight_store.hpp
@@ -2,10 +2,10 @@
 /// The HTTP client of the weight store (docs/EMULATOR.md).
 #pragma once
 
-#include "platform/http_endpoint.hpp"
-#include "platform/weight_store.hpp"
+#include "ports/http_endpoint.hpp"
+#include "ports/weight_store.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class HttpWeightStore : public WeightStore {
  public:
@@ -18,4 +18,4 @@
   HttpEndpoint endpoint_;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/json_fields.cpp
+++ b/src/ports/json_fields.cpp
@@ -1,8 +1,8 @@
-#include "platform/json_fields.hpp"
+#include "ports/json_fields.hpp"
 
 #include "core/json_text.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using nlohmann::json;
 
@@ -125,4 +125,4 @@
   }
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/json_fields.hpp
+++ b/src/ports/json_fields.hpp
@@ -13,7 +13,7 @@
 
 #include "core/error.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 /// Reads the fields of one JSON object. A missing field or one of another type
 /// gives a default value and sets the document's error, which the caller checks
@@ -75,4 +75,4 @@
   return value;
 }
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/machine_list.hpp
+++ b/src/ports/machine_list.hpp
@@ -10,7 +10,7 @@
 #include "core/error.hpp"
 #include "core/identifiers.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 enum class MachineRole { kNode, kEngine, kService };
 enum class MachineState { kLive, kLeaving };
@@ -32,4 +32,4 @@
   virtual boost::asio::awaitable<core::Result<std::vector<Machine>>> list() = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/model_engine.hpp
+++ b/src/ports/model_engine.hpp
@@ -15,7 +15,7 @@
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 struct GenerationRequest {
   core::StreamId stream;  ///< chosen by us; unique over engines and attempts
@@ -164,4 +164,4 @@
   virtual std::shared_ptr<ModelEngine> engine_at(core::Address address) = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/object_store.hpp
+++ b/src/ports/object_store.hpp
@@ -7,7 +7,7 @@
 
 #include "core/error.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class ObjectStore {
  public:
@@ -18,4 +18,4 @@
   virtual boost::asio::awaitable<core::Result<std::string>> get(std::string name) = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/scoring_service.hpp
+++ b/src/ports/scoring_service.hpp
@@ -10,7 +10,7 @@
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 struct ScoringRequest {
   std::string prompt;
@@ -25,4 +25,4 @@
                                                              core::MonotonicTime deadline) = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/table_service.hpp
+++ b/src/ports/table_service.hpp
@@ -12,7 +12,7 @@
 #include "core/error.hpp"
 #include "core/identifiers.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 struct RowKey {
   std::string table;
@@ -70,4 +70,4 @@
                                                                       TablePriority priority) = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/weight_store.hpp
+++ b/src/ports/weight_store.hpp
@@ -10,7 +10,7 @@
 #include "core/error.hpp"
 #include "core/identifiers.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 struct WeightSet {
   core::PolicyName policy;
@@ -32,4 +32,4 @@
   virtual boost::asio::awaitable<core::Result<void>> publish(WeightSet set) = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/platform/write_id_source.hpp
+++ b/src/ports/write_id_source.hpp
@@ -6,7 +6,7 @@
 
 #include "core/identifiers.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 
 class WriteIdSource {
  public:
@@ -26,4 +26,4 @@
   std::uint64_t count_ = 0;
 };
 
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
--- a/src/steps/attempt.cpp
+++ b/src/steps/attempt.cpp
@@ -9,15 +9,15 @@
 namespace {
 
 /// Orders to engines that nothing waits for: a cancel or a priority.
-asio::awaitable<void> send_cancel(std::shared_ptr<platform::ModelEngine> engine,
-                                  core::StreamId stream, prometheus::Counter& failures) {
+asio::awaitable<void> send_cancel(std::shared_ptr<ports::ModelEngine> engine, core::StreamId stream,
+                                  prometheus::Counter& failures) {
   const auto done = co_await engine->cancel_stream(std::move(stream));
   if (!done) {
     failures.Increment();
   }
 }
 
-asio::awaitable<void> send_priority(std::shared_ptr<platform::ModelEngine> engine,
+asio::awaitable<void> send_priority(std::shared_ptr<ports::ModelEngine> engine,
                                     core::StreamId stream, std::int32_t priority,
                                     prometheus::Counter& failures) {
   const auto done = co_await engine->set_priority(std::move(stream), priority);
@@ -59,7 +59,7 @@
   context_.engines.stream_started(order_.engine.id);
 }
 
-std::shared_ptr<platform::ModelEngine> Attempt::client() const {
+std::shared_ptr<ports::ModelEngine> Attempt::client() const {
   return context_.engines.client(order_.engine.address);
 }
 
@@ -123,15 +123,15 @@
     }
     co_return std::nullopt;
   }
-  core::Result<platform::StreamItem> item = co_await stream_->next();
+  core::Result<ports::StreamItem> item = co_await stream_->next();
   if (stop_ != Stop::kNone) {
     co_return AttemptEnd::kCancelled;
   }
   if (item) {
-    if (const auto* chunk = std::get_if<platform::TokenChunk>(&*item)) {
+    if (const auto* chunk = std::get_if<ports::TokenChunk>(&*item)) {
       co_return take(*chunk);
     }
-    co_return take(std::get<platform::StreamEnd>(*item));
+    co_return take(std::get<ports::StreamEnd>(*item));
   }
   if (migration_target_) {
     co_return std::nullopt;  // interrupted for it
@@ -143,7 +143,7 @@
   co_return resumed ? std::nullopt : std::optional(AttemptEnd::kFailed);
 }
 
-std::optional<AttemptEnd> Attempt::take(const platform::TokenChunk& chunk) {
+std::optional<AttemptEnd> Attempt::take(const ports::TokenChunk& chunk) {
   const rollout::GeneratedChunk generated{chunk.offset, chunk.token_count, chunk.text,
                                           chunk.version};
   context_.metrics.tokens_received.Increment(chunk.token_count);
@@ -160,8 +160,8 @@
   return std::nullopt;
 }
 
-AttemptEnd Attempt::take(const platform::StreamEnd& end) {
-  if (end.reason == platform::FinishReason::kCancelled) {
+AttemptEnd Attempt::take(const ports::StreamEnd& end) {
+  if (end.reason == ports::FinishReason::kCancelled) {
     return AttemptEnd::kFailed;
   }
   return content_.finish(end.token_count) ? AttemptEnd::kUnfit : AttemptEnd::kFinished;
@@ -195,7 +195,7 @@
 asio::awaitable<bool> Attempt::migrate(routing::Replica target) {
   ++migrations_;
   const auto source_engine = client();
-  core::Result<platform::KvExport> exported = co_await source_engine->export_kv(stream_id_);
+  core::Result<ports::KvExport> exported = co_await source_engine->export_kv(stream_id_);
   if (!exported) {
     // Not exported, or the answer was lost: reading on shows which.
     context_.metrics.migrations_failed.Increment();
@@ -224,7 +224,7 @@
   co_return true;
 }
 
-asio::awaitable<Attempt::StreamResult> Attempt::import_at(platform::KvExport exported,
+asio::awaitable<Attempt::StreamResult> Attempt::import_at(ports::KvExport exported,
                                                           routing::Replica from,
                                                           routing::Replica target) {
   const auto engine = context_.engines.client(target.address);
--- a/src/steps/attempt.hpp
+++ b/src/steps/attempt.hpp
@@ -29,7 +29,7 @@
     rollout::StreamName name;
     /// Where it runs, or for a new stream shall run.
     routing::Replica engine;
-    platform::GenerationRequest request;
+    ports::GenerationRequest request;
     /// The stream exists already, begun by an earlier owner of the step.
     bool adopted = false;
     core::MonotonicTime deadline;
@@ -66,27 +66,27 @@
   double tokens_per_second() const;
 
  private:
-  using StreamResult = core::Result<std::unique_ptr<platform::TokenStream>>;
+  using StreamResult = core::Result<std::unique_ptr<ports::TokenStream>>;
   enum class Stop { kNone, kCancel, kDetach };
 
   boost::asio::awaitable<std::optional<AttemptEnd>> open();
   boost::asio::awaitable<std::optional<AttemptEnd>> read();
   boost::asio::awaitable<bool> resume();
   boost::asio::awaitable<bool> migrate(routing::Replica target);
-  boost::asio::awaitable<StreamResult> import_at(platform::KvExport exported, routing::Replica from,
+  boost::asio::awaitable<StreamResult> import_at(ports::KvExport exported, routing::Replica from,
                                                  routing::Replica target);
-  std::optional<AttemptEnd> take(const platform::TokenChunk& chunk);
-  AttemptEnd take(const platform::StreamEnd& end);
+  std::optional<AttemptEnd> take(const ports::TokenChunk& chunk);
+  AttemptEnd take(const ports::StreamEnd& end);
   void interrupt();
   void move_usage(const core::ReplicaId& from, const core::ReplicaId& to);
   void cancel_at(const routing::Replica& replica);
-  std::shared_ptr<platform::ModelEngine> client() const;
+  std::shared_ptr<ports::ModelEngine> client() const;
 
   StepContext& context_;
   Order order_;
   core::StreamId stream_id_;
   rollout::ProvenanceBuilder content_;
-  std::unique_ptr<platform::TokenStream> stream_;
+  std::unique_ptr<ports::TokenStream> stream_;
   std::optional<routing::Replica> migration_target_;
   Stop stop_ = Stop::kNone;
   bool reading_ = true;
--- a/src/steps/dependencies.hpp
+++ b/src/steps/dependencies.hpp
@@ -13,8 +13,8 @@
 #include "core/identifiers.hpp"
 #include "core/metrics.hpp"
 #include "core/time.hpp"
-#include "platform/model_engine.hpp"
-#include "platform/scoring_service.hpp"
+#include "ports/model_engine.hpp"
+#include "ports/scoring_service.hpp"
 #include "routing/routing_table.hpp"
 #include "runtime/snapshot.hpp"
 
@@ -62,8 +62,8 @@
   boost::asio::any_io_executor executor;  ///< of the steps thread
   std::shared_ptr<runtime::SnapshotView<config::Configuration>> configuration;
   std::shared_ptr<runtime::SnapshotView<routing::RoutingTable>> routing;
-  platform::ModelEngineFactory& engines;
-  platform::ScoringService& scoring;
+  ports::ModelEngineFactory& engines;
+  ports::ScoringService& scoring;
   PolicyPublisher& policies;
   EpochSource& epochs;
   core::Metrics& metrics;
--- a/src/steps/engine_directory.cpp
+++ b/src/steps/engine_directory.cpp
@@ -132,7 +132,7 @@
   return *found;
 }
 
-std::shared_ptr<platform::ModelEngine> EngineDirectory::client(const core::Address& address) const {
+std::shared_ptr<ports::ModelEngine> EngineDirectory::client(const core::Address& address) const {
   return dependencies_.engines.engine_at(address);
 }
 
--- a/src/steps/engine_directory.hpp
+++ b/src/steps/engine_directory.hpp
@@ -31,7 +31,7 @@
   std::vector<routing::Replica> all(const core::ModelName& model) const;
   std::optional<routing::Replica> find(const core::ModelName& model,
                                        const core::ReplicaId& replica) const;
-  std::shared_ptr<platform::ModelEngine> client(const core::Address& address) const;
+  std::shared_ptr<ports::ModelEngine> client(const core::Address& address) const;
 
   void stream_started(const core::ReplicaId& replica);
   void stream_ended(const core::ReplicaId& replica, routing::LoadSignal signal);
--- a/src/steps/step_work.cpp
+++ b/src/steps/step_work.cpp
@@ -264,7 +264,7 @@
   order.name.owner = context_.owner;
   order.engine = std::move(engine);
   order.deadline = context_.now() + rules_.parameters.step_deadline;
-  platform::GenerationRequest& request = order.request;
+  ports::GenerationRequest& request = order.request;
   request.model = rules_.event_template.model;
   request.prompt = plan_.content.prompts[slot.prompt];
   request.max_tokens = rules_.event_template.max_tokens;
--- a/src/steps/step_work_scoring.cpp
+++ b/src/steps/step_work_scoring.cpp
@@ -20,7 +20,7 @@
       if (stopped_) {
         co_return std::nullopt;
       }
-      platform::ScoringRequest request;
+      ports::ScoringRequest request;
       request.prompt = prompt;
       request.completion = completion;
       const core::MonotonicTime deadline = context_.now() + settings.score_timeout;
--- a/src/steps/stream_search.cpp
+++ b/src/steps/stream_search.cpp
@@ -18,13 +18,13 @@
 };
 
 asio::awaitable<void> ask(std::shared_ptr<Search> search,
-                          std::shared_ptr<platform::ModelEngine> engine, routing::Replica replica,
+                          std::shared_ptr<ports::ModelEngine> engine, routing::Replica replica,
                           std::string prefix) {
   const auto listed = co_await engine->list_streams(std::move(prefix));
   if (listed) {
-    for (const platform::StreamStatus& status : *listed) {
+    for (const ports::StreamStatus& status : *listed) {
       if (const auto name = rollout::parse_stream_id(status.stream)) {
-        const bool is_cancelled = status.finish_reason == platform::FinishReason::kCancelled;
+        const bool is_cancelled = status.finish_reason == ports::FinishReason::kCancelled;
         search->found.push_back(
             FoundStream{*name, replica, status.token_count, status.finished, is_cancelled});
       }
--- a/tests/contract/caller_completions_test.cpp
+++ b/tests/contract/caller_completions_test.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 using core::ErrorCode;
-using platform::FinishReason;
+using ports::FinishReason;
 
 const Script kWhole = {chunk(0, 2, "ab", 7), chunk(2, 1, "c", 7), chunk(3, 3, "def", 8),
                        end_of_stream(6)};
@@ -283,7 +283,7 @@
                            "seed":5,"adapter":"tone"})";
     fixture.callers.call("POST", "/v1/completions", body);
     fixture.callers.call("POST", "/v1/completions", body);
-    const platform::GenerationRequest& request = fixture.first->requests.at(0);
+    const ports::GenerationRequest& request = fixture.first->requests.at(0);
     CPPUNIT_ASSERT_EQUAL(std::string("hello"), request.prompt);
     CPPUNIT_ASSERT_EQUAL(9u, request.max_tokens);
     CPPUNIT_ASSERT_EQUAL(0.25, request.temperature);
--- a/tests/contract/caller_fixture.hpp
+++ b/tests/contract/caller_fixture.hpp
@@ -66,9 +66,9 @@
   std::map<std::string, int> unreachable;
 };
 
-class NoEngines : public platform::ModelEngineFactory {
+class NoEngines : public ports::ModelEngineFactory {
  public:
-  std::shared_ptr<platform::ModelEngine> engine_at(core::Address) override { return nullptr; }
+  std::shared_ptr<ports::ModelEngine> engine_at(core::Address) override { return nullptr; }
 };
 
 /// What a caller gets to see.
@@ -82,7 +82,7 @@
 
 struct CallerOptions {
   routing::AdmissionOptions admission = {};
-  platform::ModelEngineFactory* engines = nullptr;
+  ports::ModelEngineFactory* engines = nullptr;
   http::ServerLimits server_limits = {};
 };
 
--- a/tests/contract/event_warm_up_test.cpp
+++ b/tests/contract/event_warm_up_test.cpp
@@ -10,7 +10,7 @@
 #include "controllers/event_warm_up_controller.hpp"
 #include "http/router.hpp"
 #include "http/server.hpp"
-#include "platform/http_model_engine.hpp"
+#include "ports/http_model_engine.hpp"
 #include "support/fake_membership.hpp"
 #include "support/fake_policy_versions.hpp"
 #include "support/run_task.hpp"
@@ -73,7 +73,7 @@
     core::Metrics metrics;
     core::SystemTimeSource real_time;
     http::Client client(executor, "steps", metrics);
-    platform::HttpModelEngineFactory factory(client, real_time);
+    ports::HttpModelEngineFactory factory(client, real_time);
     core::ManualTimeSource time;
     support::FakePolicyVersions versions;
     versions.version = core::WeightVersion(7);
@@ -131,7 +131,7 @@
     return configuration;
   }
 
-  static boost::asio::awaitable<bool> reach(platform::HttpModelEngineFactory& factory,
+  static boost::asio::awaitable<bool> reach(ports::HttpModelEngineFactory& factory,
                                             core::Address address) {
     const auto engine = factory.engine_at(std::move(address));
     const auto report = co_await engine->report();
--- a/tests/contract/malformed_answers_test.cpp
+++ b/tests/contract/malformed_answers_test.cpp
@@ -4,19 +4,19 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "contract/platform_fixture.hpp"
-#include "platform/engine_codec.hpp"
-#include "platform/http_machine_list.hpp"
-#include "platform/http_model_engine.hpp"
-#include "platform/http_scoring_service.hpp"
-#include "platform/http_table_service.hpp"
-#include "platform/http_weight_store.hpp"
+#include "ports/engine_codec.hpp"
+#include "ports/http_machine_list.hpp"
+#include "ports/http_model_engine.hpp"
+#include "ports/http_scoring_service.hpp"
+#include "ports/http_table_service.hpp"
+#include "ports/http_weight_store.hpp"
 #include "support/malformed_input.hpp"
 
 namespace stoneport::platform_test {
 namespace {
 
-using platform::HttpEndpoint;
-using platform::TablePriority;
+using ports::HttpEndpoint;
+using ports::TablePriority;
 
 template <class Port, class Function>
 PortCall port_call(const char* name, CallKind kind, Function function) {
@@ -27,8 +27,8 @@
 }
 
 std::vector<PortCall> calls_that_read_an_answer() {
-  using Table = platform::HttpTableService;
-  using Engine = platform::HttpModelEngine;
+  using Table = ports::HttpTableService;
+  using Engine = ports::HttpModelEngine;
   return {
       port_call<Table>("table read", CallKind::kRead,
                        [](Table& table) {
@@ -41,20 +41,20 @@
                        }),
       port_call<Table>("table commit", CallKind::kEffect,
                        [](Table& table) {
-                         platform::Transaction transaction;
+                         ports::Transaction transaction;
                          transaction.write_id = core::WriteId("write");
                          transaction.writes.push_back({{"claims", "key"}, "value"});
                          return table.commit(std::move(transaction), TablePriority::kOwnership);
                        }),
-      port_call<platform::HttpMachineList>("machine list", CallKind::kRead,
-                                           [](auto& list) { return list.list(); }),
-      port_call<platform::HttpWeightStore>(
+      port_call<ports::HttpMachineList>("machine list", CallKind::kRead,
+                                        [](auto& list) { return list.list(); }),
+      port_call<ports::HttpWeightStore>(
           "weight store", CallKind::kRead,
           [](auto& store) { return store.status(core::PolicyName("policy")); }),
-      port_call<platform::HttpScoringService>(
+      port_call<ports::HttpScoringService>(
           "scoring", CallKind::kRead,
           [](auto& service) {
-            platform::ScoringRequest request{"prompt", "completion"};
+            ports::ScoringRequest request{"prompt", "completion"};
             return service.score(core::ServiceName("judge"), std::move(request), http_test::soon());
           }),
       port_call<Engine>("engine report", CallKind::kRead,
@@ -109,7 +109,7 @@
 
   void stream_events_get_typed_errors() {
     for (const tests::MalformedDocument& document : tests::malformed_documents()) {
-      platform::StreamEventParser parser(core::StreamId("stream"), 0);
+      ports::StreamEventParser parser(core::StreamId("stream"), 0);
       const auto item = parser.parse(document.bytes);
       CPPUNIT_ASSERT_MESSAGE(document.fault, !item && item.error().code == ErrorCode::kProtocol);
     }
--- a/tests/contract/peer_control_plane_test.cpp
+++ b/tests/contract/peer_control_plane_test.cpp
@@ -26,12 +26,10 @@
 using support::ReportingEngine;
 using support::ReportingEngines;
 
-class FakeMachineList : public platform::MachineList {
+class FakeMachineList : public ports::MachineList {
  public:
-  std::vector<platform::Machine> machines;
-  asio::awaitable<core::Result<std::vector<platform::Machine>>> list() override {
-    co_return machines;
-  }
+  std::vector<ports::Machine> machines;
+  asio::awaitable<core::Result<std::vector<ports::Machine>>> list() override { co_return machines; }
 };
 
 /// What all daemons of a test share.
@@ -41,9 +39,9 @@
   support::FakeTableService table;
 
   ReportingEngine& add_engine(const std::string& id, std::uint16_t port) {
-    platform::Machine machine;
+    ports::Machine machine;
     machine.id = id;
-    machine.role = platform::MachineRole::kEngine;
+    machine.role = ports::MachineRole::kEngine;
     machine.serves = "compounds";
     machine.address = {"127.0.0.1", port};
     machine.incarnation = core::Incarnation(1);
@@ -191,7 +189,7 @@
     platform_->add_engine("engine-2", 9002);
     for (int number = 0; number < 3; ++number) {
       nodes_.push_back(std::make_unique<Node>(context_, *platform_, number, time_));
-      platform::Machine machine;
+      ports::Machine machine;
       machine.id = "node-" + std::to_string(number);
       machine.address = nodes_.back()->gossip.self().gossip_address;
       platform_->list.machines.push_back(machine);
--- a/tests/contract/platform_fixture.hpp
+++ b/tests/contract/platform_fixture.hpp
@@ -11,12 +11,12 @@
 #include <vector>
 
 #include "http_fixture.hpp"
-#include "platform/http_endpoint.hpp"
+#include "ports/http_endpoint.hpp"
 
 namespace stoneport::platform_test {
 namespace asio = boost::asio;
 using core::ErrorCode;
-using platform::CallKind;
+using ports::CallKind;
 
 /// How a call through a port ended: nothing, or its error.
 using CallEnd = std::optional<core::Error>;
@@ -35,11 +35,11 @@
 struct PortCall {
   const char* name;
   CallKind kind;
-  std::function<asio::awaitable<CallEnd>(platform::HttpEndpoint)> call;
+  std::function<asio::awaitable<CallEnd>(ports::HttpEndpoint)> call;
 };
 
-inline platform::EndpointSettings test_settings(core::Duration timeout = http_test::kPatience) {
-  platform::EndpointSettings settings;
+inline ports::EndpointSettings test_settings(core::Duration timeout = http_test::kPatience) {
+  ports::EndpointSettings settings;
   settings.timeout = timeout;
   settings.max_answer_bytes = 64 * 1024;
   return settings;
@@ -49,9 +49,9 @@
 struct ClientFixture {
   explicit ClientFixture(asio::io_context& context)
       : client(context.get_executor(), "test", metrics) {}
-  platform::HttpEndpoint endpoint(const core::Address& address,
-                                  core::Duration timeout = http_test::kPatience) {
-    return platform::HttpEndpoint(client, address, time, test_settings(timeout));
+  ports::HttpEndpoint endpoint(const core::Address& address,
+                               core::Duration timeout = http_test::kPatience) {
+    return ports::HttpEndpoint(client, address, time, test_settings(timeout));
   }
   core::Metrics metrics;
   core::SystemTimeSource time;
--- a/tests/contract/platform_model_engine_contract.cpp
+++ b/tests/contract/platform_model_engine_contract.cpp
@@ -2,19 +2,19 @@
 /// Contract of the model engine's port: HttpModelEngine against faulty answers and
 /// streams, and against the emulator's engine.
 #include "emulator/engine_listener.hpp"
-#include "platform/http_model_engine.hpp"
 #include "platform_fixture.hpp"
+#include "ports/http_model_engine.hpp"
 
 namespace stoneport::platform_test {
 namespace {
-using platform::HttpEndpoint;
-using platform::HttpModelEngine;
+using ports::HttpEndpoint;
+using ports::HttpModelEngine;
 
 const core::StreamId kStream{"event/1/0-0/1/e1"};
 
-platform::GenerationRequest generation(const std::string& stream = kStream.value(),
-                                       std::uint64_t epoch = 1) {
-  platform::GenerationRequest request;
+ports::GenerationRequest generation(const std::string& stream = kStream.value(),
+                                    std::uint64_t epoch = 1) {
+  ports::GenerationRequest request;
   request.stream = core::StreamId(stream);
   request.model = core::ModelName("compounds");
   request.prompt = std::string(600, 'p');
@@ -28,45 +28,43 @@
   std::string text;
   std::uint64_t tokens = 0;
   std::uint64_t tokens_without_version = 0;
-  std::optional<platform::StreamEnd> end;
+  std::optional<ports::StreamEnd> end;
   CallEnd error;
 };
 
-asio::awaitable<ReadStream> read_stream(
-    core::Result<std::unique_ptr<platform::TokenStream>> opened) {
+asio::awaitable<ReadStream> read_stream(core::Result<std::unique_ptr<ports::TokenStream>> opened) {
   ReadStream read;
   if (!opened) {
     read.error = opened.error();
     co_return read;
   }
   while (!read.end) {
-    const core::Result<platform::StreamItem> item = co_await (*opened)->next();
+    const core::Result<ports::StreamItem> item = co_await (*opened)->next();
     if (!item) {
       read.error = item.error();
       co_return read;
     }
-    if (const auto* chunk = std::get_if<platform::TokenChunk>(&*item)) {
+    if (const auto* chunk = std::get_if<ports::TokenChunk>(&*item)) {
       read.text += chunk->text;
       read.tokens += chunk->token_count;
       read.tokens_without_version += chunk->version ? 0 : chunk->token_count;
     } else {
-      read.end = std::get<platform::StreamEnd>(*item);
+      read.end = std::get<ports::StreamEnd>(*item);
     }
   }
   co_return read;
 }
 
-asio::awaitable<ReadStream> generate(platform::ModelEngine& engine,
-                                     platform::GenerationRequest request) {
+asio::awaitable<ReadStream> generate(ports::ModelEngine& engine, ports::GenerationRequest request) {
   auto opened = co_await engine.generate(std::move(request), http_test::soon());
   co_return co_await read_stream(std::move(opened));
 }
-asio::awaitable<ReadStream> resume(platform::ModelEngine& engine, core::StreamId stream,
+asio::awaitable<ReadStream> resume(ports::ModelEngine& engine, core::StreamId stream,
                                    std::uint64_t offset) {
   auto opened = co_await engine.resume(std::move(stream), offset, http_test::soon());
   co_return co_await read_stream(std::move(opened));
 }
-asio::awaitable<ReadStream> import_kv(platform::ModelEngine& engine, platform::KvExport exported,
+asio::awaitable<ReadStream> import_kv(ports::ModelEngine& engine, ports::KvExport exported,
                                       core::Address source) {
   auto opened =
       co_await engine.import_kv(std::move(exported), std::move(source), http_test::soon());
@@ -112,7 +110,7 @@
                   [](Engine& engine, Deadline) { return engine.cache_events(5); }),
       engine_call("order", CallKind::kEffect,
                   [](Engine& engine, Deadline) {
-                    return engine.order(platform::ChangeRole{platform::EngineRole::kDecode},
+                    return engine.order(ports::ChangeRole{ports::EngineRole::kDecode},
                                         core::Epoch(4));
                   }),
   };
@@ -158,7 +156,7 @@
     }
   }
 
-  std::shared_ptr<platform::ModelEngine> engine(std::size_t number) {
+  std::shared_ptr<ports::ModelEngine> engine(std::size_t number) {
     return factory.engine_at(engines[number]->address());
   }
   template <class Value>
@@ -179,7 +177,7 @@
   emulator::EngineSettings settings;
   std::vector<std::unique_ptr<emulator::EngineListener>> engines;
   ClientFixture client;
-  platform::HttpModelEngineFactory factory{client.client, client.time, test_settings()};
+  ports::HttpModelEngineFactory factory{client.client, client.time, test_settings()};
 };
 
 class ModelEngineContract : public CppUnit::TestFixture {
@@ -361,14 +359,14 @@
 
   void owner_of_an_older_epoch_is_fenced() {
     EngineFixture fixture;
-    const std::shared_ptr<platform::ModelEngine> kept = fixture.engine(0);
-    platform::ModelEngine& engine = *kept;
+    const std::shared_ptr<ports::ModelEngine> kept = fixture.engine(0);
+    ports::ModelEngine& engine = *kept;
     CPPUNIT_ASSERT(fixture.run(generate(engine, generation("event/1/a", 5))).end);
     const auto stale = fixture.run(generate(engine, generation("event/1/b", 4)));
     check_end("older epoch", ErrorCode::kFenced, stale.error);
 
-    const platform::LoadVersion load{core::PolicyName("compounds"), core::WeightVersion(2),
-                                     platform::LoadVersion::RunningStreams::kContinue};
+    const ports::LoadVersion load{core::PolicyName("compounds"), core::WeightVersion(2),
+                                  ports::LoadVersion::RunningStreams::kContinue};
     CPPUNIT_ASSERT(fixture.run(engine.order(load, core::Epoch(3))));
     const auto order = fixture.run(engine.order(load, core::Epoch(2)));
     CPPUNIT_ASSERT(!order && order.error().code == ErrorCode::kFenced);
@@ -381,8 +379,8 @@
 
   void report_and_cache_events_are_read() {
     EngineFixture fixture;
-    const std::shared_ptr<platform::ModelEngine> kept = fixture.engine(0);
-    platform::ModelEngine& engine = *kept;
+    const std::shared_ptr<ports::ModelEngine> kept = fixture.engine(0);
+    ports::ModelEngine& engine = *kept;
     CPPUNIT_ASSERT(fixture.run(generate(engine, generation())).end);
     const auto report = fixture.run(engine.report());
     CPPUNIT_ASSERT(report && report->model == core::ModelName("compounds"));
--- a/tests/contract/platform_stores_contract.cpp
+++ b/tests/contract/platform_stores_contract.cpp
@@ -2,43 +2,43 @@
 /// Contracts of the object store's, weight store's, machine list's and scoring
 /// service's ports: their clients against faulty answers and the emulator.
 #include "emulator/emulator.hpp"
-#include "platform/http_machine_list.hpp"
-#include "platform/http_object_store.hpp"
-#include "platform/http_scoring_service.hpp"
-#include "platform/http_weight_store.hpp"
 #include "platform_fixture.hpp"
+#include "ports/http_machine_list.hpp"
+#include "ports/http_object_store.hpp"
+#include "ports/http_scoring_service.hpp"
+#include "ports/http_weight_store.hpp"
 
 namespace stoneport::platform_test {
 namespace {
-using platform::HttpEndpoint;
+using ports::HttpEndpoint;
 
 const core::PolicyName kPolicy{"compounds"};
 
 asio::awaitable<CallEnd> get_object(HttpEndpoint endpoint) {
-  platform::HttpObjectStore store(std::move(endpoint));
+  ports::HttpObjectStore store(std::move(endpoint));
   co_return co_await end_of(store.get("claims/a"));
 }
 asio::awaitable<CallEnd> put_object(HttpEndpoint endpoint) {
-  platform::HttpObjectStore store(std::move(endpoint));
+  ports::HttpObjectStore store(std::move(endpoint));
   co_return co_await end_of(store.put("claims/a", "content"));
 }
 asio::awaitable<CallEnd> weight_status(HttpEndpoint endpoint) {
-  platform::HttpWeightStore store(std::move(endpoint));
+  ports::HttpWeightStore store(std::move(endpoint));
   co_return co_await end_of(store.status(kPolicy));
 }
 asio::awaitable<CallEnd> publish_weights(HttpEndpoint endpoint) {
-  platform::HttpWeightStore store(std::move(endpoint));
-  platform::WeightSet set{kPolicy, core::WeightVersion(2), 10};
+  ports::HttpWeightStore store(std::move(endpoint));
+  ports::WeightSet set{kPolicy, core::WeightVersion(2), 10};
   co_return co_await end_of(store.publish(std::move(set)));
 }
 asio::awaitable<CallEnd> list_machines(HttpEndpoint endpoint) {
-  platform::HttpMachineList list(std::move(endpoint));
+  ports::HttpMachineList list(std::move(endpoint));
   co_return co_await end_of(list.list());
 }
 asio::awaitable<CallEnd> score_sample(HttpEndpoint endpoint) {
   const core::MonotonicTime deadline = endpoint.default_deadline();
-  platform::HttpScoringService service(std::move(endpoint));
-  platform::ScoringRequest request{"prompt", "completion"};
+  ports::HttpScoringService service(std::move(endpoint));
+  ports::ScoringRequest request{"prompt", "completion"};
   co_return co_await end_of(
       service.score(core::ServiceName("judge"), std::move(request), deadline));
 }
@@ -91,7 +91,7 @@
 
   void objects_come_back_whole() {
     StoreFixture<emulator::ObjectListener> fixture;
-    platform::HttpObjectStore store(fixture.endpoint());
+    ports::HttpObjectStore store(fixture.endpoint());
     for (const std::string& content :
          {std::string(), std::string("\0\xff\r\n", 4), std::string(50'000, 'x')}) {
       CPPUNIT_ASSERT(http_test::run(fixture.context, store.put("claims/a b", content)));
@@ -129,8 +129,8 @@
   void published_sets_are_listed() {
     emulator::WeightSource source(1000);
     StoreFixture<emulator::WeightListener> fixture(source);
-    platform::HttpWeightStore store(fixture.endpoint());
-    platform::WeightSet set{kPolicy, core::WeightVersion(7), 123};
+    ports::HttpWeightStore store(fixture.endpoint());
+    ports::WeightSet set{kPolicy, core::WeightVersion(7), 123};
     CPPUNIT_ASSERT(http_test::run(fixture.context, store.publish(set)));
     const auto status = http_test::run(fixture.context, store.status(kPolicy));
     CPPUNIT_ASSERT(status && status->bytes_per_second == 1000);
@@ -186,17 +186,17 @@
 
     asio::io_context context;
     ClientFixture client(context);
-    platform::HttpMachineList list(client.endpoint({"127.0.0.1", port}));
+    ports::HttpMachineList list(client.endpoint({"127.0.0.1", port}));
     const auto machines = http_test::run(context, list.list());
     emulator.stop();
     CPPUNIT_ASSERT(machines);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, machines->size());
-    for (const platform::Machine& machine : *machines) {
+    for (const ports::Machine& machine : *machines) {
       const bool is_node = machine.id == "n1";
       CPPUNIT_ASSERT(machine.role ==
-                     (is_node ? platform::MachineRole::kNode : platform::MachineRole::kEngine));
+                     (is_node ? ports::MachineRole::kNode : ports::MachineRole::kEngine));
       CPPUNIT_ASSERT(machine.state ==
-                     (is_node ? platform::MachineState::kLeaving : platform::MachineState::kLive));
+                     (is_node ? ports::MachineState::kLeaving : ports::MachineState::kLive));
       CPPUNIT_ASSERT(!is_node || machine.incarnation == core::Incarnation(5));
       CPPUNIT_ASSERT(is_node || machine.serves == "compounds");
     }
@@ -219,7 +219,7 @@
 
   void score_is_read() {
     StoreFixture<emulator::ScoringListener> fixture;
-    platform::HttpScoringService service(fixture.endpoint());
+    ports::HttpScoringService service(fixture.endpoint());
     const auto score = http_test::run(
         fixture.context,
         service.score(core::ServiceName("judge"), {"prompt", "completion"}, http_test::soon()));
--- a/tests/contract/platform_table_service_contract.cpp
+++ b/tests/contract/platform_table_service_contract.cpp
@@ -2,17 +2,17 @@
 /// Contract of the table service's port: HttpTableService against faulty answers,
 /// and, bare and guarded, against the emulator's table service.
 #include "emulator/platform_services.hpp"
-#include "platform/guarded_table_service.hpp"
-#include "platform/http_table_service.hpp"
 #include "platform_fixture.hpp"
+#include "ports/guarded_table_service.hpp"
+#include "ports/http_table_service.hpp"
 
 namespace stoneport::platform_test {
 namespace {
-using platform::HttpEndpoint;
-using platform::HttpTableService;
-using platform::RowKey;
-using platform::TablePriority;
-using platform::Transaction;
+using ports::HttpEndpoint;
+using ports::HttpTableService;
+using ports::RowKey;
+using ports::TablePriority;
+using ports::Transaction;
 
 const RowKey kKey{"claims", "a b/c?"};
 
@@ -43,19 +43,19 @@
   TableFixture() : listener(context.get_executor(), metrics), client(context) {
     listener.listen({"127.0.0.1", 0}).value();
     bare = std::make_unique<HttpTableService>(client.endpoint(listener.address()));
-    platform::GuardSettings settings;
+    ports::GuardSettings settings;
     settings.budget = {1e6, 1e3};
     settings.backoff = {std::chrono::milliseconds(1), std::chrono::milliseconds(5)};
     settings.interactive_deadline = http_test::kPatience;
-    guarded = std::make_unique<platform::GuardedTableService>(*bare, client.time, settings, 1,
-                                                              client.metrics);
+    guarded = std::make_unique<ports::GuardedTableService>(*bare, client.time, settings, 1,
+                                                           client.metrics);
   }
 
-  core::Result<core::Revision> commit(platform::TableService& table, Transaction transaction) {
+  core::Result<core::Revision> commit(ports::TableService& table, Transaction transaction) {
     return http_test::run(context,
                           table.commit(std::move(transaction), TablePriority::kInteractive));
   }
-  core::Result<std::optional<platform::Row>> read(platform::TableService& table, RowKey key) {
+  core::Result<std::optional<ports::Row>> read(ports::TableService& table, RowKey key) {
     return http_test::run(context, table.read(std::move(key), TablePriority::kInteractive));
   }
 
@@ -64,7 +64,7 @@
   emulator::TableListener listener;
   ClientFixture client;
   std::unique_ptr<HttpTableService> bare;
-  std::unique_ptr<platform::GuardedTableService> guarded;
+  std::unique_ptr<ports::GuardedTableService> guarded;
 };
 
 class TableServiceContract : public CppUnit::TestFixture {
--- a/tests/contract/scripted_engine.hpp
+++ b/tests/contract/scripted_engine.hpp
@@ -6,38 +6,37 @@
 #include <map>
 
 #include "contract/caller_fixture.hpp"
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 
 namespace stoneport::caller_test {
 
 /// One item of a stream, or the error that ends it; nothing: waits for cancel().
-using ScriptItem = std::optional<core::Result<platform::StreamItem>>;
+using ScriptItem = std::optional<core::Result<ports::StreamItem>>;
 using Script = std::vector<ScriptItem>;
 
 inline ScriptItem chunk(std::uint64_t offset, std::uint32_t tokens, const std::string& text,
                         std::optional<std::uint64_t> version) {
-  platform::TokenChunk made{offset, tokens, text, std::nullopt};
+  ports::TokenChunk made{offset, tokens, text, std::nullopt};
   if (version) {
     made.version = core::WeightVersion(*version);
   }
-  return core::Result<platform::StreamItem>(platform::StreamItem(made));
+  return core::Result<ports::StreamItem>(ports::StreamItem(made));
 }
 inline ScriptItem end_of_stream(std::uint64_t tokens,
-                                platform::FinishReason reason = platform::FinishReason::kStop) {
-  return core::Result<platform::StreamItem>(
-      platform::StreamItem(platform::StreamEnd{reason, tokens}));
+                                ports::FinishReason reason = ports::FinishReason::kStop) {
+  return core::Result<ports::StreamItem>(ports::StreamItem(ports::StreamEnd{reason, tokens}));
 }
 inline ScriptItem failure(core::ErrorCode code) {
-  return core::Result<platform::StreamItem>(core::make_error(code, "by the script"));
+  return core::Result<ports::StreamItem>(core::make_error(code, "by the script"));
 }
 
-class ScriptedStream : public platform::TokenStream {
+class ScriptedStream : public ports::TokenStream {
  public:
   ScriptedStream(asio::any_io_executor executor, Script script)
       : items_(script.begin(), script.end()),
         cancelled_(executor, asio::steady_timer::time_point::max()) {}
 
-  asio::awaitable<core::Result<platform::StreamItem>> next() override {
+  asio::awaitable<core::Result<ports::StreamItem>> next() override {
     if (items_.empty()) {
       co_return core::make_error(core::ErrorCode::kTruncated, "the script ended");
     }
@@ -56,12 +55,12 @@
   asio::steady_timer cancelled_;
 };
 
-class ScriptedEngine : public platform::ModelEngine {
+class ScriptedEngine : public ports::ModelEngine {
  public:
-  using StreamResult = core::Result<std::unique_ptr<platform::TokenStream>>;
+  using StreamResult = core::Result<std::unique_ptr<ports::TokenStream>>;
   explicit ScriptedEngine(asio::any_io_executor executor) : executor_(std::move(executor)) {}
 
-  asio::awaitable<StreamResult> generate(platform::GenerationRequest request,
+  asio::awaitable<StreamResult> generate(ports::GenerationRequest request,
                                          core::MonotonicTime) override {
     requests.push_back(request);
     if (refusal) {
@@ -86,29 +85,29 @@
   asio::awaitable<core::Result<void>> set_priority(core::StreamId, std::int32_t) override {
     co_return unused();
   }
-  asio::awaitable<core::Result<std::vector<platform::StreamStatus>>> list_streams(
+  asio::awaitable<core::Result<std::vector<ports::StreamStatus>>> list_streams(
       std::string) override {
     co_return unused();
   }
-  asio::awaitable<core::Result<platform::KvExport>> export_kv(core::StreamId) override {
+  asio::awaitable<core::Result<ports::KvExport>> export_kv(core::StreamId) override {
     co_return unused();
   }
-  asio::awaitable<StreamResult> import_kv(platform::KvExport, core::Address,
+  asio::awaitable<StreamResult> import_kv(ports::KvExport, core::Address,
                                           core::MonotonicTime) override {
     co_return unused();
   }
-  asio::awaitable<core::Result<platform::EngineReport>> report() override { co_return unused(); }
-  asio::awaitable<core::Result<platform::CacheEvents>> cache_events(std::uint64_t) override {
+  asio::awaitable<core::Result<ports::EngineReport>> report() override { co_return unused(); }
+  asio::awaitable<core::Result<ports::CacheEvents>> cache_events(std::uint64_t) override {
     co_return unused();
   }
-  asio::awaitable<core::Result<void>> order(platform::EngineOrder, core::Epoch) override {
+  asio::awaitable<core::Result<void>> order(ports::EngineOrder, core::Epoch) override {
     co_return unused();
   }
 
   std::optional<core::ErrorCode> refusal;
   Script script;
   std::deque<Script> resume_scripts;
-  std::vector<platform::GenerationRequest> requests;
+  std::vector<ports::GenerationRequest> requests;
   std::vector<std::pair<std::string, std::uint64_t>> resumed;
   std::vector<std::string> cancelled;
 
@@ -116,15 +115,15 @@
   static core::Error unused() {
     return core::make_error(core::ErrorCode::kInternal, "not used by callers");
   }
-  std::unique_ptr<platform::TokenStream> open(const Script& items) {
+  std::unique_ptr<ports::TokenStream> open(const Script& items) {
     return std::make_unique<ScriptedStream>(executor_, items);
   }
   asio::any_io_executor executor_;
 };
 
-class ScriptedEngines : public platform::ModelEngineFactory {
+class ScriptedEngines : public ports::ModelEngineFactory {
  public:
-  std::shared_ptr<platform::ModelEngine> engine_at(core::Address address) override {
+  std::shared_ptr<ports::ModelEngine> engine_at(core::Address address) override {
     return engines.at(address);
   }
   std::map<core::Address, std::shared_ptr<ScriptedEngine>> engines;
--- a/tests/support/configuration_daemon.hpp
+++ b/tests/support/configuration_daemon.hpp
@@ -38,7 +38,7 @@
   http::Router router;
   http::Server server;
 
-  ConfigurationDaemon(const boost::asio::any_io_executor& executor, platform::TableService& table,
+  ConfigurationDaemon(const boost::asio::any_io_executor& executor, ports::TableService& table,
                       std::vector<FakeMembership*>& members, wire::Member self,
                       const controllers::ConfigurationOptions& options)
       : membership(members, std::move(self)),
--- a/tests/support/fake_model_engine.hpp
+++ b/tests/support/fake_model_engine.hpp
@@ -11,7 +11,7 @@
 #include <memory>
 #include <string>
 
-#include "platform/model_engine.hpp"
+#include "ports/model_engine.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::support {
@@ -28,10 +28,10 @@
   bool forgets = false;  ///< no stream can be resumed
 };
 
-class FakeModelEngine : public platform::ModelEngine {
+class FakeModelEngine : public ports::ModelEngine {
  public:
   struct Stream {
-    platform::GenerationRequest request;
+    ports::GenerationRequest request;
     std::string text;  ///< so far
     std::size_t length = 0;
     bool cancelled = false;
@@ -53,37 +53,36 @@
   std::uint32_t cancels = 0;
   std::uint32_t imports = 0;
 
-  boost::asio::awaitable<core::Result<std::unique_ptr<platform::TokenStream>>> generate(
-      platform::GenerationRequest request, core::MonotonicTime deadline) override;
-  boost::asio::awaitable<core::Result<std::unique_ptr<platform::TokenStream>>> resume(
+  boost::asio::awaitable<core::Result<std::unique_ptr<ports::TokenStream>>> generate(
+      ports::GenerationRequest request, core::MonotonicTime deadline) override;
+  boost::asio::awaitable<core::Result<std::unique_ptr<ports::TokenStream>>> resume(
       core::StreamId stream, std::uint64_t offset, core::MonotonicTime deadline) override;
   boost::asio::awaitable<core::Result<void>> cancel_stream(core::StreamId stream) override;
   boost::asio::awaitable<core::Result<void>> set_priority(core::StreamId stream,
                                                           std::int32_t priority) override;
-  boost::asio::awaitable<core::Result<std::vector<platform::StreamStatus>>> list_streams(
+  boost::asio::awaitable<core::Result<std::vector<ports::StreamStatus>>> list_streams(
       std::string prefix) override;
-  boost::asio::awaitable<core::Result<platform::KvExport>> export_kv(
-      core::StreamId stream) override;
-  boost::asio::awaitable<core::Result<std::unique_ptr<platform::TokenStream>>> import_kv(
-      platform::KvExport exported, core::Address source, core::MonotonicTime deadline) override;
-  boost::asio::awaitable<core::Result<platform::EngineReport>> report() override;
-  boost::asio::awaitable<core::Result<platform::CacheEvents>> cache_events(std::uint64_t) override;
-  boost::asio::awaitable<core::Result<void>> order(platform::EngineOrder, core::Epoch) override;
+  boost::asio::awaitable<core::Result<ports::KvExport>> export_kv(core::StreamId stream) override;
+  boost::asio::awaitable<core::Result<std::unique_ptr<ports::TokenStream>>> import_kv(
+      ports::KvExport exported, core::Address source, core::MonotonicTime deadline) override;
+  boost::asio::awaitable<core::Result<ports::EngineReport>> report() override;
+  boost::asio::awaitable<core::Result<ports::CacheEvents>> cache_events(std::uint64_t) override;
+  boost::asio::awaitable<core::Result<void>> order(ports::EngineOrder, core::Epoch) override;
 
   /// The other engines, for imports.
   std::map<core::Address, std::shared_ptr<FakeModelEngine>>* peers = nullptr;
 
  private:
   class Reader;
-  std::unique_ptr<platform::TokenStream> reader(const core::StreamId& stream, std::uint64_t offset);
+  std::unique_ptr<ports::TokenStream> reader(const core::StreamId& stream, std::uint64_t offset);
 
   boost::asio::any_io_executor executor_;
   std::map<std::string, core::Epoch> fences_;
 };
 
-class FakeEngineFactory : public platform::ModelEngineFactory {
+class FakeEngineFactory : public ports::ModelEngineFactory {
  public:
-  std::shared_ptr<platform::ModelEngine> engine_at(core::Address address) override {
+  std::shared_ptr<ports::ModelEngine> engine_at(core::Address address) override {
     return engines.at(address);
   }
   std::map<core::Address, std::shared_ptr<FakeModelEngine>> engines;
@@ -108,12 +107,12 @@
 
 }  // namespace fake_engine_detail
 
-class FakeModelEngine::Reader : public platform::TokenStream {
+class FakeModelEngine::Reader : public ports::TokenStream {
  public:
   Reader(FakeModelEngine& engine, core::StreamId stream, std::uint64_t offset)
       : engine_(engine), stream_(std::move(stream)), offset_(offset) {}
 
-  boost::asio::awaitable<core::Result<platform::StreamItem>> next() override {
+  boost::asio::awaitable<core::Result<ports::StreamItem>> next() override {
     while (true) {
       co_await runtime::sleep_for(fake_engine_detail::kPause);
       FakeEngineFaults& faults = engine_.faults;
@@ -131,12 +130,12 @@
         co_return chunk(state);
       }
       if (state.cancelled || state.exported) {
-        co_return platform::StreamItem(
-            platform::StreamEnd{platform::FinishReason::kCancelled, state.text.size()});
+        co_return ports::StreamItem(
+            ports::StreamEnd{ports::FinishReason::kCancelled, state.text.size()});
       }
       if (state.finished()) {
-        co_return platform::StreamItem(
-            platform::StreamEnd{platform::FinishReason::kStop, state.text.size()});
+        co_return ports::StreamItem(
+            ports::StreamEnd{ports::FinishReason::kStop, state.text.size()});
       }
       if (state.text.size() < engine_.tokens_allowed) {
         const std::size_t limit = std::min(state.length, engine_.tokens_allowed);
@@ -148,11 +147,11 @@
   void cancel() override { cancelled_ = true; }
 
  private:
-  platform::StreamItem chunk(const Stream& state) {
+  ports::StreamItem chunk(const Stream& state) {
     const char letter = state.text[offset_];
     const std::size_t end =
         std::min(state.text.find_first_not_of(letter, offset_), state.text.size());
-    platform::TokenChunk chunk;
+    ports::TokenChunk chunk;
     chunk.offset = fake_engine_detail::take(engine_.faults.skip) ? offset_ + 1 : offset_;
     chunk.text = state.text.substr(offset_, end - offset_);
     chunk.token_count = static_cast<std::uint32_t>(chunk.text.size());
@@ -169,13 +168,13 @@
   bool cancelled_ = false;
 };
 
-inline std::unique_ptr<platform::TokenStream> FakeModelEngine::reader(const core::StreamId& stream,
-                                                                      std::uint64_t offset) {
+inline std::unique_ptr<ports::TokenStream> FakeModelEngine::reader(const core::StreamId& stream,
+                                                                   std::uint64_t offset) {
   return std::make_unique<Reader>(*this, stream, offset);
 }
 
-inline boost::asio::awaitable<core::Result<std::unique_ptr<platform::TokenStream>>>
-FakeModelEngine::generate(platform::GenerationRequest request, core::MonotonicTime) {
+inline boost::asio::awaitable<core::Result<std::unique_ptr<ports::TokenStream>>>
+FakeModelEngine::generate(ports::GenerationRequest request, core::MonotonicTime) {
   co_await runtime::sleep_for(fake_engine_detail::kPause);
   if (faults.down) {
     co_return fake_engine_detail::error(core::ErrorCode::kUnavailable);
@@ -208,7 +207,7 @@
   co_return reader(stream, 0);
 }
 
-inline boost::asio::awaitable<core::Result<std::unique_ptr<platform::TokenStream>>>
+inline boost::asio::awaitable<core::Result<std::unique_ptr<ports::TokenStream>>>
 FakeModelEngine::resume(core::StreamId stream, std::uint64_t offset, core::MonotonicTime) {
   co_await runtime::sleep_for(fake_engine_detail::kPause);
   if (faults.down) {
@@ -241,30 +240,30 @@
   co_return core::Result<void>();
 }
 
-inline boost::asio::awaitable<core::Result<std::vector<platform::StreamStatus>>>
+inline boost::asio::awaitable<core::Result<std::vector<ports::StreamStatus>>>
 FakeModelEngine::list_streams(std::string prefix) {
   co_await runtime::sleep_for(fake_engine_detail::kPause);
   if (faults.down) {
     co_return fake_engine_detail::error(core::ErrorCode::kUnavailable);
   }
-  std::vector<platform::StreamStatus> found;
+  std::vector<ports::StreamStatus> found;
   for (const auto& [id, state] : streams) {
     if (!id.value().starts_with(prefix)) {
       continue;
     }
-    platform::StreamStatus status{id, state.text.size(), state.finished()};
+    ports::StreamStatus status{id, state.text.size(), state.finished()};
     if (state.cancelled || state.exported) {
       status.finished = true;
-      status.finish_reason = platform::FinishReason::kCancelled;
+      status.finish_reason = ports::FinishReason::kCancelled;
     } else if (state.finished()) {
-      status.finish_reason = platform::FinishReason::kStop;
+      status.finish_reason = ports::FinishReason::kStop;
     }
     found.push_back(std::move(status));
   }
   co_return found;
 }
 
-inline boost::asio::awaitable<core::Result<platform::KvExport>> FakeModelEngine::export_kv(
+inline boost::asio::awaitable<core::Result<ports::KvExport>> FakeModelEngine::export_kv(
     core::StreamId stream) {
   co_await runtime::sleep_for(fake_engine_detail::kPause);
   const auto found = streams.find(stream);
@@ -272,11 +271,11 @@
     co_return fake_engine_detail::error(core::ErrorCode::kNotFound);
   }
   found->second.exported = true;
-  co_return platform::KvExport{stream, "handle", 1, found->second.text.size()};
+  co_return ports::KvExport{stream, "handle", 1, found->second.text.size()};
 }
 
-inline boost::asio::awaitable<core::Result<std::unique_ptr<platform::TokenStream>>>
-FakeModelEngine::import_kv(platform::KvExport exported, core::Address source, core::MonotonicTime) {
+inline boost::asio::awaitable<core::Result<std::unique_ptr<ports::TokenStream>>>
+FakeModelEngine::import_kv(ports::KvExport exported, core::Address source, core::MonotonicTime) {
   co_await runtime::sleep_for(fake_engine_detail::kPause);
   if (faults.import_fails) {
     co_return fake_engine_detail::error(core::ErrorCode::kUnavailable);
@@ -288,18 +287,18 @@
   co_return reader(exported.stream, exported.token_count);
 }
 
-inline boost::asio::awaitable<core::Result<platform::EngineReport>> FakeModelEngine::report() {
-  platform::EngineReport current;
+inline boost::asio::awaitable<core::Result<ports::EngineReport>> FakeModelEngine::report() {
+  ports::EngineReport current;
   current.version = version;
   co_return current;
 }
 
-inline boost::asio::awaitable<core::Result<platform::CacheEvents>> FakeModelEngine::cache_events(
+inline boost::asio::awaitable<core::Result<ports::CacheEvents>> FakeModelEngine::cache_events(
     std::uint64_t) {
-  co_return platform::CacheEvents();
+  co_return ports::CacheEvents();
 }
 
-inline boost::asio::awaitable<core::Result<void>> FakeModelEngine::order(platform::EngineOrder,
+inline boost::asio::awaitable<core::Result<void>> FakeModelEngine::order(ports::EngineOrder,
                                                                          core::Epoch) {
   co_return core::Result<void>();
 }
--- a/tests/support/fake_object_store.hpp
+++ b/tests/support/fake_object_store.hpp
@@ -5,11 +5,11 @@
 #include <map>
 #include <string>
 
-#include "platform/object_store.hpp"
+#include "ports/object_store.hpp"
 
 namespace stoneport::support {
 
-class FakeObjectStore : public platform::ObjectStore {
+class FakeObjectStore : public ports::ObjectStore {
  public:
   bool unavailable = false;
   std::map<std::string, std::string> objects;
--- a/tests/support/fake_table_service.hpp
+++ b/tests/support/fake_table_service.hpp
@@ -23,7 +23,7 @@
   std::uint32_t answers_lost_after_write = 0;   ///< the commit has its effect
 };
 
-class FakeTableService : public platform::TableService {
+class FakeTableService : public ports::TableService {
  public:
   TableFaults faults;
   MemoryTables tables;
@@ -31,10 +31,10 @@
   std::uint32_t scans = 0;
   std::uint32_t commits = 0;  ///< calls, whatever their end
   /// Runs before each commit takes effect; for a writer who comes first.
-  std::function<void(const platform::Transaction&)> before_commit;
+  std::function<void(const ports::Transaction&)> before_commit;
 
-  boost::asio::awaitable<core::Result<std::optional<platform::Row>>> read(
-      platform::RowKey key, platform::TablePriority) override {
+  boost::asio::awaitable<core::Result<std::optional<ports::Row>>> read(
+      ports::RowKey key, ports::TablePriority) override {
     ++reads;
     const core::Result<void> admitted = admit_read();
     if (!admitted) {
@@ -43,9 +43,8 @@
     co_return tables.find(key);
   }
 
-  boost::asio::awaitable<core::Result<std::vector<platform::Row>>> scan(
-      std::string table, std::string prefix, core::Revision after,
-      platform::TablePriority) override {
+  boost::asio::awaitable<core::Result<std::vector<ports::Row>>> scan(
+      std::string table, std::string prefix, core::Revision after, ports::TablePriority) override {
     ++scans;
     const core::Result<void> admitted = admit_read();
     if (!admitted) {
@@ -54,8 +53,8 @@
     co_return tables.scan(table, prefix, after);
   }
 
-  boost::asio::awaitable<core::Result<core::Revision>> commit(platform::Transaction transaction,
-                                                              platform::TablePriority) override {
+  boost::asio::awaitable<core::Result<core::Revision>> commit(ports::Transaction transaction,
+                                                              ports::TablePriority) override {
     ++commits;
     const core::Result<void> admitted = admit();
     if (!admitted) {
@@ -65,8 +64,8 @@
   }
 
   /// Writes one row past every condition and fault, as another client would.
-  core::Revision put(platform::RowKey key, std::string value, std::string write_id) {
-    platform::Transaction transaction;
+  core::Revision put(ports::RowKey key, std::string value, std::string write_id) {
+    ports::Transaction transaction;
     transaction.write_id = core::WriteId(std::move(write_id));
     transaction.writes.push_back({std::move(key), std::move(value)});
     return *tables.commit(transaction);
@@ -99,7 +98,7 @@
     return admit();
   }
 
-  core::Result<core::Revision> commit_with_faults(const platform::Transaction& transaction) {
+  core::Result<core::Revision> commit_with_faults(const ports::Transaction& transaction) {
     const core::Error lost = core::make_error(core::ErrorCode::kOutcomeUnknown, "answer lost");
     if (take(faults.answers_lost_before_write)) {
       return lost;
--- a/tests/support/memory_tables.hpp
+++ b/tests/support/memory_tables.hpp
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "core/error.hpp"
-#include "platform/table_service.hpp"
+#include "ports/table_service.hpp"
 
 namespace stoneport::support {
 
 class MemoryTables {
  public:
-  std::optional<platform::Row> find(const platform::RowKey& key) const {
+  std::optional<ports::Row> find(const ports::RowKey& key) const {
     const auto found = rows_.find(key);
     if (found == rows_.end()) {
       return std::nullopt;
@@ -23,9 +23,9 @@
     return found->second;
   }
 
-  std::vector<platform::Row> scan(const std::string& table, const std::string& prefix,
-                                  core::Revision after) const {
-    std::vector<platform::Row> found;
+  std::vector<ports::Row> scan(const std::string& table, const std::string& prefix,
+                               core::Revision after) const {
+    std::vector<ports::Row> found;
     for (auto row = rows_.lower_bound({table, prefix}); row != rows_.end(); ++row) {
       if (row->first.table != table || row->first.key.rfind(prefix, 0) != 0) {
         break;
@@ -37,19 +37,19 @@
     return found;
   }
 
-  core::Result<core::Revision> commit(const platform::Transaction& transaction) {
+  core::Result<core::Revision> commit(const ports::Transaction& transaction) {
     const auto known = committed_.find(transaction.write_id);
     if (known != committed_.end()) {
       return known->second;
     }
-    for (const platform::RowCondition& condition : transaction.conditions) {
+    for (const ports::RowCondition& condition : transaction.conditions) {
       if (revision_of(condition.key) != condition.revision) {
         return core::make_error(core::ErrorCode::kConflict, "another revision");
       }
     }
     revision_ = revision_.next();
     committed_[transaction.write_id] = revision_;
-    for (const platform::RowWrite& write : transaction.writes) {
+    for (const ports::RowWrite& write : transaction.writes) {
       apply(write, transaction.write_id);
     }
     return revision_;
@@ -58,20 +58,20 @@
   core::Revision revision() const { return revision_; }
 
  private:
-  core::Revision revision_of(const platform::RowKey& key) const {
+  core::Revision revision_of(const ports::RowKey& key) const {
     const auto found = rows_.find(key);
     return found == rows_.end() ? core::Revision() : found->second.revision;
   }
 
-  void apply(const platform::RowWrite& write, const core::WriteId& write_id) {
+  void apply(const ports::RowWrite& write, const core::WriteId& write_id) {
     if (write.value) {
-      rows_[write.key] = platform::Row{write.key, *write.value, revision_, write_id};
+      rows_[write.key] = ports::Row{write.key, *write.value, revision_, write_id};
     } else {
       rows_.erase(write.key);
     }
   }
 
-  std::map<platform::RowKey, platform::Row> rows_;
+  std::map<ports::RowKey, ports::Row> rows_;
   std::map<core::WriteId, core::Revision> committed_;
   core::Revision revision_;
 };
--- a/tests/support/scheduled_table_service.hpp
+++ b/tests/support/scheduled_table_service.hpp
@@ -18,9 +18,9 @@
 
 /// A point at which a coroutine waits for the scheduler.
 struct WaitingCall {
-  int owner = 0;                                     ///< which process life waits
-  std::optional<platform::Transaction> transaction;  ///< of a commit
-  std::function<void()> end;                         ///< sets the answer
+  int owner = 0;                                  ///< which process life waits
+  std::optional<ports::Transaction> transaction;  ///< of a commit
+  std::function<void()> end;                      ///< sets the answer
   std::shared_ptr<boost::asio::steady_timer> timer;
 };
 
@@ -34,7 +34,7 @@
   bool skip_conditions = false;  ///< the mechanism off, to see that the check can fail
 
   /// Suspends the caller until the scheduler resumes it.
-  boost::asio::awaitable<void> wait(int owner, std::optional<platform::Transaction> transaction,
+  boost::asio::awaitable<void> wait(int owner, std::optional<ports::Transaction> transaction,
                                     std::function<void()> end) {
     WaitingCall call{owner, std::move(transaction), std::move(end), nullptr};
     const auto executor = co_await boost::asio::this_coro::executor;
@@ -60,7 +60,7 @@
   /// Lets one transaction arrive whose sender has long given up.
   void deliver_one() {
     const std::size_t chosen = random_.uniform(0, delayed_.size() - 1);
-    const platform::Transaction transaction = delayed_[chosen];
+    const ports::Transaction transaction = delayed_[chosen];
     delayed_.erase(delayed_.begin() + static_cast<std::ptrdiff_t>(chosen));
     (void)apply(transaction);
   }
@@ -75,7 +75,7 @@
     std::erase_if(waiting_, [owner](const WaitingCall& call) { return call.owner == owner; });
   }
 
-  core::Result<core::Revision> commit(const platform::Transaction& transaction, double fault) {
+  core::Result<core::Revision> commit(const ports::Transaction& transaction, double fault) {
     if (down) {
       return core::make_error(core::ErrorCode::kUnavailable, "down");
     }
@@ -99,7 +99,7 @@
   }
 
  private:
-  core::Result<core::Revision> apply(platform::Transaction transaction) {
+  core::Result<core::Revision> apply(ports::Transaction transaction) {
     if (skip_conditions) {
       transaction.conditions.clear();
     }
@@ -108,19 +108,19 @@
 
   core::RandomSource& random_;
   std::vector<WaitingCall> waiting_;
-  std::vector<platform::Transaction> delayed_;
+  std::vector<ports::Transaction> delayed_;
 };
 
 /// One process's client of a ScheduledStore.
-class ScheduledTableService : public platform::TableService {
+class ScheduledTableService : public ports::TableService {
  public:
   /// \p fault_rate is read at each call, so that a test can end the faults.
   ScheduledTableService(ScheduledStore& store, int owner, const double& fault_rate)
       : store_(store), owner_(owner), fault_rate_(fault_rate) {}
 
-  boost::asio::awaitable<core::Result<std::optional<platform::Row>>> read(
-      platform::RowKey key, platform::TablePriority) override {
-    auto answer = std::make_shared<core::Result<std::optional<platform::Row>>>(std::nullopt);
+  boost::asio::awaitable<core::Result<std::optional<ports::Row>>> read(
+      ports::RowKey key, ports::TablePriority) override {
+    auto answer = std::make_shared<core::Result<std::optional<ports::Row>>>(std::nullopt);
     std::function<void()> end = [this, key, answer] {
       if (store_.down) {
         *answer = core::make_error(core::ErrorCode::kUnavailable, "down");
@@ -132,14 +132,13 @@
     co_return *answer;
   }
 
-  boost::asio::awaitable<core::Result<std::vector<platform::Row>>> scan(
-      std::string table, std::string prefix, core::Revision after,
-      platform::TablePriority) override {
+  boost::asio::awaitable<core::Result<std::vector<ports::Row>>> scan(
+      std::string table, std::string prefix, core::Revision after, ports::TablePriority) override {
     co_return store_.tables.scan(table, prefix, after);
   }
 
-  boost::asio::awaitable<core::Result<core::Revision>> commit(platform::Transaction transaction,
-                                                              platform::TablePriority) override {
+  boost::asio::awaitable<core::Result<core::Revision>> commit(ports::Transaction transaction,
+                                                              ports::TablePriority) override {
     auto answer = std::make_shared<core::Result<core::Revision>>(core::Revision());
     std::function<void()> end = [this, transaction, answer] {
       *answer = store_.commit(transaction, fault_rate_);
--- a/tests/support/step_world.hpp
+++ b/tests/support/step_world.hpp
@@ -15,9 +15,9 @@
 
 namespace stoneport::support {
 
-class FakeScoring : public platform::ScoringService {
+class FakeScoring : public ports::ScoringService {
  public:
-  boost::asio::awaitable<core::Result<double>> score(core::ServiceName, platform::ScoringRequest,
+  boost::asio::awaitable<core::Result<double>> score(core::ServiceName, ports::ScoringRequest,
                                                      core::MonotonicTime) override {
     if (failures > 0) {
       --failures;
--- a/tests/unit/controllers/configuration_controller_test.cpp
+++ b/tests/unit/controllers/configuration_controller_test.cpp
@@ -59,7 +59,7 @@
 
   void a_racing_publication_of_another_document_is_planned_again() {
     ConfigurationDaemon& first = add_daemon("a", peers_only_options());
-    table_.before_commit = [this](const platform::Transaction&) {
+    table_.before_commit = [this](const ports::Transaction&) {
       table_.before_commit = nullptr;
       commit_elsewhere(event_template("u"));
     };
@@ -245,7 +245,7 @@
   void commit_elsewhere(const config::Document& document) {
     boost::asio::io_context other;
     ConfigurationStore store(table_, "other-" + key_of(document).name);
-    const auto priority = platform::TablePriority::kInteractive;
+    const auto priority = ports::TablePriority::kInteractive;
     const ConfigurationHead head = *support::run_task(other, store.read_head(priority));
     config::ConfigurationRecord newest;
     newest.revision = head.revision;
--- a/tests/unit/controllers/digest_exchange_test.cpp
+++ b/tests/unit/controllers/digest_exchange_test.cpp
@@ -193,19 +193,19 @@
   }
 
   void the_machine_list_gives_seeds_and_turns() {
-    using platform::MachineState;
+    using ports::MachineState;
     const auto node = [](const std::string& id, std::uint16_t port, MachineState state) {
-      platform::Machine machine;
+      ports::Machine machine;
       machine.id = id;
       machine.address = {"127.0.0.1", port};
       machine.state = state;
       return machine;
     };
-    const std::vector<platform::Machine> before = {node("a", 1, MachineState::kLive),
-                                                   node("b", 2, MachineState::kLeaving)};
-    const std::vector<platform::Machine> after = {node("a", 1, MachineState::kLeaving),
-                                                  node("b", 2, MachineState::kLeaving),
-                                                  node("c", 3, MachineState::kLeaving)};
+    const std::vector<ports::Machine> before = {node("a", 1, MachineState::kLive),
+                                                node("b", 2, MachineState::kLeaving)};
+    const std::vector<ports::Machine> after = {node("a", 1, MachineState::kLeaving),
+                                               node("b", 2, MachineState::kLeaving),
+                                               node("c", 3, MachineState::kLeaving)};
     CPPUNIT_ASSERT((seed_addresses(after, core::NodeId("b")) ==
                     std::vector<core::Address>{{"127.0.0.1", 1}, {"127.0.0.1", 3}}));
     CPPUNIT_ASSERT(newly_leaving_nodes(before, after) ==
@@ -221,7 +221,7 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, sample.latest_sequence());
     sample.apply({{{9, 30, true}}, 9, true});
     CPPUNIT_ASSERT(sample.newest() == std::vector<std::uint64_t>{30});
-    platform::CacheEvents many;
+    ports::CacheEvents many;
     for (std::uint64_t sequence = 10; sequence < 10 + 2 * kRememberedPrefixes; ++sequence) {
       many.events.push_back({sequence, sequence, true});
     }
--- a/tests/unit/controllers/routing_table_builder_test.cpp
+++ b/tests/unit/controllers/routing_table_builder_test.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 using namespace std::chrono_literals;
-using platform::Machine;
-using platform::MachineRole;
-using platform::MachineState;
+using ports::Machine;
+using ports::MachineRole;
+using ports::MachineState;
 using routing::ReplicaState;
 
 const core::MonotonicTime kNow{1h};
--- a/tests/unit/controllers/weights_controller_test.cpp
+++ b/tests/unit/controllers/weights_controller_test.cpp
@@ -38,17 +38,16 @@
   }
 };
 
-class FixedWeightStore : public platform::WeightStore {
+class FixedWeightStore : public ports::WeightStore {
  public:
   bool down = false;
-  boost::asio::awaitable<core::Result<platform::WeightStoreStatus>> status(
-      core::PolicyName) override {
+  boost::asio::awaitable<core::Result<ports::WeightStoreStatus>> status(core::PolicyName) override {
     if (down) {
       co_return core::make_error(core::ErrorCode::kUnavailable, "down");
     }
-    co_return platform::WeightStoreStatus{{{kPolicy, core::WeightVersion(2), 100}}, 1000};
+    co_return ports::WeightStoreStatus{{{kPolicy, core::WeightVersion(2), 100}}, 1000};
   }
-  boost::asio::awaitable<core::Result<void>> publish(platform::WeightSet) override {
+  boost::asio::awaitable<core::Result<void>> publish(ports::WeightSet) override {
     co_return core::Result<void>{};
   }
 };
@@ -73,14 +72,14 @@
     config::TenantParameters& event = configuration->parameters["event"];
     event.event_template = core::TemplateName("t");
     event.policy = kPolicy;
-    platform::Machine machine;
+    ports::Machine machine;
     machine.id = "engine-1";
-    machine.role = platform::MachineRole::kEngine;
+    machine.role = ports::MachineRole::kEngine;
     machine.serves = kModel.value();
     machine.address = {"127.0.0.1", 9001};
     engine_ = std::make_shared<support::ReportingEngine>();
     engines_.engines[machine.address] = engine_;
-    auto machines = std::make_shared<std::vector<platform::Machine>>(1, machine);
+    auto machines = std::make_shared<std::vector<ports::Machine>>(1, machine);
     controller_ = std::make_unique<WeightsController>(
         context_.get_executor(),
         WeightsInputs{[configuration] { return configuration; }, [machines] { return machines; },
@@ -108,12 +107,12 @@
     ownership_.epoch = core::Epoch(5);
     rounds(2);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, engine_->orders.size());
-    CPPUNIT_ASSERT(std::holds_alternative<platform::PrefetchVersion>(engine_->orders[0].first));
+    CPPUNIT_ASSERT(std::holds_alternative<ports::PrefetchVersion>(engine_->orders[0].first));
     CPPUNIT_ASSERT(engine_->orders[0].second == core::Epoch(5));
     report(1, 2);
     rounds(2);
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, engine_->orders.size());
-    const auto& load = std::get<platform::LoadVersion>(engine_->orders[1].first);
+    const auto& load = std::get<ports::LoadVersion>(engine_->orders[1].first);
     CPPUNIT_ASSERT(load.version == core::WeightVersion(2));
     CPPUNIT_ASSERT(load.policy == kPolicy);
     report(2, 0);
--- a/tests/unit/controllers/weights_rollout_test.cpp
+++ b/tests/unit/controllers/weights_rollout_test.cpp
@@ -29,11 +29,11 @@
   std::optional<std::pair<core::MonotonicTime, core::WeightVersion>> loading;
   std::vector<std::pair<core::MonotonicTime, ReplicaWeights>> history;
 
-  void take(const platform::EngineOrder& order, core::MonotonicTime now) {
-    if (const auto* prefetch = std::get_if<platform::PrefetchVersion>(&order)) {
+  void take(const ports::EngineOrder& order, core::MonotonicTime now) {
+    if (const auto* prefetch = std::get_if<ports::PrefetchVersion>(&order)) {
       fetching = {now + fetch_time, prefetch->version};
     }
-    if (const auto* load = std::get_if<platform::LoadVersion>(&order)) {
+    if (const auto* load = std::get_if<ports::LoadVersion>(&order)) {
       ++loads;
       const bool here = truth.prefetched == load->version;
       loading = {now + swap_time + (here ? 0s : fetch_time), load->version};
@@ -134,10 +134,10 @@
     });
   }
   void record(const RolloutOrder& order) {
-    if (const auto* load = std::get_if<platform::LoadVersion>(&order.order)) {
+    if (const auto* load = std::get_if<ports::LoadVersion>(&order.order)) {
       load_times.push_back(now);
       loaded_versions.insert(load->version.value());
-      CPPUNIT_ASSERT(load->running == platform::LoadVersion::RunningStreams::kContinue);
+      CPPUNIT_ASSERT(load->running == ports::LoadVersion::RunningStreams::kContinue);
     } else {
       prefetch_times.push_back(now);
     }
--- a/tests/unit/controllers/weights_switch_order_test.cpp
+++ b/tests/unit/controllers/weights_switch_order_test.cpp
@@ -26,7 +26,7 @@
   static std::vector<std::string> loads(const std::vector<RolloutOrder>& orders) {
     std::vector<std::string> result;
     for (const RolloutOrder& order : orders) {
-      if (std::holds_alternative<platform::LoadVersion>(order.order)) {
+      if (std::holds_alternative<ports::LoadVersion>(order.order)) {
         result.push_back(order.replica.value());
       }
     }
--- a/tests/unit/platform/guarded_table_service_test.cpp
+++ b/tests/unit/ports/guarded_table_service_test.cpp
@@ -1,13 +1,13 @@
 /// \file
 /// Ends of calls through the guard, by faults of the bare service.
-#include "platform/guarded_table_service.hpp"
+#include "ports/guarded_table_service.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "support/fake_table_service.hpp"
 #include "support/run_task.hpp"
 
-namespace stoneport::platform {
+namespace stoneport::ports {
 namespace {
 using core::ErrorCode;
 
@@ -204,4 +204,4 @@
 CPPUNIT_TEST_SUITE_REGISTRATION(GuardedTableServiceTest);
 
 }  // namespace
-}  // namespace stoneport::platform
+}  // namespace stoneport::ports
