--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	scripts/check-format.sh
 
 format:
-	git ls-files 'src/*.[ch]pp' 'tests/*.[ch]pp' | xargs clang-format-14 -i
+	git ls-files 'src/*.[ch]pp' 'platform/*.[ch]pp' 'tests/*.[ch]pp' | xargs clang-format-14 -i
 
 lint: build
 	scripts/lint.sh $(BUILD)
--- a/cmake/libraries.cmake
+++ b/cmake/libraries.cmake
@@ -8,7 +8,6 @@
 find_package(prometheus-cpp CONFIG REQUIRED COMPONENTS core)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
-pkg_check_modules(cppunit REQUIRED IMPORTED_TARGET cppunit)
 
 add_library(stoneport_plain_options INTERFACE)
 target_include_directories(stoneport_plain_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -14,9 +14,9 @@
 sed -E 's# -Winvalid-pch -include [^ ]*cmake_pch\.hxx##; s# -fpch-preprocess##' \
   "$build/compile_commands.json" > "$build/lint/compile_commands.json"
 if [ "${#files[@]}" -eq 0 ]; then
-  mapfile -t files < <(git ls-files 'src/*.cpp' 'tests/*.cpp')
+  mapfile -t files < <(git ls-files 'src/*.cpp' 'platform/*.cpp' 'tests/*.cpp')
 fi
-mapfile -t headers < <(find src tests -name '*.hpp' | sort)
+mapfile -t headers < <(find src platform tests -name '*.hpp' | sort)
 LINT_KEY=$( (clang-tidy-16 --version; cat .clang-tidy cmake/*.cmake "${headers[@]}") | sha256sum)
 export LINT_KEY
 printf '%s\0' "${files[@]}" |
--- a/src/http/server_sent_events.cpp
+++ b/src/http/server_sent_events.cpp
@@ -4,7 +4,7 @@
 namespace asio = boost::asio;
 namespace {
 
-constexpr std::string_view kDataField = "data:";
+constexpr std::string_view kDataField = "data";
 
 /// \return position just past the blank line that ends the first event, or npos.
 std::size_t end_of_event(std::string_view text) {
@@ -22,32 +22,42 @@
   }
 }
 
-/// \return the data lines of one event joined by newlines, or nothing for an
-/// event without any, such as a comment.
-std::optional<std::string> data_of(std::string_view event) {
-  std::optional<std::string> data;
-  while (!event.empty()) {
-    const std::size_t line_end = event.find('\n');
-    std::string_view line = event.substr(0, line_end);
-    event.remove_prefix(line_end == std::string_view::npos ? event.size() : line_end + 1);
+/// \return the event that \p text holds, or nothing for one without a data line,
+/// such as a comment.
+std::optional<ServerSentEvent> parse_event(std::string_view text) {
+  ServerSentEvent event;
+  event.wire_text = std::string(text);
+  bool has_data = false;
+  while (!text.empty()) {
+    const std::size_t line_end = text.find('\n');
+    std::string_view line = text.substr(0, line_end);
+    text.remove_prefix(line_end == std::string_view::npos ? text.size() : line_end + 1);
     if (line.ends_with('\r')) {
       line.remove_suffix(1);
     }
-    if (!line.starts_with(kDataField)) {
+    const std::size_t colon = line.find(':');
+    if (colon == 0 || line.empty()) {
       continue;
     }
-    line.remove_prefix(kDataField.size());
-    if (line.starts_with(' ')) {
-      line.remove_prefix(1);
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = colon == std::string_view::npos ? "" : line.substr(colon + 1);
+    if (value.starts_with(' ')) {
+      value.remove_prefix(1);
     }
-    if (data) {
-      data->push_back('\n');
-      data->append(line);
-    } else {
-      data = std::string(line);
+    if (name != kDataField) {
+      event.fields.emplace_back(name, value);
+      continue;
+    }
+    if (has_data) {
+      event.data.push_back('\n');
     }
+    event.data.append(value);
+    has_data = true;
+  }
+  if (!has_data) {
+    return std::nullopt;
   }
-  return data;
+  return event;
 }
 
 }  // namespace
@@ -55,24 +65,35 @@
 ServerSentEventReader::ServerSentEventReader(BodySource& body, std::size_t limit_bytes)
     : body_(body), limit_bytes_(limit_bytes) {}
 
-std::optional<std::string> ServerSentEventReader::take_event() {
+std::optional<ServerSentEvent> ServerSentEventReader::take_event() {
   while (true) {
     const std::size_t end = end_of_event(buffer_);
     if (end == std::string::npos) {
       return std::nullopt;
     }
-    std::optional<std::string> data = data_of(std::string_view(buffer_).substr(0, end));
+    std::optional<ServerSentEvent> event = parse_event(std::string_view(buffer_).substr(0, end));
     buffer_.erase(0, end);
-    if (data) {
-      return data;
+    if (event) {
+      return event;
     }
   }
 }
 
 asio::awaitable<core::Result<std::optional<std::string>>> ServerSentEventReader::next() {
+  core::Result<std::optional<ServerSentEvent>> event = co_await next_event();
+  if (!event) {
+    co_return std::move(event).error();
+  }
+  if (!event->has_value()) {
+    co_return std::optional<std::string>();
+  }
+  co_return std::optional<std::string>(std::move((*event)->data));
+}
+
+asio::awaitable<core::Result<std::optional<ServerSentEvent>>> ServerSentEventReader::next_event() {
   while (true) {
-    std::optional<std::string> event = take_event();
-    if (event && event->size() <= limit_bytes_) {
+    std::optional<ServerSentEvent> event = take_event();
+    if (event && event->data.size() <= limit_bytes_) {
       co_return event;
     }
     if (event || buffer_.size() > limit_bytes_) {
@@ -90,7 +111,7 @@
     if (!buffer_.empty()) {
       co_return core::make_error(core::ErrorCode::kTruncated, "body ended within an event");
     }
-    co_return std::optional<std::string>();
+    co_return std::optional<ServerSentEvent>();
   }
 }
 
--- a/src/http/server_sent_events.hpp
+++ b/src/http/server_sent_events.hpp
@@ -1,13 +1,23 @@
 /// \file
-/// Server-sent events (text/event-stream), data fields only.
+/// Server-sent events (text/event-stream).
 #pragma once
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "http/body.hpp"
 
 namespace stoneport::http {
 
+/// One event with all its fields.
+struct ServerSentEvent {
+  std::string wire_text;  ///< as it came, the blank line included
+  std::string data;       ///< the data lines joined by newlines
+  /// Every other field, "id" among them, in order.
+  std::vector<std::pair<std::string, std::string>> fields;
+};
+
 /// Reads events from a body.
 class ServerSentEventReader {
  public:
@@ -16,9 +26,11 @@
   /// \return the data of the next event, or nothing at the body's end;
   /// kTruncated when the body ends within an event.
   boost::asio::awaitable<core::Result<std::optional<std::string>>> next();
+  /// As next(), with the other fields of the event.
+  boost::asio::awaitable<core::Result<std::optional<ServerSentEvent>>> next_event();
 
  private:
-  std::optional<std::string> take_event();
+  std::optional<ServerSentEvent> take_event();
   BodySource& body_;
   std::size_t limit_bytes_;
   std::string buffer_;
--- /dev/null
+++ b/src/ingress/forwarder.hpp
@@ -0,0 +1,110 @@
+/// \file
+/// Carries one request to a replica of its route's service and the answer back:
+/// choice, attempts, time limits, and what may be promised when it fails. Belongs
+/// to one thread.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/metrics.hpp"
+#include "http/server.hpp"
+#include "ingress/replica_directory.hpp"
+#include "ingress/route_table.hpp"
+#include "ports/replica_client.hpp"
+
+namespace stoneport::ingress {
+
+struct ForwardedRequest {
+  std::shared_ptr<const RouteTable> table;  ///< owns \p route
+  const Route* route = nullptr;
+  std::string request_id;
+  http::RequestHead head;  ///< without the fields of the client's connection
+  std::string body;
+  core::MonotonicTime received;
+  core::MonotonicTime deadline;  ///< the client gives up then
+  std::optional<std::uint64_t> resume_after = std::nullopt;
+};
+
+/// Why no answer of a replica can be passed on.
+struct ForwardFailure {
+  bool may_have_run = false;
+  bool timed_out = false;
+  std::string reason;
+};
+
+[[noreturn]] inline void throw_exception_from_error(const ForwardFailure& failure,
+                                                    const boost::source_location&) {
+  throw std::logic_error("value() taken from a failed request: " + failure.reason);
+}
+using ForwardResult = boost::system::result<ports::ReplicaAnswer, ForwardFailure>;
+
+/// \return the answer to a request that failed: 503 with Retry-After only when it
+/// has not run and never will.
+http::Response failure_response(const ForwardFailure& failure);
+
+struct ForwarderSettings {
+  core::ZoneName zone;
+  /// A repeatable request that gets no answer within this many target latencies
+  /// is sent to another replica.
+  double patience_in_target_latencies = 3;
+  core::Duration shortest_patience = std::chrono::milliseconds(300);
+  /// How long a silent or unreachable replica gets no work while others can.
+  core::Duration suspicion = std::chrono::seconds(2);
+  /// Between two looks for a replica when none accepts work.
+  core::Duration no_replica_pause = std::chrono::milliseconds(40);
+  /// Refusals, beyond the attempts of the route, after which a request is given up.
+  std::uint32_t most_refusals = 6;
+};
+
+class Forwarder {
+ public:
+  /// All outlive the forwarder.
+  Forwarder(ReplicaDirectory& directory, ports::ReplicaClient& client, ForwarderSettings settings,
+            std::uint64_t seed, const core::TimeSource& time, core::Metrics& metrics);
+
+  /// \return a replica's whole answer. May be cut off at any suspension.
+  boost::asio::awaitable<ForwardResult> call(ForwardedRequest request);
+  /// Answers a client; stops working for one that leaves.
+  boost::asio::awaitable<void> serve(ForwardedRequest request, http::ResponseWriter& response);
+
+ private:
+  struct Progress;
+  struct Meters;
+  enum class Verdict { kAnswer, kRetry, kGiveUp };
+
+  /// \return null when no replica accepted work until the request had to be given up.
+  boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
+                                                Progress& progress);
+  std::vector<ReplicaPointer> candidates(const Route& route, const Progress& progress) const;
+  ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
+  void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
+                    const ports::CallFailure& failure, Progress& progress);
+  Verdict judge(const ForwardedRequest& request, ports::ReplicaAnswer& answer, Progress& progress);
+  bool may_try_again(const ForwardedRequest& request, const Progress& progress) const;
+  ForwardFailure end_of(const ForwardedRequest& request, const Progress& progress) const;
+
+  boost::asio::awaitable<void> serve_whole(ForwardedRequest request,
+                                           http::ResponseWriter& response);
+  boost::asio::awaitable<void> serve_stream(ForwardedRequest request,
+                                            http::ResponseWriter& response);
+  enum class RelayEnd { kWhole, kBroken, kClientGone };
+  boost::asio::awaitable<RelayEnd> relay(ports::TokenStream& stream, Progress& progress,
+                                         http::ResponseWriter& response);
+  boost::asio::awaitable<void> answer_failure(const ForwardedRequest& request,
+                                              ForwardFailure failure,
+                                              http::ResponseWriter& response);
+
+  ReplicaDirectory& directory_;
+  ports::ReplicaClient& client_;
+  ForwarderSettings settings_;
+  core::RandomSource random_;
+  const core::TimeSource& time_;
+  std::unique_ptr<Meters> meters_;
+
+ public:
+  ~Forwarder();
+};
+
+}  // namespace stoneport::ingress
--- /dev/null
+++ b/src/ingress/replica_directory.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// The replicas of all services as the store lists them, with what this process
+/// has seen of each. Belongs to one thread.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/identifiers.hpp"
+#include "core/random.hpp"
+#include "core/time.hpp"
+
+namespace stoneport::ingress {
+
+/// One life of one replica as it describes itself.
+struct ReplicaRecord {
+  core::ReplicaId id;
+  core::Address address;
+  core::ServiceName service;
+  core::ZoneName zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  std::map<core::ModelName, core::WeightVersion> versions;
+};
+
+/// A replica with this process's own view. Shared with the calls that use it, so
+/// it may outlive its listing.
+struct ReplicaState {
+  ReplicaRecord record;
+  bool listed = true;           ///< false once the store no longer lists it
+  std::uint32_t in_flight = 0;  ///< calls of this process
+  core::MonotonicTime suspect_until{};
+  double latency_seconds = 0;  ///< moving average of answered calls; zero when none
+
+  bool accepts_work() const { return listed && !record.draining; }
+  bool is_suspect(core::MonotonicTime now) const { return now < suspect_until; }
+  void note_latency(core::Duration latency);
+  /// The replica was unreachable or silent: it gets no work while others can.
+  void suspect(core::MonotonicTime now, core::Duration length);
+};
+using ReplicaPointer = std::shared_ptr<ReplicaState>;
+
+/// Counts a call as in flight while it lives.
+class InFlight {
+ public:
+  explicit InFlight(ReplicaPointer replica) : replica_(std::move(replica)) {
+    ++replica_->in_flight;
+  }
+  ~InFlight() { --replica_->in_flight; }
+  InFlight(const InFlight&) = delete;
+  InFlight& operator=(const InFlight&) = delete;
+
+ private:
+  ReplicaPointer replica_;
+};
+
+class ReplicaDirectory {
+ public:
+  /// Replaces the listing. \return addresses whose replica ended or is leaving.
+  std::vector<core::Address> update(std::vector<ReplicaRecord> records);
+  bool loaded() const { return loaded_; }
+  /// \return the listed replicas of \p service, in order of id.
+  std::vector<ReplicaPointer> of_service(const core::ServiceName& service) const;
+  std::size_t size() const { return replicas_.size(); }
+
+ private:
+  std::map<core::ReplicaId, ReplicaPointer> replicas_;
+  bool loaded_ = false;
+};
+
+struct ReplicaPreference {
+  core::ZoneName zone;                 ///< where this process runs
+  std::set<core::ReplicaId> excluded;  ///< tried by this request already
+};
+
+/// Picks a replica for an ordinary call: the less loaded of two drawn at random,
+/// those of the own zone and those that answer counting as less loaded.
+/// \return null when no replica accepts work.
+ReplicaPointer choose_replica(const std::vector<ReplicaPointer>& replicas,
+                              const ReplicaPreference& preference, core::MonotonicTime now,
+                              core::RandomSource& random);
+
+}  // namespace stoneport::ingress
--- /dev/null
+++ b/src/ingress/route_table.hpp
@@ -0,0 +1,88 @@
+/// \file
+/// The routes in force: which services may serve a host and path, how long a
+/// request may be held and how often it may be tried. An immutable snapshot.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/identifiers.hpp"
+#include "core/time.hpp"
+
+namespace stoneport::ingress {
+
+enum class RouteKind {
+  kRepeatable,  ///< a request may run more than once
+  kOnce,        ///< a request runs at most once
+  kStream,      ///< a token stream; runs at most once unless it may be resumed
+  kRollout,     ///< takes batch jobs
+};
+
+struct RouteTarget {
+  core::ServiceName service;
+  double weight = 1;
+};
+
+struct Route {
+  std::string name;
+  std::string host;         ///< in lower case, without a port
+  std::string path_prefix;  ///< starts and ends with a slash
+  RouteKind kind = RouteKind::kOnce;
+  bool resumable = false;
+  bool single_version = false;       ///< one weight version makes a whole text
+  core::Duration timeout{};          ///< longest time a request is held
+  core::Duration target_latency{};   ///< within which an answer earns its full credit
+  std::uint32_t most_attempts = 1;   ///< replicas that one request may be sent to
+  std::vector<RouteTarget> targets;  ///< never empty
+  core::Duration run_deadline{};     ///< rollout: all results are due after that
+  core::Duration queue_limit{};      ///< rollout: an item may be given up after that
+};
+
+struct ClientLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 32u << 20;
+  core::Duration header_timeout = std::chrono::seconds(3);
+  core::Duration idle_timeout = std::chrono::seconds(15);
+};
+
+class RouteTable {
+ public:
+  RouteTable() = default;
+  RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits);
+
+  std::uint64_t version() const { return version_; }
+  const ClientLimits& limits() const { return limits_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  /// \param host as in a Host field; its port and case do not matter
+  /// \return the route of that host with the longest prefix of \p path, or null.
+  const Route* find(std::string_view host, std::string_view path) const;
+  /// \return whether any route may send requests to \p service.
+  bool uses(const core::ServiceName& service) const;
+
+ private:
+  std::uint64_t version_ = 0;
+  std::vector<Route> routes_;
+  ClientLimits limits_;
+  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;  ///< longest prefix first
+};
+
+/// \return \p host in lower case and without its port.
+std::string normalized_host(std::string_view host);
+
+/// Takes in route tables and hands out the newest; never goes back.
+class RouteTableHolder {
+ public:
+  /// \return whether \p table is newer than the one in force, and so is in force now.
+  bool offer(std::shared_ptr<const RouteTable> table);
+  /// \return null before the first one.
+  const std::shared_ptr<const RouteTable>& current() const { return current_; }
+
+ private:
+  std::shared_ptr<const RouteTable> current_;
+};
+
+}  // namespace stoneport::ingress
--- /dev/null
+++ b/src/jobs/coordinator.hpp
@@ -0,0 +1,81 @@
+/// \file
+/// Works on all open jobs while this process holds the term: learns of jobs and
+/// their ends, places items on replicas, has texts scored and listed, and hands
+/// over when the term ends. Belongs to one thread.
+#pragma once
+
+#include <memory>
+
+#include "ingress/forwarder.hpp"
+#include "ingress/replica_directory.hpp"
+#include "jobs/job_store.hpp"
+#include "jobs/placement.hpp"
+#include "jobs/term_keeper.hpp"
+#include "weights/weight_loader.hpp"
+
+namespace stoneport::jobs {
+
+struct CoordinatorSettings {
+  TermSettings term;
+  PlacementSettings placement;
+  weights::LoadPlanSettings weights;
+  /// Orders of a former holder may reach replicas for this long after its end.
+  core::Duration order_pause = std::chrono::milliseconds(3000);
+  /// No order when the last confirmed heartbeat is older than this.
+  core::Duration order_confirmation = std::chrono::milliseconds(1000);
+  core::Duration tick = std::chrono::milliseconds(100);
+  /// A text that gets no event for this long is moved; at least, and in event gaps.
+  core::Duration shortest_silence = std::chrono::milliseconds(450);
+  double silence_in_gaps = 8;
+  /// The same while the replica loads weights.
+  core::Duration loading_silence = std::chrono::milliseconds(1600);
+  /// How long a silent or unreachable replica gets no work.
+  core::Duration suspicion = std::chrono::milliseconds(1500);
+  core::Duration refusal_pause = std::chrono::milliseconds(60);
+  /// A replica's measured speed is forgotten after this time without an event.
+  core::Duration speed_memory = std::chrono::milliseconds(2500);
+  /// How long after its acceptance a job's records are kept.
+  core::Duration retention = std::chrono::seconds(120);
+};
+
+/// What the coordinator works with; all outlive it.
+struct CoordinatorInputs {
+  boost::asio::any_io_executor executor;
+  ports::RecordStore& store;
+  JobStore& jobs;
+  const JobParser& parser;
+  ingress::ReplicaDirectory& directory;
+  const ingress::RouteTableHolder& routes;
+  ports::ReplicaClient& replicas;
+  ingress::Forwarder& forwarder;
+  /// Versions that trainers have named, by model.
+  std::function<std::map<core::ModelName, core::WeightVersion>()> named_versions;
+  std::function<bool()> eligible;
+  const core::TimeSource& time;
+  core::Metrics& metrics;
+};
+
+class Tenure;
+
+class Coordinator {
+ public:
+  Coordinator(CoordinatorInputs inputs, CoordinatorSettings settings, std::uint64_t seed);
+  ~Coordinator();
+  void start();
+  bool holds_term() const { return keeper_.held().has_value(); }
+  /// The routes, the replicas or the named versions have changed.
+  void on_inputs_changed();
+  /// Saves the texts in the making, gives the term up and ends all work.
+  boost::asio::awaitable<void> stop();
+
+ private:
+  void begin(Term term);
+  void finish();
+
+  CoordinatorInputs inputs_;
+  CoordinatorSettings settings_;
+  TermKeeper keeper_;
+  std::shared_ptr<Tenure> tenure_;
+};
+
+}  // namespace stoneport::jobs
--- /dev/null
+++ b/src/jobs/job_store.cpp
@@ -0,0 +1,232 @@
+#include "jobs/job_store.hpp"
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::jobs {
+namespace asio = boost::asio;
+namespace {
+
+constexpr std::size_t kMostKnownJobs = 4096;
+constexpr std::size_t kMostBodies = 4;
+/// Of the largest transaction: room for keys, conditions and the encoding.
+constexpr double kUsableShare = 0.7;
+constexpr core::Duration kPollInterval = std::chrono::milliseconds(150);
+
+}  // namespace
+
+JobStore::JobStore(ports::RecordStore& store, const core::TimeSource& time, core::Metrics& metrics,
+                   JobStoreSettings settings)
+    : store_(store),
+      time_(time),
+      settings_(settings),
+      accepted_(metrics.counter("stoneport_jobs_accepted_total", "Jobs that became durable here")),
+      unclear_(metrics.counter("stoneport_jobs_unclear_total",
+                               "Acceptances whose outcome stayed unknown")),
+      stale_reads_(metrics.counter("stoneport_job_stale_reads_total",
+                                   "Answers of the store older than what was known")) {}
+
+void JobStore::remember(const std::string& job, const JobIndexEntry& entry) {
+  if (!known_.emplace(job, entry).second) {
+    return;
+  }
+  known_order_.push_back(job);
+  if (known_order_.size() > kMostKnownJobs) {
+    known_.erase(known_order_.front());
+    known_order_.pop_front();
+  }
+}
+
+asio::awaitable<core::Result<void>> JobStore::commit_once(ports::RecordTransaction transaction) {
+  const core::MonotonicTime give_up_at = time_.now() + settings_.patience;
+  bool may_take_effect = false;
+  while (true) {
+    ports::RecordTransaction copy = transaction;
+    const core::Result<core::Revision> committed =
+        co_await store_.commit(std::move(copy), settings_.attempt_timeout);
+    if (committed) {
+      co_return core::Result<void>();
+    }
+    const core::ErrorCode code = committed.error().code;
+    if (code == core::ErrorCode::kConflict || code == core::ErrorCode::kInvalidArgument) {
+      co_return committed.error();
+    }
+    may_take_effect |= code == core::ErrorCode::kOutcomeUnknown;
+    if (time_.now() + settings_.retry_pause >= give_up_at) {
+      break;
+    }
+    co_await runtime::sleep_for(settings_.retry_pause);
+  }
+  const auto code =
+      may_take_effect ? core::ErrorCode::kOutcomeUnknown : core::ErrorCode::kUnavailable;
+  co_return core::make_error(code, "the store did not confirm the write");
+}
+
+asio::awaitable<core::Result<void>> JobStore::accept(JobSubmission submission,
+                                                     std::uint32_t item_count) {
+  const ports::RecordStoreLimits limits = store_.limits();
+  const double usable = static_cast<double>(limits.transaction_bytes) * kUsableShare;
+  if (static_cast<double>(submission.body.size()) > usable) {
+    co_return core::make_error(core::ErrorCode::kTooLarge, "the job exceeds one transaction");
+  }
+  std::vector<std::string> chunks = split_value(submission.body, limits.record_bytes);
+  JobIndexEntry entry;
+  entry.host = submission.host;
+  entry.path = submission.path;
+  entry.item_count = item_count;
+  entry.body_chunks = static_cast<std::uint32_t>(chunks.size());
+  entry.accepted_at = store_.now().value_or(ports::StoreTime(0));
+  ports::RecordTransaction transaction;
+  transaction.partition = std::string(kJobPartition);
+  transaction.conditions.push_back(
+      {std::string(kIndexTable), job_key(submission.id), core::Revision()});
+  transaction.writes.push_back(
+      {std::string(kIndexTable), job_key(submission.id), encode_index_entry(entry)});
+  for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
+    transaction.writes.push_back(
+        {std::string(kBodyTable), body_key(submission.id, chunk), std::move(chunks[chunk])});
+  }
+  const core::Result<void> committed = co_await commit_once(std::move(transaction));
+  // A conflict means that the job is there: by an earlier call, or by an earlier
+  // attempt of this one whose answer was lost.
+  const bool is_durable = committed || committed.error().code == core::ErrorCode::kConflict;
+  if (!is_durable) {
+    if (committed.error().code == core::ErrorCode::kOutcomeUnknown) {
+      unclear_.Increment();
+    }
+    co_return committed.error();
+  }
+  accepted_.Increment();
+  co_return core::Result<void>();
+}
+
+asio::awaitable<core::Result<void>> JobStore::end(std::string job) {
+  const core::Result<JobIndexEntry> entry = co_await find(job);
+  if (!entry) {
+    co_return entry.error();
+  }
+  ports::RecordTransaction transaction;
+  transaction.partition = std::string(kJobPartition);
+  transaction.conditions.push_back({std::string(kIndexTable), ended_key(job), core::Revision()});
+  transaction.writes.push_back({std::string(kIndexTable), ended_key(job), "{}"});
+  const core::Result<void> committed = co_await commit_once(std::move(transaction));
+  if (committed || committed.error().code == core::ErrorCode::kConflict) {
+    co_return core::Result<void>();
+  }
+  co_return core::make_error(core::ErrorCode::kUnavailable, committed.error().message);
+}
+
+asio::awaitable<core::Result<std::vector<ports::Record>>> JobStore::read_range(
+    ports::RecordRange range, bool first_page_only) {
+  const core::MonotonicTime give_up_at = time_.now() + settings_.patience;
+  std::vector<ports::Record> records;
+  while (true) {
+    const core::Revision known = store_.newest();
+    core::Result<ports::RecordPage> page = co_await store_.read(range, settings_.attempt_timeout);
+    const bool is_stale = page && page->revision < known;
+    if (page && !is_stale) {
+      const bool more = page->more && !page->records.empty();
+      if (more) {
+        range.first_key = ports::key_after(page->records.back().key);
+      }
+      std::move(page->records.begin(), page->records.end(), std::back_inserter(records));
+      if (!more || first_page_only) {
+        co_return records;
+      }
+      continue;
+    }
+    if (is_stale) {
+      stale_reads_.Increment();
+    }
+    if (time_.now() + settings_.retry_pause >= give_up_at) {
+      break;
+    }
+    co_await runtime::sleep_for(settings_.retry_pause);
+  }
+  co_return core::make_error(core::ErrorCode::kUnavailable, "the store does not answer");
+}
+
+asio::awaitable<core::Result<JobIndexEntry>> JobStore::find(std::string job) {
+  if (!is_valid_id(job)) {
+    co_return core::make_error(core::ErrorCode::kNotFound, "no such job");
+  }
+  const auto known = known_.find(job);
+  if (known != known_.end()) {
+    co_return known->second;
+  }
+  ports::RecordRange range{std::string(kIndexTable), std::string(kJobPartition), job_key(job),
+                           ports::key_after(job_key(job))};
+  core::Result<std::vector<ports::Record>> records = co_await read_range(std::move(range), true);
+  if (!records) {
+    co_return records.error();
+  }
+  std::uint64_t malformed = 0;
+  const std::map<std::string, JobIndexEntry> found = decode_index(*records, malformed);
+  if (found.empty()) {
+    const auto code = malformed > 0 ? core::ErrorCode::kUnavailable : core::ErrorCode::kNotFound;
+    co_return core::make_error(code, "no such job");
+  }
+  remember(job, found.begin()->second);
+  co_return found.begin()->second;
+}
+
+asio::awaitable<core::Result<JobPage>> JobStore::read(std::string job, std::uint64_t position,
+                                                      core::Duration wait) {
+  const core::MonotonicTime wait_until = time_.now() + wait;
+  const core::Result<JobIndexEntry> entry = co_await find(job);
+  if (!entry) {
+    co_return entry.error();
+  }
+  JobPage page;
+  page.total = entry->item_count;
+  while (true) {
+    ports::RecordRange range{std::string(kResultTable), std::string(kJobPartition),
+                             result_key(job, position, 0), end_of_job(job)};
+    const core::Result<std::vector<ports::Record>> records =
+        co_await read_range(std::move(range), true);
+    if (!records) {
+      co_return records.error();
+    }
+    page.results = decode_results(job, position, *records);
+    const bool is_over = position >= page.total;
+    if (!page.results.empty() || is_over || time_.now() + kPollInterval > wait_until) {
+      co_return page;
+    }
+    co_await runtime::sleep_for(kPollInterval);
+  }
+}
+
+asio::awaitable<core::Result<JobSubmission>> JobStore::submission(std::string job) {
+  for (const JobSubmission& kept : bodies_) {
+    if (kept.id == job) {
+      co_return kept;
+    }
+  }
+  const core::Result<JobIndexEntry> entry = co_await find(job);
+  if (!entry) {
+    co_return entry.error();
+  }
+  ports::RecordRange range{std::string(kBodyTable), std::string(kJobPartition), start_of_job(job),
+                           end_of_job(job)};
+  const core::Result<std::vector<ports::Record>> records =
+      co_await read_range(std::move(range), false);
+  if (!records) {
+    co_return records.error();
+  }
+  if (records->size() != entry->body_chunks) {
+    co_return core::make_error(core::ErrorCode::kUnavailable, "the job's body is not whole");
+  }
+  JobSubmission submission;
+  submission.id = job;
+  submission.host = entry->host;
+  submission.path = entry->path;
+  for (const ports::Record& record : *records) {
+    submission.body += record.value;
+  }
+  bodies_.push_back(submission);
+  if (bodies_.size() > kMostBodies) {
+    bodies_.pop_front();
+  }
+  co_return submission;
+}
+
+}  // namespace stoneport::jobs
--- /dev/null
+++ b/src/jobs/scorer.cpp
@@ -0,0 +1,89 @@
+#include "jobs/scorer.hpp"
+
+#include "runtime/tasks.hpp"
+
+namespace stoneport::jobs {
+namespace asio = boost::asio;
+namespace {
+constexpr unsigned kFirstSuccess = 200;
+constexpr unsigned kFirstRedirect = 300;
+constexpr unsigned kServerError = 500;
+constexpr std::uint32_t kUnknownLimit = 1000;
+}  // namespace
+
+Scorer::Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
+               const core::TimeSource& time, core::Metrics& metrics, ScorerSettings settings)
+    : forwarder_(forwarder),
+      routes_(routes),
+      time_(time),
+      settings_(settings),
+      scored_(metrics.counter("stoneport_scores_total", "Texts that were rated")),
+      failed_answers_(metrics.counter("stoneport_score_failures_total",
+                                      "Rating calls that a replica ran and failed")) {}
+
+asio::awaitable<Scorer::Attempt> Scorer::attempt(const ScoringCall& call) {
+  Attempt attempt;
+  attempt.most_failures = kUnknownLimit;
+  const std::shared_ptr<const ingress::RouteTable> table = routes_.current();
+  const ingress::Route* route = table ? table->find(call.host, http::path_of(call.path)) : nullptr;
+  if (route == nullptr) {
+    co_return attempt;
+  }
+  // One replica a call: the answers of failure are counted here.
+  ingress::Route single = *route;
+  single.most_attempts = 1;
+  attempt.most_failures = route->most_attempts;
+  ingress::ForwardedRequest request;
+  request.table = table;
+  request.route = &single;
+  request.request_id = call.request_id;
+  request.head.method = "POST";
+  request.head.target = call.path;
+  request.head.headers.add("Host", call.host);
+  request.body = call.body;
+  request.received = time_.now();
+  request.deadline = request.received + settings_.attempt_timeout;
+  const ingress::ForwardResult answer = co_await forwarder_.call(std::move(request));
+  if (!answer) {
+    co_return attempt;
+  }
+  const unsigned status = answer->response.head.status;
+  if (status >= kFirstSuccess && status < kFirstRedirect) {
+    attempt.signature = answer->signature;
+  }
+  attempt.ran_and_failed = status == kServerError;
+  co_return attempt;
+}
+
+asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted) {
+  Score score;
+  std::uint32_t failures = 0;
+  while (is_wanted()) {
+    if (in_flight_ >= settings_.most_at_once) {
+      co_await runtime::sleep_for(settings_.retry_pause / 4);
+      continue;
+    }
+    ++in_flight_;
+    const Attempt made = co_await attempt(call);
+    --in_flight_;
+    if (!made.signature.empty()) {
+      scored_.Increment();
+      score.end = ScoreEnd::kScored;
+      score.signature = made.signature;
+      co_return score;
+    }
+    if (made.ran_and_failed) {
+      failed_answers_.Increment();
+      ++failures;
+      if (failures >= made.most_failures) {
+        score.end = ScoreEnd::kFailed;
+        co_return score;
+      }
+      continue;
+    }
+    co_await runtime::sleep_for(settings_.retry_pause);
+  }
+  co_return score;
+}
+
+}  // namespace stoneport::jobs
--- /dev/null
+++ b/src/jobs/term_keeper.cpp
@@ -0,0 +1,178 @@
+#include "jobs/term_keeper.hpp"
+
+#include "core/decision_log.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::jobs {
+namespace asio = boost::asio;
+
+void TermWatch::on_change(core::MonotonicTime now, bool has_holder) {
+  has_holder_ = has_holder;
+  changed_at_ = now;
+}
+
+bool TermWatch::should_bid(core::MonotonicTime now, core::MonotonicTime last_answer,
+                           double spread) {
+  const bool was_paused = last_tick_ && now - *last_tick_ > settings_.longest_gap;
+  last_tick_ = now;
+  const bool store_is_silent = now - last_answer > settings_.longest_store_silence;
+  if (!changed_at_ || was_paused || store_is_silent) {
+    changed_at_ = now;
+    return false;
+  }
+  const core::Duration spread_length =
+      core::from_seconds(core::to_seconds(settings_.bid_spread) * spread);
+  const core::Duration patience = has_holder_ ? settings_.take_over_after : core::Duration(0);
+  return now - *changed_at_ >= patience + spread_length;
+}
+
+TermKeeper::TermKeeper(asio::any_io_executor executor, ports::RecordStore& store,
+                       TermSettings settings, Listener listener, std::uint64_t seed,
+                       const core::TimeSource& time, core::Metrics& metrics)
+    : executor_(executor),
+      store_(store),
+      settings_(std::move(settings)),
+      listener_(std::move(listener)),
+      random_(seed),
+      time_(time),
+      watch_(settings_),
+      mirror_(executor, store, std::string(kTermTable), std::string(kJobPartition),
+              [this](const records::TableMirror::Records& records) { on_records(records); },
+              {.feed_wait = std::chrono::milliseconds(600)}),
+      terms_gained_(metrics.counter("stoneport_coordinator_terms_gained_total",
+                                    "Terms that this process began")),
+      terms_lost_(metrics.counter("stoneport_coordinator_terms_lost_total",
+                                  "Terms that another process took over")),
+      holds_term_(metrics.gauge("stoneport_coordinator_holds_term",
+                                "1 while this process coordinates the jobs")) {
+  spread_ = random_.fraction();
+}
+
+void TermKeeper::start() {
+  mirror_.start();
+  runtime::start(executor_, "coordinator term", run());
+}
+
+void TermKeeper::on_records(const records::TableMirror::Records& records) {
+  const auto term = records.find(std::string(kTermKey));
+  const auto heartbeat = records.find(std::string(kHeartbeatKey));
+  const core::Revision heartbeat_revision =
+      heartbeat == records.end() ? core::Revision() : heartbeat->second.revision;
+  const core::Revision term_revision =
+      term == records.end() ? core::Revision() : term->second.revision;
+  const bool changed = heartbeat_revision != heartbeat_revision_ || term_revision != seen_revision_;
+  heartbeat_revision_ = heartbeat_revision;
+  if (term != records.end()) {
+    seen_ = decode_term(term->second.value).value_or(TermRecord());
+    seen_revision_ = term_revision;
+  }
+  if (changed) {
+    watch_.on_change(time_.now(), !seen_.holder.empty());
+  }
+  if (held_ && seen_revision_ > held_->revision) {
+    on_deposed("another process holds the term");
+  }
+  // A bid whose answer was lost.
+  const bool is_ours = seen_.holder == settings_.holder;
+  if (!held_ && !released_ && is_ours && seen_revision_ != core::Revision()) {
+    gain({core::Epoch(seen_.epoch), seen_revision_});
+  }
+}
+
+void TermKeeper::gain(Term term) {
+  held_ = term;
+  confirmed_at_ = time_.now();
+  next_beat_ = time_.now();
+  terms_gained_.Increment();
+  holds_term_.Set(1);
+  core::log_decision(core::DecisionEvent::kTermBegan,
+                     {{"epoch", term.epoch.value()}, {"revision", term.revision.value()}});
+  listener_.on_gain(term);
+}
+
+void TermKeeper::on_deposed(std::string_view reason) {
+  if (!held_) {
+    return;
+  }
+  core::log_decision(core::DecisionEvent::kTermEnded,
+                     {{"epoch", held_->epoch.value()}, {"reason", reason}});
+  held_.reset();
+  terms_lost_.Increment();
+  holds_term_.Set(0);
+  watch_.on_change(time_.now(), true);
+  listener_.on_loss();
+}
+
+ports::RecordTransaction TermKeeper::transaction(core::Revision condition) const {
+  ports::RecordTransaction transaction;
+  transaction.partition = std::string(kJobPartition);
+  transaction.conditions.push_back({std::string(kTermTable), std::string(kTermKey), condition});
+  return transaction;
+}
+
+asio::awaitable<void> TermKeeper::bid() {
+  const TermRecord mine{seen_.epoch + 1, settings_.holder};
+  ports::RecordTransaction bid = transaction(seen_revision_);
+  bid.writes.push_back({std::string(kTermTable), std::string(kTermKey), encode_term(mine)});
+  bid.writes.push_back({std::string(kTermTable), std::string(kHeartbeatKey), "0"});
+  const core::Result<core::Revision> committed =
+      co_await store_.commit(std::move(bid), settings_.write_timeout);
+  if (committed && !held_ && !released_) {
+    seen_ = mine;
+    seen_revision_ = *committed;
+    gain({core::Epoch(mine.epoch), *committed});
+  }
+  spread_ = random_.fraction();
+}
+
+asio::awaitable<void> TermKeeper::beat() {
+  const core::MonotonicTime sent_at = time_.now();
+  const Term term = *held_;
+  next_beat_ = sent_at + settings_.heartbeat_interval;
+  ports::RecordTransaction beat = transaction(term.revision);
+  beat.writes.push_back(
+      {std::string(kTermTable), std::string(kHeartbeatKey), std::to_string(++beats_)});
+  const core::Result<core::Revision> committed =
+      co_await store_.commit(std::move(beat), settings_.write_timeout);
+  const bool is_same_term = held_ && held_->revision == term.revision;
+  if (!is_same_term) {
+    co_return;
+  }
+  if (committed) {
+    confirmed_at_ = sent_at;
+  } else if (committed.error().code == core::ErrorCode::kConflict) {
+    on_deposed("a heartbeat met another term");
+  }
+}
+
+asio::awaitable<void> TermKeeper::run() {
+  while (true) {
+    const core::MonotonicTime now = time_.now();
+    if (held_) {
+      if (now >= next_beat_) {
+        co_await beat();
+      }
+    } else if (!released_ && mirror_.loaded()) {
+      const bool should = watch_.should_bid(now, mirror_.last_answer(), spread_);
+      if (should && listener_.eligible()) {
+        co_await bid();
+      }
+    }
+    co_await runtime::sleep_for(settings_.tick);
+  }
+}
+
+asio::awaitable<void> TermKeeper::release() {
+  released_ = true;
+  if (!held_) {
+    co_return;
+  }
+  const Term term = *held_;
+  ports::RecordTransaction release = transaction(term.revision);
+  release.writes.push_back({std::string(kTermTable), std::string(kTermKey),
+                            encode_term({term.epoch.value(), std::string()})});
+  co_await store_.commit(std::move(release), settings_.write_timeout);
+  on_deposed("released");
+}
+
+}  // namespace stoneport::jobs
--- /dev/null
+++ b/src/jobs/term_keeper.hpp
@@ -0,0 +1,112 @@
+/// \file
+/// Which process coordinates the jobs: a term in the store with a growing epoch, a
+/// heartbeat beside it, and take-over when the heartbeat stops while the store
+/// answers. Every write of a holder is conditional on the term's revision, so a
+/// deposed holder can change nothing. Belongs to one thread.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/metrics.hpp"
+#include "core/random.hpp"
+#include "jobs/job_records.hpp"
+#include "ports/record_store.hpp"
+#include "records/table_mirror.hpp"
+
+namespace stoneport::jobs {
+
+struct Term {
+  core::Epoch epoch;
+  core::Revision revision;  ///< of the term's record; a condition of each write
+};
+
+struct TermSettings {
+  /// Unique to one life of one process.
+  std::string holder;
+  core::Duration heartbeat_interval = std::chrono::milliseconds(300);
+  core::Duration write_timeout = std::chrono::milliseconds(900);
+  /// Silence of the heartbeat after which another process takes over.
+  core::Duration take_over_after = std::chrono::milliseconds(1300);
+  /// Bids of several processes are spread over this.
+  core::Duration bid_spread = std::chrono::milliseconds(250);
+  core::Duration tick = std::chrono::milliseconds(100);
+  /// Longer gaps between ticks mean that this process was paused.
+  core::Duration longest_gap = std::chrono::milliseconds(500);
+  /// Without an answer of the store for this long, silence proves nothing.
+  core::Duration longest_store_silence = std::chrono::milliseconds(1000);
+};
+
+/// What a process that does not hold the term has seen of it. Plain code.
+class TermWatch {
+ public:
+  explicit TermWatch(const TermSettings& settings) : settings_(settings) {}
+
+  /// The term's or the heartbeat's record has changed.
+  void on_change(core::MonotonicTime now, bool has_holder);
+  /// \param last_answer when the store last answered
+  /// \param spread between 0 and 1, drawn anew for each process
+  /// \return whether to bid for the term now.
+  bool should_bid(core::MonotonicTime now, core::MonotonicTime last_answer, double spread);
+
+ private:
+  TermSettings settings_;
+  bool has_holder_ = false;
+  std::optional<core::MonotonicTime> changed_at_;
+  std::optional<core::MonotonicTime> last_tick_;
+};
+
+class TermKeeper {
+ public:
+  struct Listener {
+    std::function<bool()> eligible;  ///< whether this process may hold the term now
+    std::function<void(Term)> on_gain;
+    std::function<void()> on_loss;
+  };
+
+  TermKeeper(boost::asio::any_io_executor executor, ports::RecordStore& store,
+             TermSettings settings, Listener listener, std::uint64_t seed,
+             const core::TimeSource& time, core::Metrics& metrics);
+
+  void start();
+  const std::optional<Term>& held() const { return held_; }
+  /// \return when the last confirmed heartbeat was sent; only while held.
+  core::MonotonicTime confirmed_at() const { return confirmed_at_; }
+  /// The holder's writes have met another term.
+  void on_deposed(std::string_view reason);
+  /// Gives the term up, so that another process takes it at once; never bids again.
+  boost::asio::awaitable<void> release();
+
+ private:
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> bid();
+  boost::asio::awaitable<void> beat();
+  void on_records(const records::TableMirror::Records& records);
+  void gain(Term term);
+  ports::RecordTransaction transaction(core::Revision condition) const;
+
+  boost::asio::any_io_executor executor_;
+  ports::RecordStore& store_;
+  TermSettings settings_;
+  Listener listener_;
+  core::RandomSource random_;
+  const core::TimeSource& time_;
+  TermWatch watch_;
+  records::TableMirror mirror_;
+  TermRecord seen_;
+  core::Revision seen_revision_;
+  core::Revision heartbeat_revision_;
+  std::optional<Term> held_;
+  core::MonotonicTime confirmed_at_{};
+  core::MonotonicTime next_beat_{};
+  std::uint64_t beats_ = 0;
+  double spread_ = 0;
+  bool released_ = false;
+  prometheus::Counter& terms_gained_;
+  prometheus::Counter& terms_lost_;
+  prometheus::Gauge& holds_term_;
+};
+
+}  // namespace stoneport::jobs
--- /dev/null
+++ b/src/node/node.hpp
@@ -0,0 +1,86 @@
+/// \file
+/// One process of the system where no machine is set apart: it takes requests,
+/// answers who else does, accepts and reads jobs, and coordinates them while it
+/// holds the term. Owns the parts; belongs to one thread.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "controllers/gossip_controller.hpp"
+#include "controllers/gossip_endpoint.hpp"
+#include "ingress/forwarder.hpp"
+#include "jobs/coordinator.hpp"
+#include "jobs/job_store.hpp"
+
+namespace stoneport::node {
+
+struct NodeSettings {
+  core::NodeId name;
+  core::ZoneName zone;
+  core::RegionName region;
+  core::Address caller_address;  ///< where callers reach this process
+  core::Address gossip_address;  ///< UDP between processes
+  std::vector<core::Address> gossip_seeds;
+  jobs::CoordinatorSettings coordinator;
+};
+
+/// What the node works with; all outlive it.
+struct NodeInputs {
+  boost::asio::any_io_executor executor;
+  ports::RecordStore& store;
+  ports::ReplicaClient& replicas;
+  const jobs::JobParser& parser;
+  const core::TimeSource& time;
+  core::Metrics& metrics;
+};
+
+class Node {
+ public:
+  Node(NodeInputs inputs, NodeSettings settings);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Binds the socket for gossip.
+  core::Result<void> open();
+  void start();
+
+  /// Takes in what the store tells; a table older than the one in force is dropped.
+  void offer_routes(std::shared_ptr<const ingress::RouteTable> table);
+  void replace_replicas(std::vector<ingress::ReplicaRecord> records);
+  void replace_named_versions(std::map<core::ModelName, core::WeightVersion> versions);
+
+  /// \return whether callers should be sent here.
+  bool ready() const;
+  /// \return addresses of processes that take callers from \p zone, most of them near.
+  std::vector<core::Address> caller_addresses(const core::ZoneName& zone) const;
+
+  const ingress::RouteTableHolder& routes() const { return routes_; }
+  ingress::Forwarder& forwarder() { return forwarder_; }
+  jobs::JobStore& jobs() { return job_store_; }
+
+  /// Leaves the directory, hands the jobs over and takes no part in control any
+  /// more; requests are still served.
+  boost::asio::awaitable<void> drain();
+
+ private:
+  jobs::CoordinatorInputs coordinator_inputs();
+  void join_when_ready();
+
+  NodeInputs inputs_;
+  NodeSettings settings_;
+  ingress::RouteTableHolder routes_;
+  ingress::ReplicaDirectory directory_;
+  std::map<core::ModelName, core::WeightVersion> named_versions_;
+  ingress::Forwarder forwarder_;
+  jobs::JobStore job_store_;
+  controllers::GossipEndpoint gossip_endpoint_;
+  controllers::GossipController gossip_;
+  jobs::Coordinator coordinator_;
+  bool joined_ = false;
+  bool draining_ = false;
+};
+
+}  // namespace stoneport::node
--- /dev/null
+++ b/src/weights/weight_loader.cpp
@@ -0,0 +1,198 @@
+#include "weights/weight_loader.hpp"
+
+#include "core/decision_log.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::weights {
+namespace asio = boost::asio;
+namespace {
+
+core::WeightVersion version_of(const ingress::ReplicaState& replica, const core::ModelName& model) {
+  const auto found = replica.record.versions.find(model);
+  return found == replica.record.versions.end() ? core::WeightVersion() : found->second;
+}
+
+std::string_view name_of(ports::OrderEnd end) {
+  switch (end) {
+    case ports::OrderEnd::kAccepted:
+      return "accepted";
+    case ports::OrderEnd::kHolds:
+      return "holds";
+    case ports::OrderEnd::kConflict:
+      return "conflict";
+    case ports::OrderEnd::kRefused:
+      return "refused";
+    case ports::OrderEnd::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+WeightLoader::WeightLoader(asio::any_io_executor executor, ingress::ReplicaDirectory& directory,
+                           ports::ReplicaClient& client, Inputs inputs,
+                           WeightLoaderSettings settings, const core::TimeSource& time,
+                           core::Metrics& metrics)
+    : executor_(std::move(executor)),
+      directory_(directory),
+      client_(client),
+      inputs_(std::move(inputs)),
+      settings_(std::move(settings)),
+      time_(time),
+      orders_(metrics.counter("stoneport_weight_orders_total", "Orders sent to replicas")),
+      failed_orders_(metrics.counter("stoneport_weight_order_failures_total",
+                                     "Orders that were not accepted or not carried out in time")),
+      load_seconds_(metrics.seconds_histogram("stoneport_weight_load_seconds",
+                                              "From an order to its version in force")) {}
+
+void WeightLoader::start() {
+  runtime::start(executor_, "weight loader", run(shared_from_this()));
+}
+
+bool WeightLoader::is_loading(const core::ReplicaId& replica, const core::ModelName& model) const {
+  const auto found = loading_.find(replica);
+  return found != loading_.end() && found->second == model;
+}
+
+asio::awaitable<void> WeightLoader::run(std::shared_ptr<WeightLoader> self) {
+  while (!self->stopped_) {
+    const core::MonotonicTime now = self->time_.now();
+    if (now >= self->settings_.first_order_at && self->inputs_.may_order()) {
+      self->plan(now);
+    }
+    co_await runtime::sleep_for(self->settings_.tick);
+  }
+}
+
+LoadPlanInput WeightLoader::plan_input(const core::ModelName& model, const WantedVersion& wanted,
+                                       core::MonotonicTime now) const {
+  LoadPlanInput input;
+  input.wanted = wanted.version;
+  input.oldest_allowed = wanted.oldest_allowed;
+  for (const ingress::ReplicaPointer& replica : directory_.of_service(wanted.service)) {
+    const core::ReplicaId& id = replica->record.id;
+    const bool has_model = replica->record.versions.contains(model);
+    if (!has_model || !replica->accepts_work()) {
+      continue;
+    }
+    ReplicaVersion entry;
+    entry.id = id;
+    entry.version = version_of(*replica, model);
+    entry.running = inputs_.running(id);
+    entry.loading = is_loading(id, model);
+    const auto paused = paused_until_.find(id);
+    const bool is_paused = paused != paused_until_.end() && now < paused->second;
+    entry.available = !loading_.contains(id) && !is_paused && !replica->is_suspect(now);
+    input.replicas.push_back(entry);
+  }
+  for (const auto& [id, loaded_model] : loading_) {
+    input.loading_elsewhere += loaded_model == model ? 0 : 1;
+  }
+  return input;
+}
+
+void WeightLoader::plan(core::MonotonicTime now) {
+  for (const auto& [model, wanted] : inputs_.wanted()) {
+    const LoadPlanInput input = plan_input(model, wanted, now);
+    const std::vector<core::ReplicaId> chosen = plan_loads(input, settings_.plan);
+    for (const ingress::ReplicaPointer& replica : directory_.of_service(wanted.service)) {
+      const core::ReplicaId id = replica->record.id;
+      if (std::find(chosen.begin(), chosen.end(), id) == chosen.end()) {
+        continue;
+      }
+      loading_[id] = model;
+      runtime::start(executor_, "weight load",
+                     load(shared_from_this(), replica, model, wanted.version));
+    }
+  }
+}
+
+void WeightLoader::take_report(ingress::ReplicaState& replica, const ports::ReplicaReport& report) {
+  for (const auto& [model, version] : report.versions) {
+    core::WeightVersion& known = replica.record.versions[model];
+    known = std::max(known, version);
+  }
+}
+
+asio::awaitable<bool> WeightLoader::order(ingress::ReplicaPointer replica, core::ModelName model,
+                                          core::WeightVersion version) {
+  const ports::ReplicaTarget target{replica->record.id, replica->record.address};
+  if (!order_counts_.contains(target.id)) {
+    ports::ReplicaTarget asked = target;
+    const core::Result<ports::ReplicaReport> report = co_await client_.report(std::move(asked));
+    if (!report || report->busy) {
+      co_return false;
+    }
+    take_report(*replica, *report);
+    order_counts_[target.id] = report->order_count;
+  }
+  if (stopped_ || !inputs_.may_order() || version_of(*replica, model) >= version) {
+    co_return version_of(*replica, model) >= version;
+  }
+  ports::WeightOrder order;
+  order.model = model;
+  order.version = version;
+  order.holder = settings_.holder;
+  order.fence = settings_.fence;
+  order.expected_order_count = order_counts_[target.id];
+  orders_.Increment();
+  ports::ReplicaTarget ordered = target;
+  const ports::OrderEnd end = co_await client_.order(std::move(ordered), order);
+  core::log_decision(core::DecisionEvent::kOrderSent, {{"replica", target.id.value()},
+                                                       {"model", model.value()},
+                                                       {"version", version.value()},
+                                                       {"fence", settings_.fence.value()},
+                                                       {"count", order.expected_order_count},
+                                                       {"outcome", name_of(end)}});
+  if (end == ports::OrderEnd::kAccepted) {
+    ++order_counts_[target.id];
+    co_return true;
+  }
+  order_counts_.erase(target.id);
+  co_return end == ports::OrderEnd::kHolds;
+}
+
+asio::awaitable<bool> WeightLoader::wait_until_loaded(ingress::ReplicaPointer replica,
+                                                      core::ModelName model,
+                                                      core::WeightVersion version) {
+  const core::MonotonicTime give_up_at = time_.now() + settings_.longest_load;
+  core::Duration pause = settings_.usual_load;
+  while (!stopped_ && replica->listed && time_.now() < give_up_at) {
+    co_await runtime::sleep_for(pause);
+    pause = settings_.report_interval;
+    if (version_of(*replica, model) >= version) {
+      co_return true;  // its listing or a stream has told
+    }
+    ports::ReplicaTarget target{replica->record.id, replica->record.address};
+    const core::Result<ports::ReplicaReport> report = co_await client_.report(std::move(target));
+    if (report) {
+      take_report(*replica, *report);
+    }
+  }
+  co_return version_of(*replica, model) >= version;
+}
+
+asio::awaitable<void> WeightLoader::load(std::shared_ptr<WeightLoader> self,
+                                         ingress::ReplicaPointer replica, core::ModelName model,
+                                         core::WeightVersion version) {
+  const core::MonotonicTime started = self->time_.now();
+  bool loaded = co_await self->order(replica, model, version);
+  if (loaded) {
+    loaded = co_await self->wait_until_loaded(replica, model, version);
+  }
+  const core::MonotonicTime now = self->time_.now();
+  if (loaded) {
+    self->load_seconds_.Observe(core::to_seconds(now - started));
+  } else {
+    self->failed_orders_.Increment();
+    self->order_counts_.erase(replica->record.id);
+    self->paused_until_[replica->record.id] = now + self->settings_.pause_after_failure;
+  }
+  self->loading_.erase(replica->record.id);
+  if (!self->stopped_) {
+    self->inputs_.on_loaded();
+  }
+}
+
+}  // namespace stoneport::weights
--- /dev/null
+++ b/src/weights/weight_loader.hpp
@@ -0,0 +1,91 @@
+/// \file
+/// Brings the replicas of models to the versions that trainers have named, by
+/// orders that one process sends under a fence. Belongs to the coordinator's
+/// thread, for one term.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "core/metrics.hpp"
+#include "ingress/replica_directory.hpp"
+#include "ports/replica_client.hpp"
+#include "weights/load_plan.hpp"
+
+namespace stoneport::weights {
+
+/// What a trainer has named.
+struct WantedVersion {
+  core::WeightVersion version;
+  core::WeightVersion oldest_allowed;
+  core::ServiceName service;  ///< whose replicas have the model
+};
+using WantedVersions = std::map<core::ModelName, WantedVersion>;
+
+struct WeightLoaderSettings {
+  LoadPlanSettings plan;
+  std::string holder;
+  core::Epoch fence;
+  /// No order before this: the former holder's may still be on their way.
+  core::MonotonicTime first_order_at{};
+  core::Duration tick = std::chrono::milliseconds(100);
+  core::Duration usual_load = std::chrono::milliseconds(900);
+  core::Duration report_interval = std::chrono::milliseconds(300);
+  core::Duration longest_load = std::chrono::seconds(8);
+  /// How long a replica is left alone after an order that failed.
+  core::Duration pause_after_failure = std::chrono::milliseconds(700);
+};
+
+class WeightLoader : public std::enable_shared_from_this<WeightLoader> {
+ public:
+  struct Inputs {
+    std::function<WantedVersions()> wanted;
+    /// Whether orders may be sent now: the term is confirmed and the process awake.
+    std::function<bool()> may_order;
+    /// Texts that the coordinator makes on a replica.
+    std::function<std::uint32_t(const core::ReplicaId&)> running;
+    std::function<void()> on_loaded;
+  };
+
+  WeightLoader(boost::asio::any_io_executor executor, ingress::ReplicaDirectory& directory,
+               ports::ReplicaClient& client, Inputs inputs, WeightLoaderSettings settings,
+               const core::TimeSource& time, core::Metrics& metrics);
+  void start();
+  void stop() { stopped_ = true; }
+  /// \return whether \p replica loads a version of \p model now.
+  bool is_loading(const core::ReplicaId& replica, const core::ModelName& model) const;
+
+ private:
+  static boost::asio::awaitable<void> run(std::shared_ptr<WeightLoader> self);
+  static boost::asio::awaitable<void> load(std::shared_ptr<WeightLoader> self,
+                                           ingress::ReplicaPointer replica, core::ModelName model,
+                                           core::WeightVersion version);
+  boost::asio::awaitable<bool> order(ingress::ReplicaPointer replica, core::ModelName model,
+                                     core::WeightVersion version);
+  boost::asio::awaitable<bool> wait_until_loaded(ingress::ReplicaPointer replica,
+                                                 core::ModelName model,
+                                                 core::WeightVersion version);
+  void plan(core::MonotonicTime now);
+  LoadPlanInput plan_input(const core::ModelName& model, const WantedVersion& wanted,
+                           core::MonotonicTime now) const;
+  static void take_report(ingress::ReplicaState& replica, const ports::ReplicaReport& report);
+
+  boost::asio::any_io_executor executor_;
+  ingress::ReplicaDirectory& directory_;
+  ports::ReplicaClient& client_;
+  Inputs inputs_;
+  WeightLoaderSettings settings_;
+  const core::TimeSource& time_;
+  std::map<core::ReplicaId, core::ModelName> loading_;
+  std::map<core::ReplicaId, std::uint64_t> order_counts_;
+  std::map<core::ReplicaId, core::MonotonicTime> paused_until_;
+  bool stopped_ = false;
+  prometheus::Counter& orders_;
+  prometheus::Counter& failed_orders_;
+  prometheus::Histogram& load_seconds_;
+};
+
+}  // namespace stoneport::weights
--- /dev/null
+++ b/tests/support/fake_record_store.hpp
@@ -0,0 +1,219 @@
+/// \file
+/// A record store in memory with switches for what the platform's store may do:
+/// lose answers before or after the effect, act late, be down, forget its history,
+/// answer with an older state. Lives on one io_context.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "ports/record_store.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::support {
+
+class FakeRecordStore : public ports::RecordStore {
+ public:
+  struct Faults {
+    bool down = false;          ///< refuses; nothing is done
+    int lose_answers = 0;       ///< commits that are done and not answered
+    int lose_requests = 0;      ///< commits that are neither done nor answered
+    int act_late = 0;           ///< commits that are done only by apply_late()
+    bool history_lost = false;  ///< feeds are told that the history is gone
+    bool stale = false;         ///< reads show the state of freeze_reads()
+  };
+  Faults faults;
+  std::uint64_t commits = 0;
+  std::uint64_t reads = 0;
+
+  boost::asio::awaitable<core::Result<core::Revision>> commit(ports::RecordTransaction transaction,
+                                                              core::Duration timeout) override {
+    (void)timeout;
+    ++commits;
+    co_await runtime::sleep_for(std::chrono::microseconds(200));
+    if (faults.down) {
+      co_return core::make_error(core::ErrorCode::kUnavailable, "down");
+    }
+    if (faults.act_late > 0) {
+      --faults.act_late;
+      late_.push_back(std::move(transaction));
+      co_return core::make_error(core::ErrorCode::kOutcomeUnknown, "no answer");
+    }
+    if (faults.lose_requests > 0) {
+      --faults.lose_requests;
+      co_return core::make_error(core::ErrorCode::kOutcomeUnknown, "no answer");
+    }
+    const core::Result<core::Revision> done = apply(transaction);
+    if (faults.lose_answers > 0) {
+      --faults.lose_answers;
+      co_return core::make_error(core::ErrorCode::kOutcomeUnknown, "no answer");
+    }
+    co_return done;
+  }
+
+  boost::asio::awaitable<core::Result<ports::RecordPage>> read(ports::RecordRange range,
+                                                               core::Duration timeout) override {
+    (void)timeout;
+    ++reads;
+    co_await runtime::sleep_for(std::chrono::microseconds(200));
+    if (faults.down) {
+      co_return core::make_error(core::ErrorCode::kUnavailable, "down");
+    }
+    const Rows& rows = faults.stale ? frozen_rows_ : rows_;
+    ports::RecordPage page;
+    page.revision = core::Revision(faults.stale ? frozen_revision_ : revision_);
+    for (const auto& [place, record] : rows) {
+      const auto& [table, partition, key] = place;
+      const bool is_below_end = range.end_key.empty() || key < range.end_key;
+      if (table != range.table || partition != range.partition || key < range.first_key ||
+          !is_below_end) {
+        continue;
+      }
+      if (page.records.size() == page_size) {
+        page.more = true;
+        break;
+      }
+      page.records.push_back(record);
+    }
+    co_return page;
+  }
+
+  boost::asio::awaitable<core::Result<ports::RecordPage>> changes(std::string table,
+                                                                  core::Revision after,
+                                                                  core::Duration wait) override {
+    const auto give_up_at = std::chrono::steady_clock::now() + wait;
+    while (true) {
+      if (faults.down) {
+        co_return core::make_error(core::ErrorCode::kUnavailable, "down");
+      }
+      if (faults.history_lost) {
+        co_return core::make_error(core::ErrorCode::kNotFound, "gone");
+      }
+      ports::RecordPage page;
+      page.revision = core::Revision(revision_);
+      for (const ports::Record& record : log_) {
+        if (record.table == table && record.revision > after) {
+          page.records.push_back(record);
+        }
+      }
+      if (!page.records.empty() || std::chrono::steady_clock::now() >= give_up_at) {
+        co_return page;
+      }
+      co_await runtime::sleep_for(std::chrono::milliseconds(1));
+    }
+  }
+
+  std::optional<ports::StoreTime> now() const override {
+    return std::chrono::duration_cast<ports::StoreTime>(
+        std::chrono::steady_clock::now().time_since_epoch());
+  }
+  core::Revision newest() const override { return core::Revision(revision_); }
+  ports::RecordStoreLimits limits() const override { return store_limits; }
+
+  /// Carries out the commits that were held back, in order.
+  void apply_late() {
+    for (const ports::RecordTransaction& transaction : late_) {
+      apply(transaction);
+    }
+    late_.clear();
+  }
+  /// Reads show the present state from now on, while faults.stale holds.
+  void freeze_reads() {
+    frozen_rows_ = rows_;
+    frozen_revision_ = revision_;
+  }
+  /// \return the values of a table by key, whatever the partition.
+  std::map<std::string, std::string> table(std::string_view name) const {
+    std::map<std::string, std::string> values;
+    for (const auto& [place, record] : rows_) {
+      if (std::get<0>(place) == name) {
+        values[std::get<2>(place)] = record.value;
+      }
+    }
+    return values;
+  }
+  core::Result<core::Revision> apply(const ports::RecordTransaction& transaction) {
+    for (const ports::RecordCondition& condition : transaction.conditions) {
+      const auto found = rows_.find({condition.table, transaction.partition, condition.key});
+      const core::Revision present =
+          found == rows_.end() ? core::Revision() : found->second.revision;
+      if (present != condition.revision) {
+        return core::make_error(core::ErrorCode::kConflict, "condition of " + condition.key);
+      }
+    }
+    ++revision_;
+    for (const ports::RecordWrite& write : transaction.writes) {
+      ports::Record record{write.table,
+                           transaction.partition,
+                           write.key,
+                           write.value.value_or(""),
+                           core::Revision(revision_),
+                           !write.value.has_value()};
+      log_.push_back(record);
+      const Place place{write.table, transaction.partition, write.key};
+      if (write.value) {
+        rows_[place] = record;
+      } else {
+        rows_.erase(place);
+      }
+    }
+    return core::Revision(revision_);
+  }
+
+  std::size_t page_size = 500;
+  ports::RecordStoreLimits store_limits;
+
+ private:
+  using Place = std::tuple<std::string, std::string, std::string>;
+  using Rows = std::map<Place, ports::Record>;
+  Rows rows_;
+  Rows frozen_rows_;
+  std::vector<ports::Record> log_;
+  std::vector<ports::RecordTransaction> late_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t frozen_revision_ = 0;
+};
+
+/// One process's way to a store that several share; cut, nothing passes.
+class CuttableRecordStore : public ports::RecordStore {
+ public:
+  explicit CuttableRecordStore(FakeRecordStore& store) : store_(store) {}
+  bool cut = false;
+
+  boost::asio::awaitable<core::Result<core::Revision>> commit(ports::RecordTransaction transaction,
+                                                              core::Duration timeout) override {
+    if (cut) {
+      co_await runtime::sleep_for(std::chrono::milliseconds(5));
+      co_return core::make_error(core::ErrorCode::kUnavailable, "cut");
+    }
+    co_return co_await store_.commit(std::move(transaction), timeout);
+  }
+  boost::asio::awaitable<core::Result<ports::RecordPage>> read(ports::RecordRange range,
+                                                               core::Duration timeout) override {
+    if (cut) {
+      co_await runtime::sleep_for(std::chrono::milliseconds(5));
+      co_return core::make_error(core::ErrorCode::kUnavailable, "cut");
+    }
+    co_return co_await store_.read(std::move(range), timeout);
+  }
+  boost::asio::awaitable<core::Result<ports::RecordPage>> changes(std::string table,
+                                                                  core::Revision after,
+                                                                  core::Duration wait) override {
+    if (cut) {
+      co_await runtime::sleep_for(std::chrono::milliseconds(5));
+      co_return core::make_error(core::ErrorCode::kUnavailable, "cut");
+    }
+    co_return co_await store_.changes(std::move(table), after, wait);
+  }
+  std::optional<ports::StoreTime> now() const override { return store_.now(); }
+  core::Revision newest() const override { return cut ? core::Revision() : store_.newest(); }
+  ports::RecordStoreLimits limits() const override { return store_.limits(); }
+
+ private:
+  FakeRecordStore& store_;
+};
+
+}  // namespace stoneport::support
--- /dev/null
+++ b/tests/unit/jobs/job_store_test.cpp
@@ -0,0 +1,153 @@
+/// \file
+/// Accepting, ending and reading jobs over a store that loses answers, acts late,
+/// is down or answers with an older state.
+#include "jobs/job_store.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "support/fake_record_store.hpp"
+#include "support/run_task.hpp"
+
+namespace stoneport::jobs {
+
+using core::ErrorCode;
+
+class JobStoreTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JobStoreTest);
+  CPPUNIT_TEST(acceptance_is_durable_or_says_what_it_is);
+  CPPUNIT_TEST(a_job_is_taken_once);
+  CPPUNIT_TEST(a_refused_job_never_comes_to_be);
+  CPPUNIT_TEST(large_bodies_come_back_whole);
+  CPPUNIT_TEST(an_older_state_is_never_an_answer);
+  CPPUNIT_TEST(unknown_jobs_are_told_from_an_unsure_store);
+  CPPUNIT_TEST(an_end_is_acknowledged_as_often_as_it_comes);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct World {
+    World() {
+      settings.patience = std::chrono::milliseconds(60);
+      settings.retry_pause = std::chrono::milliseconds(5);
+      jobs = std::make_unique<JobStore>(store, time, metrics, settings);
+    }
+    template <class Value>
+    Value run(boost::asio::awaitable<Value> task) {
+      return support::run_task(context, std::move(task));
+    }
+    core::Result<void> accept(const std::string& id, std::string body = "{}") {
+      JobSubmission submission{id, "host", "/jobs/", std::move(body)};
+      return run(jobs->accept(std::move(submission), 1));
+    }
+    boost::asio::io_context context;
+    support::FakeRecordStore store;
+    core::SystemTimeSource time;
+    core::Metrics metrics;
+    JobStoreSettings settings;
+    std::unique_ptr<JobStore> jobs;
+  };
+
+  void acceptance_is_durable_or_says_what_it_is() {
+    struct Case {
+      std::string name;
+      std::function<void(support::FakeRecordStore&)> fault;
+      std::optional<ErrorCode> error;
+      bool is_there;
+    };
+    const Case cases[] = {
+        {"calm", [](auto&) {}, std::nullopt, true},
+        {"answer lost", [](auto& store) { store.faults.lose_answers = 1; }, std::nullopt, true},
+        {"request lost", [](auto& store) { store.faults.lose_requests = 1; }, std::nullopt, true},
+        {"all answers lost", [](auto& store) { store.faults.lose_requests = 1000; },
+         ErrorCode::kOutcomeUnknown, false},
+        {"down", [](auto& store) { store.faults.down = true; }, ErrorCode::kUnavailable, false},
+    };
+    for (const Case& one : cases) {
+      World world;
+      one.fault(world.store);
+      const core::Result<void> accepted = world.accept("job");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, !one.error.has_value(), accepted.has_value());
+      if (one.error) {
+        CPPUNIT_ASSERT_MESSAGE(one.name, *one.error == accepted.error().code);
+      }
+      const bool is_there = world.store.table(kIndexTable).contains("job");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.is_there, is_there);
+    }
+  }
+
+  void a_job_is_taken_once() {
+    World world;
+    world.store.faults.act_late = 1;
+    CPPUNIT_ASSERT(world.accept("job", "first").has_value());
+    CPPUNIT_ASSERT(world.accept("job", "second").has_value());
+    world.store.apply_late();
+    const auto bodies = world.store.table(kBodyTable);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, bodies.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("first"), bodies.begin()->second);
+  }
+
+  void a_refused_job_never_comes_to_be() {
+    // A write held back may be done later: only "unknown" may be told then.
+    World world;
+    world.store.faults.act_late = 1000;
+    const core::Result<void> accepted = world.accept("job");
+    CPPUNIT_ASSERT(!accepted && accepted.error().code == ErrorCode::kOutcomeUnknown);
+    world.store.apply_late();
+    CPPUNIT_ASSERT(world.store.table(kIndexTable).contains("job"));
+  }
+
+  void large_bodies_come_back_whole() {
+    World world;
+    world.store.store_limits.record_bytes = 100;
+    world.store.page_size = 3;
+    const std::string body(1234, 'b');
+    CPPUNIT_ASSERT(world.accept("job", body).has_value());
+    CPPUNIT_ASSERT(world.accept("job2", "other").has_value());
+    const auto read = world.run(world.jobs->submission("job"));
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT_EQUAL(body, read->body);
+    CPPUNIT_ASSERT_EQUAL(std::string("/jobs/"), read->path);
+    const auto too_large = world.accept("job3", std::string(800'000, 'b'));
+    CPPUNIT_ASSERT(!too_large && too_large.error().code == ErrorCode::kTooLarge);
+  }
+
+  void an_older_state_is_never_an_answer() {
+    World world;
+    world.store.freeze_reads();
+    CPPUNIT_ASSERT(world.accept("job").has_value());
+    world.store.faults.stale = true;
+    const auto unsure = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    CPPUNIT_ASSERT(!unsure && unsure.error().code == ErrorCode::kUnavailable);
+    world.store.faults.stale = false;
+    const auto read = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, read->total);
+  }
+
+  void unknown_jobs_are_told_from_an_unsure_store() {
+    World world;
+    const auto unknown = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    CPPUNIT_ASSERT(!unknown && unknown.error().code == ErrorCode::kNotFound);
+    world.store.faults.down = true;
+    const auto unsure = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    CPPUNIT_ASSERT(!unsure && unsure.error().code == ErrorCode::kUnavailable);
+    const auto bad_name = world.run(world.jobs->read("a/b", 0, core::Duration(0)));
+    CPPUNIT_ASSERT(!bad_name && bad_name.error().code == ErrorCode::kNotFound);
+  }
+
+  void an_end_is_acknowledged_as_often_as_it_comes() {
+    World world;
+    const auto unknown = world.run(world.jobs->end("job"));
+    CPPUNIT_ASSERT(!unknown && unknown.error().code == ErrorCode::kNotFound);
+    CPPUNIT_ASSERT(world.accept("job").has_value());
+    world.store.faults.lose_answers = 1;
+    for (int call = 0; call < 3; ++call) {
+      CPPUNIT_ASSERT(world.run(world.jobs->end("job")).has_value());
+    }
+    world.store.faults.down = true;
+    const auto unsure = world.run(world.jobs->end("job"));
+    CPPUNIT_ASSERT(!unsure && unsure.error().code == ErrorCode::kUnavailable);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JobStoreTest);
+
+}  // namespace stoneport::jobs
--- /dev/null
+++ b/tests/unit/jobs/term_watch_test.cpp
@@ -0,0 +1,74 @@
+/// \file
+/// When a process bids for the term: on silence of the heartbeat, not of the store
+/// or of the process itself.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "jobs/term_keeper.hpp"
+
+namespace stoneport::jobs {
+
+class TermWatchTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TermWatchTest);
+  CPPUNIT_TEST(bids_when_the_heartbeat_stops_and_not_before);
+  CPPUNIT_TEST(bids_at_once_for_a_term_without_a_holder);
+  CPPUNIT_TEST(silence_of_the_store_proves_nothing);
+  CPPUNIT_TEST(a_pause_of_the_process_proves_nothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  static core::MonotonicTime at(int milliseconds) {
+    return core::MonotonicTime(std::chrono::milliseconds(milliseconds));
+  }
+
+  /// \return the first time from \p start on, in steps of 100 ms, at which a
+  /// process bids whose store always answers; -1 when it never does.
+  static int first_bid(TermWatch& watch, int start, int end) {
+    for (int now = start; now <= end; now += 100) {
+      if (watch.should_bid(at(now), at(now), 0)) {
+        return now;
+      }
+    }
+    return -1;
+  }
+
+  void bids_when_the_heartbeat_stops_and_not_before() {
+    const TermSettings settings;
+    TermWatch watch(settings);
+    for (int now = 0; now <= 5000; now += 100) {
+      if (now % 300 == 0) {
+        watch.on_change(at(now), true);
+      }
+      CPPUNIT_ASSERT(!watch.should_bid(at(now), at(now), 0));
+    }
+    // The last heartbeat came at 4,800.
+    CPPUNIT_ASSERT_EQUAL(6100, first_bid(watch, 5100, 9000));
+  }
+
+  void bids_at_once_for_a_term_without_a_holder() {
+    TermWatch watch{TermSettings()};
+    watch.on_change(at(100), false);
+    CPPUNIT_ASSERT_EQUAL(100, first_bid(watch, 100, 1000));
+  }
+
+  void silence_of_the_store_proves_nothing() {
+    TermWatch watch{TermSettings()};
+    watch.on_change(at(0), true);
+    for (int now = 0; now <= 6000; now += 100) {
+      CPPUNIT_ASSERT(!watch.should_bid(at(now), at(0), 0));
+    }
+    // It answers again: the heartbeat gets its full time.
+    const int bid = first_bid(watch, 6100, 9000);
+    CPPUNIT_ASSERT(bid >= 7300);
+  }
+
+  void a_pause_of_the_process_proves_nothing() {
+    TermWatch watch{TermSettings()};
+    watch.on_change(at(0), true);
+    CPPUNIT_ASSERT(!watch.should_bid(at(100), at(100), 0));
+    CPPUNIT_ASSERT(!watch.should_bid(at(5000), at(5000), 0));
+    CPPUNIT_ASSERT_EQUAL(6300, first_bid(watch, 5100, 9000));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TermWatchTest);
+
+}  // namespace stoneport::jobs
