Let models that share replicas take turns to load by need

Ruled out: loads that block other models' texts (their texts went on). Change: one plan over all models; the one with the fewest replicas valid now and after the next naming goes first; loads follow one another without a tick between. Test: load_plan_test, models_on_the_same_replicas_take_turns (failed before).

--- a/src/weights/load_plan.cpp
+++ b/src/weights/load_plan.cpp
@@ -1,42 +1,98 @@
 #include "weights/load_plan.hpp"
 
-#include <algorithm>
 #include <cmath>
+#include <optional>
 #include <tuple>
 
 namespace stoneport::weights {
+namespace {
 
-std::vector<core::ReplicaId> plan_loads(const LoadPlanInput& input,
-                                        const LoadPlanSettings& settings) {
-  std::uint32_t loading = input.loading_elsewhere;
-  std::uint32_t newest = 0;
-  std::vector<const ReplicaVersion*> candidates;
-  for (const ReplicaVersion& replica : input.replicas) {
-    loading += replica.loading ? 1 : 0;
-    const bool has_newest = replica.version >= input.wanted;
-    newest += has_newest || replica.loading ? 1 : 0;
-    if (!has_newest && !replica.loading && replica.available) {
-      candidates.push_back(&replica);
-    }
+/// How well a model is served: now, and once the next version is named.
+struct Standing {
+  std::uint32_t valid = 0;   ///< replicas whose version the jobs to come allow
+  std::uint32_t newest = 0;  ///< replicas that have the newest one, or load it
+};
+
+Standing standing_of(const ModelNeed& need) {
+  Standing standing;
+  for (const ReplicaVersion& replica : need.replicas) {
+    const bool is_newest = replica.loading || replica.version >= need.wanted;
+    standing.newest += is_newest ? 1 : 0;
+    standing.valid += is_newest || replica.version >= need.oldest_allowed ? 1 : 0;
   }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const ReplicaVersion* left, const ReplicaVersion* right) {
-                     return std::tie(left->version, left->running) <
-                            std::tie(right->version, right->running);
-                   });
+  return standing;
+}
+
+/// \return the replica to load next: the oldest version, then the least work;
+/// null when none has to.
+ReplicaVersion* next_replica(ModelNeed& need, const Standing& standing,
+                             const LoadPlanSettings& settings) {
   const auto newest_wanted = static_cast<std::uint32_t>(
-      std::ceil(settings.newest_share * static_cast<double>(input.replicas.size())));
-  std::vector<core::ReplicaId> orders;
-  for (const ReplicaVersion* candidate : candidates) {
-    const bool too_old = candidate->version < input.oldest_allowed;
-    if (loading >= settings.most_at_once || (!too_old && newest >= newest_wanted)) {
+      std::ceil(settings.newest_share * static_cast<double>(need.replicas.size())));
+  ReplicaVersion* best = nullptr;
+  for (ReplicaVersion& replica : need.replicas) {
+    const bool is_newest = replica.loading || replica.version >= need.wanted;
+    const bool is_too_old = replica.version < need.oldest_allowed;
+    const bool is_due = is_too_old || standing.newest < newest_wanted;
+    if (is_newest || !replica.available || !is_due) {
+      continue;
+    }
+    if (best == nullptr ||
+        std::tie(replica.version, replica.running) < std::tie(best->version, best->running)) {
+      best = &replica;
+    }
+  }
+  return best;
+}
+
+void mark_loading(std::vector<ModelNeed>& needs, const PlannedLoad& load) {
+  for (ModelNeed& need : needs) {
+    for (ReplicaVersion& replica : need.replicas) {
+      if (replica.id == load.replica) {
+        replica.available = false;
+        replica.loading |= need.model == load.model;
+      }
+    }
+  }
+}
+
+std::optional<PlannedLoad> next_load(std::vector<ModelNeed>& needs,
+                                     const LoadPlanSettings& settings) {
+  std::optional<PlannedLoad> next;
+  std::uint32_t least_served = 0;
+  for (ModelNeed& need : needs) {
+    const Standing standing = standing_of(need);
+    const std::uint32_t served = standing.valid + standing.newest;
+    const ReplicaVersion* replica = next_replica(need, standing, settings);
+    if (replica != nullptr && (!next || served < least_served)) {
+      next = PlannedLoad{need.model, replica->id, need.wanted};
+      least_served = served;
+    }
+  }
+  return next;
+}
+
+}  // namespace
+
+std::vector<PlannedLoad> plan_loads(std::vector<ModelNeed> needs,
+                                    const LoadPlanSettings& settings) {
+  std::uint32_t loading = 0;
+  for (const ModelNeed& need : needs) {
+    for (const ReplicaVersion& replica : need.replicas) {
+      loading += replica.loading ? 1 : 0;
+    }
+  }
+  std::vector<PlannedLoad> planned;
+  while (loading < settings.most_at_once) {
+    std::optional<PlannedLoad> next = next_load(needs, settings);
+    if (!next) {
       break;
     }
-    orders.push_back(candidate->id);
+    mark_loading(needs, *next);
+    planned.push_back(std::move(*next));
     ++loading;
-    ++newest;
   }
-  return orders;
+  return planned;
 }
 
 }  // namespace stoneport::weights
--- a/src/weights/load_plan.hpp
+++ b/src/weights/load_plan.hpp
@@ -1,8 +1,8 @@
 /// \file
-/// Which replicas load a named version of a model next. Loading costs a replica
-/// its time, and few may load at once, so a replica takes a version only when its
-/// own is too old, or when too few have the newest. Plain code.
-/// docs/design/platform.md, "Weights"
+/// Which replicas load which named version next. Loading costs a replica its time,
+/// and few may load at once, so a replica takes a version only when its own is too
+/// old, or when too few have the newest; models that share replicas take turns by
+/// need. Plain code. docs/design/platform.md, "Weights"
 #pragma once
 
 #include <cstdint>
@@ -12,13 +12,20 @@
 
 namespace stoneport::weights {
 
-/// One replica of the model's service.
+/// One replica as one model sees it.
 struct ReplicaVersion {
   core::ReplicaId id;
   core::WeightVersion version;
   std::uint32_t running = 0;  ///< texts that are made there
-  bool loading = false;       ///< this model, or another on the same replica
-  bool available = true;      ///< may be ordered: listed, not draining, not in doubt
+  bool loading = false;       ///< loads this model now
+  bool available = true;      ///< may be ordered: idle, not in doubt
+};
+
+struct ModelNeed {
+  core::ModelName model;
+  core::WeightVersion wanted;          ///< the newest one named
+  core::WeightVersion oldest_allowed;  ///< older ones serve no job to come
+  std::vector<ReplicaVersion> replicas;
 };
 
 struct LoadPlanSettings {
@@ -29,16 +36,14 @@
   double newest_share = 0.5;
 };
 
-struct LoadPlanInput {
-  core::WeightVersion wanted;          ///< the newest one named
-  core::WeightVersion oldest_allowed;  ///< older ones serve no job to come
-  std::vector<ReplicaVersion> replicas;
-  std::uint32_t loading_elsewhere = 0;  ///< replicas that load other models
+struct PlannedLoad {
+  core::ModelName model;
+  core::ReplicaId replica;
+  core::WeightVersion version;
 };
 
-/// \return the replicas to order now, those with the oldest version first and
-/// among them those with the least work.
-std::vector<core::ReplicaId> plan_loads(const LoadPlanInput& input,
-                                        const LoadPlanSettings& settings);
+/// \param needs models whose replicas may be the same ones
+/// \return the loads to order now; none while as many as allowed are under way.
+std::vector<PlannedLoad> plan_loads(std::vector<ModelNeed> needs, const LoadPlanSettings& settings);
 
 }  // namespace stoneport::weights
--- a/src/weights/weight_loader.cpp
+++ b/src/weights/weight_loader.cpp
@@ -65,11 +65,12 @@
   }
 }
 
-LoadPlanInput WeightLoader::plan_input(const core::ModelName& model, const WantedVersion& wanted,
-                                       core::MonotonicTime now) const {
-  LoadPlanInput input;
-  input.wanted = wanted.version;
-  input.oldest_allowed = wanted.oldest_allowed;
+ModelNeed WeightLoader::need_of(const core::ModelName& model, const WantedVersion& wanted,
+                                core::MonotonicTime now) const {
+  ModelNeed need;
+  need.model = model;
+  need.wanted = wanted.version;
+  need.oldest_allowed = wanted.oldest_allowed;
   for (const ingress::ReplicaPointer& replica : directory_.of_service(wanted.service)) {
     const core::ReplicaId& id = replica->record.id;
     const bool has_model = replica->record.versions.contains(model);
@@ -84,27 +85,32 @@
     const auto paused = paused_until_.find(id);
     const bool is_paused = paused != paused_until_.end() && now < paused->second;
     entry.available = !loading_.contains(id) && !is_paused && !replica->is_suspect(now);
-    input.replicas.push_back(entry);
+    need.replicas.push_back(entry);
   }
-  for (const auto& [id, loaded_model] : loading_) {
-    input.loading_elsewhere += loaded_model == model ? 0 : 1;
+  return need;
+}
+
+ingress::ReplicaPointer WeightLoader::find(const core::ServiceName& service,
+                                           const core::ReplicaId& id) const {
+  for (const ingress::ReplicaPointer& replica : directory_.of_service(service)) {
+    if (replica->record.id == id) {
+      return replica;
+    }
   }
-  return input;
+  return nullptr;
 }
 
 void WeightLoader::plan(core::MonotonicTime now) {
-  for (const auto& [model, wanted] : inputs_.wanted()) {
-    const LoadPlanInput input = plan_input(model, wanted, now);
-    const std::vector<core::ReplicaId> chosen = plan_loads(input, settings_.plan);
-    for (const ingress::ReplicaPointer& replica : directory_.of_service(wanted.service)) {
-      const core::ReplicaId id = replica->record.id;
-      if (std::find(chosen.begin(), chosen.end(), id) == chosen.end()) {
-        continue;
-      }
-      loading_[id] = model;
-      runtime::start(executor_, "weight load",
-                     load(shared_from_this(), replica, model, wanted.version));
-    }
+  const WantedVersions wanted = inputs_.wanted();
+  std::vector<ModelNeed> needs;
+  for (const auto& [model, version] : wanted) {
+    needs.push_back(need_of(model, version, now));
+  }
+  for (const PlannedLoad& load : plan_loads(std::move(needs), settings_.plan)) {
+    const ingress::ReplicaPointer replica = find(wanted.at(load.model).service, load.replica);
+    loading_[load.replica] = load.model;
+    runtime::start(executor_, "weight load",
+                   this->load(shared_from_this(), replica, load.model, load.version));
   }
 }
 
@@ -190,8 +196,12 @@
     self->paused_until_[replica->record.id] = now + self->settings_.pause_after_failure;
   }
   self->loading_.erase(replica->record.id);
-  if (!self->stopped_) {
-    self->inputs_.on_loaded();
+  if (self->stopped_) {
+    co_return;
+  }
+  self->inputs_.on_loaded();
+  if (self->inputs_.may_order()) {
+    self->plan(now);
   }
 }
 
--- a/src/weights/weight_loader.hpp
+++ b/src/weights/weight_loader.hpp
@@ -32,8 +32,8 @@
   /// No order before this: the former holder's may still be on their way.
   core::MonotonicTime first_order_at{};
   core::Duration tick = std::chrono::milliseconds(100);
-  core::Duration usual_load = std::chrono::milliseconds(900);
-  core::Duration report_interval = std::chrono::milliseconds(300);
+  core::Duration usual_load = std::chrono::milliseconds(920);
+  core::Duration report_interval = std::chrono::milliseconds(120);
   core::Duration longest_load = std::chrono::seconds(8);
   /// How long a replica is left alone after an order that failed.
   core::Duration pause_after_failure = std::chrono::milliseconds(700);
@@ -69,8 +69,9 @@
                                                  core::ModelName model,
                                                  core::WeightVersion version);
   void plan(core::MonotonicTime now);
-  LoadPlanInput plan_input(const core::ModelName& model, const WantedVersion& wanted,
-                           core::MonotonicTime now) const;
+  ModelNeed need_of(const core::ModelName& model, const WantedVersion& wanted,
+                    core::MonotonicTime now) const;
+  ingress::ReplicaPointer find(const core::ServiceName& service, const core::ReplicaId& id) const;
   static void take_report(ingress::ReplicaState& replica, const ports::ReplicaReport& report);
 
   boost::asio::any_io_executor executor_;
--- a/tests/unit/weights/load_plan_test.cpp
+++ b/tests/unit/weights/load_plan_test.cpp
@@ -9,6 +9,7 @@
 class LoadPlanTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LoadPlanTest);
   CPPUNIT_TEST(cases);
+  CPPUNIT_TEST(models_on_the_same_replicas_take_turns);
   CPPUNIT_TEST_SUITE_END();
 
   /// One replica: its version, then '+' when it loads, '-' when it is not available.
@@ -22,41 +23,63 @@
     return made;
   }
 
+  /// \param numbers of the replicas, so that models may share them
+  static ModelNeed need(const std::string& model, std::uint64_t wanted, std::uint64_t oldest,
+                        const std::vector<std::string>& replicas) {
+    ModelNeed made;
+    made.model = core::ModelName(model);
+    made.wanted = core::WeightVersion(wanted);
+    made.oldest_allowed = core::WeightVersion(oldest);
+    for (std::size_t index = 0; index < replicas.size(); ++index) {
+      made.replicas.push_back(replica(index, replicas[index]));
+    }
+    return made;
+  }
+
+  static std::string orders_of(const std::vector<ModelNeed>& needs) {
+    std::string orders;
+    for (const PlannedLoad& load : plan_loads(needs, LoadPlanSettings())) {
+      orders += load.model.value() + load.replica.value();
+    }
+    return orders;
+  }
+
   void cases() {
     struct Case {
       std::string name;
       std::uint64_t wanted;
       std::uint64_t oldest;
       std::vector<std::string> replicas;
-      std::uint32_t elsewhere;
       std::string orders;
     };
     const Case cases[] = {
-        {"nothing to do", 1, 1, {"1", "1", "1", "1"}, 0, ""},
-        {"half of them, the idlest first", 2, 1, {"1", "1", "1", "1"}, 0, "32"},
-        {"no more than two at once", 2, 1, {"1+", "1+", "1", "1"}, 0, ""},
-        {"half have it", 2, 1, {"2", "2", "1", "1"}, 0, ""},
-        {"those too old, although half have it", 4, 3, {"4", "4", "2", "3"}, 0, "2"},
-        {"those too old come first", 3, 2, {"2", "2", "1", "1"}, 0, "32"},
-        {"another model loads", 2, 1, {"1", "1", "1", "1"}, 1, "3"},
-        {"not available", 2, 1, {"1", "1", "1-", "1-"}, 0, "10"},
-        {"one replica", 2, 2, {"1"}, 0, "0"},
+        {"nothing to do", 1, 1, {"1", "1", "1", "1"}, ""},
+        {"half of them, the idlest first", 2, 1, {"1", "1", "1", "1"}, "m3m2"},
+        {"no more than two at once", 2, 1, {"1+", "1+", "1", "1"}, ""},
+        {"half have it", 2, 1, {"2", "2", "1", "1"}, ""},
+        {"those too old, although half have it", 4, 3, {"4", "4", "2", "3"}, "m2"},
+        {"those too old come first", 3, 2, {"2", "2", "1", "1"}, "m3m2"},
+        {"not available", 2, 1, {"1", "1", "1-", "1-"}, "m1m0"},
+        {"one replica", 2, 2, {"1"}, "m0"},
     };
     for (const Case& one : cases) {
-      LoadPlanInput input;
-      input.wanted = core::WeightVersion(one.wanted);
-      input.oldest_allowed = core::WeightVersion(one.oldest);
-      input.loading_elsewhere = one.elsewhere;
-      for (std::size_t index = 0; index < one.replicas.size(); ++index) {
-        input.replicas.push_back(replica(index, one.replicas[index]));
-      }
-      std::string orders;
-      for (const core::ReplicaId& id : plan_loads(input, LoadPlanSettings())) {
-        orders += id.value();
-      }
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.orders, orders);
+      const ModelNeed only = need("m", one.wanted, one.oldest, one.replicas);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.orders, orders_of({only}));
     }
   }
+
+  void models_on_the_same_replicas_take_turns() {
+    // Both were named a version; neither may wait for the other to be done.
+    const std::vector<std::string> behind = {"1", "1", "1", "1"};
+    CPPUNIT_ASSERT_EQUAL(std::string("a3b2"),
+                         orders_of({need("a", 2, 1, behind), need("b", 2, 1, behind)}));
+    // One that fell far behind comes before one that is well served.
+    CPPUNIT_ASSERT_EQUAL(std::string("b3b2"), orders_of({need("a", 5, 4, {"5", "4", "4", "4"}),
+                                                         need("b", 3, 2, behind)}));
+    // A load of the other model counts against what may load at once.
+    CPPUNIT_ASSERT_EQUAL(std::string("b3"), orders_of({need("a", 2, 1, {"1+", "1", "1", "1"}),
+                                                       need("b", 2, 1, {"1-", "1", "1", "1"})}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadPlanTest);
