Take over sooner: by the members' word and by the store's clock

Change: a process that starts counts the heartbeat's age by the store's clock; a holder whose machine runs another life is known to have ended; one that the members suspect is replaced after 500 ms of silence. Gossip probes every 250 ms.

--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -9,8 +9,9 @@
     : inputs_(std::move(inputs)),
       settings_(std::move(settings)),
       keeper_(inputs_.executor, inputs_.store, settings_.term,
-              {inputs_.eligible, [this](Term term) { begin(term); }, [this] { finish(); }}, seed,
-              inputs_.time, inputs_.metrics) {}
+              {inputs_.eligible, inputs_.sign_of, [this](Term term) { begin(term); },
+               [this] { finish(); }},
+              seed, inputs_.time, inputs_.metrics) {}
 
 Coordinator::~Coordinator() = default;
 
--- a/src/jobs/coordinator.hpp
+++ b/src/jobs/coordinator.hpp
@@ -51,6 +51,8 @@
   /// Versions that trainers have named, by model.
   std::function<std::map<core::ModelName, core::WeightVersion>()> named_versions;
   std::function<bool()> eligible;
+  /// What the members say of a term's holder.
+  std::function<HolderSign(const std::string&)> sign_of;
   const core::TimeSource& time;
   core::Metrics& metrics;
 };
--- a/src/jobs/term_keeper.hpp
+++ b/src/jobs/term_keeper.hpp
@@ -29,9 +29,11 @@
   core::Duration heartbeat_interval = std::chrono::milliseconds(300);
   core::Duration write_timeout = std::chrono::milliseconds(900);
   /// Silence of the heartbeat after which another process takes over.
-  core::Duration take_over_after = std::chrono::milliseconds(1300);
+  core::Duration take_over_after = std::chrono::milliseconds(1200);
+  /// The same when other signs say that the holder is gone.
+  core::Duration take_over_from_suspect_after = std::chrono::milliseconds(500);
   /// Bids of several processes are spread over this.
-  core::Duration bid_spread = std::chrono::milliseconds(250);
+  core::Duration bid_spread = std::chrono::milliseconds(200);
   core::Duration tick = std::chrono::milliseconds(100);
   /// Longer gaps between ticks mean that this process was paused.
   core::Duration longest_gap = std::chrono::milliseconds(500);
@@ -39,19 +41,32 @@
   core::Duration longest_store_silence = std::chrono::milliseconds(1000);
 };
 
+/// What else a process knows of the term's holder than its heartbeat.
+enum class HolderSign {
+  kUnknown,  ///< nothing that speaks against it
+  kSuspect,  ///< the members cannot reach it
+  kEnded,    ///< its process surely runs no more
+};
+
 /// What a process that does not hold the term has seen of it. Plain code.
 class TermWatch {
  public:
   explicit TermWatch(const TermSettings& settings) : settings_(settings) {}
 
   /// The term's or the heartbeat's record has changed.
-  void on_change(core::MonotonicTime now, bool has_holder);
+  /// \param heartbeat_age by the store's clock; only the first one seen counts, as
+  /// later ones are timed by their arrival
+  void on_change(core::MonotonicTime now, bool has_holder,
+                 core::Duration heartbeat_age = core::Duration(0));
   /// \param last_answer when the store last answered
   /// \param spread between 0 and 1, drawn anew for each process
   /// \return whether to bid for the term now.
-  bool should_bid(core::MonotonicTime now, core::MonotonicTime last_answer, double spread);
+  bool should_bid(core::MonotonicTime now, core::MonotonicTime last_answer, double spread,
+                  HolderSign sign = HolderSign::kUnknown);
 
  private:
+  core::Duration patience(HolderSign sign) const;
+
   TermSettings settings_;
   bool has_holder_ = false;
   std::optional<core::MonotonicTime> changed_at_;
@@ -62,6 +77,7 @@
  public:
   struct Listener {
     std::function<bool()> eligible;  ///< whether this process may hold the term now
+    std::function<HolderSign(const std::string& holder)> sign_of;
     std::function<void(Term)> on_gain;
     std::function<void()> on_loss;
   };
@@ -101,7 +117,6 @@
   std::optional<Term> held_;
   core::MonotonicTime confirmed_at_{};
   core::MonotonicTime next_beat_{};
-  std::uint64_t beats_ = 0;
   double spread_ = 0;
   bool released_ = false;
   prometheus::Counter& terms_gained_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -34,7 +34,7 @@
 /// A dead member must leave the directory within a second or two.
 controllers::GossipSettings gossip_settings() {
   controllers::GossipSettings settings;
-  settings.probe_interval = std::chrono::milliseconds(400);
+  settings.probe_interval = std::chrono::milliseconds(250);
   settings.shortest_suspicion = std::chrono::milliseconds(1500);
   return settings;
 }
@@ -45,11 +45,15 @@
   return forwarder;
 }
 
+/// A restarted process is another holder.
+std::string holder_name(const core::NodeId& node, std::uint64_t life) {
+  return node.value() + "#" + std::to_string(life);
+}
+
 jobs::CoordinatorSettings coordinator_settings(const NodeInputs& inputs,
                                                const NodeSettings& settings) {
   jobs::CoordinatorSettings coordinator = settings.coordinator;
-  coordinator.term.holder =
-      settings.name.value() + "#" + std::to_string(life_of_process(inputs.time));
+  coordinator.term.holder = holder_name(settings.name, life_of_process(inputs.time));
   return coordinator;
 }
 
@@ -80,10 +84,32 @@
           forwarder_,
           [this] { return named_versions_; },
           [this] { return ready(); },
+          [this](const std::string& holder) { return sign_of(holder); },
           inputs_.time,
           inputs_.metrics};
 }
 
+/// One machine runs one process, so a later life of a node ends the earlier ones.
+jobs::HolderSign Node::sign_of(const std::string& holder) const {
+  const std::string node = holder.substr(0, holder.find('#'));
+  for (const wire::Member& member : gossip_.members()) {
+    if (member.node.value() != node) {
+      continue;
+    }
+    const bool is_other_life =
+        holder_name(member.node, wire::life_of(member.incarnation)) != holder;
+    const bool is_newer =
+        member.node == settings_.name || member.state == wire::MemberState::kAlive;
+    if (is_other_life && is_newer) {
+      return jobs::HolderSign::kEnded;
+    }
+    const bool is_in_doubt =
+        member.state == wire::MemberState::kSuspect || member.state == wire::MemberState::kDead;
+    return is_in_doubt ? jobs::HolderSign::kSuspect : jobs::HolderSign::kUnknown;
+  }
+  return jobs::HolderSign::kUnknown;
+}
+
 core::Result<void> Node::open() {
   return gossip_endpoint_.open(settings_.gossip_address);
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -67,6 +67,7 @@
 
  private:
   jobs::CoordinatorInputs coordinator_inputs();
+  jobs::HolderSign sign_of(const std::string& holder) const;
   void join_when_ready();
 
   NodeInputs inputs_;
--- a/tests/unit/jobs/coordinator_test.cpp
+++ b/tests/unit/jobs/coordinator_test.cpp
@@ -81,6 +81,7 @@
                                *forwarder,
                                [&world] { return world.named; },
                                [this] { return eligible; },
+                               [](const std::string&) { return HolderSign::kUnknown; },
                                world.time,
                                metrics};
       coordinator = std::make_unique<Coordinator>(std::move(inputs), settings, 7);
