--- /dev/null
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -0,0 +1,210 @@
+#include "platform_support/stand_in_replica.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "core/hash.hpp"
+#include "core/numbers.hpp"
+#include "http/router.hpp"
+#include "platform/names.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::tests {
+namespace asio = boost::asio;
+namespace {
+constexpr std::uint64_t kShortestText = 4;
+constexpr std::uint64_t kTextSpread = 30;
+constexpr core::Duration kDarkness = std::chrono::seconds(30);
+
+std::string header(const http::RequestHead& request, std::string_view name) {
+  return std::string(request.headers.find(name).value_or(""));
+}
+}  // namespace
+
+StandInReplica::StandInReplica(asio::any_io_executor executor, std::string id, std::string service,
+                               bool is_model, Ledger& ledger, core::Metrics& metrics)
+    : id_(std::move(id)),
+      service_(std::move(service)),
+      is_model_(is_model),
+      ledger_(ledger),
+      server_(executor, "stand-in replica", http::ServerLimits(), *this, metrics) {
+  if (is_model_) {
+    versions["model"] = 1;
+  }
+}
+
+core::Result<void> StandInReplica::listen(const core::Address& address) {
+  address_ = address;
+  return server_.listen(address);
+}
+
+std::string StandInReplica::entry() const {
+  nlohmann::json models = nlohmann::json::array();
+  for (const auto& [model, version] : versions) {
+    models.push_back(
+        {{"name", model}, {"version", version}, {"adapters", nlohmann::json::array()}});
+  }
+  return nlohmann::json({{"service", service_},
+                         {"address", core::to_string(address_)},
+                         {"zone", "zone-a"},
+                         {"version", "v1"},
+                         {"slots", 8},
+                         {"state", draining ? "draining" : "ready"},
+                         {"models", models}})
+      .dump();
+}
+
+std::string StandInReplica::event_data(const std::string& request, std::uint64_t number) {
+  return request + "." + std::to_string(core::hash64(request, number) % 100000);
+}
+std::uint64_t StandInReplica::text_length(const std::string& request) {
+  return kShortestText + core::hash64(request, 0) % kTextSpread;
+}
+std::string StandInReplica::whole_text(const std::string& request) {
+  std::string text;
+  for (std::uint64_t number = 1; number <= text_length(request); ++number) {
+    text += (number > 1 ? "\n" : "") + event_data(request, number);
+  }
+  return text;
+}
+std::string StandInReplica::signature(const std::string& request) {
+  return "stamp." + request;
+}
+
+bool StandInReplica::take(int& left) {
+  if (left <= 0) {
+    return false;
+  }
+  --left;
+  return true;
+}
+
+http::Response StandInReplica::report() const {
+  nlohmann::json models = nlohmann::json::array();
+  for (const auto& [model, version] : versions) {
+    models.push_back({{"name", model}, {"version", version}});
+  }
+  return http::json_response(
+      200, nlohmann::json({{"models", models}, {"busy", false}, {"sequence", orders_}}).dump());
+}
+
+http::Response StandInReplica::order(const std::string& body) {
+  const nlohmann::json order = nlohmann::json::parse(body, nullptr, false);
+  if (order.is_discarded() || !order.contains("holder") || !order.contains("fence")) {
+    return http::json_response(400, "{}");
+  }
+  if (order.value("expectedCount", orders_) != orders_) {
+    return http::json_response(409, "{}");
+  }
+  ++orders_;
+  order_holders.push_back(order["holder"]);
+  versions[order["model"]] = order["version"];
+  return http::json_response(202, "{}");
+}
+
+asio::awaitable<void> StandInReplica::handle(const http::RequestHead& request,
+                                             http::BodySource& body,
+                                             http::ResponseWriter& response) {
+  const core::Result<std::string> whole = co_await http::read_whole(body, 1u << 20);
+  if (!whole) {
+    co_return;
+  }
+  const std::string path(http::path_of(request.target));
+  if (path == platform::kReportPath) {
+    co_await response.send(report());
+    co_return;
+  }
+  if (path == platform::kOrderPath) {
+    const bool is_lost = take(faults.lost_orders);
+    http::Response answer = order(*whole);
+    if (!is_lost) {
+      co_await response.send(std::move(answer));
+    }
+    co_return;
+  }
+  const std::string request_id = header(request, platform::kRequestIdHeader);
+  const std::string expected = header(request, platform::kExpectInstanceHeader);
+  http::Response refusal;
+  refusal.head.headers.add(std::string(platform::kRequestIdHeader), request_id);
+  if (!expected.empty() && expected != id_) {
+    refusal.head.status = 421;
+    co_await response.send(std::move(refusal));
+    co_return;
+  }
+  if (take(faults.not_run)) {
+    refusal.head.status = 503;
+    refusal.head.headers.add(std::string(platform::kNotRunHeader), "1");
+    co_await response.send(std::move(refusal));
+    co_return;
+  }
+  const auto resume_after =
+      core::parse_number<std::uint64_t>(header(request, platform::kLastEventIdHeader)).value_or(0);
+  ledger_.push_back({request_id, id_, service_, path, *whole, resume_after});
+  if (faults.dark) {
+    co_await runtime::sleep_for(kDarkness);
+    co_return;
+  }
+  if (take(faults.server_errors)) {
+    refusal.head.status = 500;
+    co_await response.send(std::move(refusal));
+    co_return;
+  }
+  if (is_model_) {
+    co_await answer_stream(request_id, resume_after, response);
+  } else {
+    co_await answer_whole(request_id, response);
+  }
+}
+
+asio::awaitable<void> StandInReplica::answer_whole(const std::string& request_id,
+                                                   http::ResponseWriter& response) {
+  co_await runtime::sleep_for(faults.work);
+  if (take(faults.cut_answers)) {
+    co_return;
+  }
+  http::Response answer;
+  answer.head.headers.add(std::string(platform::kRequestIdHeader), request_id);
+  answer.head.headers.add(std::string(platform::kStampHeader), signature(request_id));
+  answer.body = "answer to " + request_id;
+  co_await response.send(std::move(answer));
+}
+
+asio::awaitable<void> StandInReplica::answer_stream(const std::string& request_id,
+                                                    std::uint64_t resume_after,
+                                                    http::ResponseWriter& response) {
+  std::uint64_t version = versions["model"];
+  http::ResponseHead head;
+  head.headers.add("Content-Type", "text/event-stream");
+  head.headers.add(std::string(platform::kRequestIdHeader), request_id);
+  head.headers.add(std::string(platform::kStampHeader), signature(request_id));
+  head.headers.add(std::string(platform::kVersionsHeader), std::to_string(version));
+  if (!co_await response.start(std::move(head), std::nullopt)) {
+    co_return;
+  }
+  int made = 0;
+  for (std::uint64_t number = resume_after + 1; number <= text_length(request_id); ++number) {
+    co_await runtime::sleep_for(faults.event_gap);
+    while (faults.dark && !response.client_gone()) {
+      co_await runtime::sleep_for(std::chrono::milliseconds(50));
+    }
+    const bool is_cut = faults.cut_after_events >= 0 && made >= faults.cut_after_events;
+    std::string event;
+    if (versions["model"] != version) {
+      version = versions["model"];
+      event += std::string(platform::kVersionsEventField) + ": " + std::to_string(version) + "\n";
+    }
+    event += "id: " + std::to_string(number) + "\ndata: " + event_data(request_id, number) + "\n\n";
+    if (is_cut) {
+      // Breaks off in the middle of an event.
+      co_await response.write(event.substr(0, event.size() / 2));
+      co_return;
+    }
+    const core::Result<void> written = co_await response.write(event);
+    if (!written) {
+      co_return;
+    }
+    ++made;
+  }
+  co_await response.finish();
+}
+
+}  // namespace stoneport::tests
