--- a/src/jobs/coordinator.hpp
+++ b/src/jobs/coordinator.hpp
@@ -8,32 +8,24 @@
 
 #include "ingress/forwarder.hpp"
 #include "ingress/replica_directory.hpp"
+#include "jobs/item_dispatcher.hpp"
 #include "jobs/job_store.hpp"
-#include "jobs/placement.hpp"
 #include "jobs/term_keeper.hpp"
+#include "jobs/term_writer.hpp"
 #include "weights/weight_loader.hpp"
 
 namespace stoneport::jobs {
 
 struct CoordinatorSettings {
   TermSettings term;
-  PlacementSettings placement;
+  TermWriterSettings writer;
+  ItemDispatcherSettings dispatcher;
   weights::LoadPlanSettings weights;
   /// Orders of a former holder may reach replicas for this long after its end.
   core::Duration order_pause = std::chrono::milliseconds(3000);
   /// No order when the last confirmed heartbeat is older than this.
   core::Duration order_confirmation = std::chrono::milliseconds(1000);
   core::Duration tick = std::chrono::milliseconds(100);
-  /// A text that gets no event for this long is moved; at least, and in event gaps.
-  core::Duration shortest_silence = std::chrono::milliseconds(450);
-  double silence_in_gaps = 8;
-  /// The same while the replica loads weights.
-  core::Duration loading_silence = std::chrono::milliseconds(1600);
-  /// How long a silent or unreachable replica gets no work.
-  core::Duration suspicion = std::chrono::milliseconds(1500);
-  core::Duration refusal_pause = std::chrono::milliseconds(60);
-  /// A replica's measured speed is forgotten after this time without an event.
-  core::Duration speed_memory = std::chrono::milliseconds(2500);
   /// How long after its acceptance a job's records are kept.
   core::Duration retention = std::chrono::seconds(120);
 };
--- a/src/jobs/job_adoption.cpp
+++ b/src/jobs/job_adoption.cpp
@@ -67,8 +67,8 @@
     co_return open;
   }
   const ItemIndexes indexes = index_items(open->job);
-  ports::RecordRange range{std::string(kResultTable), std::string(kJobPartition), start_of_job(job),
-                           end_of_job(job)};
+  ports::RecordRange range{std::string(kResultTable), std::string(kTermPartition),
+                           start_of_job(job), end_of_job(job)};
   ports::RecordRange texts = range;
   texts.table = std::string(kCheckpointTable);
   const core::Result<std::vector<ports::Record>> results =
--- a/src/jobs/job_records.cpp
+++ b/src/jobs/job_records.cpp
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::string_view kEndedSuffix = "/ended";
-constexpr std::string_view kWholeSuffix = "/whole";
 /// The first sign after '/' in the order of bytes.
 constexpr char kAfterSlash = '0';
 constexpr std::size_t kLongestId = 100;
@@ -90,9 +89,6 @@
 std::string ended_key(std::string_view job) {
   return std::string(job).append(kEndedSuffix);
 }
-std::string whole_key(std::string_view job) {
-  return std::string(job).append(kWholeSuffix);
-}
 std::string start_of_job(std::string_view job) {
   return std::string(job) + '/';
 }
@@ -153,7 +149,6 @@
       continue;
     }
     job->second.ended |= record.key.ends_with(kEndedSuffix);
-    job->second.whole |= record.key.ends_with(kWholeSuffix);
   }
   return jobs;
 }
@@ -259,6 +254,18 @@
   return checkpoint;
 }
 
+std::string encode_heartbeat(std::optional<ports::StoreTime> now) {
+  return std::to_string(now.value_or(ports::StoreTime(0)).count());
+}
+
+core::Duration heartbeat_age(const std::string& value, std::optional<ports::StoreTime> now) {
+  const auto sent = core::parse_number<std::int64_t>(value);
+  if (!sent || !now || *sent == 0) {
+    return core::Duration(0);
+  }
+  return std::max(core::Duration(0), core::Duration(*now - ports::StoreTime(*sent)));
+}
+
 std::string encode_term(const TermRecord& term) {
   return core::write_json({{"epoch", term.epoch}, {"holder", term.holder}});
 }
--- a/src/jobs/job_records.hpp
+++ b/src/jobs/job_records.hpp
@@ -14,18 +14,21 @@
 
 namespace stoneport::jobs {
 
-/// Everything lies in one partition, so that each write of a coordinator can be
-/// conditional on its term.
-inline constexpr std::string_view kJobPartition = "jobs";
+/// What clients write: jobs and their ends. Apart from the coordinator's writes, so
+/// that neither waits behind the other when the store is slow.
+inline constexpr std::string_view kSubmissionPartition = "submissions";
+/// What a coordinator writes, each write conditional on the term that lies here too.
+inline constexpr std::string_view kTermPartition = "term";
 inline constexpr std::string_view kIndexTable = "stoneport-job-index";
 inline constexpr std::string_view kBodyTable = "stoneport-job-body";
+inline constexpr std::string_view kWholeTable = "stoneport-job-whole";
 inline constexpr std::string_view kResultTable = "stoneport-job-result";
 inline constexpr std::string_view kCheckpointTable = "stoneport-job-checkpoint";
 inline constexpr std::string_view kTermTable = "stoneport-coordinator";
 inline constexpr std::string_view kTermKey = "term";
 inline constexpr std::string_view kHeartbeatKey = "heartbeat";
 
-/// A job in the index. The index has three keys a job, each written once.
+/// A job in the index. The index has two keys a job, each written once.
 struct JobIndexEntry {
   std::string host;
   std::string path;
@@ -33,12 +36,10 @@
   std::uint32_t body_chunks = 0;
   ports::StoreTime accepted_at{};
   bool ended = false;  ///< the client ended it
-  bool whole = false;  ///< every item is listed
 };
 
 std::string job_key(std::string_view job);
 std::string ended_key(std::string_view job);
-std::string whole_key(std::string_view job);
 std::string body_key(std::string_view job, std::size_t chunk);
 /// \param position of the result, from 0
 std::string result_key(std::string_view job, std::uint64_t position, std::size_t chunk);
@@ -73,6 +74,10 @@
   std::uint64_t epoch = 0;
   std::string holder;
 };
+/// A heartbeat is the store's time at which it was sent.
+std::string encode_heartbeat(std::optional<ports::StoreTime> now);
+/// \return how long ago, or zero when that is not known.
+core::Duration heartbeat_age(const std::string& value, std::optional<ports::StoreTime> now);
 std::string encode_term(const TermRecord& term);
 std::optional<TermRecord> decode_term(std::string_view value);
 
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -12,6 +12,14 @@
 constexpr double kUsableShare = 0.7;
 constexpr core::Duration kPollInterval = std::chrono::milliseconds(150);
 
+void note(core::AdaptiveTimeout& timeout, core::Duration latency, core::Duration allowed) {
+  if (latency < allowed) {
+    timeout.on_answer(latency);
+  } else {
+    timeout.on_silence();
+  }
+}
+
 }  // namespace
 
 JobStore::JobStore(ports::RecordStore& store, const core::TimeSource& time, core::Metrics& metrics,
@@ -19,6 +27,8 @@
     : store_(store),
       time_(time),
       settings_(settings),
+      write_timeout_(settings.attempt),
+      read_timeout_(settings.attempt),
       accepted_(metrics.counter("stoneport_jobs_accepted_total", "Jobs that became durable here")),
       unclear_(metrics.counter("stoneport_jobs_unclear_total",
                                "Acceptances whose outcome stayed unknown")),
@@ -41,8 +51,10 @@
   bool may_take_effect = false;
   while (true) {
     ports::RecordTransaction copy = transaction;
-    const core::Result<core::Revision> committed =
-        co_await store_.commit(std::move(copy), settings_.attempt_timeout);
+    const core::Duration timeout = write_timeout_.current();
+    const core::MonotonicTime sent_at = time_.now();
+    const core::Result<core::Revision> committed = co_await store_.commit(std::move(copy), timeout);
+    note(write_timeout_, time_.now() - sent_at, timeout);
     if (committed) {
       co_return core::Result<void>();
     }
@@ -76,7 +88,7 @@
   entry.body_chunks = static_cast<std::uint32_t>(chunks.size());
   entry.accepted_at = store_.now().value_or(ports::StoreTime(0));
   ports::RecordTransaction transaction;
-  transaction.partition = std::string(kJobPartition);
+  transaction.partition = std::string(kSubmissionPartition);
   transaction.conditions.push_back(
       {std::string(kIndexTable), job_key(submission.id), core::Revision()});
   transaction.writes.push_back(
@@ -105,7 +117,7 @@
     co_return entry.error();
   }
   ports::RecordTransaction transaction;
-  transaction.partition = std::string(kJobPartition);
+  transaction.partition = std::string(kSubmissionPartition);
   transaction.conditions.push_back({std::string(kIndexTable), ended_key(job), core::Revision()});
   transaction.writes.push_back({std::string(kIndexTable), ended_key(job), "{}"});
   const core::Result<void> committed = co_await commit_once(std::move(transaction));
@@ -121,7 +133,10 @@
   std::vector<ports::Record> records;
   while (true) {
     const core::Revision known = store_.newest();
-    core::Result<ports::RecordPage> page = co_await store_.read(range, settings_.attempt_timeout);
+    const core::Duration timeout = read_timeout_.current();
+    const core::MonotonicTime sent_at = time_.now();
+    core::Result<ports::RecordPage> page = co_await store_.read(range, timeout);
+    note(read_timeout_, time_.now() - sent_at, timeout);
     const bool is_stale = page && page->revision < known;
     if (page && !is_stale) {
       const bool more = page->more && !page->records.empty();
@@ -153,8 +168,8 @@
   if (known != known_.end()) {
     co_return known->second;
   }
-  ports::RecordRange range{std::string(kIndexTable), std::string(kJobPartition), job_key(job),
-                           ports::key_after(job_key(job))};
+  ports::RecordRange range{std::string(kIndexTable), std::string(kSubmissionPartition),
+                           job_key(job), ports::key_after(job_key(job))};
   core::Result<std::vector<ports::Record>> records = co_await read_range(std::move(range), true);
   if (!records) {
     co_return records.error();
@@ -179,7 +194,7 @@
   JobPage page;
   page.total = entry->item_count;
   while (true) {
-    ports::RecordRange range{std::string(kResultTable), std::string(kJobPartition),
+    ports::RecordRange range{std::string(kResultTable), std::string(kTermPartition),
                              result_key(job, position, 0), end_of_job(job)};
     const core::Result<std::vector<ports::Record>> records =
         co_await read_range(std::move(range), true);
@@ -205,8 +220,8 @@
   if (!entry) {
     co_return entry.error();
   }
-  ports::RecordRange range{std::string(kBodyTable), std::string(kJobPartition), start_of_job(job),
-                           end_of_job(job)};
+  ports::RecordRange range{std::string(kBodyTable), std::string(kSubmissionPartition),
+                           start_of_job(job), end_of_job(job)};
   const core::Result<std::vector<ports::Record>> records =
       co_await read_range(std::move(range), false);
   if (!records) {
--- a/src/jobs/job_store.hpp
+++ b/src/jobs/job_store.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 
+#include "core/adaptive_timeout.hpp"
 #include "core/metrics.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_records.hpp"
@@ -16,7 +17,7 @@
 namespace stoneport::jobs {
 
 struct JobStoreSettings {
-  core::Duration attempt_timeout = std::chrono::milliseconds(900);
+  core::AdaptiveTimeoutSettings attempt{.longest = std::chrono::milliseconds(900)};
   core::Duration retry_pause = std::chrono::milliseconds(80);
   /// Longest time that one call works on an answer of the store.
   core::Duration patience = std::chrono::milliseconds(2500);
@@ -59,6 +60,8 @@
   ports::RecordStore& store_;
   const core::TimeSource& time_;
   JobStoreSettings settings_;
+  core::AdaptiveTimeout write_timeout_;
+  core::AdaptiveTimeout read_timeout_;
   std::map<std::string, JobIndexEntry> known_;  ///< jobs that surely exist
   std::list<std::string> known_order_;          ///< oldest first
   std::list<JobSubmission> bodies_;             ///< the last few that were read
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -4,13 +4,13 @@
 
 #include "core/decision_log.hpp"
 #include "jobs/job_adoption.hpp"
-#include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::jobs {
 namespace asio = boost::asio;
 namespace {
 constexpr core::Duration kAdoptionRetry = std::chrono::milliseconds(100);
+constexpr core::Duration kLongestFlush = std::chrono::milliseconds(1200);
 /// A gap between ticks that means that this process was paused.
 constexpr core::Duration kLongestGap = std::chrono::milliseconds(500);
 }  // namespace
@@ -18,16 +18,9 @@
 struct Tenure::Meters {
   explicit Meters(core::Metrics& metrics)
       : open_jobs(metrics.gauge("stoneport_open_jobs", "Jobs that this coordinator works on")),
-        running(metrics.gauge("stoneport_running_texts", "Texts that replicas make now")),
-        moved(metrics.counter("stoneport_texts_moved_total",
-                              "Texts taken from a slow or silent replica")),
-        whole(metrics.counter("stoneport_texts_whole_total", "Texts that were made whole")),
         job_seconds(metrics.seconds_histogram("stoneport_job_seconds",
                                               "From a job's acceptance to its close")) {}
   prometheus::Gauge& open_jobs;
-  prometheus::Gauge& running;
-  prometheus::Counter& moved;
-  prometheus::Counter& whole;
   prometheus::Histogram& job_seconds;
 };
 
@@ -41,37 +34,64 @@
 
 Tenure::~Tenure() = default;
 
-void Tenure::start() {
+void Tenure::make_writer() {
   const std::weak_ptr<Tenure> weak = weak_from_this();
-  index_ = std::make_unique<records::TableMirror>(
-      inputs_.executor, inputs_.store, std::string(kIndexTable), std::string(kJobPartition),
-      [weak](const records::TableMirror::Records& records) {
-        if (const auto self = weak.lock()) {
-          self->on_index(records);
-        }
-      });
-  ResultLister::Listener listing;
-  listing.on_listed = [weak](const PendingResult& listed, std::uint64_t position) {
+  TermWriter::Listener listener;
+  listener.open_jobs = [weak] {
+    const auto self = weak.lock();
+    return self ? self->open_jobs() : std::vector<OpenJobPointer>();
+  };
+  listener.on_listed = [weak](const PendingResult& listed, std::uint64_t position) {
     if (const auto self = weak.lock()) {
       self->on_listed(listed, position);
     }
   };
-  listing.on_deposed = [weak](std::string_view reason) {
+  listener.on_confirmed = [weak](core::MonotonicTime sent_at) {
+    if (const auto self = weak.lock()) {
+      self->keeper_.on_confirmed(sent_at);
+    }
+  };
+  listener.on_deposed = [weak](std::string_view reason) {
     if (const auto self = weak.lock()) {
       self->keeper_.on_deposed(reason);
     }
   };
-  lister_ = std::make_shared<ResultLister>(inputs_.executor, inputs_.store, term_,
-                                           std::move(listing), inputs_.metrics);
-  checkpoints_ = std::make_shared<CheckpointWriter>(
-      inputs_.executor, inputs_.store, term_,
-      [weak] {
-        const auto self = weak.lock();
-        return self ? self->open_jobs() : std::vector<OpenJobPointer>();
-      },
-      inputs_.metrics);
-  scorer_ =
-      std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.time, inputs_.metrics);
+  writer_ =
+      std::make_shared<TermWriter>(inputs_.executor, inputs_.store, term_, std::move(listener),
+                                   inputs_.time, inputs_.metrics, settings_.writer);
+}
+
+void Tenure::make_dispatcher() {
+  const std::weak_ptr<Tenure> weak = weak_from_this();
+  ItemDispatcher::Listener listener;
+  listener.on_whole = [weak](const OpenJobPointer& job, std::size_t item) {
+    const auto self = weak.lock();
+    if (self && !self->over_) {
+      runtime::start(self->inputs_.executor, "scoring", score(self, job, item));
+    }
+  };
+  listener.on_failed = [weak](const OpenJobPointer& job, std::size_t item) {
+    if (const auto self = weak.lock()) {
+      self->list(job, item, ResultState::kTerminated, "");
+    }
+  };
+  listener.on_change = [weak] {
+    if (const auto self = weak.lock()) {
+      self->dispatch_soon();
+    }
+  };
+  ItemDispatcherInputs inputs{inputs_.executor, inputs_.directory, inputs_.replicas, inputs_.store,
+                              inputs_.time,     inputs_.metrics,   nullptr};
+  inputs.is_loading = [weak](const core::ReplicaId& replica, const core::ModelName& model) {
+    const auto self = weak.lock();
+    return self && self->loader_->is_loading(replica, model);
+  };
+  dispatcher_ = std::make_shared<ItemDispatcher>(std::move(inputs), std::move(listener),
+                                                 settings_.dispatcher);
+}
+
+void Tenure::make_loader() {
+  const std::weak_ptr<Tenure> weak = weak_from_this();
   weights::WeightLoader::Inputs loading;
   loading.wanted = [weak] {
     const auto self = weak.lock();
@@ -83,52 +103,84 @@
   };
   loading.running = [weak](const core::ReplicaId& id) {
     const auto self = weak.lock();
-    return self ? self->work_[id].running : 0;
+    return self ? self->dispatcher_->running_on(id) : 0;
   };
   loading.on_loaded = [weak] {
     if (const auto self = weak.lock()) {
       self->dispatch_soon();
     }
   };
-  weights::WeightLoaderSettings weights;
-  weights.plan = settings_.weights;
-  weights.holder = settings_.term.holder;
-  weights.fence = term_.epoch;
+  weights::WeightLoaderSettings settings;
+  settings.plan = settings_.weights;
+  settings.holder = settings_.term.holder;
+  settings.fence = term_.epoch;
   // The first term of all follows nobody.
   const bool is_first = term_.epoch == core::Epoch(1);
-  weights.first_order_at =
+  settings.first_order_at =
       inputs_.time.now() + (is_first ? core::Duration(0) : settings_.order_pause);
   loader_ = std::make_shared<weights::WeightLoader>(
-      inputs_.executor, inputs_.directory, inputs_.replicas, std::move(loading), std::move(weights),
-      inputs_.time, inputs_.metrics);
+      inputs_.executor, inputs_.directory, inputs_.replicas, std::move(loading),
+      std::move(settings), inputs_.time, inputs_.metrics);
+}
+
+void Tenure::make_parts() {
+  make_writer();
+  make_dispatcher();
+  make_loader();
+  scorer_ =
+      std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.time, inputs_.metrics);
+  const std::weak_ptr<Tenure> weak = weak_from_this();
+  index_ = std::make_unique<records::TableMirror>(
+      inputs_.executor, inputs_.store, std::string(kIndexTable), std::string(kSubmissionPartition),
+      [weak](const records::TableMirror::Records& records) {
+        if (const auto self = weak.lock()) {
+          self->on_index(records);
+        }
+      });
+}
+
+void Tenure::start() {
+  make_parts();
   last_tick_ = inputs_.time.now();
-  index_->start();
-  lister_->start();
-  checkpoints_->start();
+  writer_->start();
   loader_->start();
+  runtime::start(inputs_.executor, "coordinator start", begin(shared_from_this()));
   runtime::start(inputs_.executor, "coordinator tick", tick_loop(shared_from_this()));
 }
 
 void Tenure::stop() {
   over_ = true;
   index_->stop();
-  lister_->stop();
-  checkpoints_->stop();
+  writer_->stop();
   loader_->stop();
   for (const auto& [id, job] : jobs_) {
     job->over = true;
   }
-  const std::list<ActiveRunPointer> runs = runs_;
-  for (const ActiveRunPointer& run : runs) {
-    run->cut.emit(asio::cancellation_type::terminal);
-  }
+  dispatcher_->cut(nullptr);
   meters_->open_jobs.Set(0);
 }
 
 asio::awaitable<void> Tenure::hand_over() {
   handing_over_ = true;
   loader_->stop();
-  co_await checkpoints_->write();
+  co_await writer_->flush(kLongestFlush);
+}
+
+/// Learns which jobs need no more work, then follows the index.
+asio::awaitable<void> Tenure::begin(std::shared_ptr<Tenure> self) {
+  bool known = false;
+  while (!self->over_ && !known) {
+    ports::RecordRange range{std::string(kWholeTable), std::string(kTermPartition)};
+    const core::Result<std::vector<ports::Record>> whole =
+        co_await self->inputs_.jobs.read_range(std::move(range), false);
+    known = whole.has_value();
+    for (const ports::Record& record : whole ? *whole : std::vector<ports::Record>()) {
+      self->closed_.insert(record.key);
+    }
+  }
+  if (!self->over_) {
+    self->index_->start();
+  }
 }
 
 std::vector<OpenJobPointer> Tenure::open_jobs() const {
@@ -151,16 +203,15 @@
   }
   std::uint64_t malformed = 0;
   for (auto& [id, entry] : decode_index(all, malformed)) {
-    const bool is_finished = entry.ended || entry.whole;
     const auto open = jobs_.find(id);
     if (open != jobs_.end()) {
       if (entry.ended) {
         const OpenJobPointer job = open->second;
-        close_job(job, "ended by its client");
+        close(job, "ended by its client");
       }
       continue;
     }
-    if (is_finished) {
+    if (entry.ended) {
       closed_.insert(id);
     }
     if (closed_.contains(id) || !adopting_.insert(id).second) {
@@ -181,21 +232,7 @@
       break;
     }
     if (adopted) {
-      const OpenJobPointer job = *adopted;
-      self->jobs_[id] = job;
-      self->refresh_route(*job);
-      self->meters_->open_jobs.Set(static_cast<double>(self->jobs_.size()));
-      core::log_decision(core::DecisionEvent::kJobAdopted,
-                         {{"job", id},
-                          {"epoch", self->term_.epoch.value()},
-                          {"items", job->items.size()},
-                          {"listed", job->listed},
-                          {"fresh", is_fresh},
-                          {"oldest_version", job->job.oldest_version.value()}});
-      for (std::size_t index = 0; index < job->items.size(); ++index) {
-        job->items[index].not_before = self->inputs_.time.now();
-      }
-      self->dispatch_soon();
+      self->open(*adopted, is_fresh);
       break;
     }
     if (adopted.error().code == core::ErrorCode::kInvalidArgument) {
@@ -209,16 +246,28 @@
   self->adopting_.erase(id);
 }
 
-void Tenure::close_job(const OpenJobPointer& job, std::string_view reason) {
+void Tenure::open(const OpenJobPointer& job, bool is_fresh) {
+  core::log_decision(core::DecisionEvent::kJobAdopted,
+                     {{"job", job->job.id},
+                      {"epoch", term_.epoch.value()},
+                      {"items", job->items.size()},
+                      {"listed", job->listed},
+                      {"fresh", is_fresh},
+                      {"oldest_version", job->job.oldest_version.value()}});
+  if (job->listed == job->items.size()) {
+    closed_.insert(job->job.id);
+    return;
+  }
+  jobs_[job->job.id] = job;
+  meters_->open_jobs.Set(static_cast<double>(jobs_.size()));
+  dispatch_soon();
+}
+
+void Tenure::close(const OpenJobPointer& job, std::string_view reason) {
   job->over = true;
   closed_.insert(job->job.id);
   jobs_.erase(job->job.id);
-  const std::list<ActiveRunPointer> runs = runs_;
-  for (const ActiveRunPointer& run : runs) {
-    if (run->job == job) {
-      run->cut.emit(asio::cancellation_type::terminal);
-    }
-  }
+  dispatcher_->cut(job);
   meters_->open_jobs.Set(static_cast<double>(jobs_.size()));
   const std::optional<ports::StoreTime> now = inputs_.store.now();
   if (now) {
@@ -231,7 +280,7 @@
   dispatch_soon();
 }
 
-bool Tenure::refresh_route(OpenJob& job) const {
+void Tenure::refresh_route(OpenJob& job) const {
   const std::shared_ptr<const ingress::RouteTable> table = inputs_.routes.current();
   const ingress::Route* route =
       table ? table->find(job.job.host, http::path_of(job.entry.path)) : nullptr;
@@ -239,7 +288,6 @@
     job.table = table;
     job.route = route;
   }
-  return job.route != nullptr;
 }
 
 void Tenure::dispatch_soon() {
@@ -257,254 +305,11 @@
   if (over_ || handing_over_) {
     return;
   }
-  const core::MonotonicTime now = inputs_.time.now();
-  std::vector<OpenJobPointer> jobs = open_jobs();
-  std::stable_sort(jobs.begin(), jobs.end(),
-                   [](const OpenJobPointer& left, const OpenJobPointer& right) {
-                     return left->entry.accepted_at < right->entry.accepted_at;
-                   });
+  const std::vector<OpenJobPointer> jobs = open_jobs();
   for (const OpenJobPointer& job : jobs) {
-    if (refresh_route(*job)) {
-      dispatch_job(job, now);
-    }
-  }
-  meters_->running.Set(static_cast<double>(runs_.size()));
-}
-
-std::vector<ingress::ReplicaPointer> Tenure::usable_replicas(const OpenJob& job) const {
-  std::vector<ingress::ReplicaPointer> usable;
-  for (const ingress::RouteTarget& target : job.route->targets) {
-    for (const ingress::ReplicaPointer& replica : inputs_.directory.of_service(target.service)) {
-      const auto version = replica->record.versions.find(job.job.model);
-      const bool fits =
-          version != replica->record.versions.end() && version->second >= job.job.oldest_version;
-      if (fits && replica->accepts_work()) {
-        usable.push_back(replica);
-      }
-    }
-  }
-  return usable;
-}
-
-std::vector<ReplicaLoad> Tenure::loads(const std::vector<ingress::ReplicaPointer>& replicas,
-                                       const OpenJob& job, core::MonotonicTime now) {
-  std::vector<ReplicaLoad> loads;
-  for (const ingress::ReplicaPointer& replica : replicas) {
-    ReplicaWork& work = work_[replica->record.id];
-    if (now - work.last_event > settings_.speed_memory) {
-      work.event_gap = core::Duration(0);
-    }
-    ReplicaLoad load;
-    load.id = replica->record.id;
-    load.running = work.running;
-    load.slots = replica->record.slots;
-    load.event_gap = work.event_gap;
-    load.closed = now < work.closed_until || replica->is_suspect(now) ||
-                  loader_->is_loading(load.id, job.job.model);
-    loads.push_back(load);
-  }
-  return loads;
-}
-
-void Tenure::dispatch_job(const OpenJobPointer& job, core::MonotonicTime now) {
-  const std::vector<ingress::ReplicaPointer> replicas = usable_replicas(*job);
-  std::vector<ReplicaLoad> replica_loads = loads(replicas, *job, now);
-  for (const std::size_t index : job->start_order) {
-    ItemProgress& item = job->items[index];
-    if (item.state != ItemState::kQueued || now < item.not_before) {
-      continue;
-    }
-    const std::string& group = job->job.items[index].group;
-    std::optional<core::ReplicaId> home;
-    const auto known_home = job->homes.find(group);
-    if (known_home != job->homes.end()) {
-      home = known_home->second;
-    }
-    const std::optional<std::size_t> chosen = place_item(replica_loads, home, settings_.placement);
-    if (!chosen) {
-      return;
-    }
-    ++replica_loads[*chosen].running;
-    job->homes[group] = replica_loads[*chosen].id;
-    begin_run(job, index, replicas[*chosen]);
-  }
-}
-
-ports::ReplicaCall Tenure::item_call(const OpenJob& job, const JobItem& item) const {
-  ports::ReplicaCall call;
-  call.request_id = item.id;
-  call.head.method = "POST";
-  call.head.target = item.path;
-  call.head.headers = item.headers;
-  call.head.headers.set("Host", job.job.host);
-  call.body = item.body;
-  const ports::StoreTime now = inputs_.store.now().value_or(job.entry.accepted_at);
-  call.time_left = job.route->queue_limit - (now - job.entry.accepted_at);
-  return call;
-}
-
-void Tenure::begin_run(const OpenJobPointer& job, std::size_t item,
-                       ingress::ReplicaPointer replica) {
-  const auto run = std::make_shared<ActiveRun>();
-  run->job = job;
-  run->item = item;
-  run->replica = std::move(replica);
-  run->started = inputs_.time.now();
-  run->last_event = run->started;
-  job->items[item].state = ItemState::kRunning;
-  ++work_[run->replica->record.id].running;
-  runs_.push_back(run);
-  core::log_decision(core::DecisionEvent::kItemStarted,
-                     {{"job", job->job.id},
-                      {"item", job->job.items[item].id},
-                      {"replica", run->replica->record.id.value()},
-                      {"from_event", job->items[item].text.events.size() + 1},
-                      {"configuration", job->table->version()}},
-                     core::DecisionWeight::kRoutine);
-  runtime::start(inputs_.executor, "item run", run_item(shared_from_this(), run));
-}
-
-asio::awaitable<void> Tenure::run_item(std::shared_ptr<Tenure> self, ActiveRunPointer run) {
-  const OpenJobPointer job = run->job;
-  const ingress::InFlight in_flight(run->replica);
-  ports::ReplicaTarget target{run->replica->record.id, run->replica->record.address};
-  const TextRules rules{job->job.oldest_version, job->route->single_version};
-  std::function<void()> on_event = [&tenure = *self, &active = *run] { tenure.on_event(active); };
-  asio::awaitable<AttemptEnd> task = attempt_text(
-      self->inputs_.replicas, std::move(target), self->item_call(*job, job->job.items[run->item]),
-      job->items[run->item].text, rules, std::move(on_event));
-  const std::optional<AttemptEnd> end =
-      co_await runtime::run_cancellable(std::move(task), run->cut);
-  self->on_run_end(run, end.value_or(AttemptEnd()));
-}
-
-void Tenure::on_event(ActiveRun& run) {
-  const core::MonotonicTime now = inputs_.time.now();
-  ReplicaWork& work = work_[run.replica->record.id];
-  if (run.events_made > 0) {
-    constexpr double kWeight = 0.1;
-    const core::Duration gap = now - run.last_event;
-    work.event_gap =
-        work.event_gap == core::Duration(0)
-            ? gap
-            : work.event_gap + core::from_seconds(core::to_seconds(gap - work.event_gap) * kWeight);
-  }
-  ++run.events_made;
-  run.last_event = now;
-  work.last_event = now;
-}
-
-void Tenure::on_run_end(const ActiveRunPointer& run, const AttemptEnd& end) {
-  runs_.remove(run);
-  ReplicaWork& work = work_[run->replica->record.id];
-  --work.running;
-  if (end.version) {
-    core::WeightVersion& known = run->replica->record.versions[run->job->job.model];
-    known = std::max(known, *end.version);
-  }
-  if (over_ || run->job->over) {
-    return;
-  }
-  ItemProgress& item = run->job->items[run->item];
-  if (end.kind == AttemptEndKind::kWhole) {
-    meters_->whole.Increment();
-    item.state = ItemState::kScoring;
-    runtime::start(inputs_.executor, "scoring", score(shared_from_this(), run->job, run->item));
-  } else {
-    requeue(run, end);
-  }
-  dispatch_soon();
-}
-
-void Tenure::requeue(const ActiveRunPointer& run, const AttemptEnd& end) {
-  const core::MonotonicTime now = inputs_.time.now();
-  ItemProgress& item = run->job->items[run->item];
-  ReplicaWork& work = work_[run->replica->record.id];
-  const JobItem& described = run->job->job.items[run->item];
-  item.state = ItemState::kQueued;
-  core::log_decision(
-      run->moving ? core::DecisionEvent::kItemMoved : core::DecisionEvent::kItemFailed,
-      {{"job", run->job->job.id},
-       {"item", described.id},
-       {"replica", run->replica->record.id.value()},
-       {"end", to_string(end.kind)},
-       {"events", item.text.events.size()},
-       {"reason", end.reason}});
-  run->job->homes.erase(described.group);
-  switch (end.kind) {
-    case AttemptEndKind::kNotRun:
-    case AttemptEndKind::kGone:
-      work.closed_until = now + settings_.refusal_pause;
-      break;
-    case AttemptEndKind::kFailedAnswer:
-      ++item.failed_answers;
-      if (item.failed_answers >= run->job->route->most_attempts) {
-        list(run->job, run->item, ResultState::kTerminated, "");
-      }
-      break;
-    case AttemptEndKind::kImpossible:
-      ++item.impossible_answers;
-      list(run->job, run->item, ResultState::kTerminated, "");
-      break;
-    case AttemptEndKind::kUnfit:
-      item.text.discard();
-      break;
-    case AttemptEndKind::kWhole:
-    case AttemptEndKind::kBroken:
-    case AttemptEndKind::kCut:
-      break;
-  }
-  if (end.unreachable || end.kind == AttemptEndKind::kGone) {
-    run->replica->suspect(now, settings_.suspicion);
-  }
-}
-
-bool Tenure::should_move(const ActiveRun& run, core::MonotonicTime now, core::Duration median) {
-  const core::ReplicaId& id = run.replica->record.id;
-  const core::Duration in_gaps =
-      core::from_seconds(core::to_seconds(median) * settings_.silence_in_gaps);
-  core::Duration patience = std::max(settings_.shortest_silence, in_gaps);
-  if (loader_->is_loading(id, run.job->job.model)) {
-    patience = std::max(patience, settings_.loading_silence);
-  }
-  if (now - run.last_event > patience) {
-    run.replica->suspect(now, settings_.suspicion);
-    return true;
-  }
-  ReplicaLoad load;
-  load.event_gap = work_[id].event_gap;
-  const bool is_measured = run.events_made >= 3;
-  return is_measured && is_slow(load, median, settings_.placement);
-}
-
-void Tenure::move_stragglers(core::MonotonicTime now) {
-  // Places on replicas that are not slow, so that a move never ends in a queue.
-  std::vector<ReplicaLoad> all;
-  for (const auto& [id, work] : work_) {
-    ReplicaLoad load;
-    load.event_gap =
-        now - work.last_event > settings_.speed_memory ? core::Duration(0) : work.event_gap;
-    all.push_back(load);
-  }
-  const core::Duration median = median_event_gap(all);
-  const std::list<ActiveRunPointer> runs = runs_;
-  for (const ActiveRunPointer& run : runs) {
-    if (run->moving || run->job->over || !should_move(*run, now, median)) {
-      continue;
-    }
-    const std::vector<ingress::ReplicaPointer> replicas = usable_replicas(*run->job);
-    std::vector<ReplicaLoad> elsewhere = loads(replicas, *run->job, now);
-    for (ReplicaLoad& load : elsewhere) {
-      load.closed |=
-          load.id == run->replica->record.id || is_slow(load, median, settings_.placement);
-    }
-    if (!place_item(elsewhere, std::nullopt, settings_.placement)) {
-      continue;
-    }
-    run->moving = true;
-    meters_->moved.Increment();
-    run->cut.emit(asio::cancellation_type::terminal);
+    refresh_route(*job);
   }
+  dispatcher_->dispatch(jobs);
 }
 
 asio::awaitable<void> Tenure::score(std::shared_ptr<Tenure> self, OpenJobPointer job,
@@ -540,37 +345,34 @@
     result.versions = progress.text.distinct_versions();
     result.score = std::move(score);
   }
-  lister_->add({job, item, std::move(result)});
+  writer_->add({job, item, std::move(result)});
 }
 
 void Tenure::on_listed(const PendingResult& listed, std::uint64_t position) {
   const JobItem& item = listed.job->job.items[listed.item];
+  const bool is_completed = listed.result.state == ResultState::kCompleted;
+  core::log_decision(core::DecisionEvent::kItemListed,
+                     {{"job", listed.job->job.id},
+                      {"item", item.id},
+                      {"position", position},
+                      {"state", is_completed ? "completed" : "terminated"},
+                      {"versions", listed.result.versions}},
+                     core::DecisionWeight::kRoutine);
   ItemText& text = listed.job->items[listed.item].text;
-  core::log_decision(
-      core::DecisionEvent::kItemListed,
-      {{"job", listed.job->job.id},
-       {"item", item.id},
-       {"position", position},
-       {"state", listed.result.state == ResultState::kCompleted ? "completed" : "terminated"},
-       {"versions", listed.result.versions}},
-      core::DecisionWeight::kRoutine);
   text.events.clear();
   text.versions.clear();
   if (listed.job->listed == listed.job->items.size() && !listed.job->over) {
     const OpenJobPointer job = listed.job;
-    close_job(job, "whole");
+    close(job, "whole");
   }
 }
 
 void Tenure::expire_items() {
-  const std::optional<ports::StoreTime> store_now = inputs_.store.now();
-  if (!store_now) {
-    return;
-  }
+  const std::optional<ports::StoreTime> now = inputs_.store.now();
   for (const OpenJobPointer& job : open_jobs()) {
-    const bool is_due =
-        job->route != nullptr && *store_now - job->entry.accepted_at > job->route->queue_limit;
-    if (!is_due || job->entry.accepted_at == ports::StoreTime(0)) {
+    const bool is_timed =
+        now && job->route != nullptr && job->entry.accepted_at != ports::StoreTime(0);
+    if (!is_timed || *now - job->entry.accepted_at <= job->route->queue_limit) {
       continue;
     }
     for (std::size_t index = 0; index < job->items.size(); ++index) {
@@ -582,38 +384,44 @@
   }
 }
 
-weights::WantedVersions Tenure::wanted_versions() const {
-  weights::WantedVersions wanted;
-  const std::map<core::ModelName, core::WeightVersion> named = inputs_.named_versions();
+std::optional<core::ServiceName> Tenure::service_of(const core::ModelName& model) const {
   const std::shared_ptr<const ingress::RouteTable> table = inputs_.routes.current();
   if (!table) {
-    return wanted;
+    return std::nullopt;
   }
-  for (const auto& [model, version] : named) {
+  for (const ingress::Route& route : table->routes()) {
+    if (route.kind != ingress::RouteKind::kRollout) {
+      continue;
+    }
+    for (const ingress::RouteTarget& target : route.targets) {
+      for (const ingress::ReplicaPointer& replica : inputs_.directory.of_service(target.service)) {
+        if (replica->record.versions.contains(model)) {
+          return target.service;
+        }
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+weights::WantedVersions Tenure::wanted_versions() const {
+  weights::WantedVersions wanted;
+  for (const auto& [model, version] : inputs_.named_versions()) {
+    const std::optional<core::ServiceName> service = service_of(model);
+    if (!service) {
+      continue;
+    }
     weights::WantedVersion entry;
+    entry.service = *service;
     entry.version = version;
+    // Steps to come accept the version before the newest one.
     entry.oldest_allowed = core::WeightVersion(version.value() > 1 ? version.value() - 1 : 1);
     for (const auto& [id, job] : jobs_) {
       if (job->job.model == model) {
         entry.oldest_allowed = std::max(entry.oldest_allowed, job->job.oldest_version);
       }
     }
-    for (const ingress::Route& route : table->routes()) {
-      if (route.kind != ingress::RouteKind::kRollout) {
-        continue;
-      }
-      for (const ingress::RouteTarget& target : route.targets) {
-        entry.service = target.service;
-        const std::vector<ingress::ReplicaPointer> replicas =
-            inputs_.directory.of_service(target.service);
-        const bool has_model = std::any_of(
-            replicas.begin(), replicas.end(),
-            [&](const ingress::ReplicaPointer& r) { return r->record.versions.contains(model); });
-        if (has_model) {
-          wanted[model] = entry;
-        }
-      }
-    }
+    wanted[model] = entry;
   }
   return wanted;
 }
@@ -631,12 +439,9 @@
     const bool was_paused = now - self->last_tick_ > kLongestGap;
     self->last_tick_ = now;
     if (was_paused) {
-      // Runs that went on meanwhile did not fall silent: we did not listen.
-      for (const ActiveRunPointer& run : self->runs_) {
-        run->last_event = now;
-      }
+      self->dispatcher_->forget_silence();
     } else {
-      self->move_stragglers(now);
+      self->dispatcher_->move_stragglers();
     }
     self->expire_items();
     self->dispatch();
--- a/src/jobs/term_keeper.cpp
+++ b/src/jobs/term_keeper.cpp
@@ -1,7 +1,6 @@
 #include "jobs/term_keeper.hpp"
 
 #include "core/decision_log.hpp"
-#include "core/numbers.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::jobs {
@@ -35,19 +34,6 @@
   return now - *changed_at_ >= patience(sign) + spread_length;
 }
 
-/// A heartbeat's value is the store's time at which it was sent.
-std::string encode_heartbeat(std::optional<ports::StoreTime> now) {
-  return std::to_string(now.value_or(ports::StoreTime(0)).count());
-}
-
-core::Duration heartbeat_age(const std::string& value, std::optional<ports::StoreTime> now) {
-  const auto sent = core::parse_number<std::int64_t>(value);
-  if (!sent || !now || *sent == 0) {
-    return core::Duration(0);
-  }
-  return std::max(core::Duration(0), core::Duration(*now - ports::StoreTime(*sent)));
-}
-
 TermKeeper::TermKeeper(asio::any_io_executor executor, ports::RecordStore& store,
                        TermSettings settings, Listener listener, std::uint64_t seed,
                        const core::TimeSource& time, core::Metrics& metrics)
@@ -58,7 +44,7 @@
       random_(seed),
       time_(time),
       watch_(settings_),
-      mirror_(executor, store, std::string(kTermTable), std::string(kJobPartition),
+      mirror_(executor, store, std::string(kTermTable), std::string(kTermPartition),
               [this](const records::TableMirror::Records& records) { on_records(records); },
               {.feed_wait = std::chrono::milliseconds(600)}),
       terms_gained_(metrics.counter("stoneport_coordinator_terms_gained_total",
@@ -107,7 +93,6 @@
 void TermKeeper::gain(Term term) {
   held_ = term;
   confirmed_at_ = time_.now();
-  next_beat_ = time_.now();
   terms_gained_.Increment();
   holds_term_.Set(1);
   core::log_decision(core::DecisionEvent::kTermBegan,
@@ -115,6 +100,10 @@
   listener_.on_gain(term);
 }
 
+void TermKeeper::on_confirmed(core::MonotonicTime sent_at) {
+  confirmed_at_ = std::max(confirmed_at_, sent_at);
+}
+
 void TermKeeper::on_deposed(std::string_view reason) {
   if (!held_) {
     return;
@@ -130,7 +119,7 @@
 
 ports::RecordTransaction TermKeeper::transaction(core::Revision condition) const {
   ports::RecordTransaction transaction;
-  transaction.partition = std::string(kJobPartition);
+  transaction.partition = std::string(kTermPartition);
   transaction.conditions.push_back({std::string(kTermTable), std::string(kTermKey), condition});
   return transaction;
 }
@@ -151,34 +140,10 @@
   spread_ = random_.fraction();
 }
 
-asio::awaitable<void> TermKeeper::beat() {
-  const core::MonotonicTime sent_at = time_.now();
-  const Term term = *held_;
-  next_beat_ = sent_at + settings_.heartbeat_interval;
-  ports::RecordTransaction beat = transaction(term.revision);
-  beat.writes.push_back(
-      {std::string(kTermTable), std::string(kHeartbeatKey), encode_heartbeat(store_.now())});
-  const core::Result<core::Revision> committed =
-      co_await store_.commit(std::move(beat), settings_.write_timeout);
-  const bool is_same_term = held_ && held_->revision == term.revision;
-  if (!is_same_term) {
-    co_return;
-  }
-  if (committed) {
-    confirmed_at_ = sent_at;
-  } else if (committed.error().code == core::ErrorCode::kConflict) {
-    on_deposed("a heartbeat met another term");
-  }
-}
-
 asio::awaitable<void> TermKeeper::run() {
   while (true) {
     const core::MonotonicTime now = time_.now();
-    if (held_) {
-      if (now >= next_beat_) {
-        co_await beat();
-      }
-    } else if (!released_ && mirror_.loaded()) {
+    if (!held_ && !released_ && mirror_.loaded()) {
       const HolderSign sign = listener_.sign_of(seen_.holder);
       const bool should = watch_.should_bid(now, mirror_.last_answer(), spread_, sign);
       if (should && listener_.eligible()) {
--- a/src/jobs/term_keeper.hpp
+++ b/src/jobs/term_keeper.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// Which process coordinates the jobs: a term in the store with a growing epoch, a
-/// heartbeat beside it, and take-over when the heartbeat stops while the store
-/// answers. Every write of a holder is conditional on the term's revision, so a
+/// heartbeat beside it (written by jobs/term_writer), and take-over when it stops
+/// while the store answers. Every write of a holder is conditional on the term's revision, so a
 /// deposed holder can change nothing. Belongs to one thread.
 #pragma once
 
@@ -26,7 +26,6 @@
 struct TermSettings {
   /// Unique to one life of one process.
   std::string holder;
-  core::Duration heartbeat_interval = std::chrono::milliseconds(300);
   core::Duration write_timeout = std::chrono::milliseconds(900);
   /// Silence of the heartbeat after which another process takes over.
   core::Duration take_over_after = std::chrono::milliseconds(1200);
@@ -88,8 +87,10 @@
 
   void start();
   const std::optional<Term>& held() const { return held_; }
-  /// \return when the last confirmed heartbeat was sent; only while held.
+  /// \return when the last confirmed write was sent; only while held.
   core::MonotonicTime confirmed_at() const { return confirmed_at_; }
+  /// A write under the held term, sent at that time, was confirmed.
+  void on_confirmed(core::MonotonicTime sent_at);
   /// The holder's writes have met another term.
   void on_deposed(std::string_view reason);
   /// Gives the term up, so that another process takes it at once; never bids again.
@@ -98,7 +99,6 @@
  private:
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> bid();
-  boost::asio::awaitable<void> beat();
   void on_records(const records::TableMirror::Records& records);
   void gain(Term term);
   ports::RecordTransaction transaction(core::Revision condition) const;
@@ -116,7 +116,6 @@
   core::Revision heartbeat_revision_;
   std::optional<Term> held_;
   core::MonotonicTime confirmed_at_{};
-  core::MonotonicTime next_beat_{};
   double spread_ = 0;
   bool released_ = false;
   prometheus::Counter& terms_gained_;
--- /dev/null
+++ b/tests/unit/core/adaptive_timeout_test.cpp
@@ -0,0 +1,44 @@
+/// \file
+/// Timeouts follow the usual latency and grow with each answer that did not come.
+#include "core/adaptive_timeout.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace stoneport::core {
+
+using std::chrono::milliseconds;
+
+class AdaptiveTimeoutTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdaptiveTimeoutTest);
+  CPPUNIT_TEST(follows_latency_within_bounds);
+  CPPUNIT_TEST(doubles_with_each_silence);
+  CPPUNIT_TEST_SUITE_END();
+
+  void follows_latency_within_bounds() {
+    AdaptiveTimeout timeout;
+    CPPUNIT_ASSERT(timeout.current() == milliseconds(250));
+    for (int answer = 0; answer < 50; ++answer) {
+      timeout.on_answer(milliseconds(100));
+    }
+    CPPUNIT_ASSERT(timeout.current() > milliseconds(590));
+    CPPUNIT_ASSERT(timeout.current() <= milliseconds(600));
+    for (int answer = 0; answer < 50; ++answer) {
+      timeout.on_answer(milliseconds(900));
+    }
+    CPPUNIT_ASSERT(timeout.current() == milliseconds(1500));
+  }
+
+  void doubles_with_each_silence() {
+    AdaptiveTimeout timeout;
+    for (const int expected : {500, 1000, 1500, 1500}) {
+      timeout.on_silence();
+      CPPUNIT_ASSERT(timeout.current() == milliseconds(expected));
+    }
+    timeout.on_answer(milliseconds(5));
+    CPPUNIT_ASSERT(timeout.current() == milliseconds(250));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdaptiveTimeoutTest);
+
+}  // namespace stoneport::core
