--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -39,6 +39,7 @@
   kVersionWanted,
   kOrderSent,
   kCommitFailed,
+  kLast = kCommitFailed,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- a/src/jobs/coordinator.hpp
+++ b/src/jobs/coordinator.hpp
@@ -28,6 +28,7 @@
   core::Duration tick = std::chrono::milliseconds(100);
   /// How long after its acceptance a job's records are kept.
   core::Duration retention = std::chrono::seconds(120);
+  core::Duration sweep_interval = std::chrono::seconds(10);
 };
 
 /// What the coordinator works with; all outlive it.
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -10,6 +10,8 @@
 constexpr std::size_t kMostBodies = 4;
 /// Of the largest transaction: room for keys, conditions and the encoding.
 constexpr double kUsableShare = 0.7;
+/// Entries of a transaction that the index record and its condition take.
+constexpr std::size_t kIndexEntries = 2;
 constexpr core::Duration kPollInterval = std::chrono::milliseconds(150);
 
 void note(core::AdaptiveTimeout& timeout, core::Duration latency, core::Duration allowed) {
@@ -73,31 +75,61 @@
   co_return core::make_error(code, "the store did not confirm the write");
 }
 
-asio::awaitable<core::Result<void>> JobStore::accept(JobSubmission submission,
-                                                     std::uint32_t item_count) {
+ports::RecordTransaction JobStore::submission_transaction(const std::string& job) const {
+  ports::RecordTransaction transaction;
+  transaction.partition = std::string(kSubmissionPartition);
+  transaction.conditions.push_back({std::string(kIndexTable), job_key(job), core::Revision()});
+  return transaction;
+}
+
+/// Writes all chunks but those that still fit beside the index record. They mean
+/// nothing until that record is there.
+asio::awaitable<core::Result<void>> JobStore::write_ahead(const std::string& job,
+                                                          std::vector<ports::RecordWrite>& chunks) {
   const ports::RecordStoreLimits limits = store_.limits();
-  const double usable = static_cast<double>(limits.transaction_bytes) * kUsableShare;
-  if (static_cast<double>(submission.body.size()) > usable) {
-    co_return core::make_error(core::ErrorCode::kTooLarge, "the job exceeds one transaction");
+  const auto usable_bytes =
+      static_cast<std::size_t>(static_cast<double>(limits.transaction_bytes) * kUsableShare);
+  const std::size_t most_chunks = std::clamp<std::size_t>(
+      usable_bytes / limits.record_bytes, 1, limits.transaction_entries - kIndexEntries);
+  while (chunks.size() > most_chunks) {
+    ports::RecordTransaction transaction = submission_transaction(job);
+    const auto end = chunks.begin() + static_cast<std::ptrdiff_t>(most_chunks);
+    transaction.writes.assign(std::make_move_iterator(chunks.begin()),
+                              std::make_move_iterator(end));
+    chunks.erase(chunks.begin(), end);
+    const core::Result<void> committed = co_await commit_once(std::move(transaction));
+    if (!committed) {
+      co_return committed.error();
+    }
   }
-  std::vector<std::string> chunks = split_value(submission.body, limits.record_bytes);
+  co_return core::Result<void>();
+}
+
+asio::awaitable<core::Result<void>> JobStore::accept(JobSubmission submission,
+                                                     std::uint32_t item_count) {
+  const std::vector<std::string> chunks =
+      split_value(submission.body, store_.limits().record_bytes);
   JobIndexEntry entry;
   entry.host = submission.host;
   entry.path = submission.path;
   entry.item_count = item_count;
   entry.body_chunks = static_cast<std::uint32_t>(chunks.size());
   entry.accepted_at = store_.now().value_or(ports::StoreTime(0));
-  ports::RecordTransaction transaction;
-  transaction.partition = std::string(kSubmissionPartition);
-  transaction.conditions.push_back(
-      {std::string(kIndexTable), job_key(submission.id), core::Revision()});
-  transaction.writes.push_back(
-      {std::string(kIndexTable), job_key(submission.id), encode_index_entry(entry)});
+  std::vector<ports::RecordWrite> writes;
   for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
+    writes.push_back({std::string(kBodyTable), body_key(submission.id, chunk), chunks[chunk]});
+  }
+  core::Result<void> committed = co_await write_ahead(submission.id, writes);
+  if (committed) {
+    ports::RecordTransaction transaction = submission_transaction(submission.id);
+    transaction.writes = std::move(writes);
     transaction.writes.push_back(
-        {std::string(kBodyTable), body_key(submission.id, chunk), std::move(chunks[chunk])});
+        {std::string(kIndexTable), job_key(submission.id), encode_index_entry(entry)});
+    committed = co_await commit_once(std::move(transaction));
+  } else if (committed.error().code == core::ErrorCode::kOutcomeUnknown) {
+    // Without its index record the job surely does not exist.
+    committed = core::make_error(core::ErrorCode::kUnavailable, committed.error().message);
   }
-  const core::Result<void> committed = co_await commit_once(std::move(transaction));
   // A conflict means that the job is there: by an earlier call, or by an earlier
   // attempt of this one whose answer was lost.
   const bool is_durable = committed || committed.error().code == core::ErrorCode::kConflict;
--- a/src/jobs/job_store.hpp
+++ b/src/jobs/job_store.hpp
@@ -36,7 +36,7 @@
 
   /// Success means that the job is durable, now or by an earlier call with its id.
   /// \return kUnavailable when it surely is not and never will be by this call;
-  /// kOutcomeUnknown when it may be; kTooLarge.
+  /// kOutcomeUnknown when it may be.
   boost::asio::awaitable<core::Result<void>> accept(JobSubmission submission,
                                                     std::uint32_t item_count);
   /// \return kNotFound for an unknown job; kUnavailable when nothing is certain.
@@ -54,6 +54,9 @@
 
  private:
   boost::asio::awaitable<core::Result<JobIndexEntry>> find(std::string job);
+  ports::RecordTransaction submission_transaction(const std::string& job) const;
+  boost::asio::awaitable<core::Result<void>> write_ahead(const std::string& job,
+                                                         std::vector<ports::RecordWrite>& chunks);
   boost::asio::awaitable<core::Result<void>> commit_once(ports::RecordTransaction transaction);
   void remember(const std::string& job, const JobIndexEntry& entry);
 
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -129,6 +129,7 @@
   make_loader();
   scorer_ =
       std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.time, inputs_.metrics);
+  sweeper_ = std::make_unique<RecordSweeper>(inputs_.store, inputs_.jobs, term_, inputs_.metrics);
   const std::weak_ptr<Tenure> weak = weak_from_this();
   index_ = std::make_unique<records::TableMirror>(
       inputs_.executor, inputs_.store, std::string(kIndexTable), std::string(kSubmissionPartition),
@@ -146,6 +147,7 @@
   loader_->start();
   runtime::start(inputs_.executor, "coordinator start", begin(shared_from_this()));
   runtime::start(inputs_.executor, "coordinator tick", tick_loop(shared_from_this()));
+  runtime::start(inputs_.executor, "job sweep", sweep_loop(shared_from_this()));
 }
 
 void Tenure::stop() {
@@ -197,12 +199,8 @@
   if (over_) {
     return;
   }
-  std::vector<ports::Record> all;
-  for (const auto& [key, record] : records) {
-    all.push_back(record);
-  }
   std::uint64_t malformed = 0;
-  for (auto& [id, entry] : decode_index(all, malformed)) {
+  for (auto& [id, entry] : decode_index(index_records(), malformed)) {
     const auto open = jobs_.find(id);
     if (open != jobs_.end()) {
       if (entry.ended) {
@@ -433,6 +431,33 @@
   return !over_ && !handing_over_ && is_awake && is_confirmed;
 }
 
+std::vector<ports::Record> Tenure::index_records() const {
+  std::vector<ports::Record> all;
+  for (const auto& [key, record] : index_->records()) {
+    all.push_back(record);
+  }
+  return all;
+}
+
+asio::awaitable<void> Tenure::sweep_loop(std::shared_ptr<Tenure> self) {
+  while (!self->over_) {
+    co_await runtime::sleep_for(self->settings_.sweep_interval);
+    const std::optional<ports::StoreTime> now = self->inputs_.store.now();
+    if (self->over_ || !now) {
+      continue;
+    }
+    const auto is_finished = [&tenure = *self](const std::string& job) {
+      return tenure.closed_.contains(job);
+    };
+    for (const ExpiredJob& job :
+         expired_jobs(self->index_records(), *now, self->settings_.retention, is_finished)) {
+      if (!self->over_) {
+        co_await self->sweeper_->sweep(job);
+      }
+    }
+  }
+}
+
 asio::awaitable<void> Tenure::tick_loop(std::shared_ptr<Tenure> self) {
   while (!self->over_) {
     const core::MonotonicTime now = self->inputs_.time.now();
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -11,6 +11,7 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/item_dispatcher.hpp"
 #include "jobs/open_job.hpp"
+#include "jobs/record_sweeper.hpp"
 #include "jobs/scorer.hpp"
 #include "jobs/term_writer.hpp"
 #include "records/table_mirror.hpp"
@@ -37,6 +38,8 @@
   void make_loader();
   static boost::asio::awaitable<void> begin(std::shared_ptr<Tenure> self);
   static boost::asio::awaitable<void> tick_loop(std::shared_ptr<Tenure> self);
+  static boost::asio::awaitable<void> sweep_loop(std::shared_ptr<Tenure> self);
+  std::vector<ports::Record> index_records() const;
 
   void on_index(const records::TableMirror::Records& records);
   static boost::asio::awaitable<void> adopt(std::shared_ptr<Tenure> self, std::string id,
@@ -71,6 +74,7 @@
   std::shared_ptr<ItemDispatcher> dispatcher_;
   std::shared_ptr<weights::WeightLoader> loader_;
   std::unique_ptr<Scorer> scorer_;
+  std::unique_ptr<RecordSweeper> sweeper_;
   core::MonotonicTime last_tick_{};
   bool dispatch_pending_ = false;
   bool handing_over_ = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -67,7 +67,8 @@
       gossip_(inputs_.executor, gossip_endpoint_, self_of(inputs_, settings_), gossip_settings(),
               seed_for(inputs_, settings_, "gossip"), inputs_.time, inputs_.metrics),
       coordinator_(coordinator_inputs(), coordinator_settings(inputs_, settings_),
-                   seed_for(inputs_, settings_, "term")) {}
+                   seed_for(inputs_, settings_, "term")),
+      store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics) {}
 
 Node::~Node() = default;
 
@@ -94,6 +95,7 @@
 void Node::start() {
   gossip_.set_seeds(settings_.gossip_seeds);
   coordinator_.start();
+  store_watch_.start();
 }
 
 /// Members are those that are ready, so a process joins no earlier.
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -13,6 +13,7 @@
 #include "ingress/forwarder.hpp"
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
+#include "records/store_watch.hpp"
 
 namespace stoneport::node {
 
@@ -81,6 +82,7 @@
   controllers::GossipEndpoint gossip_endpoint_;
   controllers::GossipController gossip_;
   jobs::Coordinator coordinator_;
+  records::StoreWatch store_watch_;
   bool joined_ = false;
   bool draining_ = false;
 };
--- a/src/ports/record_store.hpp
+++ b/src/ports/record_store.hpp
@@ -94,6 +94,8 @@
                                                                    core::Duration wait) = 0;
   /// \return the store's time now, by its last answer; nothing before the first.
   virtual std::optional<StoreTime> now() const = 0;
+  /// \return when the store last answered any call; the client's start before that.
+  virtual core::MonotonicTime last_answer() const = 0;
   /// \return the newest revision that any answer has named.
   virtual core::Revision newest() const = 0;
   virtual RecordStoreLimits limits() const = 0;
