Hold orders back by replica, by announcements in the store

Ruled out: ordering at once (orders of two holders to one replica within the lease). Change: a holder announces each order in the store under its term; a new one keeps the lease time from that announcement, for that replica alone. Tables are listed every 2.5 s instead of 1.5 s while their feed is silent. Test: coordinator_test, orders_of_two_holders_stay_apart.

--- a/src/jobs/coordinator.hpp
+++ b/src/jobs/coordinator.hpp
@@ -21,8 +21,8 @@
   TermWriterSettings writer;
   ItemDispatcherSettings dispatcher;
   weights::LoadPlanSettings weights;
-  /// Orders of a former holder may reach replicas for this long after its end.
-  core::Duration order_pause = std::chrono::milliseconds(3000);
+  /// No order to a replica within this time of another holder's announcement.
+  core::Duration order_pause = std::chrono::milliseconds(3700);
   /// No order when the last confirmed heartbeat is older than this.
   core::Duration order_confirmation = std::chrono::milliseconds(1000);
   core::Duration tick = std::chrono::milliseconds(100);
--- a/src/jobs/job_records.cpp
+++ b/src/jobs/job_records.cpp
@@ -254,11 +254,11 @@
   return checkpoint;
 }
 
-std::string encode_heartbeat(std::optional<ports::StoreTime> now) {
+std::string encode_sent_at(std::optional<ports::StoreTime> now) {
   return std::to_string(now.value_or(ports::StoreTime(0)).count());
 }
 
-core::Duration heartbeat_age(const std::string& value, std::optional<ports::StoreTime> now) {
+core::Duration age_of(const std::string& value, std::optional<ports::StoreTime> now) {
   const auto sent = core::parse_number<std::int64_t>(value);
   if (!sent || !now || *sent == 0) {
     return core::Duration(0);
--- a/src/jobs/job_records.hpp
+++ b/src/jobs/job_records.hpp
@@ -25,6 +25,8 @@
 inline constexpr std::string_view kResultTable = "stoneport-job-result";
 inline constexpr std::string_view kCheckpointTable = "stoneport-job-checkpoint";
 inline constexpr std::string_view kTermTable = "stoneport-coordinator";
+/// When a replica was last ordered to load, by the store's time; a key a replica.
+inline constexpr std::string_view kOrderTable = "stoneport-weight-order";
 inline constexpr std::string_view kTermKey = "term";
 inline constexpr std::string_view kHeartbeatKey = "heartbeat";
 
@@ -74,10 +76,10 @@
   std::uint64_t epoch = 0;
   std::string holder;
 };
-/// A heartbeat is the store's time at which it was sent.
-std::string encode_heartbeat(std::optional<ports::StoreTime> now);
+/// A heartbeat and an order's announcement are the store's time at which they were sent.
+std::string encode_sent_at(std::optional<ports::StoreTime> now);
 /// \return how long ago, or zero when that is not known.
-core::Duration heartbeat_age(const std::string& value, std::optional<ports::StoreTime> now);
+core::Duration age_of(const std::string& value, std::optional<ports::StoreTime> now);
 std::string encode_term(const TermRecord& term);
 std::optional<TermRecord> decode_term(std::string_view value);
 
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -10,6 +10,7 @@
 namespace asio = boost::asio;
 namespace {
 constexpr core::Duration kAdoptionRetry = std::chrono::milliseconds(100);
+constexpr core::Duration kAnnouncementTimeout = std::chrono::milliseconds(1000);
 constexpr core::Duration kLongestFlush = std::chrono::milliseconds(1200);
 /// A gap between ticks that means that this process was paused.
 constexpr core::Duration kLongestGap = std::chrono::milliseconds(500);
@@ -110,14 +111,13 @@
       self->dispatch_soon();
     }
   };
+  loading.announce = [weak](core::ReplicaId replica) {
+    return announce_order(weak.lock(), std::move(replica));
+  };
   weights::WeightLoaderSettings settings;
   settings.plan = settings_.weights;
   settings.holder = settings_.term.holder;
   settings.fence = term_.epoch;
-  // The first term of all follows nobody.
-  const bool is_first = term_.epoch == core::Epoch(1);
-  settings.first_order_at =
-      inputs_.time.now() + (is_first ? core::Duration(0) : settings_.order_pause);
   loader_ = std::make_shared<weights::WeightLoader>(
       inputs_.executor, inputs_.directory, inputs_.replicas, std::move(loading),
       std::move(settings), inputs_.time, inputs_.metrics);
@@ -146,6 +146,7 @@
   writer_->start();
   loader_->start();
   runtime::start(inputs_.executor, "coordinator start", begin(shared_from_this()));
+  runtime::start(inputs_.executor, "orders", learn_orders(shared_from_this()));
   runtime::start(inputs_.executor, "coordinator tick", tick_loop(shared_from_this()));
   runtime::start(inputs_.executor, "job sweep", sweep_loop(shared_from_this()));
 }
@@ -428,7 +429,41 @@
   const core::MonotonicTime now = inputs_.time.now();
   const bool is_awake = now - last_tick_ < kLongestGap;
   const bool is_confirmed = now - keeper_.confirmed_at() < settings_.order_confirmation;
-  return !over_ && !handing_over_ && is_awake && is_confirmed;
+  return !over_ && !handing_over_ && orders_known_ && is_awake && is_confirmed;
+}
+
+asio::awaitable<void> Tenure::learn_orders(std::shared_ptr<Tenure> self) {
+  while (!self->over_ && !self->orders_known_) {
+    ports::RecordRange range{std::string(kOrderTable), std::string(kTermPartition)};
+    const core::Result<std::vector<ports::Record>> orders =
+        co_await self->inputs_.jobs.read_range(std::move(range), false);
+    if (!orders) {
+      continue;  // it has waited for the store already
+    }
+    const core::MonotonicTime now = self->inputs_.time.now();
+    for (const ports::Record& record : *orders) {
+      const core::Duration age = age_of(record.value, self->inputs_.store.now());
+      self->loader_->hold_back(core::ReplicaId(record.key),
+                               now + self->settings_.order_pause - age);
+    }
+    self->orders_known_ = true;
+  }
+}
+
+asio::awaitable<bool> Tenure::announce_order(std::shared_ptr<Tenure> self,
+                                             core::ReplicaId replica) {
+  if (!self || self->over_) {
+    co_return false;
+  }
+  ports::RecordTransaction announcement;
+  announcement.partition = std::string(kTermPartition);
+  announcement.conditions.push_back(
+      {std::string(kTermTable), std::string(kTermKey), self->term_.revision});
+  announcement.writes.push_back(
+      {std::string(kOrderTable), replica.value(), encode_sent_at(self->inputs_.store.now())});
+  const core::Result<core::Revision> committed =
+      co_await self->inputs_.store.commit(std::move(announcement), kAnnouncementTimeout);
+  co_return committed.has_value();
 }
 
 std::vector<ports::Record> Tenure::index_records() const {
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -60,6 +60,10 @@
   /// \return the service whose replicas have \p model; nothing when there is none.
   std::optional<core::ServiceName> service_of(const core::ModelName& model) const;
   bool may_order() const;
+  /// Learns which replicas a former holder has ordered lately.
+  static boost::asio::awaitable<void> learn_orders(std::shared_ptr<Tenure> self);
+  static boost::asio::awaitable<bool> announce_order(std::shared_ptr<Tenure> self,
+                                                     core::ReplicaId replica);
 
   CoordinatorInputs inputs_;
   CoordinatorSettings settings_;
@@ -76,6 +80,7 @@
   std::unique_ptr<Scorer> scorer_;
   std::unique_ptr<RecordSweeper> sweeper_;
   core::MonotonicTime last_tick_{};
+  bool orders_known_ = false;
   bool dispatch_pending_ = false;
   bool handing_over_ = false;
   bool over_ = false;
--- a/src/jobs/term_keeper.cpp
+++ b/src/jobs/term_keeper.cpp
@@ -77,7 +77,7 @@
   if (changed) {
     const core::Duration age = heartbeat == records.end()
                                    ? core::Duration(0)
-                                   : heartbeat_age(heartbeat->second.value, store_.now());
+                                   : age_of(heartbeat->second.value, store_.now());
     watch_.on_change(time_.now(), !seen_.holder.empty(), age);
   }
   if (held_ && seen_revision_ > held_->revision) {
@@ -129,7 +129,7 @@
   ports::RecordTransaction bid = transaction(seen_revision_);
   bid.writes.push_back({std::string(kTermTable), std::string(kTermKey), encode_term(mine)});
   bid.writes.push_back(
-      {std::string(kTermTable), std::string(kHeartbeatKey), encode_heartbeat(store_.now())});
+      {std::string(kTermTable), std::string(kHeartbeatKey), encode_sent_at(store_.now())});
   const core::Result<core::Revision> committed =
       co_await store_.commit(std::move(bid), settings_.write_timeout);
   if (committed && !held_ && !released_) {
--- a/src/jobs/term_writer.cpp
+++ b/src/jobs/term_writer.cpp
@@ -161,7 +161,7 @@
   batch.transaction.conditions.push_back(
       {std::string(kTermTable), std::string(kTermKey), term_.revision});
   batch.transaction.writes.push_back(
-      {std::string(kTermTable), std::string(kHeartbeatKey), encode_heartbeat(store_.now())});
+      {std::string(kTermTable), std::string(kHeartbeatKey), encode_sent_at(store_.now())});
   const std::size_t bytes = take_results(batch, usable_bytes);
   const std::size_t entries = entries_of(batch.transaction) + kOwnEntries;
   const bool has_room = bytes < usable_bytes && entries < limits.transaction_entries;
--- a/src/records/table_mirror.hpp
+++ b/src/records/table_mirror.hpp
@@ -17,7 +17,7 @@
 struct TableMirrorOptions {
   core::Duration feed_wait = std::chrono::milliseconds(800);
   /// A table is listed again when the feed has told nothing for this long.
-  core::Duration list_interval = std::chrono::milliseconds(1500);
+  core::Duration list_interval = std::chrono::milliseconds(2500);
   core::Duration read_timeout = std::chrono::milliseconds(1000);
   core::Duration retry_delay = std::chrono::milliseconds(150);
 };
--- a/src/weights/weight_loader.cpp
+++ b/src/weights/weight_loader.cpp
@@ -50,6 +50,11 @@
   runtime::start(executor_, "weight loader", run(shared_from_this()));
 }
 
+void WeightLoader::hold_back(const core::ReplicaId& replica, core::MonotonicTime until) {
+  core::MonotonicTime& paused = paused_until_[replica];
+  paused = std::max(paused, until);
+}
+
 bool WeightLoader::is_loading(const core::ReplicaId& replica, const core::ModelName& model) const {
   const auto found = loading_.find(replica);
   return found != loading_.end() && found->second == model;
@@ -58,7 +63,7 @@
 asio::awaitable<void> WeightLoader::run(std::shared_ptr<WeightLoader> self) {
   while (!self->stopped_) {
     const core::MonotonicTime now = self->time_.now();
-    if (now >= self->settings_.first_order_at && self->inputs_.may_order()) {
+    if (self->inputs_.may_order()) {
       self->plan(now);
     }
     co_await runtime::sleep_for(self->settings_.tick);
@@ -133,8 +138,13 @@
     take_report(*replica, *report);
     order_counts_[target.id] = report->order_count;
   }
-  if (stopped_ || !inputs_.may_order() || version_of(*replica, model) >= version) {
-    co_return version_of(*replica, model) >= version;
+  const core::MonotonicTime announced_at = time_.now();
+  const bool announced = co_await inputs_.announce(target.id);
+  // A pause of this process after the announcement would make it worthless.
+  const bool is_late = time_.now() - announced_at > settings_.longest_announcement;
+  const bool is_there = version_of(*replica, model) >= version;
+  if (stopped_ || !announced || is_late || is_there || !inputs_.may_order()) {
+    co_return is_there;
   }
   ports::WeightOrder order;
   order.model = model;
@@ -193,7 +203,7 @@
   } else {
     self->failed_orders_.Increment();
     self->order_counts_.erase(replica->record.id);
-    self->paused_until_[replica->record.id] = now + self->settings_.pause_after_failure;
+    self->hold_back(replica->record.id, now + self->settings_.pause_after_failure);
   }
   self->loading_.erase(replica->record.id);
   if (self->stopped_) {
--- a/src/weights/weight_loader.hpp
+++ b/src/weights/weight_loader.hpp
@@ -29,8 +29,8 @@
   LoadPlanSettings plan;
   std::string holder;
   core::Epoch fence;
-  /// No order before this: the former holder's may still be on their way.
-  core::MonotonicTime first_order_at{};
+  /// An order goes out within this time of its announcement, or not at all.
+  core::Duration longest_announcement = std::chrono::milliseconds(400);
   core::Duration tick = std::chrono::milliseconds(100);
   core::Duration usual_load = std::chrono::milliseconds(920);
   core::Duration report_interval = std::chrono::milliseconds(120);
@@ -48,6 +48,9 @@
     /// Texts that the coordinator makes on a replica.
     std::function<std::uint32_t(const core::ReplicaId&)> running;
     std::function<void()> on_loaded;
+    /// Makes it known to later holders that an order is about to be sent.
+    /// \return whether it is; without that no order may be sent.
+    std::function<boost::asio::awaitable<bool>(core::ReplicaId)> announce;
   };
 
   WeightLoader(boost::asio::any_io_executor executor, ingress::ReplicaDirectory& directory,
@@ -55,6 +58,8 @@
                const core::TimeSource& time, core::Metrics& metrics);
   void start();
   void stop() { stopped_ = true; }
+  /// No order to \p replica before \p until: a former holder's may be on its way.
+  void hold_back(const core::ReplicaId& replica, core::MonotonicTime until);
   /// \return whether \p replica loads a version of \p model now.
   bool is_loading(const core::ReplicaId& replica, const core::ModelName& model) const;
 
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -34,7 +34,13 @@
     std::string replica;
     std::uint64_t resume_after = 0;
   };
+  struct Order {
+    std::string replica;
+    std::string holder;
+    std::chrono::steady_clock::time_point at;
+  };
   std::map<std::string, Replica> replicas;
+  std::vector<Order> all_orders;  ///< in the order in which they came
   std::vector<Start> starts;
   std::uint64_t text_length = 5;              ///< events of a whole text
   std::map<std::string, int> running;         ///< streams now, by request
@@ -100,6 +106,7 @@
                                                 ports::WeightOrder order) override {
     co_await runtime::sleep_for(std::chrono::milliseconds(1));
     Replica& replica = replicas[target.id.value()];
+    all_orders.push_back({target.id.value(), order.holder, std::chrono::steady_clock::now()});
     if (take(replica.lose_orders)) {
       co_return ports::OrderEnd::kNoAnswer;
     }
--- a/tests/unit/jobs/coordinator_test.cpp
+++ b/tests/unit/jobs/coordinator_test.cpp
@@ -68,7 +68,7 @@
       settings.term.longest_gap = milliseconds(2000);
       settings.tick = milliseconds(5);
       settings.dispatcher.shortest_silence = milliseconds(60);
-      settings.order_pause = milliseconds(20);
+      settings.order_pause = world.order_pause;
       settings.dispatcher.suspicion = milliseconds(200);
       routes.offer(world.table);
       directory.update(world.records);
@@ -189,6 +189,7 @@
   std::shared_ptr<const ingress::RouteTable> table;
   std::vector<ingress::ReplicaRecord> records;
   std::map<core::ModelName, core::WeightVersion> named;
+  core::Duration order_pause = milliseconds(20);
 };
 
 }  // namespace
@@ -206,6 +207,7 @@
   CPPUNIT_TEST(old_versions_make_no_text);
   CPPUNIT_TEST(records_of_old_jobs_are_removed);
   CPPUNIT_TEST(named_versions_reach_replicas_by_halves);
+  CPPUNIT_TEST(orders_of_two_holders_stay_apart);
   CPPUNIT_TEST_SUITE_END();
 
   void jobs_become_whole_under_each_fault() {
@@ -422,6 +424,37 @@
       CPPUNIT_ASSERT(replica.orders.size() <= 2);
     }
   }
+
+  void orders_of_two_holders_stay_apart() {
+    World world;
+    world.order_pause = milliseconds(1500);
+    World::Process first(world, "a");
+    CPPUNIT_ASSERT(world.run_until([&] { return first.coordinator->holds_term(); }));
+    World::Process second(world, "b");
+    world.named[core::ModelName("model")] = core::WeightVersion(2);
+    // Half of three replicas are ordered; the third one has had no order yet.
+    CPPUNIT_ASSERT(world.run_until([&] { return world.replicas.all_orders.size() == 2; }));
+    const auto ordered_at = std::chrono::steady_clock::now();
+    first.eligible = false;
+    first.store.cut = true;
+    CPPUNIT_ASSERT(world.run_until([&] { return second.coordinator->holds_term(); }));
+    world.named[core::ModelName("model")] = core::WeightVersion(3);
+    CPPUNIT_ASSERT(world.run_until([&] { return world.replicas.all_orders.size() >= 4; }));
+    std::set<std::string> ordered_before;
+    for (const auto& order : world.replicas.all_orders) {
+      const bool is_second = order.holder == "b";
+      if (is_second && ordered_before.contains(order.replica)) {
+        CPPUNIT_ASSERT(order.at - ordered_at > milliseconds(1400));
+      }
+      if (is_second && !ordered_before.contains(order.replica)) {
+        CPPUNIT_ASSERT_MESSAGE("a replica that nobody ordered need not wait",
+                               order.at - ordered_at < milliseconds(1300));
+      }
+      if (!is_second) {
+        ordered_before.insert(order.replica);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CoordinatorTest);
