--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -12,15 +12,33 @@
 }  // namespace
 
 Scorer::Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
-               const core::TimeSource& time, core::Metrics& metrics, ScorerSettings settings)
+               const ingress::ReplicaDirectory& directory, const core::TimeSource& time,
+               core::Metrics& metrics, ScorerSettings settings)
     : forwarder_(forwarder),
       routes_(routes),
+      directory_(directory),
       time_(time),
       settings_(settings),
       scored_(metrics.counter("stoneport_scores_total", "Texts that were rated")),
       failed_answers_(metrics.counter("stoneport_score_failures_total",
                                       "Rating calls that a replica ran and failed")) {}
 
+std::uint32_t Scorer::most_at_once(const ScoringCall& call) const {
+  const std::shared_ptr<const ingress::RouteTable> table = routes_.current();
+  const ingress::Route* route = table ? table->find(call.host, http::path_of(call.path)) : nullptr;
+  std::uint32_t places = 0;
+  if (route != nullptr) {
+    for (const ingress::RouteTarget& target : route->targets) {
+      for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
+        places += replica->accepts_work() ? replica->record.slots : 0;
+      }
+    }
+  }
+  const auto usual = static_cast<std::uint32_t>(places * settings_.share_of_places);
+  const auto most = static_cast<std::uint32_t>(places * settings_.share_under_pressure);
+  return std::max(waiting_ > usual ? most : usual, settings_.fewest_at_once);
+}
+
 asio::awaitable<Scorer::Attempt> Scorer::attempt(const ScoringCall& call) {
   Attempt attempt;
   attempt.most_failures = kUnknownLimit;
@@ -59,10 +77,11 @@
   Score score;
   std::uint32_t failures = 0;
   while (is_wanted()) {
-    if (in_flight_ >= settings_.most_at_once) {
+    ++waiting_;
+    while (is_wanted() && in_flight_ >= most_at_once(call)) {
       co_await runtime::sleep_for(settings_.retry_pause / 4);
-      continue;
     }
+    --waiting_;
     ++in_flight_;
     const Attempt made = co_await attempt(call);
     --in_flight_;
--- a/src/jobs/scorer.hpp
+++ b/src/jobs/scorer.hpp
@@ -12,7 +12,13 @@
 namespace stoneport::jobs {
 
 struct ScorerSettings {
-  std::uint32_t most_at_once = 10;
+  /// Share of the places of a service that rating calls may take; the rest is for
+  /// clients, whose requests have the shorter target.
+  double share_of_places = 0.4;
+  /// The same while more calls wait than that share lets through: a late step costs
+  /// more than late lookups.
+  double share_under_pressure = 1.0;
+  std::uint32_t fewest_at_once = 2;
   core::Duration attempt_timeout = std::chrono::milliseconds(900);
   core::Duration retry_pause = std::chrono::milliseconds(60);
 };
@@ -31,7 +37,8 @@
  public:
   /// All outlive the scorer.
   Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
-         const core::TimeSource& time, core::Metrics& metrics, ScorerSettings settings = {});
+         const ingress::ReplicaDirectory& directory, const core::TimeSource& time,
+         core::Metrics& metrics, ScorerSettings settings = {});
 
   /// Repeats the call until it is answered or no longer wanted.
   boost::asio::awaitable<Score> score(ScoringCall call, std::function<bool()> is_wanted);
@@ -43,12 +50,15 @@
     std::uint32_t most_failures = 0;
   };
   boost::asio::awaitable<Attempt> attempt(const ScoringCall& call);
+  std::uint32_t most_at_once(const ScoringCall& call) const;
 
   ingress::Forwarder& forwarder_;
   const ingress::RouteTableHolder& routes_;
+  const ingress::ReplicaDirectory& directory_;
   const core::TimeSource& time_;
   ScorerSettings settings_;
   std::uint32_t in_flight_ = 0;
+  std::uint32_t waiting_ = 0;
   prometheus::Counter& scored_;
   prometheus::Counter& failed_answers_;
 };
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -127,8 +127,8 @@
   make_writer();
   make_dispatcher();
   make_loader();
-  scorer_ =
-      std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.time, inputs_.metrics);
+  scorer_ = std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.directory,
+                                     inputs_.time, inputs_.metrics);
   sweeper_ = std::make_unique<RecordSweeper>(inputs_.store, inputs_.jobs, term_, inputs_.metrics);
   const std::weak_ptr<Tenure> weak = weak_from_this();
   index_ = std::make_unique<records::TableMirror>(
