--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -196,6 +196,10 @@
   }
   ++progress.runs;
   progress.reason = fmt::format("a replica answered {}", status);
+  core::log_decision(
+      core::DecisionEvent::kAttemptFailed,
+      {{"request", request.request_id}, {"may_have_run", true}, {"reason", progress.reason}},
+      core::DecisionWeight::kRoutine);
   if (is_repeatable(*request.route) && may_try_again(request, progress)) {
     progress.last_answer = std::move(answer);
     return Verdict::kRetry;
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -1,5 +1,7 @@
 #include "jobs/item_dispatcher.hpp"
 
+#include <fmt/format.h>
+
 #include "core/decision_log.hpp"
 #include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
@@ -212,13 +214,13 @@
   ItemProgress& item = run->job->items[run->item];
   const JobItem& described = run->job->job.items[run->item];
   core::log_decision(
-      run->moving ? core::DecisionEvent::kItemMoved : core::DecisionEvent::kItemFailed,
+      run->move_reason.empty() ? core::DecisionEvent::kItemFailed : core::DecisionEvent::kItemMoved,
       {{"job", run->job->job.id},
        {"item", described.id},
        {"replica", run->replica->record.id.value()},
        {"end", to_string(end.kind)},
        {"events", item.text.events.size()},
-       {"reason", end.reason}});
+       {"reason", run->move_reason.empty() ? end.reason : run->move_reason}});
   item.state = ItemState::kQueued;
   run->job->homes.erase(described.group);
   note_replica(*run, end);
@@ -246,7 +248,8 @@
   return median_event_gap(all);
 }
 
-bool ItemDispatcher::should_move(const Run& run, core::MonotonicTime now, core::Duration median) {
+std::string ItemDispatcher::reason_to_move(const Run& run, core::MonotonicTime now,
+                                           core::Duration median) {
   const core::ReplicaId& id = run.replica->record.id;
   const core::Duration in_gaps =
       core::from_seconds(core::to_seconds(median) * settings_.silence_in_gaps);
@@ -256,11 +259,15 @@
   }
   if (now - run.last_event > patience) {
     run.replica->suspect(now, settings_.suspicion);
-    return true;
+    return fmt::format("silent for {:.0f} ms", core::to_seconds(now - run.last_event) * 1000);
   }
   ReplicaLoad load;
   load.event_gap = work_[id].event_gap;
-  return run.events_made >= kEventsToMeasure && is_slow(load, median, settings_.placement);
+  if (run.events_made < kEventsToMeasure || !is_slow(load, median, settings_.placement)) {
+    return "";
+  }
+  return fmt::format("slow: {:.0f} ms an event against {:.0f}",
+                     core::to_seconds(load.event_gap) * 1000, core::to_seconds(median) * 1000);
 }
 
 /// A move must not end in a queue, or on a replica that is as slow.
@@ -280,11 +287,14 @@
   const core::Duration median = median_gap(now);
   const std::list<RunPointer> runs = runs_;
   for (const RunPointer& run : runs) {
-    const bool is_settled = run->moving || run->job->over;
-    if (is_settled || !should_move(*run, now, median) || !has_better_place(*run, now, median)) {
+    if (!run->move_reason.empty() || run->job->over) {
+      continue;
+    }
+    std::string reason = reason_to_move(*run, now, median);
+    if (reason.empty() || !has_better_place(*run, now, median)) {
       continue;
     }
-    run->moving = true;
+    run->move_reason = std::move(reason);
     meters_->moved.Increment();
     run->cut.emit(asio::cancellation_type::terminal);
   }
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -77,7 +77,7 @@
     ingress::ReplicaPointer replica;
     core::MonotonicTime last_event;
     std::uint64_t events_made = 0;  ///< in this run
-    bool moving = false;            ///< cut, to go on elsewhere
+    std::string move_reason;        ///< set when it is cut to go on elsewhere
     boost::asio::cancellation_signal cut;
   };
   using RunPointer = std::shared_ptr<Run>;
@@ -102,7 +102,8 @@
   void requeue(const RunPointer& run, const AttemptEnd& end);
   void note_replica(const Run& run, const AttemptEnd& end);
   core::Duration median_gap(core::MonotonicTime now) const;
-  bool should_move(const Run& run, core::MonotonicTime now, core::Duration median);
+  /// \return why \p run should go on elsewhere; empty when it should not.
+  std::string reason_to_move(const Run& run, core::MonotonicTime now, core::Duration median);
   bool has_better_place(const Run& run, core::MonotonicTime now, core::Duration median);
 
   ItemDispatcherInputs inputs_;
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -48,8 +48,13 @@
   }
 }
 
+core::Duration JobStore::patience() const {
+  const bool is_lost = time_.now() - store_.last_answer() > settings_.lost_after;
+  return is_lost ? settings_.patience_when_lost : settings_.patience;
+}
+
 asio::awaitable<core::Result<void>> JobStore::commit_once(ports::RecordTransaction transaction) {
-  const core::MonotonicTime give_up_at = time_.now() + settings_.patience;
+  const core::MonotonicTime give_up_at = time_.now() + patience();
   bool may_take_effect = false;
   while (true) {
     ports::RecordTransaction copy = transaction;
@@ -161,7 +166,7 @@
 
 asio::awaitable<core::Result<std::vector<ports::Record>>> JobStore::read_range(
     ports::RecordRange range, bool first_page_only) {
-  const core::MonotonicTime give_up_at = time_.now() + settings_.patience;
+  const core::MonotonicTime give_up_at = time_.now() + patience();
   std::vector<ports::Record> records;
   while (true) {
     const core::Revision known = store_.newest();
--- a/src/jobs/job_store.hpp
+++ b/src/jobs/job_store.hpp
@@ -21,6 +21,10 @@
   core::Duration retry_pause = std::chrono::milliseconds(80);
   /// Longest time that one call works on an answer of the store.
   core::Duration patience = std::chrono::milliseconds(2500);
+  /// The same once the store has been silent for lost_after: the client had better
+  /// ask another process.
+  core::Duration patience_when_lost = std::chrono::milliseconds(400);
+  core::Duration lost_after = std::chrono::milliseconds(2000);
 };
 
 struct JobPage {
@@ -54,6 +58,7 @@
 
  private:
   boost::asio::awaitable<core::Result<JobIndexEntry>> find(std::string job);
+  core::Duration patience() const;
   ports::RecordTransaction submission_transaction(const std::string& job) const;
   boost::asio::awaitable<core::Result<void>> write_ahead(const std::string& job,
                                                          std::vector<ports::RecordWrite>& chunks);
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -328,10 +328,21 @@
   if (score.end == ScoreEnd::kScored) {
     self->list(job, item, ResultState::kCompleted, score.signature);
   } else if (score.end == ScoreEnd::kFailed) {
+    self->log_given_up(*job, item, "score_failed", "request " + call->request_id + " failed");
     self->list(job, item, ResultState::kTerminated, "");
   }
 }
 
+void Tenure::log_given_up(const OpenJob& job, std::size_t item, std::string_view end,
+                          const std::string& reason) const {
+  core::log_decision(core::DecisionEvent::kItemFailed,
+                     {{"job", job.job.id},
+                      {"item", job.job.items[item].id},
+                      {"end", end},
+                      {"events", job.items[item].text.events.size()},
+                      {"reason", reason}});
+}
+
 void Tenure::list(const OpenJobPointer& job, std::size_t item, ResultState state,
                   std::string score) {
   ItemProgress& progress = job->items[item];
@@ -377,6 +388,7 @@
     for (std::size_t index = 0; index < job->items.size(); ++index) {
       const ItemState state = job->items[index].state;
       if (state == ItemState::kQueued || state == ItemState::kScoring) {
+        log_given_up(*job, index, "expired", "older than its route's queue limit");
         list(job, index, ResultState::kTerminated, "");
       }
     }
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -54,6 +54,8 @@
   static boost::asio::awaitable<void> score(std::shared_ptr<Tenure> self, OpenJobPointer job,
                                             std::size_t item);
   void list(const OpenJobPointer& job, std::size_t item, ResultState state, std::string score);
+  void log_given_up(const OpenJob& job, std::size_t item, std::string_view end,
+                    const std::string& reason) const;
   void on_listed(const PendingResult& listed, std::uint64_t position);
 
   weights::WantedVersions wanted_versions() const;
--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -361,7 +361,7 @@
     call.request.head.headers.set(platform::kDeadlineHeader, "4000");
   }
   call.request.body = body;
-  return http_.send_all({call}, [] {}).front();
+  return http_.send_all({call}, nullptr).front();
 }
 
 std::string PlatformStandIn::item_id(const std::string& job, std::size_t index) {
--- /dev/null
+++ b/tests/soak/soak.cpp
@@ -0,0 +1,200 @@
+/// \file
+/// The soak: real daemons on the platform's stand-in under random faults from
+/// outside, while clients check what the pages promise. Usage: soak SECONDS SEED.
+/// Exits 1 and prints what is broken; the seed and the daemons' logs are kept.
+#include <cxxopts.hpp>
+#include <iostream>
+#include <thread>
+
+#include "platform/names.hpp"
+#include "soak/soak_faults.hpp"
+#include "soak/soak_model.hpp"
+#include "support/test_cluster.hpp"
+
+namespace stoneport::tests {
+namespace {
+
+using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::size_t kProcesses = 4;
+constexpr std::size_t kMostOpenJobs = 4;
+constexpr unsigned kAccepted = 202;
+constexpr auto kLongestRecovery = std::chrono::seconds(60);
+
+class Soak {
+ public:
+  Soak(std::uint64_t seed, std::chrono::seconds length)
+      : platform_({kProcesses, 4, 3}),
+        faults_(platform_, kProcesses, seed * 2 + 1),
+        random_(seed),
+        length_(length) {
+    platform_.http().set_call_limit(milliseconds(2000));
+  }
+
+  int run() {
+    const Clock::time_point started = Clock::now();
+    Clock::time_point next_fault = started + milliseconds(500);
+    while (Clock::now() - started < length_ && model_.violations.empty()) {
+      if (Clock::now() >= next_fault) {
+        const std::string fault = faults_.begin();
+        if (!fault.empty()) {
+          const double at = std::chrono::duration<double>(Clock::now() - started).count();
+          std::cout << at << " s: " << fault << std::endl;
+        }
+        next_fault = Clock::now() + milliseconds(200 + random_.uniform(0, 1200));
+      }
+      faults_.end_due();
+      step();
+    }
+    faults_.end_due(true);
+    recover();
+    model_.check_ledger(platform_.ledger());
+    return report();
+  }
+
+ private:
+  std::size_t any_process() { return random_.uniform(0, kProcesses - 1); }
+
+  void step() {
+    std::size_t open = 0;
+    for (const auto& [id, job] : model_.jobs) {
+      open += job.is_whole() || job.ended ? 0 : 1;
+    }
+    if (open < kMostOpenJobs && random_.chance(0.3)) {
+      const std::string id = "job" + std::to_string(model_.jobs.size());
+      model_.jobs[id].items = 1 + random_.uniform(0, 30);
+    }
+    send_requests();
+    for (auto& [id, job] : model_.jobs) {
+      const bool is_checked_again = random_.chance(0.05);
+      if (!job.accepted) {
+        submit(id, job);
+      } else if ((!job.is_whole() && !job.ended) || is_checked_again) {
+        read(id, job);
+      }
+      if (job.accepted && !job.ended && random_.chance(0.004)) {
+        job.ended = platform_.end(any_process(), id).status == 200;
+      }
+    }
+    std::this_thread::sleep_for(milliseconds(30));
+  }
+
+  /// Every call has the client's patience, so that a paused process holds up no more.
+  static HttpCall call_of(const core::Address& address, const std::string& method,
+                          const std::string& target, const std::string& id) {
+    HttpCall call;
+    call.address = address;
+    call.request.head.method = method;
+    call.request.head.target = target;
+    call.request.head.headers.set("Host", "users.example");
+    call.request.head.headers.set(platform::kRequestIdHeader, id);
+    call.request.head.headers.set(platform::kDeadlineHeader, "1500");
+    call.request.body = "body of " + id;
+    return call;
+  }
+
+  void send_requests() {
+    std::vector<HttpCall> calls;
+    std::vector<std::string> ids;
+    for (int index = 0; index < 3; ++index) {
+      const std::string id = "r" + std::to_string(++requests_);
+      const bool once = random_.chance(0.5);
+      calls.push_back(
+          call_of(platform_.front(any_process()), "POST", once ? "/once/a" : "/safe/a", id));
+      ids.push_back(once ? id : "");
+    }
+    const std::vector<HttpAnswer> answers = platform_.http().send_all(calls, nullptr);
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+      const std::string id(*calls[index].request.head.headers.find(platform::kRequestIdHeader));
+      served_ += answers[index].ok() ? 1 : 0;
+      if (answers[index].ok() && answers[index].body != "answer to " + id) {
+        model_.violate("request " + id + " got another one's answer");
+      }
+      if (!ids[index].empty()) {
+        model_.take_once(id, answers[index].status);
+      }
+    }
+  }
+
+  void submit(const std::string& id, SoakJob& job) {
+    job.accepted = platform_.submit(any_process(), id, job.items).status == kAccepted;
+  }
+
+  void read(const std::string& id, const SoakJob& job) {
+    const std::uint64_t from = random_.uniform(0, job.seen.size());
+    const HttpAnswer answer = platform_.read(any_process(), id, from);
+    model_.take_read_status(id, answer.status);
+    if (answer.status == 200) {
+      model_.take_page(id, from, answer.document());
+    }
+  }
+
+  /// With all faults over, every accepted job becomes whole and reads as before.
+  void recover() {
+    const Clock::time_point give_up_at = Clock::now() + kLongestRecovery;
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      platform_.wait_until_ready(process);
+    }
+    for (auto& [id, job] : model_.jobs) {
+      while (job.accepted && !job.ended && !job.is_whole() && Clock::now() < give_up_at) {
+        read(id, job);
+        std::this_thread::sleep_for(milliseconds(20));
+      }
+      if (job.accepted && !job.ended && !job.is_whole()) {
+        model_.violate("job " + id + " has not become whole: " + std::to_string(job.listed.size()) +
+                       " of " + std::to_string(job.items));
+      }
+      for (std::size_t process = 0; job.accepted && process < kProcesses; ++process) {
+        const HttpAnswer answer = platform_.read(process, id, 0);
+        model_.take_read_status(id, answer.status);
+        if (answer.status == 200) {
+          model_.take_page(id, 0, answer.document());
+        }
+      }
+    }
+  }
+
+  int report() const {
+    std::size_t items = 0;
+    std::size_t accepted = 0;
+    for (const auto& [id, job] : model_.jobs) {
+      items += job.listed.size();
+      accepted += job.accepted ? 1 : 0;
+    }
+    std::cout << "requests " << requests_ << ", served " << served_ << "; jobs accepted "
+              << accepted << " of " << model_.jobs.size() << ", results read " << items
+              << "; violations " << model_.violations.size() << std::endl;
+    for (const std::string& violation : model_.violations) {
+      std::cout << "violation: " << violation << std::endl;
+    }
+    if (!model_.violations.empty()) {
+      std::cout << "logs: " << platform_.folder() << std::endl;
+    }
+    return model_.violations.empty() ? 0 : 1;
+  }
+
+  PlatformStandIn platform_;
+  SoakFaults faults_;
+  core::RandomSource random_;
+  std::chrono::seconds length_;
+  SoakModel model_;
+  std::uint64_t requests_ = 0;
+  std::uint64_t served_ = 0;
+};
+
+}  // namespace
+}  // namespace stoneport::tests
+
+int main(int argument_count, char** arguments) {
+  cxxopts::Options options("soak", "Random faults on real daemons, with checks");
+  options.add_options()("seconds", "how long", cxxopts::value<int>()->default_value("60"))(
+      "seed", "of faults and clients", cxxopts::value<std::uint64_t>()->default_value("1"));
+  const auto parsed = options.parse(argument_count, arguments);
+  const auto seed = parsed["seed"].as<std::uint64_t>();
+  std::cout << "seed " << seed << std::endl;
+  stoneport::tests::Soak soak(seed, std::chrono::seconds(parsed["seconds"].as<int>()));
+  const int status = soak.run();
+  std::cout << (status == 0 ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
+  return status;
+}
--- a/tests/support/fake_record_store.hpp
+++ b/tests/support/fake_record_store.hpp
@@ -112,7 +112,8 @@
         std::chrono::steady_clock::now().time_since_epoch());
   }
   core::MonotonicTime last_answer() const override {
-    return std::chrono::time_point_cast<core::Duration>(core::MonotonicClock::now());
+    const auto now = std::chrono::time_point_cast<core::Duration>(core::MonotonicClock::now());
+    return now - silent_for;
   }
   core::Revision newest() const override { return core::Revision(revision_); }
   ports::RecordStoreLimits limits() const override { return store_limits; }
@@ -170,6 +171,7 @@
   }
 
   std::size_t page_size = 500;
+  core::Duration silent_for{};  ///< what last_answer() tells
   ports::RecordStoreLimits store_limits;
 
  private:
--- a/tests/support/http_caller.cpp
+++ b/tests/support/http_caller.cpp
@@ -9,15 +9,14 @@
 
 namespace asio = boost::asio;
 
-constexpr core::Duration kCallLimit = std::chrono::seconds(30);
 /// Long enough for a request on loopback to reach its back end.
 constexpr std::chrono::milliseconds kSentPause(300);
 
 asio::awaitable<void> exchange(http::Client& client, HttpCall call, HttpAnswer& answer,
-                               std::size_t& open) {
+                               std::size_t& open, core::Duration limit) {
   const core::SystemTimeSource time;
   http::SendOptions options;
-  options.deadline = time.now() + kCallLimit;
+  options.deadline = time.now() + limit;
   options.fresh_connection = true;
   auto response = co_await client.fetch(call.address, std::move(call.request), options);
   if (response) {
@@ -53,7 +52,8 @@
   std::vector<HttpAnswer> answers(calls.size());
   std::size_t open = calls.size();
   for (std::size_t index = 0; index < calls.size(); ++index) {
-    asio::co_spawn(context_, exchange(client_, calls[index], answers[index], open), asio::detached);
+    asio::co_spawn(context_, exchange(client_, calls[index], answers[index], open, call_limit_),
+                   asio::detached);
   }
   context_.restart();
   if (on_sent) {
--- a/tests/support/http_caller.hpp
+++ b/tests/support/http_caller.hpp
@@ -32,6 +32,9 @@
  public:
   HttpCaller() : client_(context_.get_executor(), "test", metrics_) {}
 
+  /// How long a call waits for its answer; 30 s unless told.
+  void set_call_limit(core::Duration limit) { call_limit_ = limit; }
+
   HttpAnswer get(const core::Address& address, const std::string& target);
   HttpAnswer send(const core::Address& address, const std::string& method,
                   const std::string& target, const nlohmann::json& body);
@@ -41,6 +44,7 @@
                                    const std::function<void()>& on_sent);
 
  private:
+  core::Duration call_limit_ = std::chrono::seconds(30);
   core::Metrics metrics_;
   boost::asio::io_context context_{1};
   http::Client client_;
--- a/tests/unit/jobs/job_store_test.cpp
+++ b/tests/unit/jobs/job_store_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(acceptance_is_durable_or_says_what_it_is);
   CPPUNIT_TEST(a_job_is_taken_once);
   CPPUNIT_TEST(a_refused_job_never_comes_to_be);
+  CPPUNIT_TEST(a_lost_store_is_not_waited_for);
   CPPUNIT_TEST(large_bodies_come_back_whole);
   CPPUNIT_TEST(an_older_state_is_never_an_answer);
   CPPUNIT_TEST(unknown_jobs_are_told_from_an_unsure_store);
@@ -94,6 +95,27 @@
     CPPUNIT_ASSERT(world.store.table(kIndexTable).contains("job"));
   }
 
+  /// A machine cut from the store held jobs for 2.9 s before it refused them
+  /// (docs/incidents/2026-12-02-abay-cut-machine.md).
+  void a_lost_store_is_not_waited_for() {
+    for (const bool is_lost : {false, true}) {
+      World world;
+      world.settings.patience = std::chrono::milliseconds(700);
+      world.settings.patience_when_lost = std::chrono::milliseconds(100);
+      world.jobs =
+          std::make_unique<JobStore>(world.store, world.time, world.metrics, world.settings);
+      world.store.faults.down = true;
+      world.store.silent_for = std::chrono::milliseconds(is_lost ? 2500 : 100);
+      const auto started = std::chrono::steady_clock::now();
+      const auto refused = world.accept("job");
+      const auto read = world.run(world.jobs->read("job", 0, core::Duration(0)));
+      const auto held = std::chrono::steady_clock::now() - started;
+      CPPUNIT_ASSERT(!refused && refused.error().code == ErrorCode::kUnavailable);
+      CPPUNIT_ASSERT(!read && read.error().code == ErrorCode::kUnavailable);
+      CPPUNIT_ASSERT_EQUAL(is_lost, held < std::chrono::milliseconds(600));
+    }
+  }
+
   void large_bodies_come_back_whole() {
     World world;
     world.store.store_limits.record_bytes = 100;
