--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -48,9 +48,17 @@
   }
 }
 
+bool JobStore::store_is_lost() const {
+  return time_.now() - store_.last_answer() > settings_.lost_after;
+}
+
 core::Duration JobStore::patience() const {
-  const bool is_lost = time_.now() - store_.last_answer() > settings_.lost_after;
-  return is_lost ? settings_.patience_when_lost : settings_.patience;
+  return store_is_lost() ? settings_.patience_when_lost : settings_.patience;
+}
+
+core::Duration JobStore::attempt_timeout(const core::AdaptiveTimeout& usual) const {
+  const core::Duration timeout = usual.current();
+  return store_is_lost() ? std::min(timeout, settings_.patience_when_lost) : timeout;
 }
 
 asio::awaitable<core::Result<void>> JobStore::commit_once(ports::RecordTransaction transaction) {
@@ -58,7 +66,7 @@
   bool may_take_effect = false;
   while (true) {
     ports::RecordTransaction copy = transaction;
-    const core::Duration timeout = write_timeout_.current();
+    const core::Duration timeout = attempt_timeout(write_timeout_);
     const core::MonotonicTime sent_at = time_.now();
     const core::Result<core::Revision> committed = co_await store_.commit(std::move(copy), timeout);
     note(write_timeout_, time_.now() - sent_at, timeout);
@@ -170,7 +178,7 @@
   std::vector<ports::Record> records;
   while (true) {
     const core::Revision known = store_.newest();
-    const core::Duration timeout = read_timeout_.current();
+    const core::Duration timeout = attempt_timeout(read_timeout_);
     const core::MonotonicTime sent_at = time_.now();
     core::Result<ports::RecordPage> page = co_await store_.read(range, timeout);
     note(read_timeout_, time_.now() - sent_at, timeout);
--- a/src/jobs/job_store.hpp
+++ b/src/jobs/job_store.hpp
@@ -58,7 +58,9 @@
 
  private:
   boost::asio::awaitable<core::Result<JobIndexEntry>> find(std::string job);
+  bool store_is_lost() const;
   core::Duration patience() const;
+  core::Duration attempt_timeout(const core::AdaptiveTimeout& usual) const;
   ports::RecordTransaction submission_transaction(const std::string& job) const;
   boost::asio::awaitable<core::Result<void>> write_ahead(const std::string& job,
                                                          std::vector<ports::RecordWrite>& chunks);
--- a/src/jobs/term_keeper.cpp
+++ b/src/jobs/term_keeper.cpp
@@ -81,7 +81,7 @@
     watch_.on_change(time_.now(), !seen_.holder.empty(), age);
   }
   if (held_ && seen_revision_ > held_->revision) {
-    on_deposed("another process holds the term");
+    on_deposed(seen_.holder.empty() ? "released" : "another process holds the term");
   }
   // A bid whose answer was lost.
   const bool is_ours = seen_.holder == settings_.holder;
