--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -87,7 +87,7 @@
 
 std::string SoakFaults::strike_replica() {
   const std::vector<std::string> ids = platform_.replica_ids();
-  const std::string id = ids[pick(ids.size())];
+  const std::string& id = ids[pick(ids.size())];
   ReplicaFaults faults;
   const std::size_t kind = pick(6);
   faults.dark = kind == 0;
