Begin a term with the latency of its bid; list the findings

The new test showed more: a process that starts took the transit of a heartbeat for silence. Ruled out: a longer wait for every take-over. Change: the writer's timeout begins with the bid's latency; 0.6 s of a heartbeat's age count as its transit. Test: a_new_holder_keeps_the_term_on_a_slow_store (failed before).

--- a/src/core/adaptive_timeout.hpp
+++ b/src/core/adaptive_timeout.hpp
@@ -25,6 +25,8 @@
     return std::clamp(std::max(usual, settings_.shortest) * doublings_, settings_.shortest,
                       settings_.longest);
   }
+  /// Begins with a latency that is known from elsewhere.
+  void begin_with(Duration latency) { usual_seconds_ = to_seconds(latency); }
   void on_answer(Duration latency) {
     doublings_ = 1;
     usual_seconds_ += settings_.latency_weight * (to_seconds(latency) - usual_seconds_);
--- a/src/jobs/term_keeper.cpp
+++ b/src/jobs/term_keeper.cpp
@@ -9,7 +9,9 @@
 void TermWatch::on_change(core::MonotonicTime now, bool has_holder, core::Duration heartbeat_age) {
   const bool is_first = !changed_at_;
   has_holder_ = has_holder;
-  changed_at_ = is_first ? now - heartbeat_age : now;
+  const core::Duration silence =
+      std::max(core::Duration(0), heartbeat_age - settings_.heartbeat_transit);
+  changed_at_ = is_first ? now - silence : now;
 }
 
 core::Duration TermWatch::patience(HolderSign sign) const {
@@ -130,12 +132,13 @@
   bid.writes.push_back({std::string(kTermTable), std::string(kTermKey), encode_term(mine)});
   bid.writes.push_back(
       {std::string(kTermTable), std::string(kHeartbeatKey), encode_sent_at(store_.now())});
+  const core::MonotonicTime sent_at = time_.now();
   const core::Result<core::Revision> committed =
       co_await store_.commit(std::move(bid), settings_.write_timeout);
   if (committed && !held_ && !released_) {
     seen_ = mine;
     seen_revision_ = *committed;
-    gain({core::Epoch(mine.epoch), *committed});
+    gain({core::Epoch(mine.epoch), *committed, time_.now() - sent_at});
   }
   spread_ = random_.fraction();
 }
--- a/src/jobs/term_keeper.hpp
+++ b/src/jobs/term_keeper.hpp
@@ -20,7 +20,8 @@
 
 struct Term {
   core::Epoch epoch;
-  core::Revision revision;  ///< of the term's record; a condition of each write
+  core::Revision revision;       ///< of the term's record; a condition of each write
+  core::Duration bid_latency{};  ///< how long the store took over the bid; zero unknown
 };
 
 struct TermSettings {
@@ -31,6 +32,8 @@
   core::Duration take_over_after = std::chrono::milliseconds(1200);
   /// The same when other signs say that the holder is gone.
   core::Duration take_over_from_suspect_after = std::chrono::milliseconds(500);
+  /// A heartbeat may be this old when it is seen, while the store is slow.
+  core::Duration heartbeat_transit = std::chrono::milliseconds(600);
   /// Bids of several processes are spread over this.
   core::Duration bid_spread = std::chrono::milliseconds(200);
   core::Duration tick = std::chrono::milliseconds(100);
--- a/src/jobs/term_writer.cpp
+++ b/src/jobs/term_writer.cpp
@@ -53,6 +53,9 @@
                                                 "Time of one confirmed transaction")) {}
 
 void TermWriter::start() {
+  // Of a slow store the bid has told; learning it anew by timeouts would leave the
+  // heartbeat silent for longer than others wait.
+  timeout_.begin_with(term_.bid_latency);
   next_heartbeat_ = time_.now() + settings_.heartbeat_interval;
   next_checkpoint_ = time_.now() + settings_.checkpoint_interval;
   runtime::start(executor_, "term writer", run(shared_from_this()));
--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -136,7 +136,7 @@
     transaction.writes.push_back({removal["table"], removal["privateKey"], std::nullopt});
   }
   const core::Result<core::Revision> done =
-      co_await rows_.commit(std::move(transaction), core::Duration(0));
+      co_await rows_.commit(std::move(transaction), std::chrono::seconds(1));
   if (!done) {
     co_return http::json_response(412, "{}");
   }
--- a/tests/support/fake_record_store.hpp
+++ b/tests/support/fake_record_store.hpp
@@ -32,9 +32,14 @@
 
   boost::asio::awaitable<core::Result<core::Revision>> commit(ports::RecordTransaction transaction,
                                                               core::Duration timeout) override {
-    (void)timeout;
     ++commits;
-    co_await runtime::sleep_for(std::chrono::microseconds(200));
+    // Done in any case, answered in time or not.
+    if (latency > timeout) {
+      apply(transaction);
+      co_await runtime::sleep_for(timeout);
+      co_return core::make_error(core::ErrorCode::kOutcomeUnknown, "too slow");
+    }
+    co_await runtime::sleep_for(latency);
     if (faults.down || commits > most_commits_) {
       co_return core::make_error(core::ErrorCode::kUnavailable, "down");
     }
@@ -171,7 +176,8 @@
   }
 
   std::size_t page_size = 500;
-  core::Duration silent_for{};  ///< what last_answer() tells
+  core::Duration latency = std::chrono::microseconds(200);  ///< of commits
+  core::Duration silent_for{};                              ///< what last_answer() tells
   ports::RecordStoreLimits store_limits;
 
  private:
--- a/tests/unit/core/adaptive_timeout_test.cpp
+++ b/tests/unit/core/adaptive_timeout_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(AdaptiveTimeoutTest);
   CPPUNIT_TEST(follows_latency_within_bounds);
   CPPUNIT_TEST(doubles_with_each_silence);
+  CPPUNIT_TEST(begins_with_what_is_known);
   CPPUNIT_TEST_SUITE_END();
 
   void follows_latency_within_bounds() {
@@ -28,6 +29,16 @@
     CPPUNIT_ASSERT(timeout.current() == milliseconds(1500));
   }
 
+  void begins_with_what_is_known() {
+    AdaptiveTimeout timeout;
+    timeout.begin_with(milliseconds(150));
+    CPPUNIT_ASSERT(timeout.current() > milliseconds(890));
+    timeout.begin_with(milliseconds(560));
+    CPPUNIT_ASSERT(timeout.current() == milliseconds(1500));
+    timeout.begin_with(milliseconds(0));
+    CPPUNIT_ASSERT(timeout.current() == milliseconds(250));
+  }
+
   void doubles_with_each_silence() {
     AdaptiveTimeout timeout;
     for (const int expected : {500, 1000, 1500, 1500}) {
--- a/tests/unit/jobs/coordinator_test.cpp
+++ b/tests/unit/jobs/coordinator_test.cpp
@@ -54,7 +54,8 @@
 struct World {
   struct Process {
     Process(World& world, const std::string& name,
-            core::Duration retention = std::chrono::seconds(120))
+            core::Duration retention = std::chrono::seconds(120),
+            core::Duration take_over_after = milliseconds(60))
         : store(world.store), jobs(store, world.time, metrics) {
       CoordinatorSettings settings;
       settings.term.holder = name;
@@ -62,7 +63,7 @@
       settings.sweep_interval = milliseconds(50);
       settings.writer.heartbeat_interval = milliseconds(10);
       settings.writer.checkpoint_interval = milliseconds(20);
-      settings.term.take_over_after = milliseconds(60);
+      settings.term.take_over_after = take_over_after;
       settings.term.bid_spread = milliseconds(5);
       settings.term.tick = milliseconds(5);
       settings.term.longest_gap = milliseconds(2000);
@@ -202,6 +203,7 @@
   CPPUNIT_TEST(items_that_cannot_be_done_are_terminated);
   CPPUNIT_TEST(another_process_takes_over_and_keeps_what_is_listed);
   CPPUNIT_TEST(a_deposed_coordinator_lists_nothing);
+  CPPUNIT_TEST(a_new_holder_keeps_the_term_on_a_slow_store);
   CPPUNIT_TEST(a_planned_stop_hands_over_at_once);
   CPPUNIT_TEST(an_ended_job_is_left);
   CPPUNIT_TEST(old_versions_make_no_text);
@@ -314,6 +316,19 @@
     }
   }
 
+  /// Terms changed hands on a slow store, as each new holder learned its speed by
+  /// timeouts (kwpd-topup, mix, seed 744861530223).
+  void a_new_holder_keeps_the_term_on_a_slow_store() {
+    World world;
+    world.store.latency = milliseconds(300);
+    World::Process first(world, "a", std::chrono::seconds(120), milliseconds(500));
+    CPPUNIT_ASSERT(world.run_until([&] { return first.coordinator->holds_term(); }));
+    World::Process second(world, "b", std::chrono::seconds(120), milliseconds(500));
+    world.run_for(milliseconds(3000));
+    CPPUNIT_ASSERT(first.coordinator->holds_term());
+    CPPUNIT_ASSERT(!second.coordinator->holds_term());
+  }
+
   void a_deposed_coordinator_lists_nothing() {
     World world;
     World::Process first(world, "a");
