Eject replicas that fail much of what they run; try a failed item elsewhere

Cause: an item that a replica answered with 500 went back to the least loaded replica, which is the one that fails quickly; three such answers of one replica ended the item (coordinator_test, "a replica that fails whatever it runs": terminated before, completed now). A quick failure also counted as a low latency, which drew lookups there. Ruled out: health checks (priced, and good on a grey replica). Change: ingress/outlier_detector, one for each replica, fed by requests, rating calls and texts; a panic threshold at half of a service's replicas. Items avoid replicas that have failed them. A kept connection that ended before its answer is told apart (http::ClientError::on_kept_connection) and counts for nothing. Decision events have a table of names in place of a switch.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 
@@ -11,6 +12,40 @@
 namespace stoneport::core {
 namespace {
 
+struct EventName {
+  DecisionEvent event;
+  std::string_view name;
+};
+
+/// Names of the events, in the order of the enumeration.
+constexpr std::array kEventNames = {
+    EventName{DecisionEvent::kProcessStart, "process_start"},
+    EventName{DecisionEvent::kProcessStop, "process_stop"},
+    EventName{DecisionEvent::kSettingsReload, "settings_reload"},
+    EventName{DecisionEvent::kDependencyLost, "dependency_lost"},
+    EventName{DecisionEvent::kDependencyRegained, "dependency_regained"},
+    EventName{DecisionEvent::kConfigurationInForce, "configuration_in_force"},
+    EventName{DecisionEvent::kReplicasChanged, "replicas_changed"},
+    EventName{DecisionEvent::kRequestDone, "request_done"},
+    EventName{DecisionEvent::kRequestRefused, "request_refused"},
+    EventName{DecisionEvent::kAttemptFailed, "attempt_failed"},
+    EventName{DecisionEvent::kReplicaEjected, "replica_ejected"},
+    EventName{DecisionEvent::kJobAccepted, "job_accepted"},
+    EventName{DecisionEvent::kJobRefused, "job_refused"},
+    EventName{DecisionEvent::kJobAdopted, "job_adopted"},
+    EventName{DecisionEvent::kJobEnded, "job_ended"},
+    EventName{DecisionEvent::kItemStarted, "item_started"},
+    EventName{DecisionEvent::kItemMoved, "item_moved"},
+    EventName{DecisionEvent::kItemFailed, "item_failed"},
+    EventName{DecisionEvent::kItemListed, "item_listed"},
+    EventName{DecisionEvent::kTermBegan, "term_began"},
+    EventName{DecisionEvent::kTermEnded, "term_ended"},
+    EventName{DecisionEvent::kVersionWanted, "version_wanted"},
+    EventName{DecisionEvent::kOrderSent, "order_sent"},
+    EventName{DecisionEvent::kCommitFailed, "commit_failed"},
+};
+static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
+
 /// Process-wide, like the logger that it writes to.
 struct DecisionLogState {
   DecisionLogSettings settings;
@@ -43,55 +78,7 @@
 }  // namespace
 
 std::string_view to_string(DecisionEvent event) {
-  switch (event) {
-    case DecisionEvent::kProcessStart:
-      return "process_start";
-    case DecisionEvent::kProcessStop:
-      return "process_stop";
-    case DecisionEvent::kSettingsReload:
-      return "settings_reload";
-    case DecisionEvent::kDependencyLost:
-      return "dependency_lost";
-    case DecisionEvent::kDependencyRegained:
-      return "dependency_regained";
-    case DecisionEvent::kConfigurationInForce:
-      return "configuration_in_force";
-    case DecisionEvent::kReplicasChanged:
-      return "replicas_changed";
-    case DecisionEvent::kRequestDone:
-      return "request_done";
-    case DecisionEvent::kRequestRefused:
-      return "request_refused";
-    case DecisionEvent::kAttemptFailed:
-      return "attempt_failed";
-    case DecisionEvent::kJobAccepted:
-      return "job_accepted";
-    case DecisionEvent::kJobRefused:
-      return "job_refused";
-    case DecisionEvent::kJobAdopted:
-      return "job_adopted";
-    case DecisionEvent::kJobEnded:
-      return "job_ended";
-    case DecisionEvent::kItemStarted:
-      return "item_started";
-    case DecisionEvent::kItemMoved:
-      return "item_moved";
-    case DecisionEvent::kItemFailed:
-      return "item_failed";
-    case DecisionEvent::kItemListed:
-      return "item_listed";
-    case DecisionEvent::kTermBegan:
-      return "term_began";
-    case DecisionEvent::kTermEnded:
-      return "term_ended";
-    case DecisionEvent::kVersionWanted:
-      return "version_wanted";
-    case DecisionEvent::kOrderSent:
-      return "order_sent";
-    case DecisionEvent::kCommitFailed:
-      return "commit_failed";
-  }
-  return "unknown";
+  return kEventNames.at(static_cast<std::size_t>(event)).name;
 }
 
 void install_decision_log(DecisionLogSettings settings) {
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -26,6 +26,7 @@
   kRequestDone,
   kRequestRefused,
   kAttemptFailed,
+  kReplicaEjected,
   kJobAccepted,
   kJobRefused,
   kJobAdopted,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -100,10 +100,12 @@
       co_return connection.error();
     }
     (*connection)->timer().arm(options.deadline);
+    const bool is_reused = (*connection)->reused();
     const auto exchange = std::make_shared<ClientExchange>(self->pool_, std::move(*connection),
                                                            std::move(*wire), body, options);
     std::optional<ClientError> error = co_await exchange->run();
     if (error) {
+      error->on_kept_connection = is_reused;
       co_return std::move(*error);
     }
     co_return std::unique_ptr<ClientResponse>(std::make_unique<PooledResponse>(exchange));
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -106,6 +106,7 @@
     connections.pop_back();
     if (connection->is_usable()) {
       counters_->connections_reused.Increment();
+      connection->mark_reused();
       return connection;
     }
     counters_->idle_connections_dropped.Increment();
--- a/src/http/client_connection.hpp
+++ b/src/http/client_connection.hpp
@@ -42,6 +42,9 @@
   /// \return whether the other side neither closed nor sent anything meanwhile.
   bool is_usable();
   void close();
+  /// Set when the connection is taken for another exchange.
+  void mark_reused() { reused_ = true; }
+  bool reused() const { return reused_; }
 
   boost::asio::ip::tcp::socket& socket() { return socket_; }
   boost::beast::flat_buffer& buffer() { return buffer_; }
@@ -56,6 +59,7 @@
   boost::beast::flat_buffer buffer_;
   DeadlineTimer timer_;
   bool connected_ = false;
+  bool reused_ = false;
 };
 
 /// Idle connections by address.
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -63,6 +63,8 @@
         client_gone(outcome(metrics, "client_gone")),
         attempts_failed(metrics.counter("stoneport_forward_attempt_failures_total",
                                         "Attempts without a usable answer")),
+        ejections(metrics.counter("stoneport_replica_ejections_total",
+                                  "Replicas left out for a while because they failed calls")),
         seconds(metrics.seconds_histogram("stoneport_forward_seconds",
                                           "From a request's arrival to its answer")) {}
   static prometheus::Counter& outcome(core::Metrics& metrics, const std::string& name) {
@@ -74,6 +76,7 @@
   prometheus::Counter& failed;
   prometheus::Counter& client_gone;
   prometheus::Counter& attempts_failed;
+  prometheus::Counter& ejections;
   prometheus::Histogram& seconds;
 };
 
@@ -160,11 +163,20 @@
   return is_repeatable(*request.route) && progress.runs < request.route->most_attempts;
 }
 
+void Forwarder::note_failed_run(ReplicaState& replica) {
+  if (replica.note_failed_run(time_.now())) {
+    meters_->ejections.Increment();
+  }
+}
+
 void Forwarder::note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
                              const ports::CallFailure& failure, Progress& progress) {
   meters_->attempts_failed.Increment();
   const bool has_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
   ++(has_run ? progress.runs : progress.refusals);
+  if (has_run && !failure.stale_connection) {
+    note_failed_run(*replica);
+  }
   progress.preference.excluded.insert(replica->record.id);
   progress.reason = failure.reason;
   if (failure.unreachable) {
@@ -186,15 +198,17 @@
   return failure;
 }
 
-Forwarder::Verdict Forwarder::judge(const ForwardedRequest& request, ports::ReplicaAnswer& answer,
-                                    Progress& progress) {
+Forwarder::Verdict Forwarder::judge(const ForwardedRequest& request, ReplicaState& replica,
+                                    ports::ReplicaAnswer& answer, Progress& progress) {
   const unsigned status = answer.response.head.status;
   const bool is_success = status < 400;
   const bool retry_may_help = status >= kServerError || is_promise(status);
   if (is_success || !retry_may_help) {
+    replica.outliers.note_success();
     return Verdict::kAnswer;
   }
   ++progress.runs;
+  note_failed_run(replica);
   progress.reason = fmt::format("a replica answered {}", status);
   core::log_decision(
       core::DecisionEvent::kAttemptFailed,
@@ -236,9 +250,9 @@
       note_failure(request, replica, answer.error(), progress);
       continue;
     }
-    replica->note_latency(time_.now() - sent_at);
-    const Verdict verdict = judge(request, *answer, progress);
+    const Verdict verdict = judge(request, *replica, *answer, progress);
     if (verdict == Verdict::kAnswer) {
+      replica->note_latency(time_.now() - sent_at);
       co_return std::move(*answer);
     }
     if (verdict == Verdict::kGiveUp) {
@@ -364,7 +378,7 @@
     }
     ports::StreamAnswer& answer = **opened;
     if (answer.rejection) {
-      const Verdict verdict = judge(request, *answer.rejection, progress);
+      const Verdict verdict = judge(request, *replica, *answer.rejection, progress);
       if (verdict == Verdict::kAnswer && !progress.started) {
         co_await response.send(std::move(answer.rejection->response));
         co_return;
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -81,7 +81,10 @@
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
   void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
                     const ports::CallFailure& failure, Progress& progress);
-  Verdict judge(const ForwardedRequest& request, ports::ReplicaAnswer& answer, Progress& progress);
+  /// A call that the replica ran, or may have run, failed.
+  void note_failed_run(ReplicaState& replica);
+  Verdict judge(const ForwardedRequest& request, ReplicaState& replica,
+                ports::ReplicaAnswer& answer, Progress& progress);
   bool may_try_again(const ForwardedRequest& request, const Progress& progress) const;
   ForwardFailure end_of(const ForwardedRequest& request, const Progress& progress) const;
 
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -2,17 +2,21 @@
 
 #include <algorithm>
 
+#include "core/decision_log.hpp"
+
 namespace stoneport::ingress {
 namespace {
 
 constexpr double kLatencyWeight = 0.2;
 /// In calls: how much better a replica of another zone must be.
 constexpr double kOtherZoneCost = 0.5;
-constexpr double kSuspectCost = 1000;
+constexpr double kAvoidedCost = 1000;
+/// Of a service's replicas; with more of them ejected, ejection is ignored.
+constexpr double kMostEjectedShare = 0.5;
 
 /// The time that one more call is likely to take there, in units of a usual call.
 double cost(const ReplicaState& replica, const core::ZoneName& zone, double usual_latency,
-            core::MonotonicTime now) {
+            bool is_avoided) {
   double relative = 1;
   if (replica.latency_seconds > 0 && usual_latency > 0) {
     relative = std::max(1.0, replica.latency_seconds / usual_latency);
@@ -21,8 +25,8 @@
   if (replica.record.zone != zone) {
     cost += kOtherZoneCost;
   }
-  if (replica.is_suspect(now)) {
-    cost += kSuspectCost;
+  if (is_avoided) {
+    cost += kAvoidedCost;
   }
   return cost;
 }
@@ -47,10 +51,28 @@
                         : latency_seconds + kLatencyWeight * (seconds - latency_seconds);
 }
 
+bool ReplicaState::note_failed_run(core::MonotonicTime now) {
+  if (!outliers.note_failure(now)) {
+    return false;
+  }
+  core::log_decision(core::DecisionEvent::kReplicaEjected,
+                     {{"replica", record.id.value()},
+                      {"service", record.service.value()},
+                      {"for_ms", core::to_seconds(outliers.ejected_until() - now) * 1000}});
+  return true;
+}
+
 void ReplicaState::suspect(core::MonotonicTime now, core::Duration length) {
   suspect_until = std::max(suspect_until, now + length);
 }
 
+bool should_avoid_ejected(const std::vector<ReplicaPointer>& replicas, core::MonotonicTime now) {
+  const auto ejected = std::count_if(
+      replicas.begin(), replicas.end(),
+      [now](const ReplicaPointer& replica) { return replica->outliers.is_ejected(now); });
+  return static_cast<double>(ejected) <= kMostEjectedShare * static_cast<double>(replicas.size());
+}
+
 std::vector<core::Address> ReplicaDirectory::update(std::vector<ReplicaRecord> records) {
   loaded_ = true;
   std::map<core::ReplicaId, ReplicaPointer> before = std::move(replicas_);
@@ -110,19 +132,24 @@
     return nullptr;
   }
   const double usual = least_latency(usable);
+  const bool avoids_ejected = should_avoid_ejected(usable, now);
+  const auto is_avoided = [&](const ReplicaState& replica) {
+    return replica.is_suspect(now) || (avoids_ejected && replica.outliers.is_ejected(now));
+  };
+  const auto cost_of = [&](const ReplicaPointer& replica) {
+    return cost(*replica, preference.zone, usual, is_avoided(*replica));
+  };
   const ReplicaPointer& first = usable[random.uniform(0, usable.size() - 1)];
   const ReplicaPointer& second = usable[random.uniform(0, usable.size() - 1)];
-  const double first_cost = cost(*first, preference.zone, usual, now);
-  const double second_cost = cost(*second, preference.zone, usual, now);
-  const ReplicaPointer& better = first_cost <= second_cost ? first : second;
-  if (!better->is_suspect(now)) {
+  const ReplicaPointer& better = cost_of(first) <= cost_of(second) ? first : second;
+  if (!is_avoided(*better)) {
     return better;
   }
-  // Both drawn are suspect: any sound one is better.
-  const auto least = std::min_element(
-      usable.begin(), usable.end(), [&](const ReplicaPointer& left, const ReplicaPointer& right) {
-        return cost(*left, preference.zone, usual, now) < cost(*right, preference.zone, usual, now);
-      });
+  // Both drawn are to be avoided: any sound one is better.
+  const auto least = std::min_element(usable.begin(), usable.end(),
+                                      [&](const ReplicaPointer& left, const ReplicaPointer& right) {
+                                        return cost_of(left) < cost_of(right);
+                                      });
   return *least;
 }
 
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -13,6 +13,7 @@
 #include "core/identifiers.hpp"
 #include "core/random.hpp"
 #include "core/time.hpp"
+#include "ingress/outlier_detector.hpp"
 
 namespace stoneport::ingress {
 
@@ -35,10 +36,14 @@
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
   double latency_seconds = 0;  ///< moving average of answered calls; zero when none
+  OutlierDetector outliers;
 
   bool accepts_work() const { return listed && !record.draining; }
   bool is_suspect(core::MonotonicTime now) const { return now < suspect_until; }
   void note_latency(core::Duration latency);
+  /// A call that the replica ran, or may have run, failed.
+  /// \return whether it is ejected for that.
+  bool note_failed_run(core::MonotonicTime now);
   /// The replica was unreachable or silent: it gets no work while others can.
   void suspect(core::MonotonicTime now, core::Duration length);
 };
@@ -58,6 +63,10 @@
   ReplicaPointer replica_;
 };
 
+/// \return whether those of \p replicas that are ejected should get no work. With most
+/// of them ejected the fault is elsewhere, and the rest could not carry the load.
+bool should_avoid_ejected(const std::vector<ReplicaPointer>& replicas, core::MonotonicTime now);
+
 class ReplicaDirectory {
  public:
   /// Replaces the listing. \return addresses whose replica ended or is leaving.
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -13,6 +13,9 @@
 constexpr double kGapWeight = 0.1;
 /// Fewer events say nothing of a replica's speed.
 constexpr std::uint64_t kEventsToMeasure = 3;
+/// Answers of failure after which an item is given up, in the attempts of its route,
+/// where fewer replicas than that have failed it.
+constexpr std::uint32_t kMostRoundsOfFailures = 2;
 }  // namespace
 
 struct ItemDispatcher::Meters {
@@ -20,9 +23,12 @@
       : running(metrics.gauge("stoneport_running_texts", "Texts that replicas make now")),
         moved(metrics.counter("stoneport_texts_moved_total",
                               "Texts taken from a slow or silent replica")),
+        ejected(metrics.counter("stoneport_text_replica_ejections_total",
+                                "Replicas left out for a while because they failed texts")),
         whole(metrics.counter("stoneport_texts_whole_total", "Texts that were made whole")) {}
   prometheus::Gauge& running;
   prometheus::Counter& moved;
+  prometheus::Counter& ejected;
   prometheus::Counter& whole;
 };
 
@@ -72,6 +78,7 @@
 std::vector<ReplicaLoad> ItemDispatcher::loads(const std::vector<ingress::ReplicaPointer>& replicas,
                                                const OpenJob& job, core::MonotonicTime now) {
   std::vector<ReplicaLoad> loads;
+  const bool avoids_ejected = ingress::should_avoid_ejected(replicas, now);
   for (const ingress::ReplicaPointer& replica : replicas) {
     ReplicaWork& work = work_[replica->record.id];
     if (now - work.last_event > settings_.speed_memory) {
@@ -82,7 +89,8 @@
     load.running = work.running;
     load.slots = replica->record.slots;
     load.event_gap = work.event_gap;
-    load.closed = now < work.closed_until || replica->is_suspect(now) ||
+    const bool is_ejected = avoids_ejected && replica->outliers.is_ejected(now);
+    load.closed = now < work.closed_until || replica->is_suspect(now) || is_ejected ||
                   inputs_.is_loading(load.id, job.job.model);
     loads.push_back(load);
   }
@@ -103,10 +111,14 @@
     if (known_home != job->homes.end()) {
       home = known_home->second;
     }
-    const std::optional<std::size_t> chosen = place_item(replica_loads, home, settings_.placement);
-    if (!chosen) {
+    const std::optional<std::size_t> chosen =
+        place_item(replica_loads, home, item.failed_at, settings_.placement);
+    if (!chosen && item.failed_at.empty()) {
       return;
     }
+    if (!chosen) {
+      continue;  // only replicas that have failed it have room
+    }
     ++replica_loads[*chosen].running;
     job->homes[group] = replica_loads[*chosen].id;
     begin_run(job, index, replicas[*chosen]);
@@ -190,6 +202,7 @@
   }
   if (end.kind == AttemptEndKind::kWhole) {
     meters_->whole.Increment();
+    run->replica->outliers.note_success();
     run->job->items[run->item].state = ItemState::kScoring;
     listener_.on_whole(run->job, run->item);
   } else {
@@ -205,11 +218,25 @@
   if (refused) {
     work_[run.replica->record.id].closed_until = now + settings_.refusal_pause;
   }
+  const bool failed_run =
+      end.kind == AttemptEndKind::kFailedAnswer || end.kind == AttemptEndKind::kBroken;
+  const bool fell_silent = end.kind == AttemptEndKind::kCut && run.fell_silent;
+  if ((failed_run && !end.stale_connection) || fell_silent) {
+    if (run.replica->note_failed_run(now)) {
+      meters_->ejected.Increment();
+    }
+  }
   if (end.unreachable || end.kind == AttemptEndKind::kGone) {
     run.replica->suspect(now, settings_.suspicion);
   }
 }
 
+/// A replica may fail whatever it runs, so it takes several to condemn an item.
+bool ItemDispatcher::has_failed_too_often(const ItemProgress& item, std::uint32_t most_attempts) {
+  return item.failed_at.size() >= most_attempts ||
+         item.failed_answers >= most_attempts * kMostRoundsOfFailures;
+}
+
 void ItemDispatcher::requeue(const RunPointer& run, const AttemptEnd& end) {
   ItemProgress& item = run->job->items[run->item];
   const JobItem& described = run->job->job.items[run->item];
@@ -229,9 +256,10 @@
   }
   if (end.kind == AttemptEndKind::kFailedAnswer) {
     ++item.failed_answers;
+    item.failed_at.insert(run->replica->record.id);
   }
   const bool has_failed = end.kind == AttemptEndKind::kImpossible ||
-                          item.failed_answers >= run->job->route->most_attempts;
+                          has_failed_too_often(item, run->job->route->most_attempts);
   if (has_failed) {
     listener_.on_failed(run->job, run->item);
   }
@@ -248,7 +276,7 @@
   return median_event_gap(all);
 }
 
-std::string ItemDispatcher::reason_to_move(const Run& run, core::MonotonicTime now,
+std::string ItemDispatcher::reason_to_move(Run& run, core::MonotonicTime now,
                                            core::Duration median) {
   const core::ReplicaId& id = run.replica->record.id;
   const core::Duration in_gaps =
@@ -259,6 +287,7 @@
   }
   if (now - run.last_event > patience) {
     run.replica->suspect(now, settings_.suspicion);
+    run.fell_silent = true;
     return fmt::format("silent for {:.0f} ms", core::to_seconds(now - run.last_event) * 1000);
   }
   ReplicaLoad load;
@@ -279,7 +308,8 @@
     const bool is_here = load.id == run.replica->record.id;
     load.closed |= is_here || is_slow(load, median, settings_.placement);
   }
-  return place_item(elsewhere, std::nullopt, settings_.placement).has_value();
+  const std::set<core::ReplicaId>& excluded = run.job->items[run.item].failed_at;
+  return place_item(elsewhere, std::nullopt, excluded, settings_.placement).has_value();
 }
 
 void ItemDispatcher::move_stragglers() {
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -78,6 +78,7 @@
     core::MonotonicTime last_event;
     std::uint64_t events_made = 0;  ///< in this run
     std::string move_reason;        ///< set when it is cut to go on elsewhere
+    bool fell_silent = false;       ///< that was the reason
     boost::asio::cancellation_signal cut;
   };
   using RunPointer = std::shared_ptr<Run>;
@@ -99,11 +100,12 @@
                                                RunPointer run);
   void on_event(Run& run);
   void on_end(const RunPointer& run, const AttemptEnd& end);
+  static bool has_failed_too_often(const ItemProgress& item, std::uint32_t most_attempts);
   void requeue(const RunPointer& run, const AttemptEnd& end);
   void note_replica(const Run& run, const AttemptEnd& end);
   core::Duration median_gap(core::MonotonicTime now) const;
   /// \return why \p run should go on elsewhere; empty when it should not.
-  std::string reason_to_move(const Run& run, core::MonotonicTime now, core::Duration median);
+  std::string reason_to_move(Run& run, core::MonotonicTime now, core::Duration median);
   bool has_better_place(const Run& run, core::MonotonicTime now, core::Duration median);
 
   ItemDispatcherInputs inputs_;
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,7 @@
   ItemState state = ItemState::kQueued;
   ItemText text;
   std::uint32_t failed_answers = 0;      ///< a replica ran it and failed
+  std::set<core::ReplicaId> failed_at;   ///< replicas that did
   std::uint32_t impossible_answers = 0;  ///< a replica says it can never be done
   core::MonotonicTime not_before{};      ///< when it may be placed again
 };
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -36,14 +36,19 @@
 
 std::optional<std::size_t> place_item(const std::vector<ReplicaLoad>& loads,
                                       const std::optional<core::ReplicaId>& preferred,
+                                      const std::set<core::ReplicaId>& excluded,
                                       const PlacementSettings& settings) {
+  const bool all_excluded = std::all_of(loads.begin(), loads.end(), [&](const ReplicaLoad& load) {
+    return excluded.contains(load.id);
+  });
   const core::Duration median = median_event_gap(loads);
   std::optional<std::size_t> best;
   std::optional<std::size_t> home;
   double best_cost = 0;
   for (std::size_t index = 0; index < loads.size(); ++index) {
     const ReplicaLoad& load = loads[index];
-    if (!has_room(load)) {
+    const bool is_excluded = !all_excluded && excluded.contains(load.id);
+    if (is_excluded || !has_room(load)) {
       continue;
     }
     const bool slow = is_slow(load, median, settings);
--- a/src/jobs/placement.hpp
+++ b/src/jobs/placement.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/identifiers.hpp"
@@ -37,9 +38,11 @@
 bool is_slow(const ReplicaLoad& load, core::Duration median, const PlacementSettings& settings);
 
 /// \param preferred the replica that has the prompt of the item's group, if any
+/// \param excluded replicas that have failed the item; used only when all of \p loads have
 /// \return an index into \p loads; nothing when all are full or closed.
 std::optional<std::size_t> place_item(const std::vector<ReplicaLoad>& loads,
                                       const std::optional<core::ReplicaId>& preferred,
+                                      const std::set<core::ReplicaId>& excluded,
                                       const PlacementSettings& settings);
 
 }  // namespace stoneport::jobs
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -9,6 +9,9 @@
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kServerError = 500;
 constexpr std::uint32_t kUnknownLimit = 1000;
+/// Answers of failure after which a call is given up, in the attempts of its route: a
+/// replica may fail whatever it runs.
+constexpr std::uint32_t kMostRoundsOfFailures = 2;
 }  // namespace
 
 Scorer::Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
@@ -94,7 +97,7 @@
     if (made.ran_and_failed) {
       failed_answers_.Increment();
       ++failures;
-      if (failures >= made.most_failures) {
+      if (failures >= made.most_failures * kMostRoundsOfFailures) {
         score.end = ScoreEnd::kFailed;
         co_return score;
       }
--- a/src/jobs/text_attempt.cpp
+++ b/src/jobs/text_attempt.cpp
@@ -14,6 +14,7 @@
   end.reason = failure.reason;
   end.retry_after = failure.retry_after;
   end.unreachable = failure.unreachable;
+  end.stale_connection = failure.stale_connection;
   switch (failure.kind) {
     case ports::CallFailureKind::kNotRun:
       end.kind = AttemptEndKind::kNotRun;
--- a/src/jobs/text_attempt.hpp
+++ b/src/jobs/text_attempt.hpp
@@ -34,6 +34,7 @@
   std::string reason;
   std::optional<core::Duration> retry_after = std::nullopt;
   bool unreachable = false;
+  bool stale_connection = false;  ///< a kept connection ended before an answer
   std::optional<core::WeightVersion> version = std::nullopt;  ///< last one told
 };
 
--- a/src/ports/replica_client.hpp
+++ b/src/ports/replica_client.hpp
@@ -45,6 +45,8 @@
   std::string reason;
   std::optional<core::Duration> retry_after = std::nullopt;
   bool unreachable = false;  ///< no connection, or silence
+  /// A kept connection ended before an answer: it says nothing of the replica's health.
+  bool stale_connection = false;
 };
 
 [[noreturn]] inline void throw_exception_from_error(const CallFailure& failure,
--- a/tests/unit/jobs/coordinator_test.cpp
+++ b/tests/unit/jobs/coordinator_test.cpp
@@ -222,6 +222,8 @@
         {"cuts", [](World& world) { world.replicas.replicas["m0"].cut_after = 2; }},
         {"refusals", [](World& world) { world.replicas.replicas["m1"].refuse = 3; }},
         {"a failed answer", [](World& world) { world.replicas.replicas["m1"].fail = 1; }},
+        {"a replica that fails whatever it runs",
+         [](World& world) { world.replicas.replicas["m1"].fail = 1000; }},
         {"an address given away", [](World& world) { world.replicas.replicas["m2"].gone = true; }},
         {"scores fail at first", [](World& world) { world.replicas.replicas["r0"].fail = 2; }},
         {"scores are refused", [](World& world) { world.replicas.replicas["r0"].refuse = 5; }},
