--- a/src/ingress/route_table.hpp
+++ b/src/ingress/route_table.hpp
@@ -37,6 +37,7 @@
   core::Duration timeout{};          ///< longest time a request is held
   core::Duration target_latency{};   ///< within which an answer earns its full credit
   std::uint32_t most_attempts = 1;   ///< replicas that one request may be sent to
+  std::uint32_t priority = 0;        ///< 0 is served first
   std::vector<RouteTarget> targets;  ///< never empty
   core::Duration run_deadline{};     ///< rollout: all results are due after that
   core::Duration queue_limit{};      ///< rollout: an item may be given up after that
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -50,7 +50,7 @@
   const core::MonotonicTime now = inputs_.time.now();
   std::stable_sort(jobs.begin(), jobs.end(),
                    [](const OpenJobPointer& left, const OpenJobPointer& right) {
-                     return left->entry.accepted_at < right->entry.accepted_at;
+                     return is_placed_before(*left, *right);
                    });
   for (const OpenJobPointer& job : jobs) {
     if (job->route != nullptr) {
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -57,7 +57,7 @@
   ItemDispatcher(ItemDispatcherInputs inputs, Listener listener, ItemDispatcherSettings settings);
   ~ItemDispatcher();
 
-  /// Places what is queued, the oldest job first.
+  /// Places what is queued, in order of the routes' priorities, then the oldest job first.
   void dispatch(std::vector<OpenJobPointer> jobs);
   /// To be called every 100 ms or so.
   void move_stragglers();
--- a/src/jobs/open_job.cpp
+++ b/src/jobs/open_job.cpp
@@ -1,8 +1,10 @@
 #include "jobs/open_job.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <numeric>
 #include <set>
+#include <tuple>
 
 namespace stoneport::jobs {
 
@@ -50,6 +52,14 @@
   return {distinct.begin(), distinct.end()};
 }
 
+bool is_placed_before(const OpenJob& left, const OpenJob& right) {
+  const auto rank = [](const OpenJob& job) {
+    const std::uint32_t lowest = std::numeric_limits<std::uint32_t>::max();
+    return std::tuple(job.route != nullptr ? job.route->priority : lowest, job.entry.accepted_at);
+  };
+  return rank(left) < rank(right);
+}
+
 void OpenJob::make_start_order() {
   start_order.resize(items.size());
   std::iota(start_order.begin(), start_order.end(), std::size_t{0});
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -64,4 +64,8 @@
 };
 using OpenJobPointer = std::shared_ptr<OpenJob>;
 
+/// \return whether the items of \p left are placed before those of \p right: the route of
+/// higher rank first, then the older job. Jobs without a route come last.
+bool is_placed_before(const OpenJob& left, const OpenJob& right);
+
 }  // namespace stoneport::jobs
