--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(an_accepted_job_outlives_every_process);
   CPPUNIT_TEST(the_coordinator_is_replaced);
   CPPUNIT_TEST(a_store_that_falls_silent_loses_nothing);
+  CPPUNIT_TEST(a_store_that_refuses_the_coordinator_alone);
   CPPUNIT_TEST(an_ended_job_runs_no_more);
   CPPUNIT_TEST(a_planned_stop_drops_nothing);
   CPPUNIT_TEST_SUITE_END();
@@ -348,6 +349,29 @@
     checked_results(platform, 1, "lossy");
   }
 
+  /// The store may refuse or throttle one machine while it serves the others.
+  void a_store_that_refuses_the_coordinator_alone() {
+    for (const unsigned status : {503u, 429u}) {
+      PlatformStandIn platform;
+      std::optional<std::size_t> refused;
+      wait_until("somebody coordinates", [&] { return platform.coordinator().has_value(); });
+      refused = platform.coordinator();
+      const std::size_t other = (*refused + 1) % 3;
+      platform.refuse_at_store(*refused, status);
+      const HttpAnswer accepted = platform.submit(other, "job-refused", 12);
+      CPPUNIT_ASSERT_EQUAL(202u, accepted.status);
+      CPPUNIT_ASSERT(platform.wait_whole(other, "job-refused", 12));
+      CPPUNIT_ASSERT(platform.coordinator() != refused);
+      checked_results(platform, other, "job-refused");
+      // The refused process cannot tell, so it says neither 404 nor an empty list.
+      CPPUNIT_ASSERT_EQUAL(503u, platform.read(*refused, "job-refused", 0).status);
+      platform.refuse_at_store(*refused, 0);
+      wait_until("it reads again",
+                 [&] { return platform.read(*refused, "job-refused", 0).status == 200; });
+      checked_results(platform, *refused, "job-refused");
+    }
+  }
+
   void an_ended_job_runs_no_more() {
     PlatformStandIn platform;
     platform.on_loop([&] {
--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -19,6 +19,7 @@
 
 constexpr std::uint16_t kFirstPort = 21000;
 constexpr std::uint16_t kStorePort = 20900;
+constexpr std::uint16_t kFirstDoorPort = 20800;
 constexpr std::uint16_t kInternalPort = 21100;
 constexpr core::Duration kBeat = std::chrono::milliseconds(300);
 constexpr core::Duration kSilence = std::chrono::seconds(30);
@@ -115,6 +116,18 @@
   co_await response.send(std::move(answer));
 }
 
+asio::awaitable<void> StoreDoor::handle(const http::RequestHead& request, http::BodySource& body,
+                                        http::ResponseWriter& response) {
+  if (refusal == 0) {
+    co_await store_.handle(request, body, response);
+    co_return;
+  }
+  const core::Result<std::string> whole = co_await http::read_whole(body, 4u << 20);
+  if (whole) {
+    co_await response.send(http::json_response(refusal, "{}"));
+  }
+}
+
 asio::awaitable<http::Response> StandInStore::transact(const std::string& body) {
   const nlohmann::json call = nlohmann::json::parse(body, nullptr, false);
   if (call.is_discarded()) {
@@ -175,7 +188,6 @@
   loop_.run();
   on_loop([this] {
     store_ = std::make_unique<StandInStore>(loop_.executor(), metrics_);
-    store_->listen({prefix_ + "1", kStorePort}).value();
     for (std::size_t index = 0; index < options_.models; ++index) {
       add_replica("model-" + std::to_string(index), "models", true);
     }
@@ -183,7 +195,10 @@
       add_replica("plain-" + std::to_string(index), "plain", false);
     }
     for (std::size_t process = 0; process < options_.processes; ++process) {
-      relays_.push_back(emulator::make_tcp_relay(loop_.executor(), {prefix_ + "1", kStorePort}));
+      const core::Address door{prefix_ + "1", static_cast<std::uint16_t>(kFirstDoorPort + process)};
+      doors_.push_back(std::make_unique<StoreDoor>(loop_.executor(), *store_, metrics_));
+      doors_.back()->listen(door).value();
+      relays_.push_back(emulator::make_tcp_relay(loop_.executor(), door));
       relays_.back()
           ->listen({prefix_ + "1", static_cast<std::uint16_t>(kStorePort + 1 + process)})
           .value();
@@ -301,6 +316,10 @@
   return std::nullopt;
 }
 
+void PlatformStandIn::refuse_at_store(std::size_t process, unsigned status) {
+  on_loop([&] { doors_[process]->refusal = status; });
+}
+
 void PlatformStandIn::set_link(std::size_t process, const emulator::RelaySwitches& switches) {
   on_loop([&] { relays_[process]->set(switches); });
 }
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -49,6 +49,22 @@
   http::Server server_;
 };
 
+/// The way of one process to the store, which may turn that process away alone.
+class StoreDoor : public http::RequestHandler {
+ public:
+  StoreDoor(boost::asio::any_io_executor executor, StandInStore& store, core::Metrics& metrics)
+      : store_(store), server_(executor, "store door", http::ServerLimits(), *this, metrics) {}
+  core::Result<void> listen(const core::Address& address) { return server_.listen(address); }
+  boost::asio::awaitable<void> handle(const http::RequestHead& request, http::BodySource& body,
+                                      http::ResponseWriter& response) override;
+
+  unsigned refusal = 0;  ///< status of every answer, 503 or 429; 0 when it serves
+
+ private:
+  StandInStore& store_;
+  http::Server server_;
+};
+
 class PlatformStandIn {
  public:
   struct Options {
@@ -85,6 +101,8 @@
   /// \return the process that holds the coordinator's term; nothing when none does.
   std::optional<std::size_t> coordinator();
   void set_link(std::size_t process, const emulator::RelaySwitches& switches);
+  /// The store answers that process with \p status and does nothing; 0 ends it.
+  void refuse_at_store(std::size_t process, unsigned status);
 
   /// Puts a configuration: routes "/safe/", "/once/", "/stream/", "/resume/",
   /// "/jobs/" and "/score/" of host "users.example", and \p more.
@@ -126,6 +144,7 @@
   runtime::EventLoopThread loop_{"stand-in"};
   std::unique_ptr<StandInStore> store_;
   std::map<std::string, std::unique_ptr<StandInReplica>> replicas_;
+  std::vector<std::unique_ptr<StoreDoor>> doors_;  ///< one a process
   std::vector<std::unique_ptr<emulator::Relay>> relays_;
   StandInReplica::Ledger ledger_;
   std::vector<std::unique_ptr<ChildProcess>> processes_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -56,9 +56,20 @@
   }
 }
 
+/// The store turns one process away and serves the others.
+std::string SoakFaults::strike_door(std::size_t process) {
+  const unsigned status = pick(2) == 0 ? 503 : 429;
+  platform_.refuse_at_store(process, status);
+  end_after(0.3, 4.0, [this, process] { platform_.refuse_at_store(process, 0); });
+  return "the store answers " + std::to_string(status) + " to process " + std::to_string(process);
+}
+
 std::string SoakFaults::strike_link(std::size_t process) {
   emulator::RelaySwitches switches;
-  const std::size_t kind = pick(3);
+  const std::size_t kind = pick(4);
+  if (kind == 3) {
+    return strike_door(process);
+  }
   switches.cut = kind == 0;
   switches.stalled = kind == 1;
   switches.delay = milliseconds(kind == 2 ? 40 + static_cast<int>(pick(200)) : 0);
@@ -94,7 +105,9 @@
   faults.cut_after_events = kind == 1 ? static_cast<int>(pick(6)) : -1;
   faults.cut_answers = kind == 1 ? 2 : 0;
   faults.not_run = kind == 2 ? 20 : 0;
-  faults.server_errors = kind == 3 ? 2 : 0;
+  // Two answers of failure, or all of them while the health check stays good.
+  const int errors = pick(2) == 0 ? 2 : 1000;
+  faults.server_errors = kind == 3 ? errors : 0;
   faults.lost_orders = kind == 4 ? 2 : 0;
   faults.event_gap = milliseconds(kind == 5 ? 60 : 10);
   platform_.on_loop([&] { platform_.replica(id).faults = faults; });
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -33,6 +33,7 @@
   };
   std::string strike_process(std::size_t process);
   std::string strike_link(std::size_t process);
+  std::string strike_door(std::size_t process);
   std::string strike_store();
   std::string strike_replica();
   std::string strike_all();
