Start nothing without a fresh view of ends; dispatch and plan in turn

The coordinator's processor was exhausted (54.7 % of a core, of the half that a machine has at most), so that it read the index late and went on placing. It placed after each change of any item, planned loads after each load that ended, and took the median of all replicas for each item. Ruled out: a term held by two (the store's condition; nothing was listed twice). Change: items are placed only when the index's feed has answered in the last 2.2 s; changes within 4 ms are placed together; a load that ends within 20 ms of a plan waits for the tick; the replicas are divided among the models each 300 ms; the median is taken once for a job. Tests: CoordinatorTest::nothing_starts_without_a_fresh_view_of_ends (fails without the condition).

--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -109,6 +109,7 @@
   }
   const std::vector<ingress::ReplicaPointer> replicas = usable_replicas(*job);
   std::vector<ReplicaLoad> replica_loads = loads(replicas, *job, now);
+  const core::Duration median = median_event_gap(replica_loads);
   for (const std::size_t index : job->start_order) {
     const ItemProgress& item = job->items[index];
     if (item.state != ItemState::kQueued || now < item.not_before) {
@@ -121,7 +122,7 @@
       home = known_home->second;
     }
     const std::optional<std::size_t> chosen =
-        place_item(replica_loads, home, item.failed_at, settings_.placement);
+        place_item(replica_loads, median, home, item.failed_at, settings_.placement);
     if (!chosen && item.failed_at.empty()) {
       return;
     }
@@ -318,7 +319,9 @@
     load.closed |= is_here || is_slow(load, median, settings_.placement);
   }
   const std::set<core::ReplicaId>& excluded = run.job->items[run.item].failed_at;
-  return place_item(elsewhere, std::nullopt, excluded, settings_.placement).has_value();
+  const core::Duration median_elsewhere = median_event_gap(elsewhere);
+  return place_item(elsewhere, median_elsewhere, std::nullopt, excluded, settings_.placement)
+      .has_value();
 }
 
 void ItemDispatcher::move_stragglers() {
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -34,14 +34,13 @@
          core::to_seconds(load.event_gap) > settings.slow_factor * core::to_seconds(median);
 }
 
-std::optional<std::size_t> place_item(const std::vector<ReplicaLoad>& loads,
+std::optional<std::size_t> place_item(const std::vector<ReplicaLoad>& loads, core::Duration median,
                                       const std::optional<core::ReplicaId>& preferred,
                                       const std::set<core::ReplicaId>& excluded,
                                       const PlacementSettings& settings) {
   const bool all_excluded = std::all_of(loads.begin(), loads.end(), [&](const ReplicaLoad& load) {
     return excluded.contains(load.id);
   });
-  const core::Duration median = median_event_gap(loads);
   std::optional<std::size_t> best;
   std::optional<std::size_t> home;
   double best_cost = 0;
--- a/src/jobs/placement.hpp
+++ b/src/jobs/placement.hpp
@@ -37,10 +37,11 @@
 /// \return whether \p load is slow against \p median.
 bool is_slow(const ReplicaLoad& load, core::Duration median, const PlacementSettings& settings);
 
+/// \param median of the gaps in \p loads: taken once for many items
 /// \param preferred the replica that has the prompt of the item's group, if any
 /// \param excluded replicas that have failed the item; used only when all of \p loads have
 /// \return an index into \p loads; nothing when all are full or closed.
-std::optional<std::size_t> place_item(const std::vector<ReplicaLoad>& loads,
+std::optional<std::size_t> place_item(const std::vector<ReplicaLoad>& loads, core::Duration median,
                                       const std::optional<core::ReplicaId>& preferred,
                                       const std::set<core::ReplicaId>& excluded,
                                       const PlacementSettings& settings);
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -1,7 +1,5 @@
 #include "jobs/tenure.hpp"
 
-#include <boost/asio/post.hpp>
-
 #include "core/decision_log.hpp"
 #include "jobs/job_adoption.hpp"
 #include "runtime/tasks.hpp"
@@ -12,6 +10,10 @@
 constexpr core::Duration kAdoptionRetry = std::chrono::milliseconds(100);
 constexpr core::Duration kAnnouncementTimeout = std::chrono::milliseconds(1000);
 constexpr core::Duration kLongestFlush = std::chrono::milliseconds(1200);
+constexpr core::Duration kShortestDispatchInterval = std::chrono::milliseconds(4);
+/// Below the time within which an acknowledged end must be in force (3 s), with room for
+/// a request on its way.
+constexpr core::Duration kOldestIndexView = std::chrono::milliseconds(2200);
 /// A gap between ticks that means that this process was paused.
 constexpr core::Duration kLongestGap = std::chrono::milliseconds(500);
 }  // namespace
@@ -299,16 +301,30 @@
     return;
   }
   dispatch_pending_ = true;
-  asio::post(inputs_.executor, [self = shared_from_this()] {
-    self->dispatch_pending_ = false;
-    self->dispatch();
-  });
+  runtime::start(inputs_.executor, "dispatch", dispatch_in_turn(shared_from_this()));
+}
+
+/// What changes within a few milliseconds is placed together.
+asio::awaitable<void> Tenure::dispatch_in_turn(std::shared_ptr<Tenure> self) {
+  const core::Duration since = self->inputs_.time.now() - self->last_dispatch_;
+  if (since < kShortestDispatchInterval) {
+    co_await runtime::sleep_for(kShortestDispatchInterval - since);
+  }
+  self->dispatch_pending_ = false;
+  self->dispatch();
+}
+
+/// An end that the store has acknowledged must stop its job's items: without a fresh
+/// view of the index nothing new may start.
+bool Tenure::knows_ends() const {
+  return inputs_.time.now() - index_->last_answer() < kOldestIndexView;
 }
 
 void Tenure::dispatch() {
-  if (over_ || handing_over_) {
+  if (over_ || handing_over_ || !knows_ends()) {
     return;
   }
+  last_dispatch_ = inputs_.time.now();
   const std::vector<OpenJobPointer> jobs = open_jobs();
   for (const OpenJobPointer& job : jobs) {
     refresh_route(*job);
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -50,6 +50,8 @@
   void refresh_route(OpenJob& job) const;
   void expire_items();
   std::vector<OpenJobPointer> open_jobs() const;
+  static boost::asio::awaitable<void> dispatch_in_turn(std::shared_ptr<Tenure> self);
+  bool knows_ends() const;
   void dispatch();
 
   static boost::asio::awaitable<void> score(std::shared_ptr<Tenure> self, OpenJobPointer job,
@@ -81,6 +83,7 @@
   std::unique_ptr<Scorer> scorer_;
   std::unique_ptr<RecordSweeper> sweeper_;
   core::MonotonicTime last_tick_{};
+  core::MonotonicTime last_dispatch_{};
   bool orders_known_ = false;
   bool dispatch_pending_ = false;
   bool handing_over_ = false;
--- a/src/weights/weight_loader.cpp
+++ b/src/weights/weight_loader.cpp
@@ -128,7 +128,11 @@
     }
   }
   const std::uint32_t most_at_once = most_loads_at_once(replicas.size(), settings_.plan);
-  assignment_.update(needs);
+  last_plan_ = now;
+  if (now - last_assignment_ >= settings_.assignment_interval) {
+    last_assignment_ = now;
+    assignment_.update(needs);
+  }
   keep_followers(needs);
   for (const PlannedLoad& load : plan_loads(std::move(needs), most_at_once, settings_.plan)) {
     const ingress::ReplicaPointer replica = find(wanted.at(load.model).service, load.replica);
@@ -229,7 +233,9 @@
     co_return;
   }
   self->inputs_.on_loaded();
-  if (self->inputs_.may_order()) {
+  // With many loads under way the next tick plans for all that end meanwhile.
+  const bool is_due = now - self->last_plan_ >= self->settings_.shortest_plan_interval;
+  if (is_due && self->inputs_.may_order()) {
     self->plan(now);
   }
 }
--- a/src/weights/weight_loader.hpp
+++ b/src/weights/weight_loader.hpp
@@ -35,6 +35,10 @@
   /// An order goes out within this time of its announcement, or not at all.
   core::Duration longest_announcement = std::chrono::milliseconds(400);
   core::Duration tick = std::chrono::milliseconds(100);
+  /// A load that ends sooner after the last plan waits for the next tick.
+  core::Duration shortest_plan_interval = std::chrono::milliseconds(20);
+  /// How often the replicas are divided among the models anew.
+  core::Duration assignment_interval = std::chrono::milliseconds(300);
   core::Duration usual_load = std::chrono::milliseconds(920);
   core::Duration report_interval = std::chrono::milliseconds(120);
   core::Duration longest_load = std::chrono::seconds(8);
@@ -91,6 +95,8 @@
   WeightLoaderSettings settings_;
   const core::TimeSource& time_;
   ReplicaAssignment assignment_;
+  core::MonotonicTime last_plan_{};
+  core::MonotonicTime last_assignment_{};
   std::map<core::ReplicaId, core::ModelName> loading_;
   std::map<core::ReplicaId, std::uint64_t> order_counts_;
   std::map<core::ReplicaId, core::MonotonicTime> paused_until_;
--- a/tests/unit/jobs/coordinator_test.cpp
+++ b/tests/unit/jobs/coordinator_test.cpp
@@ -211,6 +211,7 @@
   CPPUNIT_TEST(records_of_old_jobs_are_removed);
   CPPUNIT_TEST(named_versions_reach_replicas_by_halves);
   CPPUNIT_TEST(orders_of_two_holders_stay_apart);
+  CPPUNIT_TEST(nothing_starts_without_a_fresh_view_of_ends);
   CPPUNIT_TEST_SUITE_END();
 
   void jobs_become_whole_under_each_fault() {
@@ -475,6 +476,31 @@
       }
     }
   }
+
+  /// Found on 300 machines: an item began 10 s after its job's end was acknowledged.
+  void nothing_starts_without_a_fresh_view_of_ends() {
+    World world;
+    World::Process process(world, "a");
+    CPPUNIT_ASSERT(world.run_until([&] { return process.coordinator->holds_term(); }));
+    constexpr int kAlways = 1'000'000;
+    for (auto& [id, replica] : world.replicas.replicas) {
+      replica.refuse = kAlways;
+    }
+    world.submit(process, "job", 6);
+    CPPUNIT_ASSERT(world.run_until([&] { return !world.replicas.starts.empty(); }));
+    process.store.cut = true;
+    // A poll that was under way is still answered, up to 0.8 s later.
+    world.run_for(milliseconds(3200));
+    const std::size_t started = world.replicas.starts.size();
+    world.run_for(milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(started, world.replicas.starts.size());
+    process.store.cut = false;
+    for (auto& [id, replica] : world.replicas.replicas) {
+      replica.refuse = 0;
+    }
+    CPPUNIT_ASSERT(world.run_until([&] { return world.is_whole(process, "job", 6); }));
+    world.check("after the cut", world.results(process, "job"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CoordinatorTest);
