--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -9,10 +9,7 @@
 namespace stoneport::jobs {
 namespace asio = boost::asio;
 namespace {
-/// Of the newest gap in a replica's moving average.
-constexpr double kGapWeight = 0.1;
-/// Fewer events say nothing of a replica's speed.
-constexpr std::uint64_t kEventsToMeasure = 3;
+constexpr double kMillisecondsPerSecond = 1000;
 /// Answers of failure after which an item is given up, in the attempts of its route,
 /// where fewer replicas than that have failed it.
 constexpr std::uint32_t kMostRoundsOfFailures = 2;
@@ -37,7 +34,8 @@
     : inputs_(std::move(inputs)),
       listener_(std::move(listener)),
       settings_(settings),
-      meters_(std::make_unique<Meters>(inputs_.metrics)) {}
+      meters_(std::make_unique<Meters>(inputs_.metrics)),
+      speeds_(settings.speeds) {}
 
 ItemDispatcher::~ItemDispatcher() = default;
 
@@ -48,18 +46,102 @@
 
 void ItemDispatcher::dispatch(std::vector<OpenJobPointer> jobs) {
   const core::MonotonicTime now = inputs_.time.now();
-  std::stable_sort(jobs.begin(), jobs.end(),
-                   [](const OpenJobPointer& left, const OpenJobPointer& right) {
-                     return is_placed_before(*left, *right);
-                   });
+  std::map<std::uint32_t, std::vector<OpenJobPointer>> by_rank;
   for (const OpenJobPointer& job : jobs) {
-    if (job->route != nullptr) {
-      dispatch_job(job, now);
+    if (job->route != nullptr && has_work(*job, now)) {
+      by_rank[rank_of(*job)].push_back(job);
     }
   }
+  for (const auto& [rank, equals] : by_rank) {
+    std::vector<JobView> views;
+    for (const OpenJobPointer& job : equals) {
+      views.push_back(view_of(job, now));
+    }
+    place_all(std::move(views), now);
+  }
   meters_->running.Set(static_cast<double>(runs_.size()));
 }
 
+ItemDispatcher::JobView ItemDispatcher::view_of(const OpenJobPointer& job,
+                                                core::MonotonicTime now) {
+  JobView view;
+  view.job = job;
+  view.replicas = usable_replicas(*job);
+  view.loads = loads(view.replicas, *job, now);
+  view.median = median_event_gap(view.loads);
+  return view;
+}
+
+void ItemDispatcher::place_all(std::vector<JobView> views, core::MonotonicTime now) {
+  for (JobView& view : views) {
+    if (view.job->order_is_stale) {
+      view.job->make_start_order(law_of(*view.job));
+    }
+  }
+  std::erase_if(views, [&](JobView& view) { return !advance(view, now); });
+  while (!views.empty()) {
+    const auto first =
+        std::min_element(views.begin(), views.end(), [](const JobView& left, const JobView& right) {
+          return left.latest_start < right.latest_start;
+        });
+    const bool has_room = place_next(*first, views, now);
+    ++first->next;
+    if (!has_room || !advance(*first, now)) {
+      views.erase(first);
+    }
+  }
+}
+
+bool ItemDispatcher::advance(JobView& view, core::MonotonicTime now) {
+  const OpenJob& job = *view.job;
+  while (view.next < job.start_order.size()) {
+    const std::size_t index = job.start_order[view.next];
+    const ItemProgress& item = job.items[index];
+    if (item.state == ItemState::kQueued && now >= item.not_before) {
+      view.latest_start = job.latest_start(index, law_of(job), view.median);
+      return true;
+    }
+    ++view.next;
+  }
+  return false;
+}
+
+bool ItemDispatcher::place_next(JobView& view, std::vector<JobView>& views,
+                                core::MonotonicTime now) {
+  const std::size_t index = view.job->start_order[view.next];
+  const ItemProgress& item = view.job->items[index];
+  const std::string& group = view.job->job.items[index].group;
+  std::optional<core::ReplicaId> home;
+  const auto known_home = view.job->homes.find(group);
+  if (known_home != view.job->homes.end()) {
+    home = known_home->second;
+  }
+  const std::optional<std::size_t> chosen =
+      place_item(view.loads, view.median, home, item.failed_at, settings_.placement);
+  if (!chosen) {
+    // Replicas that have not failed it may have room for the others.
+    return !item.failed_at.empty();
+  }
+  const core::ReplicaId replica = view.loads[*chosen].id;
+  view.job->homes[group] = replica;
+  begin_run(view.job, index, view.replicas[*chosen]);
+  for (JobView& other : views) {
+    count_text(other, replica, now);
+  }
+  return true;
+}
+
+/// One text more runs on \p replica.
+void ItemDispatcher::count_text(JobView& view, const core::ReplicaId& replica,
+                                core::MonotonicTime now) const {
+  for (ReplicaLoad& load : view.loads) {
+    if (load.id == replica) {
+      ++load.running;
+      load.event_gap = speeds_.event_gap(load.id, {load.running + 1, load.slots}, now);
+    }
+  }
+}
+
 std::vector<ingress::ReplicaPointer> ItemDispatcher::usable_replicas(const OpenJob& job) const {
   std::vector<ingress::ReplicaPointer> usable;
   for (const ingress::RouteTarget& target : job.route->targets) {
@@ -81,14 +163,11 @@
   const bool avoids_ejected = ingress::should_avoid_ejected(replicas, now);
   for (const ingress::ReplicaPointer& replica : replicas) {
     ReplicaWork& work = work_[replica->record.id];
-    if (now - work.last_event > settings_.speed_memory) {
-      work.event_gap = core::Duration(0);
-    }
     ReplicaLoad load;
     load.id = replica->record.id;
     load.running = work.running;
     load.slots = replica->record.slots;
-    load.event_gap = work.event_gap;
+    load.event_gap = speeds_.event_gap(load.id, {load.running + 1, load.slots}, now);
     const bool is_ejected = avoids_ejected && replica->outliers.is_ejected(now);
     load.closed = now < work.closed_until || replica->is_suspect(now) || is_ejected ||
                   inputs_.is_loading(load.id, job.job.model);
@@ -103,38 +182,6 @@
   });
 }
 
-void ItemDispatcher::dispatch_job(const OpenJobPointer& job, core::MonotonicTime now) {
-  if (!has_work(*job, now)) {
-    return;
-  }
-  const std::vector<ingress::ReplicaPointer> replicas = usable_replicas(*job);
-  std::vector<ReplicaLoad> replica_loads = loads(replicas, *job, now);
-  const core::Duration median = median_event_gap(replica_loads);
-  for (const std::size_t index : job->start_order) {
-    const ItemProgress& item = job->items[index];
-    if (item.state != ItemState::kQueued || now < item.not_before) {
-      continue;
-    }
-    const std::string& group = job->job.items[index].group;
-    std::optional<core::ReplicaId> home;
-    const auto known_home = job->homes.find(group);
-    if (known_home != job->homes.end()) {
-      home = known_home->second;
-    }
-    const std::optional<std::size_t> chosen =
-        place_item(replica_loads, median, home, item.failed_at, settings_.placement);
-    if (!chosen && item.failed_at.empty()) {
-      return;
-    }
-    if (!chosen) {
-      continue;  // only replicas that have failed it have room
-    }
-    ++replica_loads[*chosen].running;
-    job->homes[group] = replica_loads[*chosen].id;
-    begin_run(job, index, replicas[*chosen]);
-  }
-}
-
 ports::ReplicaCall ItemDispatcher::item_call(const OpenJob& job, const JobItem& item) const {
   ports::ReplicaCall call;
   call.request_id = item.id;
@@ -154,7 +201,8 @@
   run->job = job;
   run->item = item;
   run->replica = std::move(replica);
-  run->last_event = inputs_.time.now();
+  run->began = inputs_.time.now();
+  run->last_event = run->began;
   job->items[item].state = ItemState::kRunning;
   ++work_[run->replica->record.id].running;
   runs_.push_back(run);
@@ -187,17 +235,13 @@
 
 void ItemDispatcher::on_event(Run& run) {
   const core::MonotonicTime now = inputs_.time.now();
-  ReplicaWork& work = work_[run.replica->record.id];
-  const core::Duration gap = now - run.last_event;
-  if (run.events_made > 0 && work.event_gap == core::Duration(0)) {
-    work.event_gap = gap;
-  } else if (run.events_made > 0) {
-    const double change = core::to_seconds(gap - work.event_gap) * kGapWeight;
-    work.event_gap += core::from_seconds(change);
+  const ingress::ReplicaRecord& replica = run.replica->record;
+  if (run.events_made > 0) {
+    const Occupancy taken{work_[replica.id].running, replica.slots};
+    speeds_.note_event(replica.id, taken, now - run.last_event, now);
   }
   ++run.events_made;
   run.last_event = now;
-  work.last_event = now;
 }
 
 void ItemDispatcher::on_end(const RunPointer& run, const AttemptEnd& end) {
@@ -213,7 +257,7 @@
   if (end.kind == AttemptEndKind::kWhole) {
     meters_->whole.Increment();
     run->replica->outliers.note_success();
-    run->job->items[run->item].state = ItemState::kScoring;
+    note_whole(*run);
     listener_.on_whole(run->job, run->item);
   } else {
     requeue(run, end);
@@ -221,6 +265,14 @@
   listener_.on_change();
 }
 
+void ItemDispatcher::note_whole(const Run& run) {
+  ItemProgress& item = run.job->items[run.item];
+  item.state = ItemState::kScoring;
+  item.made_at = MadeAt{run.replica->record.id, inputs_.time.now() - run.began, run.events_made};
+  laws_[run.job->job.model].note_whole(run.job->job.items[run.item].expected_tokens,
+                                       item.text.events.size());
+}
+
 /// Keeps a replica that did not do its part from the next texts for a while.
 void ItemDispatcher::note_replica(const Run& run, const AttemptEnd& end) {
   const core::MonotonicTime now = inputs_.time.now();
@@ -259,6 +311,7 @@
        {"events", item.text.events.size()},
        {"reason", run->move_reason.empty() ? end.reason : run->move_reason}});
   item.state = ItemState::kQueued;
+  run->job->order_is_stale = true;
   run->job->homes.erase(described.group);
   note_replica(*run, end);
   if (end.kind == AttemptEndKind::kUnfit) {
@@ -278,70 +331,148 @@
 core::Duration ItemDispatcher::median_gap(core::MonotonicTime now) const {
   std::vector<ReplicaLoad> all;
   for (const auto& [id, work] : work_) {
-    const bool is_fresh = now - work.last_event <= settings_.speed_memory;
     ReplicaLoad load;
-    load.event_gap = is_fresh ? work.event_gap : core::Duration(0);
+    load.event_gap = speeds_.event_gap(id, {}, now);
     all.push_back(load);
   }
   return median_event_gap(all);
 }
 
-std::string ItemDispatcher::reason_to_move(Run& run, core::MonotonicTime now,
-                                           core::Duration median) {
+std::map<OpenJob*, ItemDispatcher::JobView> ItemDispatcher::views_of_runs(core::MonotonicTime now) {
+  std::map<OpenJob*, JobView> views;
+  for (const RunPointer& run : runs_) {
+    const bool is_known = run->job->over || views.contains(run->job.get());
+    if (!is_known) {
+      views.emplace(run->job.get(), view_of(run->job, now));
+    }
+  }
+  return views;
+}
+
+/// \return a replica of \p view with room that is not the one \p run is on.
+std::optional<std::size_t> ItemDispatcher::place_elsewhere(const Run& run, const JobView& view,
+                                                           const PlacementSettings& settings) {
+  std::vector<ReplicaLoad> elsewhere = view.loads;
+  for (ReplicaLoad& load : elsewhere) {
+    load.closed |= load.id == run.replica->record.id;
+  }
+  const std::set<core::ReplicaId>& excluded = run.job->items[run.item].failed_at;
+  return place_item(elsewhere, view.median, std::nullopt, excluded, settings);
+}
+
+void ItemDispatcher::move(Run& run, std::string reason) {
+  run.move_reason = std::move(reason);
+  meters_->moved.Increment();
+  run.cut.emit(asio::cancellation_type::terminal);
+}
+
+bool ItemDispatcher::is_silent(Run& run, core::MonotonicTime now, core::Duration usual_gap) {
   const core::ReplicaId& id = run.replica->record.id;
   const core::Duration in_gaps =
-      core::from_seconds(core::to_seconds(median) * settings_.silence_in_gaps);
+      core::from_seconds(core::to_seconds(usual_gap) * settings_.silence_in_gaps);
   core::Duration patience = std::max(settings_.shortest_silence, in_gaps);
   if (inputs_.is_loading(id, run.job->job.model)) {
     patience = std::max(patience, settings_.loading_silence);
   }
-  if (now - run.last_event > patience) {
-    run.replica->suspect(now, settings_.suspicion);
-    run.fell_silent = true;
-    return fmt::format("silent for {:.0f} ms", core::to_seconds(now - run.last_event) * 1000);
+  if (now - run.last_event <= patience) {
+    return false;
   }
-  ReplicaLoad load;
-  load.event_gap = work_[id].event_gap;
-  if (run.events_made < kEventsToMeasure || !is_slow(load, median, settings_.placement)) {
-    return "";
+  run.replica->suspect(now, settings_.suspicion);
+  run.fell_silent = true;
+  return true;
+}
+
+/// A move must not end in a queue.
+void ItemDispatcher::move_silent(core::MonotonicTime now) {
+  const core::Duration usual_gap = median_gap(now);
+  const std::list<RunPointer> runs = runs_;
+  for (const RunPointer& run : runs) {
+    const bool may_move = run->move_reason.empty() && !run->job->over;
+    if (!may_move || !is_silent(*run, now, usual_gap)) {
+      continue;
+    }
+    const JobView view = view_of(run->job, now);
+    if (place_elsewhere(*run, view, settings_.placement)) {
+      move(*run, fmt::format("silent for {:.0f} ms",
+                             core::to_seconds(now - run->last_event) * kMillisecondsPerSecond));
+    }
   }
-  return fmt::format("slow: {:.0f} ms an event against {:.0f}",
-                     core::to_seconds(load.event_gap) * 1000, core::to_seconds(median) * 1000);
 }
 
-/// A move must not end in a queue, or on a replica that is as slow.
-bool ItemDispatcher::has_better_place(const Run& run, core::MonotonicTime now,
-                                      core::Duration median) {
-  const std::vector<ingress::ReplicaPointer> replicas = usable_replicas(*run.job);
-  std::vector<ReplicaLoad> elsewhere = loads(replicas, *run.job, now);
-  for (ReplicaLoad& load : elsewhere) {
-    const bool is_here = load.id == run.replica->record.id;
-    load.closed |= is_here || is_slow(load, median, settings_.placement);
+std::optional<ItemDispatcher::Move> ItemDispatcher::best_move(const RunPointer& run,
+                                                              const JobView& view,
+                                                              core::MonotonicTime now) {
+  const ItemProgress& item = run->job->items[run->item];
+  const bool may_move = run->move_reason.empty() &&
+                        run->events_made >= settings_.moves.fewest_events &&
+                        item.speed_moves < settings_.moves.most_of_a_text;
+  const ingress::ReplicaRecord& replica = run->replica->record;
+  const auto work = work_.find(replica.id);
+  if (!may_move || work == work_.end()) {
+    return std::nullopt;
   }
-  const std::set<core::ReplicaId>& excluded = run.job->items[run.item].failed_at;
-  const core::Duration median_elsewhere = median_event_gap(elsewhere);
-  return place_item(elsewhere, median_elsewhere, std::nullopt, excluded, settings_.placement)
-      .has_value();
+  Move move;
+  move.run = run;
+  move.here = speeds_.event_gap(replica.id, {work->second.running, replica.slots}, now);
+  const core::Duration fastest = fastest_gap_with_room(view.loads);
+  const LengthLaw& law = law_of(*run->job);
+  if (fastest >= move.here || !law.is_known()) {
+    return std::nullopt;  // most texts end here; what follows costs more
+  }
+  const double rest = law.expected_rest(run->job->evidence_of(run->item));
+  if (!gain_of_move(rest, move.here, fastest, settings_.moves)) {
+    return std::nullopt;
+  }
+  const std::optional<std::size_t> place = place_elsewhere(*run, view, settings_.placement);
+  if (!place) {
+    return std::nullopt;
+  }
+  move.there = view.loads[*place].event_gap;
+  const std::optional<core::Duration> gain =
+      gain_of_move(rest, move.here, move.there, settings_.moves);
+  if (!gain) {
+    return std::nullopt;
+  }
+  move.gain = *gain;
+  return move;
 }
 
-void ItemDispatcher::move_stragglers() {
-  const core::MonotonicTime now = inputs_.time.now();
-  const core::Duration median = median_gap(now);
-  const std::list<RunPointer> runs = runs_;
-  for (const RunPointer& run : runs) {
-    if (!run->move_reason.empty() || run->job->over) {
-      continue;
+void ItemDispatcher::move_to_faster(core::MonotonicTime now) {
+  std::map<OpenJob*, JobView> views = views_of_runs(now);
+  for (std::uint32_t moved = 0; moved < settings_.moves.most_at_once; ++moved) {
+    std::optional<Move> best;
+    for (const RunPointer& run : runs_) {
+      const auto view = views.find(run->job.get());
+      if (view == views.end()) {
+        continue;
+      }
+      std::optional<Move> next = best_move(run, view->second, now);
+      if (next && (!best || next->gain > best->gain)) {
+        best = std::move(next);
+      }
     }
-    std::string reason = reason_to_move(*run, now, median);
-    if (reason.empty() || !has_better_place(*run, now, median)) {
-      continue;
+    if (!best) {
+      return;
+    }
+    const std::size_t place =
+        *place_elsewhere(*best->run, views.at(best->run->job.get()), settings_.placement);
+    const core::ReplicaId there = views.at(best->run->job.get()).loads[place].id;
+    for (auto& [job, view] : views) {
+      count_text(view, there, now);
     }
-    run->move_reason = std::move(reason);
-    meters_->moved.Increment();
-    run->cut.emit(asio::cancellation_type::terminal);
+    ++best->run->job->items[best->run->item].speed_moves;
+    move(*best->run, fmt::format("slower: {:.0f} ms an event against {:.0f}",
+                                 core::to_seconds(best->here) * kMillisecondsPerSecond,
+                                 core::to_seconds(best->there) * kMillisecondsPerSecond));
   }
 }
 
+void ItemDispatcher::move_stragglers() {
+  const core::MonotonicTime now = inputs_.time.now();
+  move_silent(now);
+  move_to_faster(now);
+}
+
 void ItemDispatcher::forget_silence() {
   const core::MonotonicTime now = inputs_.time.now();
   for (const RunPointer& run : runs_) {
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -14,12 +14,15 @@
 #include "ingress/replica_directory.hpp"
 #include "jobs/open_job.hpp"
 #include "jobs/placement.hpp"
+#include "jobs/replica_speeds.hpp"
 #include "jobs/text_attempt.hpp"
 
 namespace stoneport::jobs {
 
 struct ItemDispatcherSettings {
   PlacementSettings placement;
+  MoveSettings moves;
+  ReplicaSpeedSettings speeds;
   /// A text that gets no event for this long is moved; at least, and in event gaps.
   core::Duration shortest_silence = std::chrono::milliseconds(450);
   double silence_in_gaps = 8;
@@ -28,8 +31,6 @@
   /// How long a silent or unreachable replica gets no work.
   core::Duration suspicion = std::chrono::milliseconds(1500);
   core::Duration refusal_pause = std::chrono::milliseconds(60);
-  /// A replica's measured speed is forgotten after this time without an event.
-  core::Duration speed_memory = std::chrono::milliseconds(2500);
 };
 
 /// What the dispatcher works with; all outlive it.
@@ -57,7 +58,8 @@
   ItemDispatcher(ItemDispatcherInputs inputs, Listener listener, ItemDispatcherSettings settings);
   ~ItemDispatcher();
 
-  /// Places what is queued, in order of the routes' priorities, then the oldest job first.
+  /// Places what is queued, in order of the routes' priorities; all jobs of one priority
+  /// are one queue, in order of the latest time at which their texts should begin.
   void dispatch(std::vector<OpenJobPointer> jobs);
   /// To be called every 100 ms or so.
   void move_stragglers();
@@ -76,6 +78,7 @@
     std::size_t item = 0;
     ingress::ReplicaPointer replica;
     core::MonotonicTime last_event;
+    core::MonotonicTime began;
     std::uint64_t events_made = 0;  ///< in this run
     std::string move_reason;        ///< set when it is cut to go on elsewhere
     bool fell_silent = false;       ///< that was the reason
@@ -85,13 +88,36 @@
   /// What has been seen of one replica.
   struct ReplicaWork {
     std::uint32_t running = 0;
-    core::Duration event_gap{};  ///< moving average; zero when not known
-    core::MonotonicTime last_event{};
     core::MonotonicTime closed_until{};  ///< refused a text lately
   };
 
+  /// A job and the replicas that may make its texts, as of one look at them.
+  struct JobView {
+    OpenJobPointer job;
+    std::vector<ingress::ReplicaPointer> replicas;
+    std::vector<ReplicaLoad> loads;  ///< of replicas
+    core::Duration median{};         ///< of the loads' gaps
+    std::size_t next = 0;            ///< into the job's start order
+    core::Duration latest_start{};   ///< of the item at next
+  };
+  /// A text that would be whole sooner elsewhere.
+  struct Move {
+    RunPointer run;
+    core::Duration gain{};
+    core::Duration here{};
+    core::Duration there{};
+  };
+
   static bool has_work(const OpenJob& job, core::MonotonicTime now);
-  void dispatch_job(const OpenJobPointer& job, core::MonotonicTime now);
+  JobView view_of(const OpenJobPointer& job, core::MonotonicTime now);
+  /// Places the queued items of \p views, which have one priority.
+  void place_all(std::vector<JobView> views, core::MonotonicTime now);
+  /// Goes on to the next item of \p view that waits. \return false when there is none.
+  bool advance(JobView& view, core::MonotonicTime now);
+  /// \return false when no replica has room for any item of \p view.
+  bool place_next(JobView& view, std::vector<JobView>& views, core::MonotonicTime now);
+  void count_text(JobView& view, const core::ReplicaId& replica, core::MonotonicTime now) const;
+  const LengthLaw& law_of(const OpenJob& job) { return laws_[job.job.model]; }
   std::vector<ingress::ReplicaPointer> usable_replicas(const OpenJob& job) const;
   std::vector<ReplicaLoad> loads(const std::vector<ingress::ReplicaPointer>& replicas,
                                  const OpenJob& job, core::MonotonicTime now);
@@ -101,19 +127,30 @@
                                                RunPointer run);
   void on_event(Run& run);
   void on_end(const RunPointer& run, const AttemptEnd& end);
+  void note_whole(const Run& run);
   static bool has_failed_too_often(const ItemProgress& item, std::uint32_t most_attempts);
   void requeue(const RunPointer& run, const AttemptEnd& end);
   void note_replica(const Run& run, const AttemptEnd& end);
+  void move_silent(core::MonotonicTime now);
+  bool is_silent(Run& run, core::MonotonicTime now, core::Duration usual_gap);
+  void move_to_faster(core::MonotonicTime now);
+  /// \return what \p run would gain on the best replica of \p view that has room.
+  std::optional<Move> best_move(const RunPointer& run, const JobView& view,
+                                core::MonotonicTime now);
+  static std::optional<std::size_t> place_elsewhere(const Run& run, const JobView& view,
+                                                    const PlacementSettings& settings);
+  /// One view for each job that has a run.
+  std::map<OpenJob*, JobView> views_of_runs(core::MonotonicTime now);
   core::Duration median_gap(core::MonotonicTime now) const;
-  /// \return why \p run should go on elsewhere; empty when it should not.
-  std::string reason_to_move(Run& run, core::MonotonicTime now, core::Duration median);
-  bool has_better_place(const Run& run, core::MonotonicTime now, core::Duration median);
+  void move(Run& run, std::string reason);
 
   ItemDispatcherInputs inputs_;
   Listener listener_;
   ItemDispatcherSettings settings_;
   std::unique_ptr<Meters> meters_;
   std::map<core::ReplicaId, ReplicaWork> work_;
+  ReplicaSpeeds speeds_;
+  std::map<core::ModelName, LengthLaw> laws_;
   std::list<RunPointer> runs_;
 };
 
--- a/src/jobs/job_adoption.cpp
+++ b/src/jobs/job_adoption.cpp
@@ -62,7 +62,7 @@
   open->job = std::move(*parsed);
   open->entry = std::move(entry);
   open->items.resize(open->job.items.size());
-  open->make_start_order();
+  open->order_is_stale = true;
   if (is_fresh) {
     co_return open;
   }
--- /dev/null
+++ b/src/jobs/length_law.cpp
@@ -0,0 +1,67 @@
+#include "jobs/length_law.hpp"
+
+#include <algorithm>
+#include <boost/math/distributions/normal.hpp>
+#include <cmath>
+
+namespace stoneport::jobs {
+namespace {
+
+/// Whole texts after which the law is used.
+constexpr std::uint64_t kFewestTexts = 20;
+/// Texts that the moving averages remember.
+constexpr std::uint64_t kMemory = 300;
+/// Spread of the logarithm before it is known, and the least that is believed.
+constexpr double kLeastSpread = 0.2;
+/// A text that is not whole has at least this many events to come, and at least this
+/// share of those that it has: one beyond the law's reach may go on for long.
+constexpr double kLeastRest = 1;
+constexpr double kLeastRestShare = 0.1;
+/// Above this share of the law a text is longer than the law can tell.
+constexpr double kLargestShare = 0.9995;
+
+double guess_of(std::uint64_t guess) {
+  return static_cast<double>(std::max(guess, std::uint64_t{1}));
+}
+
+}  // namespace
+
+void LengthLaw::note_whole(std::uint64_t guess, std::uint64_t events) {
+  if (events == 0) {
+    return;
+  }
+  const double ratio = std::log(static_cast<double>(events) / guess_of(guess));
+  count_ = std::min(count_ + 1, kMemory);
+  const double weight = 1.0 / static_cast<double>(count_);
+  const double off = ratio - mean_;
+  mean_ += weight * off;
+  variance_ = (1 - weight) * (variance_ + weight * off * off);
+}
+
+bool LengthLaw::is_known() const {
+  return count_ >= kFewestTexts;
+}
+
+/// \return the median length of the texts of that guess that have \p at_least events.
+double LengthLaw::median_total(const LengthEvidence& evidence, double at_least) const {
+  const double spread = std::max(std::sqrt(variance_), kLeastSpread);
+  const boost::math::normal law(std::log(guess_of(evidence.guess)) + mean_, spread);
+  const double below = at_least > 0 ? boost::math::cdf(law, std::log(at_least)) : 0;
+  const double share = std::min(below + (1 - below) / 2, kLargestShare);
+  return std::max(std::exp(boost::math::quantile(law, share)), at_least);
+}
+
+double LengthLaw::expected_rest(const LengthEvidence& evidence) const {
+  const auto made = static_cast<double>(evidence.made);
+  const auto seen = static_cast<double>(evidence.seen);
+  if (evidence.seen_whole && evidence.seen > evidence.made) {
+    return seen - made;
+  }
+  if (!is_known()) {
+    return std::max({guess_of(evidence.guess), seen, kLeastRest});
+  }
+  const double expected = median_total(evidence, std::max(made, seen)) - made;
+  return std::max({expected, made * kLeastRestShare, kLeastRest});
+}
+
+}  // namespace stoneport::jobs
--- a/src/jobs/open_job.cpp
+++ b/src/jobs/open_job.cpp
@@ -4,7 +4,6 @@
 #include <limits>
 #include <numeric>
 #include <set>
-#include <tuple>
 
 namespace stoneport::jobs {
 
@@ -52,22 +51,41 @@
   return {distinct.begin(), distinct.end()};
 }
 
-bool is_placed_before(const OpenJob& left, const OpenJob& right) {
-  const auto rank = [](const OpenJob& job) {
-    const std::uint32_t lowest = std::numeric_limits<std::uint32_t>::max();
-    return std::tuple(job.route != nullptr ? job.route->priority : lowest, job.entry.accepted_at);
-  };
-  return rank(left) < rank(right);
+std::uint32_t rank_of(const OpenJob& job) {
+  return job.route != nullptr ? job.route->priority : std::numeric_limits<std::uint32_t>::max();
 }
 
-void OpenJob::make_start_order() {
+LengthEvidence OpenJob::evidence_of(std::size_t item) const {
+  const ItemProgress& progress = items[item];
+  LengthEvidence evidence;
+  evidence.guess = job.items[item].expected_tokens;
+  evidence.made = progress.text.events.size();
+  if (progress.seen) {
+    evidence.seen = progress.seen->events;
+    evidence.seen_whole = progress.seen->whole;
+  }
+  return evidence;
+}
+
+void OpenJob::make_start_order(const LengthLaw& law) {
   start_order.resize(items.size());
   std::iota(start_order.begin(), start_order.end(), std::size_t{0});
+  std::vector<double> rest(items.size());
+  for (std::size_t index = 0; index < items.size(); ++index) {
+    rest[index] = law.expected_rest(evidence_of(index));
+  }
   // A step ends with its longest texts, so those that are likely to be long begin
   // first; the others keep the job's order, in which carried groups come first.
-  std::stable_sort(start_order.begin(), start_order.end(), [this](std::size_t a, std::size_t b) {
-    return job.items[a].expected_tokens > job.items[b].expected_tokens;
-  });
+  std::stable_sort(start_order.begin(), start_order.end(),
+                   [&rest](std::size_t a, std::size_t b) { return rest[a] > rest[b]; });
+  order_is_stale = false;
+}
+
+core::Duration OpenJob::latest_start(std::size_t item, const LengthLaw& law,
+                                     core::Duration event_gap) const {
+  const core::Duration allowed = route != nullptr ? route->run_deadline : core::Duration(0);
+  const double rest = law.expected_rest(evidence_of(item)) * core::to_seconds(event_gap);
+  return entry.accepted_at + allowed - core::from_seconds(rest);
 }
 
 }  // namespace stoneport::jobs
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -13,6 +13,8 @@
 #include "ingress/route_table.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_records.hpp"
+#include "jobs/known_lengths.hpp"
+#include "jobs/length_law.hpp"
 
 namespace stoneport::jobs {
 
@@ -40,6 +42,13 @@
   std::vector<std::uint64_t> distinct_versions() const;
 };
 
+/// Where and when a text was made whole; for the log.
+struct MadeAt {
+  core::ReplicaId replica;
+  core::Duration run{};          ///< of the last run
+  std::uint64_t run_events = 0;  ///< that the last run made
+};
+
 struct ItemProgress {
   ItemState state = ItemState::kQueued;
   ItemText text;
@@ -47,6 +56,9 @@
   std::set<core::ReplicaId> failed_at;   ///< replicas that did
   std::uint32_t impossible_answers = 0;  ///< a replica says it can never be done
   core::MonotonicTime not_before{};      ///< when it may be placed again
+  std::uint32_t speed_moves = 0;         ///< times that it went to a faster replica
+  std::optional<SeenLength> seen;        ///< of an earlier job: its group came back
+  std::optional<MadeAt> made_at;         ///< the run that made the text whole
 };
 
 struct OpenJob {
@@ -55,17 +67,24 @@
   std::shared_ptr<const ingress::RouteTable> table;  ///< owns the route
   const ingress::Route* route = nullptr;             ///< last one known
   std::vector<ItemProgress> items;                   ///< as in job.items
-  std::vector<std::size_t> start_order;              ///< indexes into items
+  std::vector<std::size_t> start_order;              ///< indexes into items, longest rest first
+  bool order_is_stale = false;                       ///< an item was queued again
   std::map<std::string, core::ReplicaId> homes;      ///< by group: where its prompt was read
   std::uint64_t listed = 0;                          ///< results in the store
   bool over = false;                                 ///< ended, whole or left to another process
 
-  void make_start_order();
+  /// \return what is known of the length of \p item.
+  LengthEvidence evidence_of(std::size_t item) const;
+  /// Puts the items that are queued in order by what \p law expects of them.
+  void make_start_order(const LengthLaw& law);
+  /// \return the time by which the text of \p item should have begun, by the store's clock:
+  /// what is expected of it takes until its job is due.
+  core::Duration latest_start(std::size_t item, const LengthLaw& law,
+                              core::Duration event_gap) const;
 };
 using OpenJobPointer = std::shared_ptr<OpenJob>;
 
-/// \return whether the items of \p left are placed before those of \p right: the route of
-/// higher rank first, then the older job. Jobs without a route come last.
-bool is_placed_before(const OpenJob& left, const OpenJob& right);
+/// \return the rank of the job's route, 0 first; the lowest one without a route.
+std::uint32_t rank_of(const OpenJob& job);
 
 }  // namespace stoneport::jobs
--- a/src/jobs/placement.cpp
+++ b/src/jobs/placement.cpp
@@ -5,8 +5,20 @@
 namespace stoneport::jobs {
 namespace {
 
-/// A slow replica is used only when every other one is nearly full.
-constexpr double kSlowPenalty = 4;
+/// What a text pays on a replica: first the time between its events, then the crowd.
+struct Cost {
+  double gap = 0;    ///< seconds
+  double share = 0;  ///< of the slots that are taken
+
+  auto operator<=>(const Cost&) const = default;
+};
+
+Cost cost_of(const ReplicaLoad& load, core::Duration median) {
+  Cost cost;
+  cost.gap = core::to_seconds(load.event_gap > core::Duration(0) ? load.event_gap : median);
+  cost.share = (load.running + 1.0) / load.slots;
+  return cost;
+}
 
 bool has_room(const ReplicaLoad& load) {
   return !load.closed && load.running < load.slots;
@@ -43,31 +55,49 @@
   });
   std::optional<std::size_t> best;
   std::optional<std::size_t> home;
-  double best_cost = 0;
+  Cost best_cost;
   for (std::size_t index = 0; index < loads.size(); ++index) {
     const ReplicaLoad& load = loads[index];
     const bool is_excluded = !all_excluded && excluded.contains(load.id);
     if (is_excluded || !has_room(load)) {
       continue;
     }
-    const bool slow = is_slow(load, median, settings);
-    double cost = (load.running + 1.0) / load.slots;
-    if (slow) {
-      cost += kSlowPenalty;
-    }
+    const Cost cost = cost_of(load, median);
     if (!best || cost < best_cost) {
       best = index;
       best_cost = cost;
     }
-    if (preferred && load.id == *preferred && !slow) {
+    if (preferred && load.id == *preferred && !is_slow(load, median, settings)) {
       home = index;
     }
   }
   if (!best || !home) {
     return best;
   }
-  const bool is_close = loads[*home].running <= loads[*best].running + settings.group_slack;
-  return is_close ? home : best;
+  const double home_gap = cost_of(loads[*home], median).gap;
+  return home_gap <= best_cost.gap * (1 + settings.group_slack) ? home : best;
+}
+
+core::Duration fastest_gap_with_room(const std::vector<ReplicaLoad>& loads) {
+  core::Duration fastest = core::Duration::max();
+  for (const ReplicaLoad& load : loads) {
+    if (has_room(load) && load.event_gap > core::Duration(0)) {
+      fastest = std::min(fastest, load.event_gap);
+    }
+  }
+  return fastest;
+}
+
+std::optional<core::Duration> gain_of_move(double rest, core::Duration here, core::Duration there,
+                                           const MoveSettings& settings) {
+  const core::Duration saved =
+      core::from_seconds(rest * core::to_seconds(here - there)) - settings.cost;
+  const bool is_faster =
+      core::to_seconds(there) <= settings.largest_gap_share * core::to_seconds(here);
+  if (there <= core::Duration(0) || !is_faster || saved < settings.least_gain) {
+    return std::nullopt;
+  }
+  return saved;
 }
 
 }  // namespace stoneport::jobs
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -260,6 +260,7 @@
     closed_.insert(job->job.id);
     return;
   }
+  recall_lengths(*job);
   jobs_[job->job.id] = job;
   wanted_weights_.note_job(job->job);
   meters_->open_jobs.Set(static_cast<double>(jobs_.size()));
@@ -270,6 +271,7 @@
   job->over = true;
   closed_.insert(job->job.id);
   jobs_.erase(job->job.id);
+  remember_lengths(*job);
   dispatcher_->cut(job);
   meters_->open_jobs.Set(static_cast<double>(jobs_.size()));
   const std::optional<ports::StoreTime> now = inputs_.store.now();
@@ -283,6 +285,20 @@
   dispatch_soon();
 }
 
+void Tenure::remember_lengths(const OpenJob& job) {
+  for (std::size_t index = 0; index < job.items.size(); ++index) {
+    const ItemProgress& item = job.items[index];
+    const bool is_whole = item.state == ItemState::kScoring;
+    lengths_.note(job.job.items[index].id, {item.text.events.size(), is_whole});
+  }
+}
+
+void Tenure::recall_lengths(OpenJob& job) const {
+  for (std::size_t index = 0; index < job.items.size(); ++index) {
+    job.items[index].seen = lengths_.find(job.job.items[index].id);
+  }
+}
+
 void Tenure::refresh_route(OpenJob& job) const {
   const std::shared_ptr<const ingress::RouteTable> table = inputs_.routes.current();
   if (table == job.table) {
@@ -382,14 +398,19 @@
 void Tenure::on_listed(const PendingResult& listed, std::uint64_t position) {
   const JobItem& item = listed.job->job.items[listed.item];
   const bool is_completed = listed.result.state == ResultState::kCompleted;
+  ItemProgress& progress = listed.job->items[listed.item];
+  ItemText& text = progress.text;
   core::log_decision(core::DecisionEvent::kItemListed,
                      {{"job", listed.job->job.id},
                       {"item", item.id},
+                      {"group", item.group},
+                      {"returned", progress.seen.has_value()},
                       {"position", position},
                       {"state", is_completed ? "completed" : "terminated"},
-                      {"versions", listed.result.versions}},
+                      {"versions", listed.result.versions},
+                      {"events", text.events.size()}},
                      core::DecisionWeight::kRoutine);
-  ItemText& text = listed.job->items[listed.item].text;
+  lengths_.note(item.id, {text.events.size(), is_completed});
   text.events.clear();
   text.versions.clear();
   if (listed.job->listed == listed.job->items.size() && !listed.job->over) {
@@ -491,7 +512,7 @@
     self->last_tick_ = now;
     if (was_paused) {
       self->dispatcher_->forget_silence();
-    } else {
+    } else if (self->knows_ends()) {
       self->dispatcher_->move_stragglers();
     }
     self->expire_items();
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -47,6 +47,9 @@
                                             JobIndexEntry entry, bool is_fresh);
   void open(const OpenJobPointer& job, bool is_fresh);
   void close(const OpenJobPointer& job, std::string_view reason);
+  /// Keeps how long the texts of \p job were, for groups that come back.
+  void remember_lengths(const OpenJob& job);
+  void recall_lengths(OpenJob& job) const;
   void refresh_route(OpenJob& job) const;
   void expire_items();
   std::vector<OpenJobPointer> open_jobs() const;
@@ -76,6 +79,7 @@
   std::map<std::string, OpenJobPointer> jobs_;
   std::set<std::string> adopting_;
   std::set<std::string> closed_;  ///< ids that need no more work
+  KnownLengths lengths_;
   std::unique_ptr<records::TableMirror> index_;
   std::shared_ptr<TermWriter> writer_;
   std::shared_ptr<ItemDispatcher> dispatcher_;
--- a/tests/unit/jobs/coordinator_world.hpp
+++ b/tests/unit/jobs/coordinator_world.hpp
@@ -33,11 +33,12 @@
     const int count = std::stoi(submission.body);
     for (int index = 0; index < count; ++index) {
       JobItem item;
-      item.id = submission.id + "." + std::to_string(index);
+      const std::string& prefix = shared_prefix.empty() ? submission.id : shared_prefix;
+      item.id = prefix + "." + std::to_string(index);
       item.path = "/jobs/" + item.id;
       item.group = std::to_string(index / 4);
       item.body = "body of " + item.id;
-      item.expected_tokens = 10 + static_cast<std::uint64_t>(index);
+      item.expected_tokens = guess_factor * (10 + static_cast<std::uint64_t>(index));
       ScoringCall scoring{"score-" + item.id, "host", "/score/x", "rate"};
       item.scoring = scoring;
       job.items.push_back(std::move(item));
@@ -45,6 +46,8 @@
     return job;
   }
   core::WeightVersion oldest_version{1};
+  std::string shared_prefix;  ///< of the items' ids, so that they come back in another job
+  std::uint64_t guess_factor = 1;
 };
 
 inline constexpr std::size_t kReplicas = 3;
@@ -112,6 +115,7 @@
     rollout.most_attempts = 3;
     rollout.targets = {{core::ServiceName("models"), 1}};
     rollout.queue_limit = std::chrono::seconds(30);
+    rollout.run_deadline = std::chrono::seconds(8);
     ingress::Route score = rollout;
     score.name = "score";
     score.path_prefix = "/score/";
@@ -182,7 +186,6 @@
     }
   }
 
-  boost::asio::io_context context;
   FakeRecordStore store;
   FakeReplicaClient replicas;
   core::SystemTimeSource time;
@@ -191,5 +194,7 @@
   std::vector<ingress::ReplicaRecord> records;
   std::map<core::ModelName, core::WeightVersion> named;
   core::Duration order_pause = milliseconds(20);
+  /// Destroyed first: streams that are still open touch what stands above.
+  boost::asio::io_context context;
 };
 }  // namespace stoneport::jobs
--- /dev/null
+++ b/tests/unit/jobs/length_law_test.cpp
@@ -0,0 +1,110 @@
+/// \file
+/// How long texts are expected to be, from guesses, whole texts and earlier attempts.
+#include "jobs/length_law.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "jobs/known_lengths.hpp"
+
+namespace stoneport::jobs {
+
+class LengthLawTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LengthLawTest);
+  CPPUNIT_TEST(without_whole_texts_guesses_rank);
+  CPPUNIT_TEST(guesses_are_corrected_by_whole_texts);
+  CPPUNIT_TEST(a_text_that_outlasts_its_guess_has_more_to_come);
+  CPPUNIT_TEST(earlier_attempts_tell);
+  CPPUNIT_TEST(known_lengths_keep_what_tells_more);
+  CPPUNIT_TEST(known_lengths_are_bounded);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Guesses are in units of which 50 make an event, right in the median, off by a factor
+  /// of 1.5 either way.
+  static LengthLaw law() {
+    LengthLaw law;
+    for (int round = 0; round < 40; ++round) {
+      law.note_whole(1000, 20);
+      law.note_whole(1000, 30);
+      law.note_whole(1500, 20);
+    }
+    return law;
+  }
+
+  void without_whole_texts_guesses_rank() {
+    const LengthLaw law;
+    CPPUNIT_ASSERT(!law.is_known());
+    CPPUNIT_ASSERT(law.expected_rest({.guess = 200}) > law.expected_rest({.guess = 100}));
+    CPPUNIT_ASSERT(law.expected_rest({.guess = 100, .seen = 500}) >
+                   law.expected_rest({.guess = 200}));
+    CPPUNIT_ASSERT(law.expected_rest({}) > 0);
+  }
+
+  void guesses_are_corrected_by_whole_texts() {
+    CPPUNIT_ASSERT(law().is_known());
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(20, law().expected_rest({.guess = 1000}), 2);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(100, law().expected_rest({.guess = 5000}), 10);
+    LengthLaw unchanged;
+    unchanged.note_whole(1000, 0);
+    CPPUNIT_ASSERT(!unchanged.is_known());
+  }
+
+  void a_text_that_outlasts_its_guess_has_more_to_come() {
+    struct Case {
+      std::string name;
+      LengthEvidence evidence;
+      double least;
+      double most;
+    };
+    const Case cases[] = {
+        {"half made", {.guess = 1000, .made = 10}, 9, 12},
+        {"as long as guessed", {.guess = 1000, .made = 20}, 2, 10},
+        {"beyond it", {.guess = 1000, .made = 30}, 2, 10},
+        {"far beyond what the law tells", {.guess = 1000, .made = 150}, 15, 16},
+        {"no guess", {.guess = 0, .made = 40}, 4, 5},
+    };
+    for (const Case& one : cases) {
+      const double rest = law().expected_rest(one.evidence);
+      CPPUNIT_ASSERT_MESSAGE(one.name + " " + std::to_string(rest),
+                             rest >= one.least && rest <= one.most);
+    }
+  }
+
+  void earlier_attempts_tell() {
+    const LengthEvidence whole{.guess = 1000, .made = 0, .seen = 160, .seen_whole = true};
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(160, law().expected_rest(whole), 0.1);
+    const LengthEvidence half{.guess = 1000, .made = 60, .seen = 160, .seen_whole = true};
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(100, law().expected_rest(half), 0.1);
+    const LengthEvidence at_least{.guess = 1000, .made = 0, .seen = 100};
+    CPPUNIT_ASSERT(law().expected_rest(at_least) >= 100);
+    // What is there already tells more than a shorter text that was said to be whole.
+    const LengthEvidence wrong{.guess = 1000, .made = 60, .seen = 10, .seen_whole = true};
+    CPPUNIT_ASSERT(law().expected_rest(wrong) >= 6);
+  }
+
+  void known_lengths_keep_what_tells_more() {
+    KnownLengths lengths;
+    CPPUNIT_ASSERT(!lengths.find("a"));
+    lengths.note("a", {0, false});
+    CPPUNIT_ASSERT(!lengths.find("a"));
+    lengths.note("a", {40, false});
+    lengths.note("a", {30, false});
+    CPPUNIT_ASSERT(lengths.find("a") == (SeenLength{40, false}));
+    lengths.note("a", {35, true});
+    lengths.note("a", {50, false});
+    CPPUNIT_ASSERT(lengths.find("a") == (SeenLength{35, true}));
+  }
+
+  void known_lengths_are_bounded() {
+    KnownLengths lengths(3);
+    for (const std::string item : {"a", "b", "c", "b", "d"}) {
+      lengths.note(item, {5, true});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, lengths.size());
+    CPPUNIT_ASSERT(!lengths.find("a"));
+    CPPUNIT_ASSERT(lengths.find("d").has_value());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LengthLawTest);
+
+}  // namespace stoneport::jobs
--- a/tests/unit/jobs/open_job_test.cpp
+++ b/tests/unit/jobs/open_job_test.cpp
@@ -1,44 +1,66 @@
 /// \file
-/// The order in which open jobs are placed.
+/// The order in which the items of open jobs are placed.
 #include "jobs/open_job.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace stoneport::jobs {
 
+using std::chrono::milliseconds;
+
 class OpenJobTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OpenJobTest);
-  CPPUNIT_TEST(jobs_are_placed_by_priority_then_age);
+  CPPUNIT_TEST(jobs_rank_by_their_routes_priority);
+  CPPUNIT_TEST(the_longest_rest_begins_first);
+  CPPUNIT_TEST(what_is_due_sooner_or_takes_longer_begins_first);
   CPPUNIT_TEST_SUITE_END();
 
-  static OpenJob job(const ingress::Route* route, int accepted_s) {
+  static OpenJob job(const ingress::Route* route, int accepted_s,
+                     const std::vector<std::uint64_t>& guesses) {
     OpenJob made;
     made.route = route;
     made.entry.accepted_at = ports::StoreTime(std::chrono::seconds(accepted_s));
+    for (const std::uint64_t guess : guesses) {
+      JobItem item;
+      item.expected_tokens = guess;
+      made.job.items.push_back(std::move(item));
+    }
+    made.items.resize(guesses.size());
     return made;
   }
 
-  void jobs_are_placed_by_priority_then_age() {
+  void jobs_rank_by_their_routes_priority() {
     ingress::Route first;
     ingress::Route second;
     second.priority = 1;
-    struct Case {
-      std::string name;
-      OpenJob left;
-      OpenJob right;
-      bool expected;
-    };
-    const Case cases[] = {
-        {"older", job(&first, 1), job(&first, 2), true},
-        {"younger", job(&first, 2), job(&first, 1), false},
-        {"equal", job(&first, 1), job(&first, 1), false},
-        {"higher rank, younger", job(&first, 2), job(&second, 1), true},
-        {"lower rank, older", job(&second, 1), job(&first, 2), false},
-        {"no route yet", job(nullptr, 1), job(&second, 2), false},
-    };
-    for (const Case& one : cases) {
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.expected, is_placed_before(one.left, one.right));
-    }
+    CPPUNIT_ASSERT(rank_of(job(&first, 2, {})) < rank_of(job(&second, 1, {})));
+    CPPUNIT_ASSERT(rank_of(job(&first, 1, {})) == rank_of(job(&first, 2, {})));
+    CPPUNIT_ASSERT(rank_of(job(nullptr, 1, {})) > rank_of(job(&second, 2, {})));
+  }
+
+  void the_longest_rest_begins_first() {
+    const LengthLaw law;
+    OpenJob made = job(nullptr, 0, {10, 40, 20, 40, 30});
+    made.items[2].seen = SeenLength{160, false};
+    made.order_is_stale = true;
+    made.make_start_order(law);
+    CPPUNIT_ASSERT(!made.order_is_stale);
+    CPPUNIT_ASSERT((made.start_order == std::vector<std::size_t>{2, 1, 3, 4, 0}));
+  }
+
+  void what_is_due_sooner_or_takes_longer_begins_first() {
+    ingress::Route route;
+    route.run_deadline = milliseconds(7500);
+    const LengthLaw law;
+    const core::Duration gap = milliseconds(40);
+    const OpenJob older = job(&route, 1, {10, 100});
+    const OpenJob younger = job(&route, 2, {10, 100});
+    CPPUNIT_ASSERT(older.latest_start(0, law, gap) < younger.latest_start(0, law, gap));
+    CPPUNIT_ASSERT(older.latest_start(1, law, gap) < older.latest_start(0, law, gap));
+    CPPUNIT_ASSERT(younger.latest_start(1, law, gap) < older.latest_start(0, law, gap));
+    // Nothing is known of speed: by age alone.
+    CPPUNIT_ASSERT(younger.latest_start(1, law, {}) > older.latest_start(0, law, {}));
+    CPPUNIT_ASSERT(older.latest_start(0, law, gap) == milliseconds(1000 + 7500 - 400));
   }
 };
 
