--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -13,6 +13,7 @@
 /// Entries of a transaction that the index record and its condition take.
 constexpr std::size_t kIndexEntries = 2;
 constexpr core::Duration kPollInterval = std::chrono::milliseconds(150);
+constexpr core::Duration kLostStoreCheck = std::chrono::milliseconds(20);
 
 void note(core::AdaptiveTimeout& timeout, core::Duration latency, core::Duration allowed) {
   if (latency < allowed) {
@@ -22,6 +23,10 @@
   }
 }
 
+core::Error store_lost() {
+  return core::make_error(core::ErrorCode::kUnavailable, "the store serves this process nothing");
+}
+
 }  // namespace
 
 JobStore::JobStore(ports::RecordStore& store, const core::TimeSource& time, core::Metrics& metrics,
@@ -49,24 +54,27 @@
 }
 
 bool JobStore::store_is_lost() const {
-  return time_.now() - store_.last_answer() > settings_.lost_after;
-}
-
-core::Duration JobStore::patience() const {
-  return store_is_lost() ? settings_.patience_when_lost : settings_.patience;
+  return time_.now() - store_.last_served() > settings_.lost_after;
 }
 
-core::Duration JobStore::attempt_timeout(const core::AdaptiveTimeout& usual) const {
-  const core::Duration timeout = usual.current();
-  return store_is_lost() ? std::min(timeout, settings_.patience_when_lost) : timeout;
+asio::awaitable<bool> JobStore::store_serves() const {
+  const core::MonotonicTime give_up_at = time_.now() + settings_.patience_when_lost;
+  while (store_is_lost() && time_.now() < give_up_at) {
+    co_await runtime::sleep_for(kLostStoreCheck);
+  }
+  co_return !store_is_lost();
 }
 
 asio::awaitable<core::Result<void>> JobStore::commit_once(ports::RecordTransaction transaction) {
-  const core::MonotonicTime give_up_at = time_.now() + patience();
+  const bool serves = co_await store_serves();
+  if (!serves) {
+    co_return store_lost();
+  }
+  const core::MonotonicTime give_up_at = time_.now() + settings_.patience;
   bool may_take_effect = false;
   while (true) {
     ports::RecordTransaction copy = transaction;
-    const core::Duration timeout = attempt_timeout(write_timeout_);
+    const core::Duration timeout = write_timeout_.current();
     const core::MonotonicTime sent_at = time_.now();
     const core::Result<core::Revision> committed = co_await store_.commit(std::move(copy), timeout);
     note(write_timeout_, time_.now() - sent_at, timeout);
@@ -78,7 +86,7 @@
       co_return committed.error();
     }
     may_take_effect |= code == core::ErrorCode::kOutcomeUnknown;
-    if (time_.now() + settings_.retry_pause >= give_up_at) {
+    if (store_is_lost() || time_.now() + settings_.retry_pause >= give_up_at) {
       break;
     }
     co_await runtime::sleep_for(settings_.retry_pause);
@@ -120,6 +128,10 @@
 
 asio::awaitable<core::Result<void>> JobStore::accept(JobSubmission submission,
                                                      std::uint32_t item_count) {
+  const bool serves = co_await store_serves();
+  if (!serves) {
+    co_return store_lost();
+  }
   const std::vector<std::string> chunks =
       split_value(submission.body, store_.limits().record_bytes);
   JobIndexEntry entry;
@@ -157,6 +169,10 @@
 }
 
 asio::awaitable<core::Result<void>> JobStore::end(std::string job) {
+  const bool serves = co_await store_serves();
+  if (!serves) {
+    co_return store_lost();
+  }
   const core::Result<JobIndexEntry> entry = co_await find(job);
   if (!entry) {
     co_return entry.error();
@@ -174,11 +190,11 @@
 
 asio::awaitable<core::Result<std::vector<ports::Record>>> JobStore::read_range(
     ports::RecordRange range, bool first_page_only) {
-  const core::MonotonicTime give_up_at = time_.now() + patience();
+  const core::MonotonicTime give_up_at = time_.now() + settings_.patience;
   std::vector<ports::Record> records;
   while (true) {
     const core::Revision known = store_.newest();
-    const core::Duration timeout = attempt_timeout(read_timeout_);
+    const core::Duration timeout = read_timeout_.current();
     const core::MonotonicTime sent_at = time_.now();
     core::Result<ports::RecordPage> page = co_await store_.read(range, timeout);
     note(read_timeout_, time_.now() - sent_at, timeout);
@@ -197,10 +213,10 @@
     if (is_stale) {
       stale_reads_.Increment();
     }
-    if (time_.now() + settings_.retry_pause >= give_up_at) {
+    co_await runtime::sleep_for(settings_.retry_pause);
+    if (store_is_lost() || time_.now() >= give_up_at) {
       break;
     }
-    co_await runtime::sleep_for(settings_.retry_pause);
   }
   co_return core::make_error(core::ErrorCode::kUnavailable, "the store does not answer");
 }
@@ -231,6 +247,10 @@
 
 asio::awaitable<core::Result<JobPage>> JobStore::read(std::string job, std::uint64_t position,
                                                       core::Duration wait) {
+  const bool serves = co_await store_serves();
+  if (!serves) {
+    co_return store_lost();
+  }
   const core::MonotonicTime wait_until = time_.now() + wait;
   const core::Result<JobIndexEntry> entry = co_await find(job);
   if (!entry) {
--- a/src/jobs/job_store.hpp
+++ b/src/jobs/job_store.hpp
@@ -21,10 +21,10 @@
   core::Duration retry_pause = std::chrono::milliseconds(80);
   /// Longest time that one call works on an answer of the store.
   core::Duration patience = std::chrono::milliseconds(2500);
-  /// The same once the store has been silent for lost_after: the client had better
-  /// ask another process.
-  core::Duration patience_when_lost = std::chrono::milliseconds(400);
-  core::Duration lost_after = std::chrono::milliseconds(2000);
+  /// The same once the store has served this process nothing for lost_after: it may serve
+  /// another process, which the client had better ask. Time enough to see it return.
+  core::Duration patience_when_lost = std::chrono::milliseconds(200);
+  core::Duration lost_after = std::chrono::milliseconds(1500);
 };
 
 struct JobPage {
@@ -59,8 +59,8 @@
  private:
   boost::asio::awaitable<core::Result<JobIndexEntry>> find(std::string job);
   bool store_is_lost() const;
-  core::Duration patience() const;
-  core::Duration attempt_timeout(const core::AdaptiveTimeout& usual) const;
+  /// \return whether the store serves this process, at once or within patience_when_lost.
+  boost::asio::awaitable<bool> store_serves() const;
   ports::RecordTransaction submission_transaction(const std::string& job) const;
   boost::asio::awaitable<core::Result<void>> write_ahead(const std::string& job,
                                                          std::vector<ports::RecordWrite>& chunks);
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ingress/route_table.hpp"
+#include "jobs/item_text.hpp"
 #include "jobs/job.hpp"
 #include "jobs/job_records.hpp"
 #include "jobs/known_lengths.hpp"
@@ -26,22 +27,6 @@
   kListed,
 };
 
-/// The events of one text, over all replicas that made them.
-struct ItemText {
-  std::uint32_t lineage = 0;  ///< grows each time a text is begun anew
-  std::vector<std::string> events;
-  std::vector<std::uint64_t> versions;  ///< of each event
-  std::uint64_t checkpointed = 0;       ///< events that the store holds
-
-  void discard();
-  /// Goes on from \p checkpoints of one item, in order of key: the longest whole
-  /// start of the newest lineage.
-  void restore(const std::vector<Checkpoint>& checkpoints);
-  std::string joined() const;
-  /// \return each version once, rising.
-  std::vector<std::uint64_t> distinct_versions() const;
-};
-
 /// Where and when a text was made whole; for the log.
 struct MadeAt {
   core::ReplicaId replica;
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -8,6 +8,9 @@
 namespace asio = boost::asio;
 namespace {
 constexpr core::Duration kAdoptionRetry = std::chrono::milliseconds(100);
+constexpr double kMillisecondsPerSecond = 1000;
+/// Listed items at the end of a job whose lines in the log are kept.
+constexpr std::size_t kLastItemsKept = 12;
 constexpr core::Duration kAnnouncementTimeout = std::chrono::milliseconds(1000);
 constexpr core::Duration kLongestFlush = std::chrono::milliseconds(1200);
 constexpr core::Duration kShortestDispatchInterval = std::chrono::milliseconds(4);
@@ -400,16 +403,25 @@
   const bool is_completed = listed.result.state == ResultState::kCompleted;
   ItemProgress& progress = listed.job->items[listed.item];
   ItemText& text = progress.text;
-  core::log_decision(core::DecisionEvent::kItemListed,
-                     {{"job", listed.job->job.id},
-                      {"item", item.id},
-                      {"group", item.group},
-                      {"returned", progress.seen.has_value()},
-                      {"position", position},
-                      {"state", is_completed ? "completed" : "terminated"},
-                      {"versions", listed.result.versions},
-                      {"events", text.events.size()}},
-                     core::DecisionWeight::kRoutine);
+  const MadeAt made = progress.made_at.value_or(MadeAt());
+  const core::Duration age =
+      inputs_.store.now().value_or(listed.job->entry.accepted_at) - listed.job->entry.accepted_at;
+  // A step ends with its last texts: what held it must not be dropped.
+  const bool is_among_last = position + kLastItemsKept >= listed.job->items.size();
+  core::log_decision(
+      core::DecisionEvent::kItemListed,
+      {{"job", listed.job->job.id},
+       {"item", item.id},
+       {"group", item.group},
+       {"returned", progress.seen.has_value()},
+       {"position", position},
+       {"state", is_completed ? "completed" : "terminated"},
+       {"versions", listed.result.versions},
+       {"events", text.events.size()},
+       {"replica", made.replica.value()},
+       {"run_ms", core::to_seconds(made.run) * kMillisecondsPerSecond},
+       {"age_ms", core::to_seconds(age) * kMillisecondsPerSecond}},
+      is_among_last ? core::DecisionWeight::kImportant : core::DecisionWeight::kRoutine);
   lengths_.note(item.id, {text.events.size(), is_completed});
   text.events.clear();
   text.versions.clear();
--- /dev/null
+++ b/src/node/isolation.cpp
@@ -0,0 +1,19 @@
+#include "node/isolation.hpp"
+
+#include <algorithm>
+
+namespace stoneport::node {
+
+bool another_is_alive(const core::NodeId& self, const std::vector<wire::Member>& members) {
+  return std::any_of(members.begin(), members.end(), [&self](const wire::Member& member) {
+    return member.node != self && member.state == wire::MemberState::kAlive && !member.leaving;
+  });
+}
+
+bool is_isolated(const core::NodeId& self, const std::vector<wire::Member>& members,
+                 core::Duration store_silence) {
+  const bool has_others = members.size() > 1;
+  return has_others && store_silence > kLongestStoreSilence && !another_is_alive(self, members);
+}
+
+}  // namespace stoneport::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -3,6 +3,7 @@
 #include "core/decision_log.hpp"
 #include "core/hash.hpp"
 #include "node/holder_sign.hpp"
+#include "node/isolation.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::node {
@@ -149,7 +150,15 @@
   return !draining_ && routes_.current() != nullptr && directory_.loaded();
 }
 
+bool Node::is_isolated() const {
+  const core::Duration silence = inputs_.time.now() - inputs_.store.last_served();
+  return node::is_isolated(settings_.name, gossip_.members(), silence);
+}
+
 std::vector<core::Address> Node::caller_addresses(const core::ZoneName& zone) const {
+  if (is_isolated()) {
+    return {};
+  }
   std::vector<core::Address> near;
   std::vector<core::Address> all;
   for (const wire::Member& member : gossip_.members()) {
@@ -168,11 +177,7 @@
 }
 
 bool Node::another_is_ready() const {
-  const std::vector<wire::Member> members = gossip_.members();
-  return std::any_of(members.begin(), members.end(), [this](const wire::Member& member) {
-    return member.node != settings_.name && member.state == wire::MemberState::kAlive &&
-           !member.leaving;
-  });
+  return another_is_alive(settings_.name, gossip_.members());
 }
 
 asio::awaitable<void> Node::drain(core::Duration longest_hold) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -57,6 +57,9 @@
 
   /// \return whether callers should be sent here.
   bool ready() const;
+  /// \return whether this process is cut off from the others and from the store: whom it
+  /// would name to callers is out of date.
+  bool is_isolated() const;
   /// \return addresses of processes that take callers from \p zone, most of them near.
   std::vector<core::Address> caller_addresses(const core::ZoneName& zone) const;
 
--- a/src/ports/record_store.hpp
+++ b/src/ports/record_store.hpp
@@ -96,6 +96,9 @@
   virtual std::optional<StoreTime> now() const = 0;
   /// \return when the store last answered any call; the client's start before that.
   virtual core::MonotonicTime last_answer() const = 0;
+  /// \return when the store last served any call; an answer that refuses one to this process
+  /// serves nothing. The client's start before that.
+  virtual core::MonotonicTime last_served() const = 0;
   /// \return the newest revision that any answer has named.
   virtual core::Revision newest() const = 0;
   virtual RecordStoreLimits limits() const = 0;
--- a/tests/platform/process_test.cpp
+++ b/tests/platform/process_test.cpp
@@ -29,6 +29,7 @@
   CPPUNIT_TEST(the_coordinator_is_replaced);
   CPPUNIT_TEST(a_store_that_falls_silent_loses_nothing);
   CPPUNIT_TEST(a_store_that_refuses_the_coordinator_alone);
+  CPPUNIT_TEST(a_process_that_the_store_refuses_answers_at_once);
   CPPUNIT_TEST(an_ended_job_runs_no_more);
   CPPUNIT_TEST(a_planned_stop_drops_nothing);
   CPPUNIT_TEST_SUITE_END();
@@ -372,6 +373,28 @@
     }
   }
 
+  /// A job waited 3.6 s at processes that were cut off from the store (scale-2 of
+  /// qyzyljar-results); another one would have taken it.
+  void a_process_that_the_store_refuses_answers_at_once() {
+    constexpr milliseconds kUntilLost(2200);
+    constexpr milliseconds kAtOnce(700);  // two calls, 200 ms each and what they need
+    for (const unsigned status : {503u, 429u}) {
+      PlatformStandIn platform;
+      CPPUNIT_ASSERT_EQUAL(202u, platform.submit(1, "known", 4).status);
+      platform.refuse_at_store(0, status);
+      std::this_thread::sleep_for(kUntilLost);
+      const auto started = std::chrono::steady_clock::now();
+      CPPUNIT_ASSERT_EQUAL(503u, platform.submit(0, "job", 4).status);
+      CPPUNIT_ASSERT_EQUAL(503u, platform.read(0, "known", 0).status);
+      const auto held = std::chrono::steady_clock::now() - started;
+      CPPUNIT_ASSERT(held < kAtOnce);
+      CPPUNIT_ASSERT_EQUAL(202u, platform.submit(1, "job", 4).status);
+      platform.refuse_at_store(0, 0);
+      wait_until("it reads again", [&] { return platform.read(0, "job", 0).status == 200; });
+      CPPUNIT_ASSERT(platform.wait_whole(1, "job", 4));
+    }
+  }
+
   void an_ended_job_runs_no_more() {
     PlatformStandIn platform;
     platform.on_loop([&] {
--- a/tests/support/fake_record_store.hpp
+++ b/tests/support/fake_record_store.hpp
@@ -122,6 +122,7 @@
     const auto now = std::chrono::time_point_cast<core::Duration>(core::MonotonicClock::now());
     return now - silent_for;
   }
+  core::MonotonicTime last_served() const override { return last_answer(); }
   core::Revision newest() const override { return core::Revision(revision_); }
   ports::RecordStoreLimits limits() const override { return store_limits; }
 
@@ -227,6 +228,7 @@
   }
   std::optional<ports::StoreTime> now() const override { return store_.now(); }
   core::MonotonicTime last_answer() const override { return store_.last_answer(); }
+  core::MonotonicTime last_served() const override { return store_.last_served(); }
   core::Revision newest() const override { return cut ? core::Revision() : store_.newest(); }
   ports::RecordStoreLimits limits() const override { return store_.limits(); }
 
--- /dev/null
+++ b/tests/unit/node/isolation_test.cpp
@@ -0,0 +1,54 @@
+/// \file
+/// When a process counts as cut off from all others.
+#include "node/isolation.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace stoneport::node {
+
+class IsolationTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(IsolationTest);
+  CPPUNIT_TEST(a_process_is_isolated_without_store_and_members);
+  CPPUNIT_TEST_SUITE_END();
+
+  static wire::Member member(const std::string& name, wire::MemberState state,
+                             bool leaving = false) {
+    wire::Member made;
+    made.node = core::NodeId(name);
+    made.state = state;
+    made.leaving = leaving;
+    return made;
+  }
+
+  void a_process_is_isolated_without_store_and_members() {
+    using wire::MemberState;
+    const wire::Member self = member("self", MemberState::kAlive);
+    const wire::Member alive = member("a", MemberState::kAlive);
+    const wire::Member leaving = member("b", MemberState::kAlive, true);
+    const wire::Member suspect = member("c", MemberState::kSuspect);
+    const wire::Member dead = member("d", MemberState::kDead);
+    const core::Duration long_silence = std::chrono::milliseconds(2000);
+    struct Case {
+      std::string name;
+      std::vector<wire::Member> members;
+      core::Duration silence;
+      bool expected;
+    };
+    const Case cases[] = {
+        {"all is well", {self, alive}, {}, false},
+        {"the store is away for all", {self, alive, dead}, long_silence, false},
+        {"the members are away, the store serves", {self, suspect, dead}, {}, false},
+        {"cut off", {self, suspect, dead}, long_silence, true},
+        {"cut off among those that leave", {self, leaving, dead}, long_silence, true},
+        {"the only process there is", {self}, long_silence, false},
+    };
+    for (const Case& one : cases) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.expected,
+                                   is_isolated(core::NodeId("self"), one.members, one.silence));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(IsolationTest);
+
+}  // namespace stoneport::node
