Ask members without copies, list replicas by changes, size gossip records without encoding

Each heartbeat row of a replica rebuilt the listing. A replica row that cannot be decoded is counted and logged once. Tests: sizes against the encoding, the directory's changes, rows, repeated seeds.

--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -16,6 +16,8 @@
 int run_report_command(int argument_count, char** arguments);
 /// Measures gossip among hollow members at several sizes.
 int run_scale_run_command(int argument_count, char** arguments);
+/// Measures what membership and the listing of replicas cost an idle process.
+int run_idle_cost_command(int argument_count, char** arguments);
 /// Publishes weights to several numbers of engines.
 int run_weights_run_command(int argument_count, char** arguments);
 /// Sends ordinary requests to callers' listeners and checks every answer.
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -1,11 +1,29 @@
 /// \file
 /// Entry point of stoneport-bench: picks the command that the first argument names.
 #include <array>
+#include <cstdlib>
 #include <iostream>
+#include <new>
 #include <string_view>
 
+#include "bench/allocation_count.hpp"
 #include "bench/commands.hpp"
 
+// Counts allocations; the array forms and the sized deletes come down to these.
+void* operator new(std::size_t size) {
+  ++stoneport::bench::allocation_count;
+  if (void* memory = std::malloc(size == 0 ? 1 : size)) {
+    return memory;
+  }
+  throw std::bad_alloc();
+}
+void operator delete(void* memory) noexcept {
+  std::free(memory);
+}
+void operator delete(void* memory, std::size_t) noexcept {
+  std::free(memory);
+}
+
 namespace {
 
 using stoneport::bench::CommandFunction;
@@ -24,6 +42,8 @@
             stoneport::bench::run_report_command},
     Command{"scale-run", "measure the control plane's gossip at several sizes",
             stoneport::bench::run_scale_run_command},
+    Command{"idle-cost", "measure what the size of the fleet costs an idle process",
+            stoneport::bench::run_idle_cost_command},
     Command{"weights-run", "measure publications of weights at several sizes",
             stoneport::bench::run_weights_run_command},
     Command{"load", "send ordinary requests over sockets and check every answer",
--- a/src/controllers/gossip_controller.hpp
+++ b/src/controllers/gossip_controller.hpp
@@ -45,6 +45,8 @@
 
   wire::Member self() const override { return state_.self(); }
   std::vector<wire::Member> members() const override;
+  /// \return the same by node and without a copy; valid until the next packet or tick.
+  const wire::MemberMap& members_by_node() const { return state_.records().members(); }
   void announce_configuration(core::Revision revision) override;
   void announce_leaving() override;
   void on_change(Listener listener) override;
--- a/src/controllers/gossip_news_queue.cpp
+++ b/src/controllers/gossip_news_queue.cpp
@@ -17,32 +17,27 @@
   entry.transmissions = 0;
 }
 
-std::vector<RecordKey> GossipNewsQueue::in_order() const {
-  using Position = std::tuple<NewsPriority, std::uint32_t, const RecordKey*>;
-  std::vector<Position> positions;
-  positions.reserve(entries_.size());
-  for (const auto& [key, entry] : entries_) {
-    positions.emplace_back(entry.priority, entry.transmissions, &key);
+std::vector<GossipNewsQueue::Entries::iterator> GossipNewsQueue::in_order() {
+  std::vector<Entries::iterator> order;
+  order.reserve(entries_.size());
+  for (auto entry = entries_.begin(); entry != entries_.end(); ++entry) {
+    order.push_back(entry);
   }
-  std::stable_sort(positions.begin(), positions.end(), [](const auto& left, const auto& right) {
-    return std::tie(std::get<0>(left), std::get<1>(left)) <
-           std::tie(std::get<0>(right), std::get<1>(right));
+  std::stable_sort(order.begin(), order.end(), [](const auto& left, const auto& right) {
+    return std::tie(left->second.priority, left->second.transmissions) <
+           std::tie(right->second.priority, right->second.transmissions);
   });
-  std::vector<RecordKey> keys;
-  keys.reserve(positions.size());
-  for (const auto& [priority, transmissions, key] : positions) {
-    keys.push_back(*key);
-  }
-  return keys;
+  return order;
 }
 
 void GossipNewsQueue::fill(const GossipRecords& records, wire::GossipPacket& packet,
                            std::size_t space, std::uint32_t transmission_limit) {
-  for (const RecordKey& key : in_order()) {
+  for (const Entries::iterator position : in_order()) {
     if (space < kSmallestRecordBytes) {
       return;
     }
-    Entry& entry = entries_.at(key);
+    const RecordKey& key = position->first;
+    Entry& entry = position->second;
     const bool revision_only = entry.priority == NewsPriority::kConfiguration;
     const std::size_t used =
         revision_only ? records.append_revision(std::get<core::NodeId>(key), packet, space)
@@ -53,7 +48,7 @@
     space -= used;
     ++entry.transmissions;
     if (entry.transmissions >= transmission_limit) {
-      entries_.erase(key);
+      entries_.erase(position);
     }
   }
 }
--- a/src/controllers/gossip_news_queue.hpp
+++ b/src/controllers/gossip_news_queue.hpp
@@ -34,8 +34,10 @@
     NewsPriority priority = NewsPriority::kLiveness;
     std::uint32_t transmissions = 0;
   };
-  std::vector<RecordKey> in_order() const;
-  std::map<RecordKey, Entry> entries_;
+  using Entries = std::map<RecordKey, Entry>;
+  /// \return the entries, most urgent and least told first.
+  std::vector<Entries::iterator> in_order();
+  Entries entries_;
 };
 
 }  // namespace stoneport::controllers
--- a/src/controllers/gossip_probes.cpp
+++ b/src/controllers/gossip_probes.cpp
@@ -11,12 +11,12 @@
       failure_timeout_(failure_timeout) {}
 
 std::optional<GossipProbes::Probe> GossipProbes::next(const std::vector<core::NodeId>& candidates,
+                                                      const core::NodeId& self,
                                                       core::RandomSource& random,
                                                       core::MonotonicTime now) {
-  if (now < next_probe_ || candidates.empty()) {
+  if (now < next_probe_) {
     return std::nullopt;
   }
-  next_probe_ = now + probe_interval_;
   // Members may have left since the round was made: their probes are skipped.
   while (!round_.empty() &&
          !std::binary_search(candidates.begin(), candidates.end(), round_.back())) {
@@ -24,8 +24,13 @@
   }
   if (round_.empty()) {
     round_ = candidates;
+    std::erase(round_, self);
     shuffle(round_, random);
   }
+  if (round_.empty()) {
+    return std::nullopt;
+  }
+  next_probe_ = now + probe_interval_;
   const core::NodeId target = round_.back();
   round_.pop_back();
   const std::uint32_t sequence = next_sequence();
--- a/src/controllers/gossip_probes.hpp
+++ b/src/controllers/gossip_probes.hpp
@@ -30,10 +30,11 @@
     core::Address asking;
   };
 
-  /// \return the next probe to send, once an interval. Goes through
-  /// \p candidates in a shuffled order that is made anew after each round.
-  std::optional<Probe> next(const std::vector<core::NodeId>& candidates, core::RandomSource& random,
-                            core::MonotonicTime now);
+  /// \return the next probe to send, once an interval. Goes through \p candidates but
+  /// \p self in a shuffled order that is made anew after each round.
+  /// \param candidates in order
+  std::optional<Probe> next(const std::vector<core::NodeId>& candidates, const core::NodeId& self,
+                            core::RandomSource& random, core::MonotonicTime now);
   /// \return probes whose direct answer is late; each is returned once.
   std::vector<Probe> take_late(core::MonotonicTime now);
   /// \return targets of probes that failed; each is returned once.
--- a/src/controllers/gossip_records.cpp
+++ b/src/controllers/gossip_records.cpp
@@ -46,6 +46,7 @@
   const auto [position, added] = members_.try_emplace(member.node, member);
   if (added) {
     nodes_by_life_[wire::life_key(member)] = member.node;
+    note_liveness(member);
     return true;
   }
   wire::Member merged = wire::merge_members(position->second, member);
@@ -82,6 +83,7 @@
   }
   members_[member.node] = member;
   nodes_by_life_[wire::life_key(member)] = member.node;
+  note_liveness(member);
 }
 
 void GossipRecords::erase(const core::NodeId& node) {
@@ -89,6 +91,25 @@
   if (known != members_.end()) {
     nodes_by_life_.erase(wire::life_key(known->second));
     members_.erase(known);
+    remove_live(node);
+  }
+}
+
+void GossipRecords::note_liveness(const wire::Member& member) {
+  if (member.state == wire::MemberState::kDead) {
+    remove_live(member.node);
+    return;
+  }
+  const auto place = std::lower_bound(live_nodes_.begin(), live_nodes_.end(), member.node);
+  if (place == live_nodes_.end() || *place != member.node) {
+    live_nodes_.insert(place, member.node);
+  }
+}
+
+void GossipRecords::remove_live(const core::NodeId& node) {
+  const auto place = std::lower_bound(live_nodes_.begin(), live_nodes_.end(), node);
+  if (place != live_nodes_.end() && *place == node) {
+    live_nodes_.erase(place);
   }
 }
 
--- a/src/controllers/gossip_records.hpp
+++ b/src/controllers/gossip_records.hpp
@@ -26,7 +26,10 @@
 
 class GossipRecords {
  public:
-  const std::map<core::NodeId, wire::Member>& members() const { return members_; }
+  const wire::MemberMap& members() const { return members_; }
+  /// \return the nodes of all members that do not count as dead, in order; kept up to date
+  /// with each change, so that asking costs nothing.
+  const std::vector<core::NodeId>& live_nodes() const { return live_nodes_; }
   const std::map<core::PolicyName, core::WeightVersion>& policy_versions() const {
     return policy_versions_;
   }
@@ -60,7 +63,11 @@
                               std::size_t space) const;
 
  private:
-  std::map<core::NodeId, wire::Member> members_;
+  void note_liveness(const wire::Member& member);
+  void remove_live(const core::NodeId& node);
+
+  wire::MemberMap members_;
+  std::vector<core::NodeId> live_nodes_;
   std::unordered_map<std::uint64_t, core::NodeId> nodes_by_life_;
   std::map<core::PolicyName, core::WeightVersion> policy_versions_;
   std::map<core::ReplicaId, core::Incarnation> drain_marks_;
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace stoneport::controllers {
 namespace {
@@ -40,7 +41,11 @@
 }
 
 void GossipState::set_seeds(std::vector<core::Address> seeds) {
+  if (seeds == seeds_) {
+    return;  // a list that is polled names the same ones again and again
+  }
   seeds_ = std::move(seeds);
+  next_reconnect_ = {};
 }
 
 void GossipState::update_self(const wire::Member& member, NewsPriority priority) {
@@ -293,14 +298,26 @@
   return packets;
 }
 
-std::vector<core::NodeId> GossipState::other_members() const {
-  std::vector<core::NodeId> nodes;
-  for (const auto& [node, member] : records_.members()) {
-    if (node != self_ && member.state != MemberState::kDead) {
-      nodes.push_back(node);
+bool GossipState::is_alone() const {
+  const std::vector<core::NodeId>& live = records_.live_nodes();
+  return live.empty() || (live.size() == 1 && live.front() == self_);
+}
+
+std::vector<core::NodeId> GossipState::draw_others(std::size_t count,
+                                                   const core::NodeId& excluded) {
+  const std::vector<core::NodeId>& live = records_.live_nodes();
+  std::vector<std::size_t> places(live.size());
+  std::iota(places.begin(), places.end(), std::size_t{0});
+  std::vector<core::NodeId> drawn;
+  // A shuffle of the places that ends as soon as enough are drawn.
+  for (std::size_t left = places.size(); left > 0 && drawn.size() < count; --left) {
+    std::swap(places[left - 1], places[random_.uniform(0, left - 1)]);
+    const core::NodeId& node = live[places[left - 1]];
+    if (node != self_ && node != excluded) {
+      drawn.push_back(node);
     }
   }
-  return nodes;
+  return drawn;
 }
 
 std::uint32_t GossipState::transmission_limit() const {
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -156,7 +156,10 @@
   OutgoingPacket finish_packet(const core::Address& to, const wire::GossipPacket& packet);
   wire::SyncRequest sync_request(bool is_answer) const;
   std::vector<core::Address> unreached_addresses() const;
-  std::vector<core::NodeId> other_members() const;
+  /// \return up to \p count live members drawn at random, without this node and \p excluded.
+  std::vector<core::NodeId> draw_others(std::size_t count, const core::NodeId& excluded = {});
+  /// \return whether no other member is live.
+  bool is_alone() const;
   std::uint32_t transmission_limit() const;
   core::Duration suspicion_length() const;
 
--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -8,7 +8,8 @@
 
 using wire::MemberState;
 
-/// Lengths of the packet's lists, beyond what an empty list takes.
+/// Lengths of the packet's lists, beyond what an empty list takes: up to 65,535 records in
+/// each of the four lists.
 constexpr std::size_t kListHeaderBytes = 8;
 /// News that goes into a packet even when the budget is spent, so that a node
 /// that many ask at once (a seed) still introduces them to one another.
@@ -24,22 +25,13 @@
 
 /// \return the bytes of \p packet before any record is added.
 std::size_t packet_base(const wire::GossipPacket& packet) {
-  return wire::encode_packet(packet).size() + kListHeaderBytes;
+  return wire::size_without_records(packet) + kListHeaderBytes;
 }
 
 bool is_drain_mark(const RecordKey& key) {
   return std::holds_alternative<core::ReplicaId>(key);
 }
 
-std::vector<core::NodeId> pick(std::vector<core::NodeId> nodes, std::size_t count,
-                               core::RandomSource& random) {
-  shuffle(nodes, random);
-  if (nodes.size() > count) {
-    nodes.resize(count);
-  }
-  return nodes;
-}
-
 }  // namespace
 
 OutgoingPacket GossipState::finish_packet(const core::Address& to,
@@ -241,17 +233,14 @@
     if (target == nullptr) {
       continue;
     }
-    std::vector<core::NodeId> helpers = other_members();
-    std::erase(helpers, late.target);
     const core::Address target_address = target->gossip_address;
-    for (const core::NodeId& helper :
-         pick(std::move(helpers), settings_.indirect_probes, random_)) {
+    for (const core::NodeId& helper : draw_others(settings_.indirect_probes, late.target)) {
       packets.push_back(
           make_packet(records_.find(helper)->gossip_address,
                       wire::IndirectPing{late.sequence, late.target, target_address}));
     }
   }
-  const auto probe = probes_.next(other_members(), random_, now);
+  const auto probe = probes_.next(records_.live_nodes(), self_, random_, now);
   if (!probe) {
     return;
   }
@@ -266,7 +255,7 @@
     return;
   }
   next_news_ = now + settings_.news_interval;
-  for (const core::NodeId& node : pick(other_members(), settings_.news_fanout, random_)) {
+  for (const core::NodeId& node : draw_others(settings_.news_fanout)) {
     if (news_.empty() || budget_.available() < settings_.packet_bytes) {
       return;
     }
@@ -278,7 +267,7 @@
   if (now < next_sync_ || budget_.available() < settings_.packet_bytes) {
     return;
   }
-  for (const core::NodeId& node : pick(other_members(), 1, random_)) {
+  for (const core::NodeId& node : draw_others(1)) {
     next_sync_ = now + with_jitter(settings_.sync_interval, random_);
     packets.push_back(make_packet(records_.find(node)->gossip_address, sync_request(false)));
   }
@@ -288,7 +277,7 @@
   if (!catching_up_ || now < next_catch_up_) {
     return;
   }
-  const std::vector<core::NodeId> asked = pick(other_members(), 1, random_);
+  const std::vector<core::NodeId> asked = draw_others(1);
   if (asked.empty()) {
     catching_up_ = false;
     return;
@@ -321,14 +310,13 @@
   if (now < next_reconnect_) {
     return;
   }
+  next_reconnect_ =
+      now +
+      with_jitter(is_alone() ? settings_.catch_up_interval : settings_.reconnect_interval, random_);
   const std::vector<core::Address> addresses = unreached_addresses();
   if (addresses.empty()) {
     return;
   }
-  const bool alone = other_members().empty();
-  next_reconnect_ =
-      now +
-      with_jitter(alone ? settings_.catch_up_interval : settings_.reconnect_interval, random_);
   const core::Address& address = addresses[random_.uniform(0, addresses.size() - 1)];
   packets.push_back(make_packet(address, sync_request(false)));
 }
@@ -338,7 +326,7 @@
   wire::Member gone = self();
   gone.state = MemberState::kDead;
   std::vector<OutgoingPacket> packets;
-  for (const core::NodeId& node : pick(other_members(), kFarewellPackets, random_)) {
+  for (const core::NodeId& node : draw_others(kFarewellPackets)) {
     wire::GossipPacket packet;
     packet.sender = gone;
     packets.push_back(finish_packet(records_.find(node)->gossip_address, packet));
--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -26,6 +26,7 @@
     EventName{DecisionEvent::kDependencyRegained, "dependency_regained"},
     EventName{DecisionEvent::kConfigurationInForce, "configuration_in_force"},
     EventName{DecisionEvent::kReplicasChanged, "replicas_changed"},
+    EventName{DecisionEvent::kRowUndecodable, "row_undecodable"},
     EventName{DecisionEvent::kRequestDone, "request_done"},
     EventName{DecisionEvent::kRequestRefused, "request_refused"},
     EventName{DecisionEvent::kAttemptFailed, "attempt_failed"},
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -23,6 +23,7 @@
   kDependencyRegained,
   kConfigurationInForce,
   kReplicasChanged,
+  kRowUndecodable,
   kRequestDone,
   kRequestRefused,
   kAttemptFailed,
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -74,49 +74,93 @@
 }
 
 std::vector<core::Address> ReplicaDirectory::update(std::vector<ReplicaRecord> records) {
+  ReplicaChanges changes;
+  std::set<core::ReplicaId> listed;
+  for (const ReplicaRecord& record : records) {
+    listed.insert(record.id);
+  }
+  for (const auto& [id, replica] : replicas_) {
+    if (!listed.contains(id)) {
+      changes.removed.push_back(id);
+    }
+  }
+  changes.written = std::move(records);
+  return apply(std::move(changes));
+}
+
+std::vector<core::Address> ReplicaDirectory::apply(ReplicaChanges changes) {
   loaded_ = true;
-  std::map<core::ReplicaId, ReplicaPointer> before = std::move(replicas_);
-  replicas_.clear();
   std::vector<core::Address> left;
-  for (ReplicaRecord& record : records) {
-    const core::ReplicaId id = record.id;
-    const auto known = before.find(id);
-    ReplicaPointer replica;
-    if (known != before.end()) {
-      replica = known->second;
-      before.erase(known);
-    } else {
-      replica = std::make_shared<ReplicaState>();
+  const auto note = [&left](std::optional<core::Address> address) {
+    if (address) {
+      left.push_back(std::move(*address));
     }
-    const bool starts_draining = record.draining && !replica->record.draining;
-    // Within one life versions only rise, and what its streams and reports told
-    // may be newer than its listing.
-    for (const auto& [model, version] : replica->record.versions) {
-      core::WeightVersion& listed = record.versions[model];
-      listed = std::max(listed, version);
-    }
-    replica->record = std::move(record);
-    replica->listed = true;
-    if (starts_draining) {
-      left.push_back(replica->record.address);
-    }
-    replicas_[id] = std::move(replica);
+  };
+  for (ReplicaRecord& record : changes.written) {
+    note(write(std::move(record)));
   }
-  for (const auto& [id, replica] : before) {
-    replica->listed = false;
-    left.push_back(replica->record.address);
+  for (const core::ReplicaId& id : changes.removed) {
+    note(remove(id));
   }
   return left;
 }
 
-std::vector<ReplicaPointer> ReplicaDirectory::of_service(const core::ServiceName& service) const {
-  std::vector<ReplicaPointer> found;
-  for (const auto& [id, replica] : replicas_) {
-    if (replica->record.service == service) {
-      found.push_back(replica);
-    }
+std::optional<core::Address> ReplicaDirectory::write(ReplicaRecord record) {
+  ReplicaPointer& replica = replicas_[record.id];
+  const bool is_new = replica == nullptr;
+  if (is_new) {
+    replica = std::make_shared<ReplicaState>();
+  }
+  const bool starts_draining = record.draining && !replica->record.draining;
+  const bool has_moved = !is_new && replica->record.service != record.service;
+  if (has_moved) {
+    remove_from_service(*replica);
   }
-  return found;
+  // Within one life versions only rise, and what its streams and reports told
+  // may be newer than its listing.
+  for (const auto& [model, version] : replica->record.versions) {
+    core::WeightVersion& listed = record.versions[model];
+    listed = std::max(listed, version);
+  }
+  replica->record = std::move(record);
+  replica->listed = true;
+  if (is_new || has_moved) {
+    add_to_service(replica);
+  }
+  return starts_draining ? std::optional(replica->record.address) : std::nullopt;
+}
+
+std::optional<core::Address> ReplicaDirectory::remove(const core::ReplicaId& id) {
+  const auto known = replicas_.find(id);
+  if (known == replicas_.end()) {
+    return std::nullopt;
+  }
+  const ReplicaPointer replica = known->second;
+  replica->listed = false;
+  remove_from_service(*replica);
+  replicas_.erase(known);
+  return replica->record.address;
+}
+
+void ReplicaDirectory::add_to_service(const ReplicaPointer& replica) {
+  std::vector<ReplicaPointer>& replicas = by_service_[replica->record.service];
+  const auto place = std::lower_bound(replicas.begin(), replicas.end(), replica,
+                                      [](const ReplicaPointer& left, const ReplicaPointer& right) {
+                                        return left->record.id < right->record.id;
+                                      });
+  replicas.insert(place, replica);
+}
+
+void ReplicaDirectory::remove_from_service(const ReplicaState& replica) {
+  std::erase_if(by_service_[replica.record.service],
+                [&](const ReplicaPointer& one) { return one.get() == &replica; });
+}
+
+const std::vector<ReplicaPointer>& ReplicaDirectory::of_service(
+    const core::ServiceName& service) const {
+  static const std::vector<ReplicaPointer> none;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? none : found->second;
 }
 
 ReplicaPointer choose_replica(const std::vector<ReplicaPointer>& replicas,
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -69,17 +70,36 @@
 /// of them ejected the fault is elsewhere, and the rest could not carry the load.
 bool should_avoid_ejected(const std::vector<ReplicaPointer>& replicas, core::MonotonicTime now);
 
+/// How a listing differs from the one before. Replicas write their rows about once a second,
+/// so that a whole listing each time would cost every process as much as the fleet is large.
+struct ReplicaChanges {
+  std::vector<ReplicaRecord> written;    ///< new, or other than before
+  std::vector<core::ReplicaId> removed;  ///< listed no more
+
+  bool empty() const { return written.empty() && removed.empty(); }
+};
+
 class ReplicaDirectory {
  public:
   /// Replaces the listing. \return addresses whose replica ended or is leaving.
   std::vector<core::Address> update(std::vector<ReplicaRecord> records);
+  /// Changes the listing, which counts as loaded from then on.
+  /// \return addresses whose replica ended or is leaving.
+  std::vector<core::Address> apply(ReplicaChanges changes);
   bool loaded() const { return loaded_; }
-  /// \return the listed replicas of \p service, in order of id.
-  std::vector<ReplicaPointer> of_service(const core::ServiceName& service) const;
+  /// \return the listed replicas of \p service, in order of id; valid until the next change.
+  const std::vector<ReplicaPointer>& of_service(const core::ServiceName& service) const;
   std::size_t size() const { return replicas_.size(); }
 
  private:
+  /// Takes \p record in. \return its address if the replica starts to drain.
+  std::optional<core::Address> write(ReplicaRecord record);
+  std::optional<core::Address> remove(const core::ReplicaId& id);
+  void add_to_service(const ReplicaPointer& replica);
+  void remove_from_service(const ReplicaState& replica);
+
   std::map<core::ReplicaId, ReplicaPointer> replicas_;
+  std::map<core::ServiceName, std::vector<ReplicaPointer>> by_service_;
   bool loaded_ = false;
 };
 
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -205,7 +205,7 @@
   run->last_event = run->began;
   job->items[item].state = ItemState::kRunning;
   ++work_[run->replica->record.id].running;
-  runs_.push_back(run);
+  run->place = runs_.insert(runs_.end(), run);
   core::log_decision(core::DecisionEvent::kItemStarted,
                      {{"job", job->job.id},
                       {"item", job->job.items[item].id},
@@ -245,7 +245,7 @@
 }
 
 void ItemDispatcher::on_end(const RunPointer& run, const AttemptEnd& end) {
-  runs_.remove(run);
+  runs_.erase(run->place);
   --work_[run->replica->record.id].running;
   if (end.version) {
     core::WeightVersion& known = run->replica->record.versions[run->job->job.model];
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -72,6 +72,8 @@
 
  private:
   struct Meters;
+  struct Run;
+  using RunPointer = std::shared_ptr<Run>;
   /// One text that a replica makes now.
   struct Run {
     OpenJobPointer job;
@@ -83,8 +85,8 @@
     std::string move_reason;        ///< set when it is cut to go on elsewhere
     bool fell_silent = false;       ///< that was the reason
     boost::asio::cancellation_signal cut;
+    std::list<RunPointer>::iterator place;  ///< in runs_
   };
-  using RunPointer = std::shared_ptr<Run>;
   /// What has been seen of one replica.
   struct ReplicaWork {
     std::uint32_t running = 0;
--- a/src/node/isolation.cpp
+++ b/src/node/isolation.cpp
@@ -4,13 +4,14 @@
 
 namespace stoneport::node {
 
-bool another_is_alive(const core::NodeId& self, const std::vector<wire::Member>& members) {
-  return std::any_of(members.begin(), members.end(), [&self](const wire::Member& member) {
+bool another_is_alive(const core::NodeId& self, const wire::MemberMap& members) {
+  return std::any_of(members.begin(), members.end(), [&self](const auto& entry) {
+    const wire::Member& member = entry.second;
     return member.node != self && member.state == wire::MemberState::kAlive && !member.leaving;
   });
 }
 
-bool is_isolated(const core::NodeId& self, const std::vector<wire::Member>& members,
+bool is_isolated(const core::NodeId& self, const wire::MemberMap& members,
                  core::Duration store_silence) {
   const bool has_others = members.size() > 1;
   return has_others && store_silence > kLongestStoreSilence && !another_is_alive(self, members);
--- a/src/node/isolation.hpp
+++ b/src/node/isolation.hpp
@@ -4,8 +4,6 @@
 /// another. Plain code.
 #pragma once
 
-#include <vector>
-
 #include "core/time.hpp"
 #include "wire/member.hpp"
 
@@ -16,10 +14,10 @@
 
 /// \param members with the process itself
 /// \return whether any process but \p self is alive and takes callers.
-bool another_is_alive(const core::NodeId& self, const std::vector<wire::Member>& members);
+bool another_is_alive(const core::NodeId& self, const wire::MemberMap& members);
 
 /// \param store_silence time since the store last served this process
-bool is_isolated(const core::NodeId& self, const std::vector<wire::Member>& members,
+bool is_isolated(const core::NodeId& self, const wire::MemberMap& members,
                  core::Duration store_silence);
 
 }  // namespace stoneport::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,19 +75,20 @@
 Node::~Node() = default;
 
 jobs::CoordinatorInputs Node::coordinator_inputs() {
-  return {inputs_.executor,
-          inputs_.store,
-          job_store_,
-          inputs_.parser,
-          directory_,
-          routes_,
-          inputs_.replicas,
-          forwarder_,
-          [this] { return named_versions_; },
-          [this] { return ready(); },
-          [this](const std::string& holder) { return holder_sign(holder, gossip_.members()); },
-          inputs_.time,
-          inputs_.metrics};
+  return {
+      inputs_.executor,
+      inputs_.store,
+      job_store_,
+      inputs_.parser,
+      directory_,
+      routes_,
+      inputs_.replicas,
+      forwarder_,
+      [this] { return named_versions_; },
+      [this] { return ready(); },
+      [this](const std::string& holder) { return holder_sign(holder, gossip_.members_by_node()); },
+      inputs_.time,
+      inputs_.metrics};
 }
 
 core::Result<void> Node::open() {
@@ -120,18 +121,15 @@
   coordinator_.on_inputs_changed();
 }
 
-void Node::replace_replicas(std::vector<ingress::ReplicaRecord> records) {
-  if (directory_.loaded() && records == listed_replicas_) {
-    return;
-  }
-  listed_replicas_ = records;
-  const std::size_t count = records.size();
-  const std::vector<core::Address> left = directory_.update(std::move(records));
+void Node::change_replicas(ingress::ReplicaChanges changes) {
+  const std::size_t written = changes.written.size();
+  const std::vector<core::Address> left = directory_.apply(std::move(changes));
   for (const core::Address& address : left) {
     inputs_.replicas.forget(address);
   }
   core::log_decision(core::DecisionEvent::kReplicasChanged,
-                     {{"listed", count}, {"left", left.size()}}, core::DecisionWeight::kRoutine);
+                     {{"listed", directory_.size()}, {"written", written}, {"left", left.size()}},
+                     core::DecisionWeight::kRoutine);
   join_when_ready();
   coordinator_.on_inputs_changed();
 }
@@ -152,7 +150,7 @@
 
 bool Node::is_isolated() const {
   const core::Duration silence = inputs_.time.now() - inputs_.store.last_served();
-  return node::is_isolated(settings_.name, gossip_.members(), silence);
+  return node::is_isolated(settings_.name, gossip_.members_by_node(), silence);
 }
 
 std::vector<core::Address> Node::caller_addresses(const core::ZoneName& zone) const {
@@ -161,8 +159,8 @@
   }
   std::vector<core::Address> near;
   std::vector<core::Address> all;
-  for (const wire::Member& member : gossip_.members()) {
-    const bool is_self = member.node == settings_.name;
+  for (const auto& [node, member] : gossip_.members_by_node()) {
+    const bool is_self = node == settings_.name;
     const bool takes_callers =
         is_self ? ready() : member.state == wire::MemberState::kAlive && !member.leaving;
     if (!takes_callers || all.size() >= kMostAddresses) {
@@ -177,7 +175,7 @@
 }
 
 bool Node::another_is_ready() const {
-  return another_is_alive(settings_.name, gossip_.members());
+  return another_is_alive(settings_.name, gossip_.members_by_node());
 }
 
 asio::awaitable<void> Node::drain(core::Duration longest_hold) {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -51,8 +51,8 @@
 
   /// Takes in what the store tells; a table older than the one in force is dropped.
   void offer_routes(std::shared_ptr<const ingress::RouteTable> table);
-  /// A listing equal to the last one changes nothing.
-  void replace_replicas(std::vector<ingress::ReplicaRecord> records);
+  /// To be called once for the first listing, also when it is empty, and for each change.
+  void change_replicas(ingress::ReplicaChanges changes);
   void replace_named_versions(std::map<core::ModelName, core::WeightVersion> versions);
 
   /// \return whether callers should be sent here.
@@ -81,7 +81,6 @@
   NodeSettings settings_;
   ingress::RouteTableHolder routes_;
   ingress::ReplicaDirectory directory_;
-  std::vector<ingress::ReplicaRecord> listed_replicas_;  ///< last taken in
   std::map<core::ModelName, core::WeightVersion> named_versions_;
   ingress::Forwarder forwarder_;
   jobs::JobStore job_store_;
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -441,17 +441,4 @@
   return packet;
 }
 
-std::size_t encoded_size(const Member& member) {
-  return to_bytes(write_member(member)).size();
-}
-std::size_t encoded_size(const PolicyVersion& version) {
-  return to_bytes(write_policy_version(version)).size();
-}
-std::size_t encoded_size(const ReplicaDrainMark& mark) {
-  return to_bytes(write_drain_mark(mark)).size();
-}
-std::size_t encoded_size(const ReplicaReport& report) {
-  return to_bytes(write_report(report)).size();
-}
-
 }  // namespace stoneport::wire
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -29,10 +29,13 @@
 /// that encode_packet() would not have written.
 core::Result<GossipPacket> decode_packet(std::string_view bytes);
 
-/// Bytes that one item adds to a packet, to fill packets up to their limit.
+/// Bytes that one item adds to a packet, to fill packets up to their limit. Computed without
+/// encoding (gossip_sizes.cpp).
 std::size_t encoded_size(const Member& member);
 std::size_t encoded_size(const PolicyVersion& version);
 std::size_t encoded_size(const ReplicaDrainMark& mark);
 std::size_t encoded_size(const ReplicaReport& report);
+/// \return the bytes of \p packet with its sender and message, its lists being empty.
+std::size_t size_without_records(const GossipPacket& packet);
 
 }  // namespace stoneport::wire
--- a/src/wire/member.hpp
+++ b/src/wire/member.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string_view>
 
 #include "core/identifiers.hpp"
@@ -35,6 +36,9 @@
   bool operator==(const Member&) const = default;
 };
 
+/// Members by their node.
+using MemberMap = std::map<core::NodeId, Member>;
+
 /// Low bits of an incarnation that count refuted suspicions.
 inline constexpr unsigned kRefutationBits = 16;
 
--- a/tests/unit/controllers/gossip_state_test.cpp
+++ b/tests/unit/controllers/gossip_state_test.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST(a_farewell_needs_no_timeout);
   CPPUNIT_TEST(a_replaced_machine_does_not_answer_for_its_predecessor);
   CPPUNIT_TEST(an_idle_cluster_is_cheap_and_news_keeps_the_budget);
+  CPPUNIT_TEST(the_same_seeds_told_again_send_nothing_more);
   CPPUNIT_TEST(dead_members_are_forgotten_in_the_end);
   CPPUNIT_TEST(ranked_members_are_live_staying_and_the_same_everywhere);
   CPPUNIT_TEST_SUITE_END();
@@ -250,6 +251,22 @@
     CPPUNIT_ASSERT(measured.failures && *measured.failures < 20s);
   }
 
+  void the_same_seeds_told_again_send_nothing_more() {
+    wire::Member self;
+    self.node = core::NodeId("alone");
+    GossipState state(self, {}, 1);
+    core::MonotonicTime now{1s};
+    std::size_t packets = 0;
+    for (int tick = 0; tick < 40; ++tick) {
+      state.set_seeds({{"10.0.0.1", 7000}});
+      packets += state.on_tick(now).size();
+      now += 50ms;
+    }
+    // Over two seconds, with an attempt a second while nobody is known.
+    CPPUNIT_ASSERT(packets >= 2);
+    CPPUNIT_ASSERT(packets <= 3);
+  }
+
   void dead_members_are_forgotten_in_the_end() {
     GossipSimulationSettings settings;
     settings.gossip.dead_retention = 1min;
--- /dev/null
+++ b/tests/unit/ingress/replica_directory_test.cpp
@@ -0,0 +1,106 @@
+/// \file
+/// The listing of replicas: whole listings and changes of them come to the same.
+#include "ingress/replica_directory.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace stoneport::ingress {
+
+class ReplicaDirectoryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaDirectoryTest);
+  CPPUNIT_TEST(an_empty_first_listing_counts_as_loaded);
+  CPPUNIT_TEST(changes_keep_what_is_known_of_a_replica);
+  CPPUNIT_TEST(replicas_of_a_service_stay_in_order_of_id);
+  CPPUNIT_TEST(a_replica_that_starts_to_drain_or_goes_is_told);
+  CPPUNIT_TEST(a_whole_listing_removes_what_it_does_not_name);
+  CPPUNIT_TEST(a_row_may_name_another_service);
+  CPPUNIT_TEST_SUITE_END();
+
+  inline static const core::ServiceName kModels{"models"};
+  inline static const core::ModelName kModel{"m"};
+
+  static ReplicaRecord record(const std::string& id, std::uint64_t version = 1) {
+    ReplicaRecord made;
+    made.id = core::ReplicaId(id);
+    made.address = {"10.0.0.1", static_cast<std::uint16_t>(1000 + id.back())};
+    made.service = kModels;
+    made.versions[kModel] = core::WeightVersion(version);
+    return made;
+  }
+
+  static std::string ids(const ReplicaDirectory& directory, const core::ServiceName& service) {
+    std::string joined;
+    for (const ReplicaPointer& replica : directory.of_service(service)) {
+      joined += replica->record.id.value() + " ";
+    }
+    return joined;
+  }
+
+  void an_empty_first_listing_counts_as_loaded() {
+    ReplicaDirectory directory;
+    CPPUNIT_ASSERT(!directory.loaded());
+    directory.apply({});
+    CPPUNIT_ASSERT(directory.loaded());
+    CPPUNIT_ASSERT(directory.of_service(kModels).empty());
+  }
+
+  void changes_keep_what_is_known_of_a_replica() {
+    ReplicaDirectory directory;
+    directory.apply({{record("a"), record("b")}, {}});
+    const ReplicaPointer a = directory.of_service(kModels)[0];
+    const ReplicaPointer b = directory.of_service(kModels)[1];
+    a->in_flight = 3;
+    a->record.versions[kModel] = core::WeightVersion(5);  // a stream has told
+    directory.apply({{record("a", 4)}, {}});
+    CPPUNIT_ASSERT(directory.of_service(kModels)[0] == a);
+    CPPUNIT_ASSERT(directory.of_service(kModels)[1] == b);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, a->in_flight);
+    CPPUNIT_ASSERT(a->record.versions[kModel] == core::WeightVersion(5));
+  }
+
+  void replicas_of_a_service_stay_in_order_of_id() {
+    ReplicaDirectory directory;
+    directory.apply({{record("c"), record("a")}, {}});
+    directory.apply({{record("b")}, {}});
+    CPPUNIT_ASSERT_EQUAL(std::string("a b c "), ids(directory, kModels));
+    directory.apply({{}, {core::ReplicaId("b"), core::ReplicaId("unknown")}});
+    CPPUNIT_ASSERT_EQUAL(std::string("a c "), ids(directory, kModels));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, directory.size());
+  }
+
+  void a_replica_that_starts_to_drain_or_goes_is_told() {
+    ReplicaDirectory directory;
+    directory.apply({{record("a"), record("b")}, {}});
+    const ReplicaPointer b = directory.of_service(kModels)[1];
+    ReplicaRecord draining = record("a");
+    draining.draining = true;
+    CPPUNIT_ASSERT(directory.apply({{draining}, {}}) ==
+                   std::vector<core::Address>{draining.address});
+    CPPUNIT_ASSERT(directory.apply({{draining}, {}}).empty());
+    CPPUNIT_ASSERT(directory.apply({{}, {b->record.id}}) ==
+                   std::vector<core::Address>{b->record.address});
+    CPPUNIT_ASSERT(!b->listed);
+  }
+
+  void a_whole_listing_removes_what_it_does_not_name() {
+    ReplicaDirectory directory;
+    directory.update({record("a"), record("b")});
+    const std::vector<core::Address> left = directory.update({record("b"), record("c")});
+    CPPUNIT_ASSERT(left == std::vector<core::Address>{record("a").address});
+    CPPUNIT_ASSERT_EQUAL(std::string("b c "), ids(directory, kModels));
+  }
+
+  void a_row_may_name_another_service() {
+    ReplicaDirectory directory;
+    directory.apply({{record("a")}, {}});
+    ReplicaRecord moved = record("a");
+    moved.service = core::ServiceName("lookups");
+    directory.apply({{moved}, {}});
+    CPPUNIT_ASSERT_EQUAL(std::string(), ids(directory, kModels));
+    CPPUNIT_ASSERT_EQUAL(std::string("a "), ids(directory, moved.service));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaDirectoryTest);
+
+}  // namespace stoneport::ingress
--- a/tests/unit/node/holder_sign_test.cpp
+++ b/tests/unit/node/holder_sign_test.cpp
@@ -42,7 +42,7 @@
         {"no name", "", 9, MemberState::kDead, HolderSign::kUnknown},
     };
     for (const Case& one : cases) {
-      const std::vector<wire::Member> members = {member("n", one.known_life, one.state)};
+      const wire::MemberMap members = {{core::NodeId("n"), member("n", one.known_life, one.state)}};
       CPPUNIT_ASSERT_MESSAGE(one.name, one.sign == holder_sign(one.holder, members));
     }
   }
--- a/tests/unit/node/isolation_test.cpp
+++ b/tests/unit/node/isolation_test.cpp
@@ -43,8 +43,12 @@
         {"the only process there is", {self}, long_silence, false},
     };
     for (const Case& one : cases) {
+      wire::MemberMap members;
+      for (const wire::Member& known : one.members) {
+        members[known.node] = known;
+      }
       CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.expected,
-                                   is_isolated(core::NodeId("self"), one.members, one.silence));
+                                   is_isolated(core::NodeId("self"), members, one.silence));
     }
   }
 };
--- a/tests/unit/wire/gossip_codec_test.cpp
+++ b/tests/unit/wire/gossip_codec_test.cpp
@@ -92,6 +92,7 @@
 class GossipCodecTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(GossipCodecTest);
   CPPUNIT_TEST(every_message_survives_a_round_trip);
+  CPPUNIT_TEST(sizes_are_those_of_the_encoding);
   CPPUNIT_TEST(malformed_packets_are_errors);
   CPPUNIT_TEST(a_long_packet_is_too_large);
   CPPUNIT_TEST(every_cut_is_an_error);
@@ -108,6 +109,44 @@
     }
   }
 
+  /// What \p added takes in a packet of news that has no other record.
+  static std::size_t added_bytes(const std::function<void(GossipPacket&)>& added) {
+    GossipPacket packet;
+    packet.sender = full_member();
+    const std::size_t before = encode_packet(packet).size();
+    added(packet);
+    return encode_packet(packet).size() - before;
+  }
+
+  void sizes_are_those_of_the_encoding() {
+    for (const GossipMessage& message : all_messages()) {
+      GossipPacket packet;
+      packet.sender = full_member();
+      packet.message = message;
+      CPPUNIT_ASSERT_EQUAL(encode_packet(packet).size(), size_without_records(packet));
+    }
+    const std::uint64_t numbers[] = {
+        0, 23, 24, 255, 256, 65'535, 65'536, 4'294'967'295, 4'294'967'296, ~std::uint64_t{0}};
+    for (const std::uint64_t number : numbers) {
+      Member member = full_member();
+      member.node = core::NodeId(std::string(1 + number % kMaxNameBytes, 'n'));
+      member.incarnation = core::Incarnation(number);
+      member.configuration_revision = core::Revision(number);
+      member.peer_address.port = static_cast<std::uint16_t>(number);
+      const ReplicaDrainMark mark{core::ReplicaId("engine-1"), core::Incarnation(number)};
+      const PolicyVersion version{core::PolicyName("compounds"), core::WeightVersion(number)};
+      CPPUNIT_ASSERT_EQUAL(
+          added_bytes([&](GossipPacket& packet) { packet.members.push_back(member); }),
+          encoded_size(member));
+      CPPUNIT_ASSERT_EQUAL(
+          added_bytes([&](GossipPacket& packet) { packet.drain_marks.push_back(mark); }),
+          encoded_size(mark));
+      CPPUNIT_ASSERT_EQUAL(
+          added_bytes([&](GossipPacket& packet) { packet.policy_versions.push_back(version); }),
+          encoded_size(version));
+    }
+  }
+
   void malformed_packets_are_errors() {
     const std::string long_name(kMaxNameBytes + 1, 'x');
     const std::vector<MalformedCase> cases = {
