Announce orders together; bound a model's followers by the texts it has at once

Cause: at 300 machines (3,001 replicas) each named version made about 280 replicas a model load, each after an announcement of its own in the one partition that also takes results, checkpoints and the heartbeat. By arithmetic that is 350 announcements a second against a limit of 300 writes a second and partition; not traced by a log. Change: jobs/order_announcer writes all waiting announcements in one transaction; a model is followed by no more replicas than have four places for each of its texts (ReplicaAssignment), and the loads at once are a share of the replicas that follow any model. Where a deployment has fewer than four places a text nothing changes.

--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -11,7 +11,6 @@
 constexpr double kMillisecondsPerSecond = 1000;
 /// Listed items at the end of a job whose lines in the log are kept.
 constexpr std::size_t kLastItemsKept = 12;
-constexpr core::Duration kAnnouncementTimeout = std::chrono::milliseconds(1000);
 constexpr core::Duration kLongestFlush = std::chrono::milliseconds(1200);
 /// A dispatch compares what waits with all replicas: 1 ms with 3,000 of them and five jobs
 /// (estimated). Changes within the shortest interval are placed together.
@@ -165,7 +164,7 @@
   }
   recall_lengths(*job);
   jobs_[job->job.id] = job;
-  wanted_weights_.note_job(job->job);
+  wanted_weights_.note_job(job->job, open_jobs());
   meters_->open_jobs.Set(static_cast<double>(jobs_.size()));
   dispatch_soon();
 }
@@ -381,20 +380,13 @@
   }
 }
 
-asio::awaitable<bool> Tenure::announce_order(std::shared_ptr<Tenure> self,
-                                             core::ReplicaId replica) {
+asio::awaitable<std::optional<core::MonotonicTime>> Tenure::announce_order(
+    std::shared_ptr<Tenure> self, core::ReplicaId replica) {
   if (!self || self->over_) {
-    co_return false;
+    co_return std::nullopt;
   }
-  ports::RecordTransaction announcement;
-  announcement.partition = std::string(kTermPartition);
-  announcement.conditions.push_back(
-      {std::string(kTermTable), std::string(kTermKey), self->term_.revision});
-  announcement.writes.push_back(
-      {std::string(kOrderTable), replica.value(), encode_sent_at(self->inputs_.store.now())});
-  const core::Result<core::Revision> committed =
-      co_await self->inputs_.store.commit(std::move(announcement), kAnnouncementTimeout);
-  co_return committed.has_value();
+  std::shared_ptr<OrderAnnouncer> announcer = self->announcer_;
+  co_return co_await OrderAnnouncer::announce(std::move(announcer), std::move(replica));
 }
 
 std::vector<ports::Record> Tenure::index_records() const {
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -12,6 +12,7 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/item_dispatcher.hpp"
 #include "jobs/open_job.hpp"
+#include "jobs/order_announcer.hpp"
 #include "jobs/record_sweeper.hpp"
 #include "jobs/scorer.hpp"
 #include "jobs/term_writer.hpp"
@@ -68,8 +69,8 @@
   bool may_order() const;
   /// Learns which replicas a former holder has ordered lately.
   static boost::asio::awaitable<void> learn_orders(std::shared_ptr<Tenure> self);
-  static boost::asio::awaitable<bool> announce_order(std::shared_ptr<Tenure> self,
-                                                     core::ReplicaId replica);
+  static boost::asio::awaitable<std::optional<core::MonotonicTime>> announce_order(
+      std::shared_ptr<Tenure> self, core::ReplicaId replica);
 
   CoordinatorInputs inputs_;
   CoordinatorSettings settings_;
@@ -84,6 +85,7 @@
   std::unique_ptr<records::TableMirror> index_;
   std::shared_ptr<TermWriter> writer_;
   std::shared_ptr<ItemDispatcher> dispatcher_;
+  std::shared_ptr<OrderAnnouncer> announcer_;
   std::shared_ptr<weights::WeightLoader> loader_;
   std::unique_ptr<Scorer> scorer_;
   std::unique_ptr<RecordSweeper> sweeper_;
--- a/src/jobs/tenure_parts.cpp
+++ b/src/jobs/tenure_parts.cpp
@@ -96,6 +96,8 @@
 void Tenure::make_parts() {
   make_writer();
   make_dispatcher();
+  announcer_ = std::make_shared<OrderAnnouncer>(inputs_.executor, inputs_.store, term_,
+                                                inputs_.time, inputs_.metrics);
   make_loader();
   scorer_ = std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.directory,
                                      inputs_.time, inputs_.metrics);
--- a/src/jobs/wanted_weights.cpp
+++ b/src/jobs/wanted_weights.cpp
@@ -7,6 +7,8 @@
 
 /// Of the newest job in a model's moving average.
 constexpr double kDemandWeight = 0.3;
+/// Of the most texts at once, when another job opens: a pause of some steps forgets little.
+constexpr double kTextsKept = 0.95;
 /// The version that every replica starts with.
 constexpr core::WeightVersion kFirstVersion(1);
 
@@ -20,7 +22,13 @@
 
 }  // namespace
 
-void WantedWeights::note_job(const Job& job) {
+void WantedWeights::note_job(const Job& job, const std::vector<OpenJobPointer>& open) {
+  double texts = 0;
+  for (const OpenJobPointer& one : open) {
+    texts += one->job.model == job.model ? static_cast<double>(one->job.items.size()) : 0;
+  }
+  double& most = texts_[job.model];
+  most = std::max(texts, most * kTextsKept);
   const double tokens = tokens_of(job);
   double& demand = demand_[job.model];
   demand = demand == 0 ? tokens : demand + kDemandWeight * (tokens - demand);
@@ -69,6 +77,8 @@
     }
     const auto demand = demand_.find(model);
     entry.demand = demand == demand_.end() ? 0 : demand->second;
+    const auto texts = texts_.find(model);
+    entry.texts = texts == texts_.end() ? 0 : texts->second;
     wanted[model] = entry;
   }
   return wanted;
--- a/src/jobs/wanted_weights.hpp
+++ b/src/jobs/wanted_weights.hpp
@@ -23,8 +23,10 @@
                 const ingress::ReplicaDirectory& directory)
       : named_(std::move(named)), routes_(routes), directory_(directory) {}
 
-  /// Learns the demand for a job's model: the tokens of a usual job.
-  void note_job(const Job& job);
+  /// Learns the demand for a job's model: the tokens of a usual job, and the texts that are
+  /// made at once.
+  /// \param open all open jobs, with \p job
+  void note_job(const Job& job, const std::vector<OpenJobPointer>& open);
   /// \return an entry for each model that was named a version or has had a job, if any
   /// replica has it.
   weights::WantedVersions wanted(const std::vector<OpenJobPointer>& open) const;
@@ -37,6 +39,7 @@
   const ingress::RouteTableHolder& routes_;
   const ingress::ReplicaDirectory& directory_;
   std::map<core::ModelName, double> demand_;
+  std::map<core::ModelName, double> texts_;
 };
 
 }  // namespace stoneport::jobs
--- a/src/weights/load_plan.hpp
+++ b/src/weights/load_plan.hpp
@@ -26,6 +26,8 @@
   core::WeightVersion wanted;          ///< the newest one named
   core::WeightVersion oldest_allowed;  ///< older ones serve no job to come
   double demand = 0;                   ///< tokens of a usual job; zero when not known
+  double texts = 0;                    ///< made at once at most; zero when not known
+  double slots = 1;                    ///< texts at once of a replica, on average
   std::vector<ReplicaVersion> replicas;
 };
 
--- a/src/weights/replica_assignment.cpp
+++ b/src/weights/replica_assignment.cpp
@@ -40,9 +40,12 @@
           models_.begin(), models_.end(),
           [](const Model& left, const Model& right) { return left.shortage() < right.shortage(); });
       if (shortest == models_.end() || !add_follower(*shortest)) {
-        return;
+        break;
       }
     }
+    for (Model& model : models_) {
+      drop_surplus(model);
+    }
   }
 
  private:
@@ -98,7 +101,38 @@
       const double fewest = std::min(static_cast<double>(owner_.settings_.fewest_replicas), most);
       const double share =
           replicas * owner_.settings_.models_per_replica * demand_of(*model.need) / demand;
-      model.target = std::clamp(share, fewest, most);
+      model.target = std::clamp(std::min(share, largest_use(*model.need)), fewest, most);
+    }
+  }
+
+  /// \return the replicas beyond which further ones would hardly make texts sooner.
+  double largest_use(const ModelNeed& need) const {
+    if (need.texts <= 0) {
+      return static_cast<double>(need.replicas.size());
+    }
+    return std::ceil(owner_.settings_.places_per_text * need.texts / std::max(need.slots, 1.0));
+  }
+
+  /// Lets followers go that nobody took over, the oldest versions first: a model whose texts
+  /// were not known yet may have been given more than it can use.
+  void drop_surplus(Model& model) {
+    const double most = std::ceil(model.target * (1 + owner_.settings_.surplus_share)) + 1;
+    if (static_cast<double>(model.followers) <= most) {
+      return;
+    }
+    std::vector<std::size_t> places;
+    for (std::size_t place = 0; place < model.numbers.size(); ++place) {
+      if (model.follows[model.numbers[place]] != 0) {
+        places.push_back(place);
+      }
+    }
+    std::stable_sort(places.begin(), places.end(), [&](std::size_t left, std::size_t right) {
+      return model.need->replicas[left].version < model.need->replicas[right].version;
+    });
+    const auto kept = static_cast<std::size_t>(std::ceil(model.target));
+    for (std::size_t index = 0; index + kept < places.size(); ++index) {
+      note(model, model.numbers[places[index]], false);
+      owner_.followers_[model.need->model].erase(model.need->replicas[places[index]].id);
     }
   }
 
--- a/src/weights/replica_assignment.hpp
+++ b/src/weights/replica_assignment.hpp
@@ -20,6 +20,13 @@
   double models_per_replica = 1.5;
   /// Each model is followed by this many replicas at least, if there are so many.
   std::size_t fewest_replicas = 2;
+  /// No model is followed by more replicas than have this many places for each of its texts.
+  /// A replica with a quarter of its places taken makes events at nearly the speed of an empty
+  /// one (a full one is a fifth slower), and every further follower costs a load each second
+  /// version. With fewer than four places a text on all replicas this bounds nothing.
+  double places_per_text = 4;
+  /// Followers beyond the target by more than this share are let go.
+  double surplus_share = 0.25;
 };
 
 class ReplicaAssignment {
--- a/src/weights/weight_loader.cpp
+++ b/src/weights/weight_loader.cpp
@@ -1,7 +1,7 @@
 #include "weights/weight_loader.hpp"
 
 #include <algorithm>
-#include <set>
+#include <unordered_set>
 
 #include "core/decision_log.hpp"
 #include "runtime/tasks.hpp"
@@ -31,6 +31,17 @@
   return "unknown";
 }
 
+/// \return the replicas that stand in any of \p needs.
+std::size_t count_replicas(const std::vector<ModelNeed>& needs) {
+  std::unordered_set<core::ReplicaId> replicas;
+  for (const ModelNeed& need : needs) {
+    for (const ReplicaVersion& replica : need.replicas) {
+      replicas.insert(replica.id);
+    }
+  }
+  return replicas.size();
+}
+
 }  // namespace
 
 WeightLoader::WeightLoader(asio::any_io_executor executor, ingress::ReplicaDirectory& directory,
@@ -104,15 +115,22 @@
     need.wanted = version.version;
     need.oldest_allowed = version.oldest_allowed;
     need.demand = version.demand;
+    need.texts = version.texts;
     by_service[version.service].push_back(std::move(need));
   }
   std::vector<ModelNeed> needs;
   for (auto& [service, of_service] : by_service) {
-    for (const ingress::ReplicaPointer& replica : directory_.of_service(service)) {
+    double slots = 0;
+    const std::vector<ingress::ReplicaPointer>& replicas = directory_.of_service(service);
+    for (const ingress::ReplicaPointer& replica : replicas) {
+      slots += replica->record.slots;
       if (replica->accepts_work()) {
         add_replica(*replica, of_service, scope, now);
       }
     }
+    for (ModelNeed& need : of_service) {
+      need.slots = slots / static_cast<double>(std::max(replicas.size(), std::size_t{1}));
+    }
     std::move(of_service.begin(), of_service.end(), std::back_inserter(needs));
   }
   std::sort(needs.begin(), needs.end(),
@@ -120,20 +138,6 @@
   return needs;
 }
 
-std::size_t WeightLoader::count_replicas(const WantedVersions& wanted) const {
-  std::set<core::ServiceName> services;
-  for (const auto& [model, version] : wanted) {
-    services.insert(version.service);
-  }
-  std::size_t replicas = 0;
-  for (const core::ServiceName& service : services) {
-    for (const ingress::ReplicaPointer& replica : directory_.of_service(service)) {
-      replicas += replica->accepts_work() ? 1 : 0;
-    }
-  }
-  return replicas;
-}
-
 void WeightLoader::plan_if_due() {
   const core::MonotonicTime now = time_.now();
   if (!pacer_.is_due(now) || !inputs_.may_order()) {
@@ -150,7 +154,7 @@
     assignment_.update(needs_of(wanted, Scope::kAllReplicas, now));
   }
   const std::vector<ModelNeed> needs = needs_of(wanted, Scope::kFollowers, now);
-  const std::uint32_t most_at_once = most_loads_at_once(count_replicas(wanted), settings_.plan);
+  const std::uint32_t most_at_once = most_loads_at_once(count_replicas(needs), settings_.plan);
   for (const PlannedLoad& load : plan_loads(needs, most_at_once, settings_.plan)) {
     loading_[load.replica] = load.model;
     runtime::start(
@@ -178,12 +182,12 @@
     take_report(*replica, *report);
     order_counts_[target.id] = report->order_count;
   }
-  const core::MonotonicTime announced_at = time_.now();
-  const bool announced = co_await inputs_.announce(target.id);
+  const std::optional<core::MonotonicTime> announced_at = co_await inputs_.announce(target.id);
   // A pause of this process after the announcement would make it worthless.
-  const bool is_late = time_.now() - announced_at > settings_.longest_announcement;
+  const bool is_late =
+      !announced_at || time_.now() - *announced_at > settings_.longest_announcement;
   const bool is_there = version_of(*replica, model) >= version;
-  if (stopped_ || !announced || is_late || is_there || !inputs_.may_order()) {
+  if (stopped_ || is_late || is_there || !inputs_.may_order()) {
     co_return is_there;
   }
   ports::WeightOrder order;
--- a/src/weights/weight_loader.hpp
+++ b/src/weights/weight_loader.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -25,6 +26,7 @@
   core::WeightVersion oldest_allowed;
   core::ServiceName service;  ///< whose replicas have the model
   double demand = 0;          ///< tokens of a usual job; zero when not known
+  double texts = 0;           ///< made at once at most; zero when not known
 };
 using WantedVersions = std::map<core::ModelName, WantedVersion>;
 
@@ -61,8 +63,10 @@
     std::function<std::uint32_t(const core::ReplicaId&)> running;
     std::function<void()> on_loaded;
     /// Makes it known to later holders that an order is about to be sent.
-    /// \return whether it is; without that no order may be sent.
-    std::function<boost::asio::awaitable<bool>(core::ReplicaId)> announce;
+    /// \return when the announcement went to the store, once it is there; nothing when it is
+    /// not, and then no order may be sent.
+    std::function<boost::asio::awaitable<std::optional<core::MonotonicTime>>(core::ReplicaId)>
+        announce;
   };
 
   WeightLoader(boost::asio::any_io_executor executor, ingress::ReplicaDirectory& directory,
@@ -89,8 +93,6 @@
   /// what it cost.
   void plan_if_due();
   void plan(core::MonotonicTime now);
-  /// \return the replicas that take work, of all services that have a wanted model.
-  std::size_t count_replicas(const WantedVersions& wanted) const;
   /// Which replicas the models may be loaded on.
   enum class Scope { kAllReplicas, kFollowers };
   /// \return one need a model of \p wanted, in order of model. With kFollowers a need has the
--- /dev/null
+++ b/tests/unit/jobs/order_announcer_test.cpp
@@ -0,0 +1,80 @@
+/// \file
+/// Orders that are announced together cost one write, and none goes out unannounced.
+#include "jobs/order_announcer.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "unit/jobs/coordinator_world.hpp"
+#include "jobs/job_records.hpp"
+
+namespace stoneport::jobs {
+
+class OrderAnnouncerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(OrderAnnouncerTest);
+  CPPUNIT_TEST(many_announcements_are_few_transactions);
+  CPPUNIT_TEST(nothing_is_announced_without_the_term);
+  CPPUNIT_TEST(a_store_that_refuses_settles_all);
+  CPPUNIT_TEST_SUITE_END();
+
+  boost::asio::io_context context_;
+  FakeRecordStore store_;
+  core::SystemTimeSource time_;
+  core::Metrics metrics_;
+  std::size_t announced_ = 0;
+  std::size_t settled_ = 0;
+
+  Term begin_term() {
+    ports::RecordTransaction bid;
+    bid.partition = std::string(kTermPartition);
+    bid.writes.push_back(
+        {std::string(kTermTable), std::string(kTermKey), encode_term({1, "holder"})});
+    return {core::Epoch(1), *store_.apply(bid)};
+  }
+
+  boost::asio::awaitable<void> announce_one(std::shared_ptr<OrderAnnouncer> announcer,
+                                            std::size_t number) {
+    const std::optional<core::MonotonicTime> sent_at = co_await OrderAnnouncer::announce(
+        announcer, core::ReplicaId("replica-" + std::to_string(number)));
+    announced_ += sent_at ? 1 : 0;
+    ++settled_;
+  }
+
+  void announce(const Term& term, std::size_t count) {
+    const auto announcer =
+        std::make_shared<OrderAnnouncer>(context_.get_executor(), store_, term, time_, metrics_);
+    for (std::size_t number = 0; number < count; ++number) {
+      runtime::start(context_.get_executor(), "announcement", announce_one(announcer, number));
+    }
+    context_.run_for(milliseconds(500));
+  }
+
+  void many_announcements_are_few_transactions() {
+    const Term term = begin_term();
+    announce(term, 250);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{250}, announced_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{250}, store_.table(kOrderTable).size());
+    // A hundred entries fit into a transaction; the first one goes out at once.
+    CPPUNIT_ASSERT(store_.commits <= 4);
+  }
+
+  void nothing_is_announced_without_the_term() {
+    Term term = begin_term();
+    term.revision = core::Revision(term.revision.value() + 1);
+    announce(term, 3);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, settled_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, announced_);
+    CPPUNIT_ASSERT(store_.table(kOrderTable).empty());
+  }
+
+  void a_store_that_refuses_settles_all() {
+    const Term term = begin_term();
+    store_.faults.down = true;
+    announce(term, 150);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{150}, settled_);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, announced_);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OrderAnnouncerTest);
+
+}  // namespace stoneport::jobs
--- a/tests/unit/weights/replica_assignment_test.cpp
+++ b/tests/unit/weights/replica_assignment_test.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(added_replicas_are_shared_out);
   CPPUNIT_TEST(those_that_have_the_version_are_taken_first);
   CPPUNIT_TEST(thousands_of_replicas_are_shared_out_evenly);
+  CPPUNIT_TEST(no_model_is_followed_by_more_replicas_than_its_texts_can_use);
   CPPUNIT_TEST_SUITE_END();
 
   static ModelNeed need(const std::string& model, double demand, std::size_t first,
@@ -149,6 +150,24 @@
     CPPUNIT_ASSERT(before == pairs(assignment, needs));
   }
 
+  void no_model_is_followed_by_more_replicas_than_its_texts_can_use() {
+    AssignmentSettings settings = kOneModelEach;
+    settings.places_per_text = 4;
+    ReplicaAssignment assignment(settings);
+    std::vector<ModelNeed> needs = three(1, 1, 1, 300);
+    assignment.update(needs);
+    assert_counts({100, 100, 100}, assignment);
+    // Once its jobs tell: 60 texts in six places a replica have use for 40 replicas.
+    needs[0].texts = 60;
+    needs[0].slots = 6;
+    assignment.update(needs);
+    assert_counts({40, 100, 100}, assignment);
+    // With fewer than four places a text on all replicas nothing is bounded.
+    needs[0].texts = 600;
+    assignment.update(needs);
+    assert_counts({100, 100, 100}, assignment);
+  }
+
   void those_that_have_the_version_are_taken_first() {
     // A new holder finds the replicas as the former one left them.
     std::vector<ModelNeed> needs = three(1, 1, 1, 6);
