--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -28,9 +28,16 @@
   explicit Meters(core::Metrics& metrics)
       : open_jobs(metrics.gauge("stoneport_open_jobs", "Jobs that this coordinator works on")),
         job_seconds(metrics.seconds_histogram("stoneport_job_seconds",
-                                              "From a job's acceptance to its close")) {}
+                                              "From a job's acceptance to its close")),
+        dispatch_seconds(metrics.seconds_histogram(
+            "stoneport_dispatch_seconds", "Time of one placing of all texts that wait")),
+        dispatches_held_back(
+            metrics.counter("stoneport_dispatches_held_back_total",
+                            "Times that nothing was placed as ends of jobs were not known")) {}
   prometheus::Gauge& open_jobs;
   prometheus::Histogram& job_seconds;
+  prometheus::Histogram& dispatch_seconds;
+  prometheus::Counter& dispatches_held_back;
 };
 
 Tenure::Tenure(const CoordinatorInputs& inputs, const CoordinatorSettings& settings,
@@ -245,7 +252,11 @@
 }
 
 void Tenure::dispatch() {
-  if (over_ || handing_over_ || !knows_ends()) {
+  if (over_ || handing_over_) {
+    return;
+  }
+  if (!knows_ends()) {
+    meters_->dispatches_held_back.Increment();
     return;
   }
   const core::MonotonicTime began = inputs_.time.now();
@@ -254,7 +265,9 @@
     refresh_route(*job);
   }
   dispatcher_->dispatch(jobs);
-  dispatch_pacer_.note(began, inputs_.time.now());
+  const core::MonotonicTime ended = inputs_.time.now();
+  dispatch_pacer_.note(began, ended);
+  meters_->dispatch_seconds.Observe(core::to_seconds(ended - began));
 }
 
 asio::awaitable<void> Tenure::score(std::shared_ptr<Tenure> self, OpenJobPointer job,
