--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -29,8 +29,8 @@
       : open_jobs(metrics.gauge("stoneport_open_jobs", "Jobs that this coordinator works on")),
         job_seconds(metrics.seconds_histogram("stoneport_job_seconds",
                                               "From a job's acceptance to its close")),
-        dispatch_seconds(metrics.seconds_histogram(
-            "stoneport_dispatch_seconds", "Time of one placing of all texts that wait")),
+        dispatch_seconds(metrics.seconds_histogram("stoneport_dispatch_seconds",
+                                                   "Time of one placing of all texts that wait")),
         dispatches_held_back(
             metrics.counter("stoneport_dispatches_held_back_total",
                             "Times that nothing was placed as ends of jobs were not known")) {}
--- a/tests/unit/jobs/order_announcer_test.cpp
+++ b/tests/unit/jobs/order_announcer_test.cpp
@@ -4,8 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "unit/jobs/coordinator_world.hpp"
 #include "jobs/job_records.hpp"
+#include "unit/jobs/coordinator_world.hpp"
 
 namespace stoneport::jobs {
 
