--- a/src/weights/replica_assignment.hpp
+++ b/src/weights/replica_assignment.hpp
@@ -23,7 +23,8 @@
   /// No model is followed by more replicas than have this many places for each of its texts.
   /// A replica with a quarter of its places taken makes events at nearly the speed of an empty
   /// one (a full one is a fifth slower), and every further follower costs a load each second
-  /// version. With fewer than four places a text on all replicas this bounds nothing.
+  /// version. Chosen so that a single model with fewer than four places a text keeps all
+  /// replicas; models that share the replicas are bounded from 4 / models_per_replica places on.
   double places_per_text = 4;
   /// Followers beyond the target by more than this share are let go.
   double surplus_share = 0.25;
