--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -44,6 +44,9 @@
     EventName{DecisionEvent::kVersionWanted, "version_wanted"},
     EventName{DecisionEvent::kOrderSent, "order_sent"},
     EventName{DecisionEvent::kCommitFailed, "commit_failed"},
+    EventName{DecisionEvent::kUsageFrozen, "usage_frozen"},
+    EventName{DecisionEvent::kUsageSent, "usage_sent"},
+    EventName{DecisionEvent::kUsageGivenUp, "usage_given_up"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -41,7 +41,10 @@
   kVersionWanted,
   kOrderSent,
   kCommitFailed,
-  kLast = kCommitFailed,
+  kUsageFrozen,
+  kUsageSent,
+  kUsageGivenUp,
+  kLast = kUsageGivenUp,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -110,6 +110,16 @@
   return std::nullopt;
 }
 
+std::vector<std::string_view> HeaderMap::find_all(std::string_view name) const {
+  std::vector<std::string_view> values;
+  for (const Field& field : fields_) {
+    if (names_equal(field.first, name)) {
+      values.emplace_back(field.second);
+    }
+  }
+  return values;
+}
+
 void remove_hop_by_hop(HeaderMap& headers) {
   std::vector<std::string> names;
   for (const HeaderMap::Field& field : headers.fields()) {
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -21,6 +21,8 @@
   void erase(std::string_view name);
   /// \return the first value of that name.
   std::optional<std::string_view> find(std::string_view name) const;
+  /// \return every value of that name, in order.
+  std::vector<std::string_view> find_all(std::string_view name) const;
   const std::vector<Field>& fields() const { return fields_; }
 
  private:
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -29,6 +29,16 @@
   return route.kind == RouteKind::kRepeatable || route.resumable;
 }
 
+/// A replica that said so, or that was silent, has not begun: another one will.
+void note_attempt(const ports::CallFailure& failure, ObservedRun& observed) {
+  const bool may_have_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
+  if (may_have_run && !failure.unreachable) {
+    observed.ran();
+  } else {
+    observed.not_run();
+  }
+}
+
 }  // namespace
 
 http::Response failure_response(const ForwardFailure& failure) {
@@ -82,12 +92,13 @@
 
 Forwarder::Forwarder(ReplicaDirectory& directory, ports::ReplicaClient& client,
                      ForwarderSettings settings, std::uint64_t seed, const core::TimeSource& time,
-                     core::Metrics& metrics)
+                     core::Metrics& metrics, RunObserver* observer)
     : directory_(directory),
       client_(client),
       settings_(std::move(settings)),
       random_(seed),
       time_(time),
+      observer_(observer),
       meters_(std::make_unique<Meters>(metrics)) {}
 
 Forwarder::~Forwarder() = default;
@@ -162,6 +173,7 @@
   call.body = request.body;
   call.time_left = progress.give_up_at - time_.now();
   call.resume_after = progress.last_event;
+  call.tenant = request.tenant;
   call.fresh_connection = !is_repeatable(*request.route);
   return call;
 }
@@ -238,6 +250,7 @@
 
 asio::awaitable<ForwardResult> Forwarder::call(ForwardedRequest request) {
   Progress progress;
+  ObservedRun observed(observer_, request.tenant);
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
   progress.preference = preference_for(*request.route);
   const core::Duration patience =
@@ -251,6 +264,7 @@
     }
     const InFlight in_flight(replica);
     const core::MonotonicTime sent_at = time_.now();
+    observed.sent(sent_at);
     ports::ReplicaCall call = replica_call(request, progress);
     const bool is_last = progress.runs + 1 >= request.route->most_attempts;
     if (is_repeatable(*request.route) && !is_last) {
@@ -260,9 +274,11 @@
     ports::CallResult<ports::ReplicaAnswer> answer =
         co_await client_.call(std::move(target), std::move(call));
     if (!answer) {
+      note_attempt(answer.error(), observed);
       note_failure(request, replica, answer.error(), progress);
       continue;
     }
+    observed.ran();
     const Verdict verdict = judge(request, *replica, *answer, progress);
     if (verdict == Verdict::kAnswer) {
       replica->note_latency(time_.now() - sent_at);
@@ -367,6 +383,7 @@
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
   progress.preference = preference_for(*request.route);
   progress.last_event = request.resume_after;
+  ObservedRun observed(observer_, request.tenant);
   while (may_try_again(request, progress) && !response.client_gone()) {
     const ReplicaPointer replica = co_await choose(request, progress);
     if (!replica) {
@@ -375,6 +392,7 @@
     const InFlight in_flight(replica);
     asio::cancellation_signal cut;
     response.when_client_gone([&cut] { cut.emit(asio::cancellation_type::terminal); });
+    observed.sent(time_.now());
     ports::ReplicaTarget target{replica->record.id, replica->record.address};
     asio::awaitable<ports::CallResult<ports::StreamAnswer>> task =
         client_.open_stream(std::move(target), replica_call(request, progress));
@@ -386,9 +404,11 @@
       co_return;
     }
     if (!*opened) {
+      note_attempt(opened->error(), observed);
       note_failure(request, replica, opened->error(), progress);
       continue;
     }
+    observed.ran();
     ports::StreamAnswer& answer = **opened;
     if (answer.rejection) {
       const Verdict verdict = judge(request, *replica, *answer.rejection, progress);
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -12,6 +12,7 @@
 #include "http/server.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
+#include "ingress/run_observer.hpp"
 #include "ports/replica_client.hpp"
 
 namespace stoneport::ingress {
@@ -25,6 +26,7 @@
   core::MonotonicTime received;
   core::MonotonicTime deadline;  ///< the client gives up then
   std::optional<std::uint64_t> resume_after = std::nullopt;
+  core::TenantName tenant = {};  ///< whose request it is; empty for nobody's
 };
 
 /// Why no answer of a replica can be passed on.
@@ -64,8 +66,10 @@
 class Forwarder {
  public:
   /// All outlive the forwarder.
+  /// \param observer learns of the runs of tenants' requests; may be null
   Forwarder(ReplicaDirectory& directory, ports::ReplicaClient& client, ForwarderSettings settings,
-            std::uint64_t seed, const core::TimeSource& time, core::Metrics& metrics);
+            std::uint64_t seed, const core::TimeSource& time, core::Metrics& metrics,
+            RunObserver* observer = nullptr);
 
   /// \return a replica's whole answer. May be cut off at any suspension.
   boost::asio::awaitable<ForwardResult> call(ForwardedRequest request);
@@ -108,6 +112,7 @@
   ForwarderSettings settings_;
   core::RandomSource random_;
   const core::TimeSource& time_;
+  RunObserver* observer_;
   std::unique_ptr<Meters> meters_;
 
  public:
--- a/src/ingress/route_table.cpp
+++ b/src/ingress/route_table.cpp
@@ -15,8 +15,9 @@
   return name;
 }
 
-RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits)
-    : version_(version), routes_(std::move(routes)), limits_(limits) {
+RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits,
+                       tenants::TenantTable tenants)
+    : version_(version), routes_(std::move(routes)), limits_(limits), tenants_(std::move(tenants)) {
   for (std::size_t index = 0; index < routes_.size(); ++index) {
     by_host_[routes_[index].host].push_back(index);
   }
@@ -40,6 +41,16 @@
   return nullptr;
 }
 
+bool RouteTable::has_public_route(std::string_view host, RouteKind kind) const {
+  const auto found = by_host_.find(normalized_host(host));
+  if (found == by_host_.end()) {
+    return false;
+  }
+  return std::any_of(found->second.begin(), found->second.end(), [&](std::size_t index) {
+    return routes_[index].is_public && routes_[index].kind == kind;
+  });
+}
+
 bool RouteTable::uses(const core::ServiceName& service) const {
   return std::any_of(routes_.begin(), routes_.end(), [&](const Route& route) {
     return std::any_of(route.targets.begin(), route.targets.end(),
--- a/src/ingress/route_table.hpp
+++ b/src/ingress/route_table.hpp
@@ -12,6 +12,7 @@
 
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
+#include "tenants/tenant_table.hpp"
 
 namespace stoneport::ingress {
 
@@ -32,6 +33,7 @@
   std::string host;         ///< in lower case, without a port
   std::string path_prefix;  ///< starts and ends with a slash
   RouteKind kind = RouteKind::kOnce;
+  bool is_public = false;  ///< needs no key
   bool resumable = false;
   bool single_version = false;       ///< one weight version makes a whole text
   core::Duration timeout{};          ///< longest time a request is held
@@ -53,14 +55,18 @@
 class RouteTable {
  public:
   RouteTable() = default;
-  RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits);
+  RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits,
+             tenants::TenantTable tenants = {});
 
   std::uint64_t version() const { return version_; }
   const ClientLimits& limits() const { return limits_; }
   const std::vector<Route>& routes() const { return routes_; }
+  const tenants::TenantTable& tenants() const { return tenants_; }
   /// \param host as in a Host field; its port and case do not matter
   /// \return the route of that host with the longest prefix of \p path, or null.
   const Route* find(std::string_view host, std::string_view path) const;
+  /// \return whether \p host has a public route of \p kind.
+  bool has_public_route(std::string_view host, RouteKind kind) const;
   /// \return whether any route may send requests to \p service.
   bool uses(const core::ServiceName& service) const;
 
@@ -68,6 +74,7 @@
   std::uint64_t version_ = 0;
   std::vector<Route> routes_;
   ClientLimits limits_;
+  tenants::TenantTable tenants_;
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;  ///< longest prefix first
 };
 
--- /dev/null
+++ b/src/ingress/run_observer.hpp
@@ -0,0 +1,65 @@
+/// \file
+/// Learns of requests that replicas begin to run. Belongs to the forwarder's thread.
+#pragma once
+
+#include <optional>
+
+#include "core/identifiers.hpp"
+#include "core/time.hpp"
+
+namespace stoneport::ingress {
+
+class RunObserver {
+ public:
+  virtual ~RunObserver() = default;
+  /// A request of \p tenant has been sent to a replica, which may begin to run it.
+  virtual void on_sent(const core::TenantName& tenant, core::MonotonicTime sent_at) = 0;
+  /// The request that was sent then has ended, or its answer has begun.
+  /// \param has_run whether a replica began to run it
+  virtual void on_settled(const core::TenantName& tenant, core::MonotonicTime sent_at,
+                          bool has_run) = 0;
+};
+
+/// One request's run, settled at the latest when this is destroyed. A request counts once,
+/// by the first attempt that ran.
+class ObservedRun {
+ public:
+  /// \param observer may be null; it outlives this otherwise
+  ObservedRun(RunObserver* observer, core::TenantName tenant)
+      : observer_(tenant.empty() ? nullptr : observer), tenant_(std::move(tenant)) {}
+  ~ObservedRun() { settle(true); }
+  ObservedRun(const ObservedRun&) = delete;
+  ObservedRun& operator=(const ObservedRun&) = delete;
+
+  /// An attempt goes out; only the first one that may run counts.
+  void sent(core::MonotonicTime at) {
+    if (observer_ != nullptr && !sent_at_ && !is_settled_) {
+      sent_at_ = at;
+      observer_->on_sent(tenant_, at);
+    }
+  }
+  /// The attempt that was sent surely did not run: the next one counts.
+  void not_run() {
+    if (sent_at_ && !is_settled_) {
+      observer_->on_settled(tenant_, *sent_at_, false);
+      sent_at_.reset();
+    }
+  }
+  /// The attempt that was sent ran.
+  void ran() { settle(true); }
+
+ private:
+  void settle(bool has_run) {
+    if (sent_at_ && !is_settled_) {
+      is_settled_ = true;
+      observer_->on_settled(tenant_, *sent_at_, has_run);
+    }
+  }
+
+  RunObserver* observer_;
+  core::TenantName tenant_;
+  std::optional<core::MonotonicTime> sent_at_;
+  bool is_settled_ = false;
+};
+
+}  // namespace stoneport::ingress
--- a/src/jobs/coordinator.hpp
+++ b/src/jobs/coordinator.hpp
@@ -10,6 +10,7 @@
 #include "ingress/replica_directory.hpp"
 #include "jobs/item_dispatcher.hpp"
 #include "jobs/job_store.hpp"
+#include "jobs/term_duty.hpp"
 #include "jobs/term_keeper.hpp"
 #include "jobs/term_writer.hpp"
 #include "weights/weight_loader.hpp"
@@ -48,6 +49,8 @@
   std::function<HolderSign(const std::string&)> sign_of;
   const core::TimeSource& time;
   core::Metrics& metrics;
+  /// What else the holder of the term does; may be empty.
+  TermDutyFactory term_duties = {};
 };
 
 class Tenure;
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -188,6 +188,7 @@
   call.head.headers = item.headers;
   call.head.headers.set("Host", job.job.host);
   call.body = item.body;
+  call.tenant = job.entry.tenant;
   const ports::StoreTime now = inputs_.store.now().value_or(job.entry.accepted_at);
   call.time_left = job.route->queue_limit - (now - job.entry.accepted_at);
   return call;
--- a/src/jobs/job.hpp
+++ b/src/jobs/job.hpp
@@ -48,6 +48,7 @@
   std::string host;
   std::string path;
   std::string body;
+  core::TenantName tenant = {};  ///< whose job it is; empty where requests need no key
 };
 
 /// Reads the body of a submission.
--- a/src/jobs/job_records.cpp
+++ b/src/jobs/job_records.cpp
@@ -83,6 +83,10 @@
 
 }  // namespace
 
+bool may_see(const JobIndexEntry& entry, const core::TenantName& caller) {
+  return entry.tenant.empty() || entry.tenant == caller;
+}
+
 std::string job_key(std::string_view job) {
   return std::string(job);
 }
@@ -119,7 +123,8 @@
                            {"path", entry.path},
                            {"items", entry.item_count},
                            {"chunks", entry.body_chunks},
-                           {"accepted_ms", entry.accepted_at.count()}});
+                           {"accepted_ms", entry.accepted_at.count()},
+                           {"tenant", entry.tenant.value()}});
 }
 
 std::map<std::string, JobIndexEntry> decode_index(const std::vector<ports::Record>& records,
@@ -140,6 +145,7 @@
     entry.item_count = number_field<std::uint32_t>(*value, "items");
     entry.body_chunks = number_field<std::uint32_t>(*value, "chunks");
     entry.accepted_at = ports::StoreTime(number_field<std::uint64_t>(*value, "accepted_ms"));
+    entry.tenant = core::TenantName(text_field(*value, "tenant"));
     jobs[record.key] = entry;
   }
   for (const ports::Record& record : records) {
--- a/src/jobs/job_records.hpp
+++ b/src/jobs/job_records.hpp
@@ -38,8 +38,14 @@
   std::uint32_t body_chunks = 0;
   ports::StoreTime accepted_at{};
   bool ended = false;  ///< the client ended it
+  /// Whose job it is; empty for jobs of requests without a key, and in records written before
+  /// tenants were known.
+  core::TenantName tenant = {};
 };
 
+/// \return whether \p caller may know of the job: its tenant may, and everybody where it has none.
+bool may_see(const JobIndexEntry& entry, const core::TenantName& caller);
+
 std::string job_key(std::string_view job);
 std::string ended_key(std::string_view job);
 std::string body_key(std::string_view job, std::size_t chunk);
--- a/src/jobs/job_store.cpp
+++ b/src/jobs/job_store.cpp
@@ -140,6 +140,7 @@
   entry.item_count = item_count;
   entry.body_chunks = static_cast<std::uint32_t>(chunks.size());
   entry.accepted_at = store_.now().value_or(ports::StoreTime(0));
+  entry.tenant = submission.tenant;
   std::vector<ports::RecordWrite> writes;
   for (std::size_t chunk = 0; chunk < chunks.size(); ++chunk) {
     writes.push_back({std::string(kBodyTable), body_key(submission.id, chunk), chunks[chunk]});
@@ -157,8 +158,10 @@
   }
   // A conflict means that the job is there: by an earlier call, or by an earlier
   // attempt of this one whose answer was lost.
-  const bool is_durable = committed || committed.error().code == core::ErrorCode::kConflict;
-  if (!is_durable) {
+  if (!committed && committed.error().code == core::ErrorCode::kConflict) {
+    committed = co_await confirm_earlier(submission);
+  }
+  if (!committed) {
     if (committed.error().code == core::ErrorCode::kOutcomeUnknown) {
       unclear_.Increment();
     }
@@ -168,12 +171,24 @@
   co_return core::Result<void>();
 }
 
-asio::awaitable<core::Result<void>> JobStore::end(std::string job) {
+asio::awaitable<core::Result<void>> JobStore::confirm_earlier(const JobSubmission& submission) {
+  const core::Result<JobIndexEntry> entry = co_await find(submission.id);
+  if (!entry) {
+    // The job exists: nothing here may say that it never will.
+    co_return core::make_error(core::ErrorCode::kOutcomeUnknown, entry.error().message);
+  }
+  if (!may_see(*entry, submission.tenant)) {
+    co_return core::make_error(core::ErrorCode::kInvalidArgument, "this id cannot be used");
+  }
+  co_return core::Result<void>();
+}
+
+asio::awaitable<core::Result<void>> JobStore::end(core::TenantName caller, std::string job) {
   const bool serves = co_await store_serves();
   if (!serves) {
     co_return store_lost();
   }
-  const core::Result<JobIndexEntry> entry = co_await find(job);
+  const core::Result<JobIndexEntry> entry = co_await find_for(std::move(caller), job);
   if (!entry) {
     co_return entry.error();
   }
@@ -245,14 +260,23 @@
   co_return found.begin()->second;
 }
 
-asio::awaitable<core::Result<JobPage>> JobStore::read(std::string job, std::uint64_t position,
-                                                      core::Duration wait) {
+asio::awaitable<core::Result<JobIndexEntry>> JobStore::find_for(core::TenantName caller,
+                                                                std::string job) {
+  core::Result<JobIndexEntry> entry = co_await find(std::move(job));
+  if (entry && !may_see(*entry, caller)) {
+    co_return core::make_error(core::ErrorCode::kNotFound, "no such job");
+  }
+  co_return entry;
+}
+
+asio::awaitable<core::Result<JobPage>> JobStore::read(core::TenantName caller, std::string job,
+                                                      std::uint64_t position, core::Duration wait) {
   const bool serves = co_await store_serves();
   if (!serves) {
     co_return store_lost();
   }
   const core::MonotonicTime wait_until = time_.now() + wait;
-  const core::Result<JobIndexEntry> entry = co_await find(job);
+  const core::Result<JobIndexEntry> entry = co_await find_for(std::move(caller), job);
   if (!entry) {
     co_return entry.error();
   }
@@ -275,6 +299,15 @@
   }
 }
 
+asio::awaitable<core::Result<JobSubmission>> JobStore::submission_for(core::TenantName caller,
+                                                                      std::string job) {
+  const core::Result<JobIndexEntry> entry = co_await find_for(std::move(caller), job);
+  if (!entry) {
+    co_return entry.error();
+  }
+  co_return co_await submission(std::move(job));
+}
+
 asio::awaitable<core::Result<JobSubmission>> JobStore::submission(std::string job) {
   for (const JobSubmission& kept : bodies_) {
     if (kept.id == job) {
@@ -299,6 +332,7 @@
   submission.id = job;
   submission.host = entry->host;
   submission.path = entry->path;
+  submission.tenant = entry->tenant;
   for (const ports::Record& record : *records) {
     submission.body += record.value;
   }
--- a/src/jobs/job_store.hpp
+++ b/src/jobs/job_store.hpp
@@ -43,13 +43,17 @@
   /// kOutcomeUnknown when it may be.
   boost::asio::awaitable<core::Result<void>> accept(JobSubmission submission,
                                                     std::uint32_t item_count);
+  /// The job of another tenant than \p caller is unknown, here and below.
   /// \return kNotFound for an unknown job; kUnavailable when nothing is certain.
-  boost::asio::awaitable<core::Result<void>> end(std::string job);
+  boost::asio::awaitable<core::Result<void>> end(core::TenantName caller, std::string job);
   /// Waits up to \p wait for a result at \p position.
   /// \return kNotFound for an unknown job; kUnavailable when nothing is certain.
-  boost::asio::awaitable<core::Result<JobPage>> read(std::string job, std::uint64_t position,
-                                                     core::Duration wait);
+  boost::asio::awaitable<core::Result<JobPage>> read(core::TenantName caller, std::string job,
+                                                     std::uint64_t position, core::Duration wait);
   /// \return the submission as it came; errors as for read().
+  boost::asio::awaitable<core::Result<JobSubmission>> submission_for(core::TenantName caller,
+                                                                     std::string job);
+  /// The same for whoever works on all tenants' jobs.
   boost::asio::awaitable<core::Result<JobSubmission>> submission(std::string job);
   /// Reads a range, whole or its first page; never an answer that is older than
   /// what is known. \return kUnavailable when the store does not answer.
@@ -58,6 +62,10 @@
 
  private:
   boost::asio::awaitable<core::Result<JobIndexEntry>> find(std::string job);
+  boost::asio::awaitable<core::Result<JobIndexEntry>> find_for(core::TenantName caller,
+                                                               std::string job);
+  /// \return success when the job that has the submission's id is the same tenant's.
+  boost::asio::awaitable<core::Result<void>> confirm_earlier(const JobSubmission& submission);
   bool store_is_lost() const;
   /// \return whether the store serves this process, at once or within patience_when_lost.
   boost::asio::awaitable<bool> store_serves() const;
--- a/src/jobs/open_job.cpp
+++ b/src/jobs/open_job.cpp
@@ -7,7 +7,12 @@
 namespace stoneport::jobs {
 
 std::uint32_t rank_of(const OpenJob& job) {
-  return job.route != nullptr ? job.route->priority : std::numeric_limits<std::uint32_t>::max();
+  if (job.route == nullptr) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  const tenants::Tenant* tenant =
+      job.table != nullptr ? job.table->tenants().find(job.entry.tenant) : nullptr;
+  return tenant != nullptr ? tenant->priority.value_or(job.route->priority) : job.route->priority;
 }
 
 LengthEvidence OpenJob::evidence_of(std::size_t item) const {
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -69,7 +69,8 @@
 };
 using OpenJobPointer = std::shared_ptr<OpenJob>;
 
-/// \return the rank of the job's route, 0 first; the lowest one without a route.
+/// \return the rank of the job's tenant, or of its route where the tenant has none; 0 first, the
+/// lowest one without a route.
 std::uint32_t rank_of(const OpenJob& job);
 
 }  // namespace stoneport::jobs
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -57,6 +57,9 @@
   last_tick_ = inputs_.time.now();
   writer_->start();
   loader_->start();
+  for (const TermDutyPointer& duty : duties_) {
+    duty->start();
+  }
   runtime::start(inputs_.executor, "coordinator start", begin(shared_from_this()));
   runtime::start(inputs_.executor, "orders", learn_orders(shared_from_this()));
   runtime::start(inputs_.executor, "coordinator tick", tick_loop(shared_from_this()));
@@ -68,6 +71,9 @@
   index_->stop();
   writer_->stop();
   loader_->stop();
+  for (const TermDutyPointer& duty : duties_) {
+    duty->stop();
+  }
   for (const auto& [id, job] : jobs_) {
     job->over = true;
   }
@@ -368,11 +374,15 @@
   }
 }
 
-bool Tenure::may_order() const {
+bool Tenure::is_sure_of_term() const {
   const core::MonotonicTime now = inputs_.time.now();
   const bool is_awake = now - last_tick_ < kLongestGap;
   const bool is_confirmed = now - keeper_.confirmed_at() < settings_.order_confirmation;
-  return !over_ && !handing_over_ && orders_known_ && is_awake && is_confirmed;
+  return !over_ && !handing_over_ && is_awake && is_confirmed;
+}
+
+bool Tenure::may_order() const {
+  return orders_known_ && is_sure_of_term();
 }
 
 asio::awaitable<void> Tenure::learn_orders(std::shared_ptr<Tenure> self) {
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -39,6 +39,7 @@
   void make_writer();
   void make_dispatcher();
   void make_loader();
+  void make_duties();
   static boost::asio::awaitable<void> begin(std::shared_ptr<Tenure> self);
   static boost::asio::awaitable<void> tick_loop(std::shared_ptr<Tenure> self);
   static boost::asio::awaitable<void> sweep_loop(std::shared_ptr<Tenure> self);
@@ -66,6 +67,8 @@
                     const std::string& reason) const;
   void on_listed(const PendingResult& listed, std::uint64_t position);
 
+  /// Whether this process may act on its term now.
+  bool is_sure_of_term() const;
   bool may_order() const;
   /// Learns which replicas a former holder has ordered lately.
   static boost::asio::awaitable<void> learn_orders(std::shared_ptr<Tenure> self);
@@ -89,6 +92,7 @@
   std::shared_ptr<weights::WeightLoader> loader_;
   std::unique_ptr<Scorer> scorer_;
   std::unique_ptr<RecordSweeper> sweeper_;
+  std::vector<TermDutyPointer> duties_;
   core::MonotonicTime last_tick_{};
   core::WorkPacer dispatch_pacer_;
   bool orders_known_ = false;
--- a/src/jobs/tenure_parts.cpp
+++ b/src/jobs/tenure_parts.cpp
@@ -93,12 +93,27 @@
       std::move(settings), inputs_.time, inputs_.metrics);
 }
 
+void Tenure::make_duties() {
+  if (!inputs_.term_duties) {
+    return;
+  }
+  const std::weak_ptr<Tenure> weak = weak_from_this();
+  TermContext context;
+  context.term = term_;
+  context.is_sure = [weak] {
+    const auto self = weak.lock();
+    return self && self->is_sure_of_term();
+  };
+  duties_ = inputs_.term_duties(context);
+}
+
 void Tenure::make_parts() {
   make_writer();
   make_dispatcher();
   announcer_ = std::make_shared<OrderAnnouncer>(inputs_.executor, inputs_.store, term_,
                                                 inputs_.time, inputs_.metrics);
   make_loader();
+  make_duties();
   scorer_ = std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.directory,
                                      inputs_.time, inputs_.metrics);
   sweeper_ = std::make_unique<RecordSweeper>(inputs_.store, inputs_.jobs, term_, inputs_.metrics);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -49,28 +49,39 @@
   return forwarder;
 }
 
-jobs::CoordinatorSettings coordinator_settings(const NodeInputs& inputs,
-                                               const NodeSettings& settings) {
+jobs::CoordinatorSettings coordinator_settings(const NodeSettings& settings,
+                                               const std::string& life) {
   jobs::CoordinatorSettings coordinator = settings.coordinator;
-  coordinator.term.holder = holder_name(settings.name, life_of_process(inputs.time));
+  coordinator.term.holder = life;
   coordinator.term.bid_delay = jobs::bid_delay_of(settings.processor_share);
   return coordinator;
 }
 
 }  // namespace
 
+usage::UsagePublisherSettings publisher_settings(const std::string& life) {
+  usage::UsagePublisherSettings publisher;
+  publisher.process = life;
+  return publisher;
+}
+
 Node::Node(NodeInputs inputs, NodeSettings settings)
     : inputs_(std::move(inputs)),
       settings_(std::move(settings)),
+      life_(holder_name(settings_.name, life_of_process(inputs_.time))),
+      window_clock_(inputs_.time, settings_.usage.window_length),
+      usage_counter_(window_clock_),
       forwarder_(directory_, inputs_.replicas, forwarder_settings(settings_),
-                 seed_for(inputs_, settings_, "forwarder"), inputs_.time, inputs_.metrics),
+                 seed_for(inputs_, settings_, "forwarder"), inputs_.time, inputs_.metrics,
+                 &usage_counter_),
       job_store_(inputs_.store, inputs_.time, inputs_.metrics),
       gossip_endpoint_(inputs_.executor, inputs_.metrics),
       gossip_(inputs_.executor, gossip_endpoint_, self_of(inputs_, settings_), gossip_settings(),
               seed_for(inputs_, settings_, "gossip"), inputs_.time, inputs_.metrics),
-      coordinator_(coordinator_inputs(), coordinator_settings(inputs_, settings_),
+      coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
                    seed_for(inputs_, settings_, "term")),
-      store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics) {}
+      store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
+      usage_publisher_(publisher_inputs(), publisher_settings(life_)) {}
 
 Node::~Node() = default;
 
@@ -88,7 +99,52 @@
       [this] { return ready(); },
       [this](const std::string& holder) { return holder_sign(holder, gossip_.members_by_node()); },
       inputs_.time,
-      inputs_.metrics};
+      inputs_.metrics,
+      [this](const jobs::TermContext& context) { return make_duties(context); }};
+}
+
+usage::UsagePublisher::Inputs Node::publisher_inputs() {
+  return {inputs_.executor,
+          inputs_.store,
+          usage_counter_,
+          window_clock_,
+          [this] { return counts_usage(); },
+          [this] { return gossip_.members_by_node().size(); },
+          inputs_.time,
+          inputs_.metrics};
+}
+
+std::vector<jobs::TermDutyPointer> Node::make_duties(const jobs::TermContext& context) {
+  std::vector<jobs::TermDutyPointer> duties;
+  if (settings_.usage.reports) {
+    usage::UsageReporter::Inputs inputs{inputs_.executor,
+                                        inputs_.store,
+                                        job_store_,
+                                        inputs_.duties,
+                                        window_clock_,
+                                        [this] { return counts_usage(); },
+                                        [this] { return running_processes(); },
+                                        inputs_.time,
+                                        inputs_.metrics};
+    duties.push_back(std::make_shared<usage::UsageReporter>(std::move(inputs), context,
+                                                            settings_.usage.reporter));
+  }
+  return duties;
+}
+
+bool Node::counts_usage() const {
+  return settings_.usage.reports && routes_.current() != nullptr &&
+         routes_.current()->tenants().requires_keys();
+}
+
+std::vector<std::string> Node::running_processes() const {
+  std::vector<std::string> lives = {life_};
+  for (const auto& [node, member] : gossip_.members_by_node()) {
+    if (node != settings_.name && member.state == wire::MemberState::kAlive) {
+      lives.push_back(holder_name(node, wire::life_of(member.incarnation)));
+    }
+  }
+  return lives;
 }
 
 core::Result<void> Node::open() {
@@ -99,6 +155,7 @@
   gossip_.set_seeds(settings_.gossip_seeds);
   coordinator_.start();
   store_watch_.start();
+  usage_publisher_.start();
 }
 
 /// Members are those that are ready, so a process joins no earlier.
@@ -115,8 +172,11 @@
   if (!routes_.offer(std::move(table))) {
     return;
   }
-  core::log_decision(core::DecisionEvent::kConfigurationInForce,
-                     {{"version", version}, {"routes", routes}});
+  const tenants::TenantTable& tenants = routes_.current()->tenants();
+  core::log_decision(core::DecisionEvent::kConfigurationInForce, {{"version", version},
+                                                                  {"routes", routes},
+                                                                  {"tenants", tenants.size()},
+                                                                  {"faults", tenants.faults()}});
   join_when_ready();
   coordinator_.on_inputs_changed();
 }
@@ -194,4 +254,8 @@
   }
 }
 
+asio::awaitable<void> Node::finish(core::Duration limit) {
+  co_await usage_publisher_.flush(limit);
+}
+
 }  // namespace stoneport::node
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -14,9 +14,18 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
 #include "records/store_watch.hpp"
+#include "usage/usage_publisher.hpp"
+#include "usage/usage_reporter.hpp"
 
 namespace stoneport::node {
 
+/// How the usage of tenants is counted and reported.
+struct UsageSettings {
+  core::Duration window_length = std::chrono::seconds(5);
+  bool reports = false;  ///< whether the platform wants reports
+  usage::UsageReporterSettings reporter;
+};
+
 struct NodeSettings {
   core::NodeId name;
   core::ZoneName zone;
@@ -26,6 +35,7 @@
   std::vector<core::Address> gossip_seeds;
   double processor_share = 1;  ///< of a core; large machines coordinate first
   jobs::CoordinatorSettings coordinator;
+  UsageSettings usage;
 };
 
 /// What the node works with; all outlive it.
@@ -36,6 +46,7 @@
   const jobs::JobParser& parser;
   const core::TimeSource& time;
   core::Metrics& metrics;
+  ports::DutyClient& duties;
 };
 
 class Node {
@@ -71,9 +82,17 @@
   /// more; requests are still served.
   /// \param longest_hold how long to go on coordinating while nobody else could
   boost::asio::awaitable<void> drain(core::Duration longest_hold);
+  /// Saves what this process alone knows, once it serves nobody any more.
+  boost::asio::awaitable<void> finish(core::Duration limit);
 
  private:
   jobs::CoordinatorInputs coordinator_inputs();
+  usage::UsagePublisher::Inputs publisher_inputs();
+  std::vector<jobs::TermDutyPointer> make_duties(const jobs::TermContext& context);
+  /// \return whether the usage of tenants is to be reported.
+  bool counts_usage() const;
+  /// \return the lives of processes that run now, this one among them.
+  std::vector<std::string> running_processes() const;
   bool another_is_ready() const;
   void join_when_ready();
 
@@ -82,12 +101,16 @@
   ingress::RouteTableHolder routes_;
   ingress::ReplicaDirectory directory_;
   std::map<core::ModelName, core::WeightVersion> named_versions_;
+  std::string life_;  ///< the name of this life of this process
+  usage::WindowClock window_clock_;
+  usage::UsageCounter usage_counter_;
   ingress::Forwarder forwarder_;
   jobs::JobStore job_store_;
   controllers::GossipEndpoint gossip_endpoint_;
   controllers::GossipController gossip_;
   jobs::Coordinator coordinator_;
   records::StoreWatch store_watch_;
+  usage::UsagePublisher usage_publisher_;
   bool joined_ = false;
   bool draining_ = false;
 };
--- /dev/null
+++ b/src/ports/platform_duties.hpp
@@ -0,0 +1,41 @@
+/// \file
+/// Port to the platform's interface for duties that one process does for all: reports of
+/// usage. A client belongs to one thread.
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "core/error.hpp"
+#include "core/identifiers.hpp"
+#include "core/time.hpp"
+
+namespace stoneport::ports {
+
+/// Who calls. Of two holders the later one has the higher fence.
+struct DutyHolder {
+  std::string name;
+  core::Epoch fence;
+};
+
+/// Requests that began to run, by tenant.
+using TenantCounts = std::map<core::TenantName, std::uint64_t>;
+
+struct UsageReport {
+  std::uint64_t window = 0;  ///< counted from the start of 1970, in lengths of a window
+  TenantCounts counts;
+};
+
+class DutyClient {
+ public:
+  virtual ~DutyClient() = default;
+  /// \return kRateLimited or kUnavailable when the report surely was not taken;
+  /// kOutcomeUnknown when it may have been; kInvalidArgument when it never will be.
+  virtual boost::asio::awaitable<core::Result<void>> report_usage(DutyHolder holder,
+                                                                  UsageReport report,
+                                                                  core::Duration timeout) = 0;
+};
+
+}  // namespace stoneport::ports
--- a/src/ports/replica_client.hpp
+++ b/src/ports/replica_client.hpp
@@ -25,13 +25,14 @@
 
 struct ReplicaCall {
   std::string request_id;
-  http::RequestHead head;  ///< as the client sent it, without connection fields
+  http::RequestHead head;  ///< as the client sent it, without connection fields and credentials
   std::string body;
   core::Duration time_left{};  ///< the replica stops working after that
   /// The client resumes a stream behind this event.
   std::optional<std::uint64_t> resume_after = std::nullopt;
   /// Never a kept connection: it may turn out closed after the request was written.
   bool fresh_connection = false;
+  core::TenantName tenant = {};  ///< whose request it is; empty for nobody's
 };
 
 /// How a call without a usable answer ended.
--- /dev/null
+++ b/src/usage/usage_reporter.cpp
@@ -0,0 +1,303 @@
+#include "usage/usage_reporter.hpp"
+
+#include <algorithm>
+
+#include "core/decision_log.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::usage {
+namespace asio = boost::asio;
+namespace {
+
+/// All windows together are one subject: their calls need one order of holders.
+const std::string kSubject = "usage";
+/// Windows that ended longer ago are not caught up with: nobody kept their counts.
+constexpr WindowIndex kMostMissedWindows = 4;
+/// Of a window; not to be frozen any more, however late.
+constexpr core::Duration kRemovalInterval = std::chrono::seconds(20);
+/// Records of one table that one transaction removes.
+constexpr std::size_t kMostRemovals = 50;
+
+double milliseconds_of(core::Duration length) {
+  constexpr double kMillisecondsPerSecond = 1000;
+  return core::to_seconds(length) * kMillisecondsPerSecond;
+}
+
+std::uint64_t total_of(const ports::TenantCounts& counts) {
+  std::uint64_t total = 0;
+  for (const auto& [tenant, count] : counts) {
+    total += count;
+  }
+  return total;
+}
+
+}  // namespace
+
+struct UsageReporter::Meters {
+  explicit Meters(core::Metrics& metrics)
+      : taken(metrics.counter("stoneport_usage_windows_reported_total",
+                              "Windows whose usage the platform has taken from this process")),
+        late(metrics.counter("stoneport_usage_windows_late_total",
+                             "Those that it took later than they were due")),
+        given_up(metrics.counter("stoneport_usage_windows_given_up_total",
+                                 "Windows whose usage was too late to be sent")),
+        incomplete(metrics.counter("stoneport_usage_windows_incomplete_total",
+                                   "Windows frozen without the last word of every process")),
+        refused(metrics.counter("stoneport_usage_calls_failed_total",
+                                "Calls with usage that the platform did not take")),
+        lag_seconds(metrics.gauge("stoneport_usage_lag_seconds",
+                                  "From the end of the window reported last to its report")) {}
+  prometheus::Counter& taken;
+  prometheus::Counter& late;
+  prometheus::Counter& given_up;
+  prometheus::Counter& incomplete;
+  prometheus::Counter& refused;
+  prometheus::Gauge& lag_seconds;
+};
+
+UsageReporter::UsageReporter(Inputs inputs, jobs::TermContext context,
+                             UsageReporterSettings settings)
+    : inputs_(std::move(inputs)),
+      settings_(std::move(settings)),
+      fence_(inputs_.store, inputs_.reader, std::move(context), inputs_.time, settings_.fence),
+      meters_(std::make_unique<Meters>(inputs_.metrics)) {}
+
+UsageReporter::~UsageReporter() = default;
+
+void UsageReporter::start() {
+  runtime::start(inputs_.executor, "usage reports", run(shared_from_this()));
+}
+
+asio::awaitable<void> UsageReporter::run(std::shared_ptr<UsageReporter> self) {
+  bool has_learned = false;
+  while (!self->stopped_) {
+    if (self->inputs_.is_wanted()) {
+      if (!has_learned) {
+        has_learned = co_await self->learn();
+      }
+      bool goes_on = has_learned && !self->stopped_;
+      while (goes_on) {
+        goes_on = co_await self->freeze_next();
+      }
+      co_await self->send_frozen();
+      co_await self->remove_old();
+    }
+    co_await runtime::sleep_for(self->settings_.tick);
+  }
+}
+
+asio::awaitable<bool> UsageReporter::learn() {
+  const bool knows_calls = co_await fence_.learn();
+  ports::RecordRange range{std::string(kWindowTable), std::string(jobs::kTermPartition)};
+  const core::Result<std::vector<ports::Record>> windows =
+      co_await inputs_.reader.read_range(std::move(range), false);
+  if (!knows_calls || !windows) {
+    co_return false;
+  }
+  for (const ports::Record& record : *windows) {
+    const std::optional<WindowIndex> window = parse_window_key(record.key);
+    const std::optional<FrozenWindow> frozen = decode_frozen_window(record.value);
+    if (window && frozen) {
+      frozen_[*window] = *frozen;
+    }
+  }
+  co_return co_await read_counts();
+}
+
+asio::awaitable<bool> UsageReporter::read_counts() {
+  ports::RecordRange range{std::string(kCountTable), std::string(kCountPartition)};
+  core::Result<std::vector<ports::Record>> records =
+      co_await inputs_.reader.read_range(std::move(range), false);
+  if (!records) {
+    co_return false;
+  }
+  processes_.clear();
+  for (const ports::Record& record : *records) {
+    std::optional<ProcessCounts> counts = decode_process_counts(record.value);
+    if (counts) {
+      processes_[record.key] = std::move(*counts);
+    }
+  }
+  process_records_ = std::move(*records);
+  co_return true;
+}
+
+WindowIndex UsageReporter::first_window() {
+  const WindowIndex current = inputs_.clock.current();
+  const WindowIndex oldest = current - kMostMissedWindows;
+  if (!frozen_.empty()) {
+    return std::max(oldest, frozen_.rbegin()->first + 1);
+  }
+  WindowIndex first = current;
+  for (const auto& [name, counts] : processes_) {
+    if (!counts.windows.empty()) {
+      first = std::min(first, counts.windows.begin()->first);
+    }
+  }
+  return std::max(oldest, first);
+}
+
+asio::awaitable<bool> UsageReporter::freeze_next() {
+  if (!next_) {
+    next_ = first_window();
+  }
+  const core::Duration age = inputs_.clock.since_end_of(*next_);
+  if (stopped_ || age < settings_.freeze.earliest || !fence_.is_open(kSubject)) {
+    co_return false;
+  }
+  const bool is_read = co_await read_counts();
+  if (!is_read || stopped_) {
+    co_return false;
+  }
+  const FreezeDecision decision =
+      decide_freeze(*next_, age, processes_, inputs_.processes(), settings_.freeze);
+  if (!decision.is_due) {
+    co_return false;
+  }
+  co_return co_await freeze(*next_, decision);
+}
+
+asio::awaitable<bool> UsageReporter::freeze(WindowIndex window, const FreezeDecision& decision) {
+  FrozenWindow frozen;
+  frozen.counts = sum_of(window, processes_);
+  ports::RecordTransaction transaction = fence_.transaction();
+  transaction.conditions.push_back(
+      {std::string(kWindowTable), window_key(window), core::Revision()});
+  transaction.writes.push_back(
+      {std::string(kWindowTable), window_key(window), encode_frozen_window(frozen)});
+  transaction.writes.push_back(fence_.announcement(kSubject));
+  const core::MonotonicTime sent_at = inputs_.time.now();
+  const core::Result<core::Revision> committed =
+      co_await inputs_.store.commit(std::move(transaction), settings_.write_timeout);
+  if (!committed) {
+    // It may be there by a write without an answer: then its counts stand.
+    frozen_.clear();
+    next_.reset();
+    co_await learn();
+    co_return false;
+  }
+  fence_.on_announced(kSubject, sent_at);
+  if (!decision.incomplete.empty()) {
+    meters_->incomplete.Increment();
+  }
+  core::log_decision(core::DecisionEvent::kUsageFrozen,
+                     {{"window", window},
+                      {"requests", total_of(frozen.counts)},
+                      {"tenants", frozen.counts.size()},
+                      {"epoch", fence_.context().term.epoch.value()},
+                      {"incomplete", decision.incomplete},
+                      {"age_ms", milliseconds_of(inputs_.clock.since_end_of(window))}});
+  frozen_[window] = std::move(frozen);
+  next_ = window + 1;
+  co_return true;
+}
+
+asio::awaitable<bool> UsageReporter::announce() {
+  ports::RecordTransaction transaction = fence_.transaction();
+  transaction.writes.push_back(fence_.announcement(kSubject));
+  const core::MonotonicTime sent_at = inputs_.time.now();
+  const core::Result<core::Revision> committed =
+      co_await inputs_.store.commit(std::move(transaction), settings_.write_timeout);
+  if (committed) {
+    fence_.on_announced(kSubject, sent_at);
+  }
+  co_return committed.has_value();
+}
+
+asio::awaitable<void> UsageReporter::send_frozen() {
+  std::vector<WindowIndex> waiting;
+  for (const auto& [window, frozen] : frozen_) {
+    if (frozen.state == ReportState::kFrozen) {
+      waiting.push_back(window);
+    }
+  }
+  for (const WindowIndex window : waiting) {
+    if (stopped_ || !fence_.is_open(kSubject)) {
+      co_return;
+    }
+    if (inputs_.clock.since_end_of(window) > settings_.give_up_after) {
+      meters_->given_up.Increment();
+      core::log_decision(core::DecisionEvent::kUsageGivenUp, {{"window", window}});
+      co_await note_end(window, ReportState::kGivenUp);
+      continue;
+    }
+    if (!fence_.may_call(kSubject)) {
+      const bool is_announced = co_await announce();
+      if (!is_announced) {
+        co_return;
+      }
+    }
+    co_await send(window);
+  }
+}
+
+asio::awaitable<void> UsageReporter::send(WindowIndex window) {
+  if (stopped_ || !fence_.may_call(kSubject)) {
+    co_return;
+  }
+  ports::DutyHolder holder{settings_.holder, fence_.context().term.epoch};
+  ports::UsageReport report{window, frozen_.at(window).counts};
+  const core::Result<void> taken = co_await inputs_.platform.report_usage(
+      std::move(holder), std::move(report), settings_.call_timeout);
+  const core::Duration age = inputs_.clock.since_end_of(window);
+  core::log_decision(core::DecisionEvent::kUsageSent,
+                     {{"window", window},
+                      {"taken", taken.has_value()},
+                      {"age_ms", milliseconds_of(age)},
+                      {"reason", taken ? std::string() : taken.error().message}});
+  if (!taken) {
+    meters_->refused.Increment();
+    co_return;
+  }
+  meters_->taken.Increment();
+  meters_->lag_seconds.Set(core::to_seconds(age));
+  if (age > settings_.due_after) {
+    meters_->late.Increment();
+  }
+  co_await note_end(window, ReportState::kTaken);
+}
+
+asio::awaitable<void> UsageReporter::note_end(WindowIndex window, ReportState state) {
+  FrozenWindow& frozen = frozen_.at(window);
+  frozen.state = state;
+  ports::RecordTransaction transaction = fence_.transaction();
+  transaction.writes.push_back(
+      {std::string(kWindowTable), window_key(window), encode_frozen_window(frozen)});
+  // Not confirmed, a later holder sends the same counts once more, which changes nothing.
+  co_await inputs_.store.commit(std::move(transaction), settings_.write_timeout);
+}
+
+asio::awaitable<void> UsageReporter::remove_old() {
+  const core::MonotonicTime now = inputs_.time.now();
+  if (stopped_ || now < next_removal_ || !fence_.context().is_sure()) {
+    co_return;
+  }
+  next_removal_ = now + kRemovalInterval;
+  const auto kept = static_cast<WindowIndex>(settings_.retention / inputs_.clock.window_length());
+  const WindowIndex oldest = inputs_.clock.current() - kept;
+  ports::RecordTransaction windows = fence_.transaction();
+  while (!frozen_.empty() && frozen_.begin()->first < oldest &&
+         windows.writes.size() < kMostRemovals) {
+    windows.writes.push_back(
+        {std::string(kWindowTable), window_key(frozen_.begin()->first), std::nullopt});
+    frozen_.erase(frozen_.begin());
+  }
+  if (!windows.writes.empty()) {
+    co_await inputs_.store.commit(std::move(windows), settings_.write_timeout);
+  }
+  ports::RecordTransaction counts;
+  counts.partition = std::string(kCountPartition);
+  for (const ports::Record& record : process_records_) {
+    const auto known = processes_.find(record.key);
+    const bool is_old = known == processes_.end() || known->second.complete_through < oldest;
+    if (is_old && counts.writes.size() < kMostRemovals) {
+      counts.conditions.push_back({std::string(kCountTable), record.key, record.revision});
+      counts.writes.push_back({std::string(kCountTable), record.key, std::nullopt});
+    }
+  }
+  if (!counts.writes.empty()) {
+    co_await inputs_.store.commit(std::move(counts), settings_.write_timeout);
+  }
+}
+
+}  // namespace stoneport::usage
--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint16_t kFirstPort = 21000;
 constexpr std::uint16_t kStorePort = 20900;
 constexpr std::uint16_t kFirstDoorPort = 20800;
+constexpr std::uint16_t kCloudPort = 20799;
 constexpr std::uint16_t kInternalPort = 21100;
 constexpr core::Duration kBeat = std::chrono::milliseconds(300);
 constexpr core::Duration kSilence = std::chrono::seconds(30);
@@ -188,6 +189,8 @@
   loop_.run();
   on_loop([this] {
     store_ = std::make_unique<StandInStore>(loop_.executor(), metrics_);
+    cloud_ = std::make_unique<StandInCloud>(loop_.executor(), metrics_);
+    cloud_->listen({prefix_ + "1", kCloudPort}).value();
     for (std::size_t index = 0; index < options_.models; ++index) {
       add_replica("model-" + std::to_string(index), "models", true);
     }
@@ -269,7 +272,16 @@
         {"control", core::to_string(address(process, 3))}}},
       {"internalPorts", {kInternalPort, kInternalPort + 15}},
       {"seeds", seeds},
-      {"bounds", {{"leaseMs", 3000}, {"graceS", 8}, {"statusS", 120}}},
+      {"bounds",
+       {{"leaseMs", 3000},
+        {"graceS", 8},
+        {"statusS", 120},
+        {"reportWindowS", 1},
+        {"usageLateS", 5}}},
+      {"cloud",
+       {{"address", prefix_ + "1:" + std::to_string(kCloudPort)},
+        {"duties", {"usage_reporting"}},
+        {"dutyPerS", 50}}},
       {"platform",
        {{"address", prefix_ + "1:" + std::to_string(kStorePort + 1 + process)},
         {"row_bytes", 65536}}}};
@@ -335,13 +347,22 @@
   for (const nlohmann::json& added : more) {
     routes.push_back(added);
   }
-  const nlohmann::json configuration = {{"version", version}, {"routes", routes}};
+  nlohmann::json configuration = {{"version", version}, {"routes", routes}};
+  for (const auto& [name, keys] : options_.tenants) {
+    configuration["tenants"].push_back({{"name", name}, {"apiKeys", keys}});
+  }
   on_loop([&] {
     store_->put(std::string(platform::kOperatorTable), std::string(platform::kConfigurationKey),
                 configuration.dump());
   });
 }
 
+void PlatformStandIn::configure_tenants(std::uint64_t version,
+                                        std::map<std::string, std::vector<std::string>> tenants) {
+  options_.tenants = std::move(tenants);
+  configure(version);
+}
+
 void PlatformStandIn::name_version(std::uint64_t version) {
   const nlohmann::json named = {{"model", "model"}, {"version", version}};
   on_loop([&] {
@@ -379,6 +400,9 @@
   if (!more.find(platform::kDeadlineHeader)) {
     call.request.head.headers.set(platform::kDeadlineHeader, "4000");
   }
+  if (!key_.empty() && !more.find(platform::kAuthorizationHeader)) {
+    call.request.head.headers.set(platform::kAuthorizationHeader, "Bearer " + key_);
+  }
   call.request.body = body;
   return http_.send_all({call}, nullptr).front();
 }
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -12,6 +12,7 @@
 
 #include "emulator/relay.hpp"
 #include "http/router.hpp"
+#include "platform_support/stand_in_cloud.hpp"
 #include "platform_support/stand_in_replica.hpp"
 #include "runtime/event_loop_thread.hpp"
 #include "support/child_process.hpp"
@@ -71,6 +72,8 @@
     std::size_t processes = 3;
     std::size_t models = 3;
     std::size_t plain = 2;
+    /// Keys by tenant; without any, requests need no key.
+    std::map<std::string, std::vector<std::string>> tenants = {};
   };
   /// Starts everything and waits until all processes are ready.
   PlatformStandIn();
@@ -107,6 +110,12 @@
   /// Puts a configuration: routes "/safe/", "/once/", "/stream/", "/resume/",
   /// "/jobs/" and "/score/" of host "users.example", and \p more.
   void configure(std::uint64_t version, const nlohmann::json& more = nlohmann::json::array());
+  /// Puts a configuration in which \p tenants hold those keys.
+  void configure_tenants(std::uint64_t version,
+                         std::map<std::string, std::vector<std::string>> tenants);
+  /// Requests and calls for jobs carry this key from now on; none when it is empty.
+  void use_key(std::string key) { key_ = std::move(key); }
+  StandInCloud& cloud() { return *cloud_; }
   void name_version(std::uint64_t version);
   StandInStore& store() { return *store_; }
   StandInReplica& replica(const std::string& id) { return *replicas_.at(id); }
@@ -143,6 +152,8 @@
   core::Metrics metrics_;
   runtime::EventLoopThread loop_{"stand-in"};
   std::unique_ptr<StandInStore> store_;
+  std::unique_ptr<StandInCloud> cloud_;
+  std::string key_;
   std::map<std::string, std::unique_ptr<StandInReplica>> replicas_;
   std::vector<std::unique_ptr<StoreDoor>> doors_;  ///< one a process
   std::vector<std::unique_ptr<emulator::Relay>> relays_;
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -138,7 +138,9 @@
   }
   const auto resume_after =
       core::parse_number<std::uint64_t>(header(request, platform::kLastEventIdHeader)).value_or(0);
-  ledger_.push_back({request_id, id_, service_, path, *whole, resume_after});
+  ledger_.push_back({request_id, id_, service_, path, *whole, resume_after,
+                     header(request, platform::kTenantHeader),
+                     request.headers.find(platform::kAuthorizationHeader).has_value()});
   if (faults.dark) {
     co_await runtime::sleep_for(kDarkness);
     co_return;
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -23,6 +23,8 @@
   std::string path;
   std::string body;
   std::uint64_t resume_after = 0;
+  std::string tenant;            ///< as the system named it
+  bool saw_credentials = false;  ///< a key came with the request
 };
 
 struct ReplicaFaults {
--- a/tests/unit/jobs/coordinator_test.cpp
+++ b/tests/unit/jobs/coordinator_test.cpp
@@ -104,7 +104,7 @@
     World::Process process(world, "a");
     world.submit(process, "job", 8);
     CPPUNIT_ASSERT(world.run_until([&] { return world.replicas.starts.size() == 8; }));
-    CPPUNIT_ASSERT(support::run_task(world.context, process.jobs.end("job")).has_value());
+    CPPUNIT_ASSERT(support::run_task(world.context, process.jobs.end({}, "job")).has_value());
     world.run_for(milliseconds(60));
     for (const auto& [item, running] : world.replicas.running) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(item, 0, running);
--- a/tests/unit/jobs/coordinator_world.hpp
+++ b/tests/unit/jobs/coordinator_world.hpp
@@ -148,7 +148,7 @@
   }
 
   std::vector<JobResult> results(Process& process, const std::string& id) {
-    const auto page = support::run_task(context, process.jobs.read(id, 0, core::Duration(0)));
+    const auto page = support::run_task(context, process.jobs.read({}, id, 0, core::Duration(0)));
     return page ? page->results : std::vector<JobResult>();
   }
 
--- a/tests/unit/jobs/faster_replicas_test.cpp
+++ b/tests/unit/jobs/faster_replicas_test.cpp
@@ -82,7 +82,7 @@
     world.submit(process, "first", 3);
     CPPUNIT_ASSERT(world.run_until([&] { return world.replicas.running["again.0"] == 1; }));
     world.run_for(milliseconds(100));
-    CPPUNIT_ASSERT(support::run_task(world.context, process.jobs.end("first")).has_value());
+    CPPUNIT_ASSERT(support::run_task(world.context, process.jobs.end({}, "first")).has_value());
     CPPUNIT_ASSERT(world.run_until([&] { return world.replicas.running["again.0"] == 0; }));
     world.replicas.starts.clear();
     // Its guesses say that item 15 is the longest; items 0 to 2 are known to be longer.
--- a/tests/unit/jobs/job_store_test.cpp
+++ b/tests/unit/jobs/job_store_test.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(an_older_state_is_never_an_answer);
   CPPUNIT_TEST(unknown_jobs_are_told_from_an_unsure_store);
   CPPUNIT_TEST(an_end_is_acknowledged_as_often_as_it_comes);
+  CPPUNIT_TEST(another_tenant_learns_nothing_of_a_job);
+  CPPUNIT_TEST(records_without_a_tenant_are_read_as_before);
   CPPUNIT_TEST_SUITE_END();
 
   struct World {
@@ -108,7 +110,7 @@
       world.store.silent_for = std::chrono::milliseconds(is_lost ? 2500 : 100);
       const auto started = std::chrono::steady_clock::now();
       const auto refused = world.accept("job");
-      const auto read = world.run(world.jobs->read("job", 0, core::Duration(0)));
+      const auto read = world.run(world.jobs->read({}, "job", 0, core::Duration(0)));
       const auto held = std::chrono::steady_clock::now() - started;
       CPPUNIT_ASSERT(!refused && refused.error().code == ErrorCode::kUnavailable);
       CPPUNIT_ASSERT(!read && read.error().code == ErrorCode::kUnavailable);
@@ -153,38 +155,78 @@
     world.store.freeze_reads();
     CPPUNIT_ASSERT(world.accept("job").has_value());
     world.store.faults.stale = true;
-    const auto unsure = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    const auto unsure = world.run(world.jobs->read({}, "job", 0, core::Duration(0)));
     CPPUNIT_ASSERT(!unsure && unsure.error().code == ErrorCode::kUnavailable);
     world.store.faults.stale = false;
-    const auto read = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    const auto read = world.run(world.jobs->read({}, "job", 0, core::Duration(0)));
     CPPUNIT_ASSERT(read.has_value());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, read->total);
   }
 
   void unknown_jobs_are_told_from_an_unsure_store() {
     World world;
-    const auto unknown = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    const auto unknown = world.run(world.jobs->read({}, "job", 0, core::Duration(0)));
     CPPUNIT_ASSERT(!unknown && unknown.error().code == ErrorCode::kNotFound);
     world.store.faults.down = true;
-    const auto unsure = world.run(world.jobs->read("job", 0, core::Duration(0)));
+    const auto unsure = world.run(world.jobs->read({}, "job", 0, core::Duration(0)));
     CPPUNIT_ASSERT(!unsure && unsure.error().code == ErrorCode::kUnavailable);
-    const auto bad_name = world.run(world.jobs->read("a/b", 0, core::Duration(0)));
+    const auto bad_name = world.run(world.jobs->read({}, "a/b", 0, core::Duration(0)));
     CPPUNIT_ASSERT(!bad_name && bad_name.error().code == ErrorCode::kNotFound);
   }
 
   void an_end_is_acknowledged_as_often_as_it_comes() {
     World world;
-    const auto unknown = world.run(world.jobs->end("job"));
+    const auto unknown = world.run(world.jobs->end({}, "job"));
     CPPUNIT_ASSERT(!unknown && unknown.error().code == ErrorCode::kNotFound);
     CPPUNIT_ASSERT(world.accept("job").has_value());
     world.store.faults.lose_answers = 1;
     for (int call = 0; call < 3; ++call) {
-      CPPUNIT_ASSERT(world.run(world.jobs->end("job")).has_value());
+      CPPUNIT_ASSERT(world.run(world.jobs->end({}, "job")).has_value());
     }
     world.store.faults.down = true;
-    const auto unsure = world.run(world.jobs->end("job"));
+    const auto unsure = world.run(world.jobs->end({}, "job"));
     CPPUNIT_ASSERT(!unsure && unsure.error().code == ErrorCode::kUnavailable);
   }
+
+  void another_tenant_learns_nothing_of_a_job() {
+    const core::TenantName north("north");
+    const core::TenantName south("south");
+    const core::TenantName nobody;
+    World world;
+    const auto submit = [&](const core::TenantName& tenant) {
+      JobSubmission submission{"job", "host", "/jobs/", "{}", tenant};
+      return world.run(world.jobs->accept(std::move(submission), 1));
+    };
+    CPPUNIT_ASSERT(submit(north).has_value());
+    CPPUNIT_ASSERT(submit(north).has_value());
+    for (const core::TenantName& other : {south, nobody}) {
+      const auto taken = submit(other);
+      CPPUNIT_ASSERT(!taken && taken.error().code == ErrorCode::kInvalidArgument);
+      const auto read = world.run(world.jobs->read(other, "job", 0, core::Duration(0)));
+      CPPUNIT_ASSERT(!read && read.error().code == ErrorCode::kNotFound);
+      const auto body = world.run(world.jobs->submission_for(other, "job"));
+      CPPUNIT_ASSERT(!body && body.error().code == ErrorCode::kNotFound);
+      const auto ended = world.run(world.jobs->end(other, "job"));
+      CPPUNIT_ASSERT(!ended && ended.error().code == ErrorCode::kNotFound);
+    }
+    const auto body = world.run(world.jobs->submission_for(north, "job"));
+    CPPUNIT_ASSERT(body && body->tenant == north);
+    CPPUNIT_ASSERT(world.run(world.jobs->read(north, "job", 0, core::Duration(0))).has_value());
+    CPPUNIT_ASSERT(world.run(world.jobs->end(north, "job")).has_value());
+  }
+
+  void records_without_a_tenant_are_read_as_before() {
+    World world;
+    ports::RecordTransaction former;
+    former.partition = std::string(kSubmissionPartition);
+    former.writes.push_back({std::string(kIndexTable), "job",
+                             R"({"host":"h","path":"/p/","items":2,"chunks":1,"accepted_ms":5})"});
+    world.store.apply(former);
+    const auto read =
+        world.run(world.jobs->read(core::TenantName("north"), "job", 0, core::Duration(0)));
+    CPPUNIT_ASSERT(read.has_value());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, read->total);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JobStoreTest);
--- a/tests/unit/jobs/open_job_test.cpp
+++ b/tests/unit/jobs/open_job_test.cpp
@@ -11,6 +11,7 @@
 class OpenJobTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OpenJobTest);
   CPPUNIT_TEST(jobs_rank_by_their_routes_priority);
+  CPPUNIT_TEST(a_tenants_priority_goes_before_its_routes);
   CPPUNIT_TEST(the_longest_rest_begins_first);
   CPPUNIT_TEST(what_is_due_sooner_or_takes_longer_begins_first);
   CPPUNIT_TEST_SUITE_END();
@@ -38,6 +39,29 @@
     CPPUNIT_ASSERT(rank_of(job(nullptr, 1, {})) > rank_of(job(&second, 2, {})));
   }
 
+  void a_tenants_priority_goes_before_its_routes() {
+    ingress::Route route;
+    route.priority = 3;
+    const auto tenant = [](const std::string& name, std::optional<std::uint32_t> priority) {
+      return tenants::TenantDefinition{{core::TenantName(name), priority}, {"key of " + name}};
+    };
+    const tenants::TenantTable tenants(
+        {tenant("urgent", 1), tenant("patient", 5), tenant("plain", std::nullopt)});
+    const auto table = std::make_shared<ingress::RouteTable>(1, std::vector<ingress::Route>(),
+                                                             ingress::ClientLimits(), tenants);
+    const auto rank = [&](const std::string& name) {
+      OpenJob made = job(&route, 1, {});
+      made.table = table;
+      made.entry.tenant = core::TenantName(name);
+      return rank_of(made);
+    };
+    CPPUNIT_ASSERT_EQUAL(1u, rank("urgent"));
+    CPPUNIT_ASSERT_EQUAL(5u, rank("patient"));
+    CPPUNIT_ASSERT_EQUAL(3u, rank("plain"));
+    CPPUNIT_ASSERT_EQUAL(3u, rank("gone"));
+    CPPUNIT_ASSERT_EQUAL(3u, rank(""));
+  }
+
   void the_longest_rest_begins_first() {
     const LengthLaw law;
     OpenJob made = job(nullptr, 0, {10, 40, 20, 40, 30});
