Settle a counted request in the window that it was counted open in

Cause: the window of a request was computed when it was sent and again when it settled; a correction of the time of day between them moved a request near an edge into the next one, so that the first stayed open for ever. Change: the observer names the window once, and gets it back. Test: a_correction_at_a_windows_edge_leaves_nothing_open.

--- a/src/ingress/run_observer.hpp
+++ b/src/ingress/run_observer.hpp
@@ -2,6 +2,7 @@
 /// Learns of requests that replicas begin to run. Belongs to the forwarder's thread.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "core/identifiers.hpp"
@@ -12,12 +13,14 @@
 class RunObserver {
  public:
   virtual ~RunObserver() = default;
-  /// A request of \p tenant has been sent to a replica, which may begin to run it.
-  virtual void on_sent(const core::TenantName& tenant, core::MonotonicTime sent_at) = 0;
-  /// The request that was sent then has ended, or its answer has begun.
+  /// The span of time that a run counts in, as the observer numbers them.
+  using Span = std::uint64_t;
+  /// A request has been sent to a replica, which may begin to run it.
+  /// \return the span, to be handed back once it is settled.
+  virtual Span on_sent(core::MonotonicTime sent_at) = 0;
+  /// A request of \p tenant that was sent in \p span has ended, or its answer has begun.
   /// \param has_run whether a replica began to run it
-  virtual void on_settled(const core::TenantName& tenant, core::MonotonicTime sent_at,
-                          bool has_run) = 0;
+  virtual void on_settled(const core::TenantName& tenant, Span span, bool has_run) = 0;
 };
 
 /// One request's run, settled at the latest when this is destroyed. A request counts once,
@@ -33,16 +36,15 @@
 
   /// An attempt goes out; only the first one that may run counts.
   void sent(core::MonotonicTime at) {
-    if (observer_ != nullptr && !sent_at_ && !is_settled_) {
-      sent_at_ = at;
-      observer_->on_sent(tenant_, at);
+    if (observer_ != nullptr && !span_ && !is_settled_) {
+      span_ = observer_->on_sent(at);
     }
   }
   /// The attempt that was sent surely did not run: the next one counts.
   void not_run() {
-    if (sent_at_ && !is_settled_) {
-      observer_->on_settled(tenant_, *sent_at_, false);
-      sent_at_.reset();
+    if (span_ && !is_settled_) {
+      observer_->on_settled(tenant_, *span_, false);
+      span_.reset();
     }
   }
   /// The attempt that was sent ran.
@@ -50,15 +52,15 @@
 
  private:
   void settle(bool has_run) {
-    if (sent_at_ && !is_settled_) {
+    if (span_ && !is_settled_) {
       is_settled_ = true;
-      observer_->on_settled(tenant_, *sent_at_, has_run);
+      observer_->on_settled(tenant_, *span_, has_run);
     }
   }
 
   RunObserver* observer_;
   core::TenantName tenant_;
-  std::optional<core::MonotonicTime> sent_at_;
+  std::optional<RunObserver::Span> span_;  ///< of the attempt that counts
   bool is_settled_ = false;
 };
 
--- a/src/usage/usage_counter.cpp
+++ b/src/usage/usage_counter.cpp
@@ -4,14 +4,13 @@
 
 namespace stoneport::usage {
 
-void UsageCounter::on_sent(const core::TenantName& tenant, core::MonotonicTime sent_at) {
-  (void)tenant;
-  ++open_[clock_.window_at(sent_at)];
+ingress::RunObserver::Span UsageCounter::on_sent(core::MonotonicTime sent_at) {
+  const WindowIndex window = clock_.window_at(sent_at);
+  ++open_[window];
+  return window;
 }
 
-void UsageCounter::on_settled(const core::TenantName& tenant, core::MonotonicTime sent_at,
-                              bool has_run) {
-  const WindowIndex window = clock_.window_at(sent_at);
+void UsageCounter::on_settled(const core::TenantName& tenant, Span window, bool has_run) {
   const auto open = open_.find(window);
   if (open != open_.end() && --open->second == 0) {
     open_.erase(open);
--- a/src/usage/usage_counter.hpp
+++ b/src/usage/usage_counter.hpp
@@ -19,9 +19,9 @@
   /// \param clock outlives this
   explicit UsageCounter(WindowClock& clock) : clock_(clock) {}
 
-  void on_sent(const core::TenantName& tenant, core::MonotonicTime sent_at) override;
-  void on_settled(const core::TenantName& tenant, core::MonotonicTime sent_at,
-                  bool has_run) override;
+  /// \return the window: told once, as the clock's corrections may move a time near its edge.
+  Span on_sent(core::MonotonicTime sent_at) override;
+  void on_settled(const core::TenantName& tenant, Span window, bool has_run) override;
 
   const WindowCounts& counts() const { return counts_; }
   /// Grows with each request counted.
--- a/tests/unit/usage/usage_counter_test.cpp
+++ b/tests/unit/usage/usage_counter_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST_SUITE(UsageCounterTest);
   CPPUNIT_TEST(a_request_counts_once_by_its_first_run);
   CPPUNIT_TEST(a_window_is_complete_once_nothing_is_open);
+  CPPUNIT_TEST(a_correction_at_a_windows_edge_leaves_nothing_open);
   CPPUNIT_TEST(a_step_of_the_time_of_day_moves_nothing);
   CPPUNIT_TEST(a_lasting_difference_is_adopted);
   CPPUNIT_TEST(records_come_back_as_they_were);
@@ -94,6 +95,20 @@
     CPPUNIT_ASSERT(world.counter.counts().empty());
   }
 
+  /// A process whose request fell on an edge never told that its window was complete, and held
+  /// up the reports of four windows by 6 s each.
+  void a_correction_at_a_windows_edge_leaves_nothing_open() {
+    World world;
+    world.time.advance(milliseconds(4995));
+    {
+      ObservedRun run(&world.counter, core::TenantName("north"));
+      run.sent(world.time.now());
+      world.time.set_wall(world.time.wall_now() + milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, world.count(kFirst, "north"));
+    CPPUNIT_ASSERT_EQUAL(kFirst, world.counter.complete_through());
+  }
+
   void a_step_of_the_time_of_day_moves_nothing() {
     World world;
     world.time.set_wall(world.time.wall_now() + seconds(20));
