Soak with tenants, keys taken away, and the platform's interface for duties

Change: every request of the soak carries a key; keys are rotated among the faults; the interface for duties refuses, is busy, silent or loses answers. Checked from outside: no replica sees a key or another tenant, taken keys are refused and held ones served at every process within 3 s of the last fault's end, no window is reported with two counts.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -20,13 +20,18 @@
 constexpr std::size_t kProcesses = 4;
 constexpr std::size_t kMostOpenJobs = 4;
 constexpr unsigned kAccepted = 202;
+constexpr unsigned kServed = 200;
+constexpr unsigned kUnauthorized = 401;
+/// Within this time of its acknowledgement a configuration is in force at every process that the
+/// store serves.
+constexpr auto kKeysInForce = std::chrono::seconds(3);
 constexpr auto kLongestRecovery = std::chrono::seconds(60);
 
 class Soak {
  public:
   Soak(std::uint64_t seed, std::chrono::seconds length)
-      : platform_({kProcesses, 4, 3}),
-        faults_(platform_, kProcesses, seed * 2 + 1),
+      : platform_({kProcesses, 4, 3, keys_.held()}),
+        faults_(platform_, keys_, kProcesses, seed * 2 + 1),
         random_(seed),
         length_(length) {
     platform_.http().set_call_limit(milliseconds(2000));
@@ -50,13 +55,20 @@
     faults_.end_due(true);
     recover();
     model_.check_ledger(platform_.ledger());
+    check_usage();
     return report();
   }
 
  private:
   std::size_t any_process() { return random_.uniform(0, kProcesses - 1); }
 
+  /// A key of \p tenant that is held now.
+  std::string any_key(const std::string& tenant) {
+    return keys_.key_of(tenant, random_.chance(0.5));
+  }
+
   void step() {
+    platform_.use_key(any_key("north"));
     std::size_t open = 0;
     for (const auto& [id, job] : model_.jobs) {
       open += job.is_whole() || job.ended ? 0 : 1;
@@ -102,6 +114,10 @@
       const bool once = random_.chance(0.5);
       calls.push_back(
           call_of(platform_.front(any_process()), "POST", once ? "/once/a" : "/safe/a", id));
+      const std::string tenant = random_.chance(0.5) ? "north" : "south";
+      calls.back().request.head.headers.set(platform::kAuthorizationHeader,
+                                            "Bearer " + any_key(tenant));
+      model_.take_tenant(id, tenant);
       ids.push_back(once ? id : "");
     }
     const std::vector<HttpAnswer> answers = platform_.http().send_all(calls, nullptr);
@@ -130,12 +146,57 @@
     }
   }
 
+  /// \return whether \p process serves exactly the keys that are held.
+  bool knows_keys(std::size_t process) {
+    const auto status = [&](const std::string& key) {
+      platform_.use_key(key);
+      return platform_.request(process, "POST", "/safe/a", "k" + std::to_string(++requests_))
+          .status;
+    };
+    bool is_right = true;
+    for (const auto& [tenant, keys] : keys_.held()) {
+      for (const std::string& key : keys) {
+        model_.take_tenant("k" + std::to_string(requests_ + 1), tenant);
+        is_right &= status(key) == kServed;
+      }
+    }
+    for (const std::string& key : keys_.revoked()) {
+      model_.take_tenant("k" + std::to_string(requests_ + 1), "nobody: its key is taken away");
+      is_right &= status(key) == kUnauthorized;
+    }
+    return is_right;
+  }
+
+  /// With all faults over, the newest keys count at every process.
+  void check_keys() {
+    std::this_thread::sleep_for(kKeysInForce);
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      if (!knows_keys(process)) {
+        model_.violate("process " + std::to_string(process) + " goes by other keys than are held");
+      }
+    }
+    platform_.use_key(any_key("north"));
+  }
+
+  void check_usage() {
+    const auto reports = platform_.on_loop([&] { return platform_.cloud().reports; });
+    const std::string fault = StandInCloud::fault_of(reports);
+    if (!fault.empty()) {
+      model_.violate("usage: " + fault);
+    }
+    std::cout << "reports of usage " << reports.size() << std::endl;
+    if (reports.empty()) {
+      model_.violate("no usage was reported");
+    }
+  }
+
   /// With all faults over, every accepted job becomes whole and reads as before.
   void recover() {
     const Clock::time_point give_up_at = Clock::now() + kLongestRecovery;
     for (std::size_t process = 0; process < kProcesses; ++process) {
       platform_.wait_until_ready(process);
     }
+    check_keys();
     for (auto& [id, job] : model_.jobs) {
       while (job.accepted && !job.ended && !job.is_whole() && Clock::now() < give_up_at) {
         read(id, job);
@@ -174,6 +235,7 @@
     return model_.violations.empty() ? 0 : 1;
   }
 
+  SoakKeys keys_;
   PlatformStandIn platform_;
   SoakFaults faults_;
   core::RandomSource random_;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -132,8 +132,30 @@
   return "all processes killed";
 }
 
+std::string SoakFaults::strike_cloud() {
+  const std::size_t kind = pick(4);
+  platform_.on_loop([&] {
+    CloudFaults& faults = platform_.cloud().faults;
+    faults.refuse = kind == 0;
+    faults.busy = kind == 1;
+    faults.silent = kind == 2;
+    faults.lose_answers = kind == 3 ? 3 : 0;
+  });
+  end_after(0.5, 4.0,
+            [this] { platform_.on_loop([this] { platform_.cloud().faults = CloudFaults(); }); });
+  const char* const names[] = {"refuses", "is busy", "is silent", "loses answers"};
+  return std::string("the interface for duties ") + names[kind];
+}
+
+std::string SoakFaults::strike_keys() {
+  const std::string tenant = pick(2) == 0 ? "north" : "south";
+  keys_.rotate(tenant);
+  platform_.configure_tenants(++configuration_, keys_.held());
+  return "a key of " + tenant + " taken away";
+}
+
 std::string SoakFaults::begin() {
-  switch (pick(12)) {
+  switch (pick(14)) {
     case 0:
     case 1:
     case 2:
@@ -156,6 +178,10 @@
     case 10:
       platform_.configure(++configuration_);
       return "configuration " + std::to_string(configuration_);
+    case 11:
+      return strike_cloud();
+    case 12:
+      return strike_keys();
     default:
       return pick(3) == 0 ? strike_all() : "";
   }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -11,6 +11,7 @@
 
 #include "core/random.hpp"
 #include "platform_support/platform_stand_in.hpp"
+#include "soak/soak_keys.hpp"
 
 namespace stoneport::tests {
 
@@ -18,8 +19,8 @@
  public:
   using Clock = std::chrono::steady_clock;
 
-  SoakFaults(PlatformStandIn& platform, std::size_t processes, std::uint64_t seed)
-      : platform_(platform), processes_(processes), random_(seed) {}
+  SoakFaults(PlatformStandIn& platform, SoakKeys& keys, std::size_t processes, std::uint64_t seed)
+      : platform_(platform), keys_(keys), processes_(processes), random_(seed) {}
 
   /// Begins one fault. \return what it is, for the log.
   std::string begin();
@@ -37,10 +38,13 @@
   std::string strike_store();
   std::string strike_replica();
   std::string strike_all();
+  std::string strike_cloud();
+  std::string strike_keys();
   void end_after(double shortest, double longest, std::function<void()> end);
   std::size_t pick(std::size_t count) { return random_.uniform(0, count - 1); }
 
   PlatformStandIn& platform_;
+  SoakKeys& keys_;
   std::size_t processes_;
   core::RandomSource random_;
   std::vector<Running> running_;
--- a/tests/soak/soak_model.cpp
+++ b/tests/soak/soak_model.cpp
@@ -5,6 +5,8 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kGone = 410;
 constexpr unsigned kUnavailable = 503;
+/// All jobs of the soak are this tenant's.
+constexpr const char* kJobTenant = "north";
 }  // namespace
 
 void SoakModel::take_result(const std::string& id, std::uint64_t position,
@@ -58,10 +60,28 @@
   }
 }
 
+std::string SoakModel::tenant_of(const std::string& request) const {
+  if (request.starts_with("score-")) {
+    return "";
+  }
+  const auto known = tenants_.find(request);
+  return known == tenants_.end() ? kJobTenant : known->second;
+}
+
+void SoakModel::check_tenant(const ReplicaRun& run) {
+  if (run.saw_credentials) {
+    violate("request " + run.request_id + " reached a replica with a key");
+  }
+  if (run.tenant != tenant_of(run.request_id)) {
+    violate("request " + run.request_id + " ran as of tenant '" + run.tenant + "'");
+  }
+}
+
 void SoakModel::check_ledger(const StandInReplica::Ledger& ledger) {
   std::map<std::string, std::size_t> runs;
   for (const ReplicaRun& run : ledger) {
     ++runs[run.request_id];
+    check_tenant(run);
     if (once_.contains(run.request_id) && run.body != "body of " + run.request_id) {
       violate("request " + run.request_id + " ran with another body");
     }
--- a/tests/soak/soak_model.hpp
+++ b/tests/soak/soak_model.hpp
@@ -36,12 +36,18 @@
   void take_read_status(const std::string& id, unsigned status);
   /// One request that must run at most once got this answer.
   void take_once(const std::string& id, unsigned status) { once_[id] = status; }
+  /// A request came with a key of \p tenant.
+  void take_tenant(const std::string& id, const std::string& tenant) { tenants_[id] = tenant; }
   /// Checks the replicas' ledger against what clients were told.
   void check_ledger(const StandInReplica::Ledger& ledger);
 
  private:
   void take_result(const std::string& id, std::uint64_t position, const nlohmann::json& result);
-  std::map<std::string, unsigned> once_;  ///< status by request; 0 for no answer
+  /// \return the tenant that a run should name: its request's, or that of its item's job.
+  std::string tenant_of(const std::string& request) const;
+  void check_tenant(const ReplicaRun& run);
+  std::map<std::string, std::string> tenants_;  ///< by request
+  std::map<std::string, unsigned> once_;        ///< status by request; 0 for no answer
 };
 
 }  // namespace stoneport::tests
