--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -47,6 +47,7 @@
     EventName{DecisionEvent::kUsageFrozen, "usage_frozen"},
     EventName{DecisionEvent::kUsageSent, "usage_sent"},
     EventName{DecisionEvent::kUsageGivenUp, "usage_given_up"},
+    EventName{DecisionEvent::kReplicasOrdered, "replicas_ordered"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -44,7 +44,8 @@
   kUsageFrozen,
   kUsageSent,
   kUsageGivenUp,
-  kLast = kUsageGivenUp,
+  kReplicasOrdered,
+  kLast = kReplicasOrdered,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -27,6 +27,7 @@
   core::ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
+  bool spot = false;  ///< the platform may take it away at short notice
   std::map<core::ModelName, core::WeightVersion> versions;
 
   bool operator==(const ReplicaRecord&) const = default;
--- a/src/ingress/route_table.cpp
+++ b/src/ingress/route_table.cpp
@@ -16,8 +16,12 @@
 }
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits,
-                       tenants::TenantTable tenants)
-    : version_(version), routes_(std::move(routes)), limits_(limits), tenants_(std::move(tenants)) {
+                       tenants::TenantTable tenants, ScalingByService scaling)
+    : version_(version),
+      routes_(std::move(routes)),
+      limits_(limits),
+      tenants_(std::move(tenants)),
+      scaling_(std::move(scaling)) {
   for (std::size_t index = 0; index < routes_.size(); ++index) {
     by_host_[routes_[index].host].push_back(index);
   }
--- a/src/ingress/route_table.hpp
+++ b/src/ingress/route_table.hpp
@@ -12,6 +12,7 @@
 
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
+#include "scaling/spot_plan.hpp"
 #include "tenants/tenant_table.hpp"
 
 namespace stoneport::ingress {
@@ -52,16 +53,20 @@
   core::Duration idle_timeout = std::chrono::seconds(15);
 };
 
+/// Services whose number of replicas may be ordered.
+using ScalingByService = std::map<core::ServiceName, scaling::ScalingLimits>;
+
 class RouteTable {
  public:
   RouteTable() = default;
   RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits,
-             tenants::TenantTable tenants = {});
+             tenants::TenantTable tenants = {}, ScalingByService scaling = {});
 
   std::uint64_t version() const { return version_; }
   const ClientLimits& limits() const { return limits_; }
   const std::vector<Route>& routes() const { return routes_; }
   const tenants::TenantTable& tenants() const { return tenants_; }
+  const ScalingByService& scaling() const { return scaling_; }
   /// \param host as in a Host field; its port and case do not matter
   /// \return the route of that host with the longest prefix of \p path, or null.
   const Route* find(std::string_view host, std::string_view path) const;
@@ -75,6 +80,7 @@
   std::vector<Route> routes_;
   ClientLimits limits_;
   tenants::TenantTable tenants_;
+  ScalingByService scaling_;
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;  ///< longest prefix first
 };
 
--- a/src/jobs/tenure_parts.cpp
+++ b/src/jobs/tenure_parts.cpp
@@ -104,6 +104,10 @@
     const auto self = weak.lock();
     return self && self->is_sure_of_term();
   };
+  context.open_jobs = [weak] {
+    const auto self = weak.lock();
+    return self ? self->open_jobs() : std::vector<OpenJobPointer>();
+  };
   duties_ = inputs_.term_duties(context);
 }
 
--- a/src/jobs/term_duty.hpp
+++ b/src/jobs/term_duty.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "jobs/open_job.hpp"
 #include "jobs/term_keeper.hpp"
 
 namespace stoneport::jobs {
@@ -18,6 +19,8 @@
   /// Whether this process may act on the term now: it is awake, its last write was confirmed
   /// lately, and it is not handing over.
   std::function<bool()> is_sure;
+  /// The jobs that are worked on.
+  std::function<std::vector<OpenJobPointer>()> open_jobs = {};
 };
 
 class TermDuty {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -129,6 +129,13 @@
     duties.push_back(std::make_shared<usage::UsageReporter>(std::move(inputs), context,
                                                             settings_.usage.reporter));
   }
+  if (settings_.orders_replicas) {
+    fleet::ReplicaScaler::Inputs inputs{inputs_.executor, inputs_.store,  job_store_,
+                                        inputs_.duties,   routes_,        directory_,
+                                        inputs_.time,     inputs_.metrics};
+    duties.push_back(
+        std::make_shared<fleet::ReplicaScaler>(std::move(inputs), context, settings_.scaler));
+  }
   return duties;
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -10,6 +10,7 @@
 
 #include "controllers/gossip_controller.hpp"
 #include "controllers/gossip_endpoint.hpp"
+#include "fleet/replica_scaler.hpp"
 #include "ingress/forwarder.hpp"
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
@@ -36,6 +37,8 @@
   double processor_share = 1;  ///< of a core; large machines coordinate first
   jobs::CoordinatorSettings coordinator;
   UsageSettings usage;
+  bool orders_replicas = false;  ///< whether the platform takes orders of replicas
+  fleet::ReplicaScalerSettings scaler;
 };
 
 /// What the node works with; all outlive it.
--- a/src/ports/platform_duties.hpp
+++ b/src/ports/platform_duties.hpp
@@ -28,6 +28,14 @@
   TenantCounts counts;
 };
 
+/// How many replicas of one kind a service is to have in a zone.
+struct ReplicaOrder {
+  core::ServiceName service;
+  core::ZoneName zone;
+  std::uint32_t count = 0;
+  bool spot = false;  ///< cheaper ones, which the platform may take away
+};
+
 class DutyClient {
  public:
   virtual ~DutyClient() = default;
@@ -36,6 +44,10 @@
   virtual boost::asio::awaitable<core::Result<void>> report_usage(DutyHolder holder,
                                                                   UsageReport report,
                                                                   core::Duration timeout) = 0;
+  /// \return kConflict where none are to be had there now; otherwise as report_usage().
+  virtual boost::asio::awaitable<core::Result<void>> order_replicas(DutyHolder holder,
+                                                                    ReplicaOrder order,
+                                                                    core::Duration timeout) = 0;
 };
 
 }  // namespace stoneport::ports
--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -280,7 +280,7 @@
         {"usageLateS", 5}}},
       {"cloud",
        {{"address", prefix_ + "1:" + std::to_string(kCloudPort)},
-        {"duties", {"usage_reporting"}},
+        {"duties", {"usage_reporting", "scaling"}},
         {"dutyPerS", 50}}},
       {"platform",
        {{"address", prefix_ + "1:" + std::to_string(kStorePort + 1 + process)},
@@ -348,6 +348,9 @@
     routes.push_back(added);
   }
   nlohmann::json configuration = {{"version", version}, {"routes", routes}};
+  configuration["services"].push_back(
+      {{"name", "models"},
+       {"scaling", {{"minReplicas", 1}, {"maxReplicas", 8}, {"zonePrices", {{"zone-a", 1.0}}}}}});
   for (const auto& [name, keys] : options_.tenants) {
     configuration["tenants"].push_back({{"name", name}, {"apiKeys", keys}});
   }
--- a/tests/platform_support/stand_in_cloud.cpp
+++ b/tests/platform_support/stand_in_cloud.cpp
@@ -29,6 +29,15 @@
     co_return;
   }
   const nlohmann::json call = nlohmann::json::parse(*whole, nullptr, false);
+  const std::string holder(request.headers.find(platform::kDutyHolderHeader).value_or(""));
+  const auto fence_field = request.headers.find(platform::kFencingTokenHeader);
+  const auto fence = core::parse_number<std::uint64_t>(fence_field.value_or("")).value_or(0);
+  if (!call.is_discarded() && http::path_of(request.target) == platform::kScalePath) {
+    orders.push_back({call["service"].get<std::string>() + "/" + call["zone"].get<std::string>(),
+                      call["desiredCount"], holder, fence});
+    co_await response.send(http::json_response(faults.none_there ? 409 : 200, "{}"));
+    co_return;
+  }
   if (call.is_discarded() || http::path_of(request.target) != platform::kUsagePath) {
     co_await response.send(http::json_response(400, "{}"));
     co_return;
@@ -36,9 +45,8 @@
   ReportedUsage report;
   report.window = call["windowIndex"];
   report.counts = call["counts"].get<std::map<std::string, std::uint64_t>>();
-  report.holder = request.headers.find(platform::kDutyHolderHeader).value_or("");
-  const auto fence = request.headers.find(platform::kFencingTokenHeader);
-  report.fence = core::parse_number<std::uint64_t>(fence.value_or("")).value_or(0);
+  report.holder = holder;
+  report.fence = fence;
   reports.push_back(std::move(report));
   if (faults.lose_answers > 0) {
     --faults.lose_answers;
@@ -67,4 +75,18 @@
   return "";
 }
 
+std::string StandInCloud::fault_of(const std::vector<OrderedReplicas>& orders) {
+  std::map<std::string, OrderedReplicas> last;
+  for (const OrderedReplicas& order : orders) {
+    const auto [known, is_new] = last.try_emplace(order.subject, order);
+    const bool is_shared =
+        order.fence == known->second.fence && order.holder != known->second.holder;
+    if (order.fence < known->second.fence || is_shared) {
+      return "replicas of " + order.subject + " were ordered under a fence that is not newer";
+    }
+    known->second = order;
+  }
+  return "";
+}
+
 }  // namespace stoneport::tests
--- a/tests/platform_support/stand_in_cloud.hpp
+++ b/tests/platform_support/stand_in_cloud.hpp
@@ -20,11 +20,20 @@
   std::uint64_t fence = 0;
 };
 
+/// One order of replicas as it came.
+struct OrderedReplicas {
+  std::string subject;  ///< service and zone
+  std::uint32_t count = 0;
+  std::string holder;
+  std::uint64_t fence = 0;
+};
+
 struct CloudFaults {
-  bool refuse = false;   ///< 503: nothing is taken
-  bool busy = false;     ///< 429: nothing is taken
-  bool silent = false;   ///< takes no call and answers none
-  int lose_answers = 0;  ///< reports that are taken and not answered
+  bool refuse = false;      ///< 503: nothing is taken
+  bool busy = false;        ///< 429: nothing is taken
+  bool silent = false;      ///< takes no call and answers none
+  int lose_answers = 0;     ///< reports that are taken and not answered
+  bool none_there = false;  ///< no replicas are to be had
 };
 
 class StandInCloud : public http::RequestHandler {
@@ -37,9 +46,12 @@
 
   /// \return what is wrong with the reports so far; empty when nothing is.
   static std::string fault_of(const std::vector<ReportedUsage>& reports);
+  /// \return what is wrong with the fences of the orders so far.
+  static std::string fault_of(const std::vector<OrderedReplicas>& orders);
 
   CloudFaults faults;
   std::vector<ReportedUsage> reports;
+  std::vector<OrderedReplicas> orders;
 
  private:
   http::Server server_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -184,7 +184,13 @@
     if (!fault.empty()) {
       model_.violate("usage: " + fault);
     }
-    std::cout << "reports of usage " << reports.size() << std::endl;
+    const auto orders = platform_.on_loop([&] { return platform_.cloud().orders; });
+    const std::string order_fault = StandInCloud::fault_of(orders);
+    if (!order_fault.empty()) {
+      model_.violate("spot replicas: " + order_fault);
+    }
+    std::cout << "reports of usage " << reports.size() << ", orders of replicas " << orders.size()
+              << std::endl;
     if (reports.empty()) {
       model_.violate("no usage was reported");
     }
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -133,17 +133,19 @@
 }
 
 std::string SoakFaults::strike_cloud() {
-  const std::size_t kind = pick(4);
+  const std::size_t kind = pick(5);
   platform_.on_loop([&] {
     CloudFaults& faults = platform_.cloud().faults;
     faults.refuse = kind == 0;
     faults.busy = kind == 1;
     faults.silent = kind == 2;
     faults.lose_answers = kind == 3 ? 3 : 0;
+    faults.none_there = kind == 4;
   });
   end_after(0.5, 4.0,
             [this] { platform_.on_loop([this] { platform_.cloud().faults = CloudFaults(); }); });
-  const char* const names[] = {"refuses", "is busy", "is silent", "loses answers"};
+  const char* const names[] = {"refuses", "is busy", "is silent", "loses answers",
+                               "has no replicas"};
   return std::string("the interface for duties ") + names[kind];
 }
 
--- a/tests/unit/usage/usage_walk_test.cpp
+++ b/tests/unit/usage/usage_walk_test.cpp
@@ -45,6 +45,11 @@
     co_return core::make_error(core::ErrorCode::kOutcomeUnknown, "no answer");
   }
 
+  boost::asio::awaitable<core::Result<void>> order_replicas(ports::DutyHolder, ports::ReplicaOrder,
+                                                            core::Duration) override {
+    co_return core::Result<void>();
+  }
+
   std::map<WindowIndex, ports::TenantCounts> taken;
   std::vector<std::string> violations;
   bool is_calm = false;
