--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -19,15 +19,15 @@
   return static_cast<std::uint64_t>(time.wall_now().time_since_epoch().count());
 }
 
-std::uint64_t seed_for(const NodeInputs& inputs, const NodeSettings& settings,
+std::uint64_t seed_for(const NodeSettings& settings, std::uint64_t life,
                        std::string_view component) {
-  return core::hash64(component, core::hash64(settings.name.value(), life_of_process(inputs.time)));
+  return core::hash64(component, core::hash64(settings.name.value(), life));
 }
 
-wire::Member self_of(const NodeInputs& inputs, const NodeSettings& settings) {
+wire::Member self_of(const NodeSettings& settings, std::uint64_t life) {
   wire::Member self;
   self.node = settings.name;
-  self.incarnation = wire::first_incarnation(life_of_process(inputs.time));
+  self.incarnation = wire::first_incarnation(life);
   self.zone = settings.zone;
   self.region = settings.region;
   self.gossip_address = settings.gossip_address;
@@ -68,18 +68,20 @@
 Node::Node(NodeInputs inputs, NodeSettings settings)
     : inputs_(std::move(inputs)),
       settings_(std::move(settings)),
-      life_(holder_name(settings_.name, life_of_process(inputs_.time))),
+      life_number_(life_of_process(inputs_.time)),
+      life_(holder_name(settings_.name, life_number_)),
       window_clock_(inputs_.time, settings_.usage.window_length),
       usage_counter_(window_clock_),
       forwarder_(directory_, inputs_.replicas, forwarder_settings(settings_),
-                 seed_for(inputs_, settings_, "forwarder"), inputs_.time, inputs_.metrics,
+                 seed_for(settings_, life_number_, "forwarder"), inputs_.time, inputs_.metrics,
                  &usage_counter_),
       job_store_(inputs_.store, inputs_.time, inputs_.metrics),
       gossip_endpoint_(inputs_.executor, inputs_.metrics),
-      gossip_(inputs_.executor, gossip_endpoint_, self_of(inputs_, settings_), gossip_settings(),
-              seed_for(inputs_, settings_, "gossip"), inputs_.time, inputs_.metrics),
+      gossip_(inputs_.executor, gossip_endpoint_, self_of(settings_, life_number_),
+              gossip_settings(), seed_for(settings_, life_number_, "gossip"), inputs_.time,
+              inputs_.metrics),
       coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
-                   seed_for(inputs_, settings_, "term")),
+                   seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
       usage_publisher_(publisher_inputs(), publisher_settings(life_)) {}
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -78,6 +78,10 @@
   std::vector<core::Address> caller_addresses(const core::ZoneName& zone) const;
 
   const ingress::RouteTableHolder& routes() const { return routes_; }
+  /// \return the name of this life of this process, as the holder of a term and elsewhere.
+  const std::string& life() const { return life_; }
+  /// \return the processes that are known, this one among them.
+  const wire::MemberMap& members() const { return gossip_.members_by_node(); }
   ingress::Forwarder& forwarder() { return forwarder_; }
   jobs::JobStore& jobs() { return job_store_; }
 
@@ -104,6 +108,9 @@
   ingress::RouteTableHolder routes_;
   ingress::ReplicaDirectory directory_;
   std::map<core::ModelName, core::WeightVersion> named_versions_;
+  /// When this process began. Read once: a name and a member record made of two readings would
+  /// be those of two lives, of which the members take the older one for ended.
+  std::uint64_t life_number_;
   std::string life_;  ///< the name of this life of this process
   usage::WindowClock window_clock_;
   usage::UsageCounter usage_counter_;
