--- a/src/fleet/replica_scaler.cpp
+++ b/src/fleet/replica_scaler.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "core/decision_log.hpp"
-#include "core/json_text.hpp"
 #include "core/numbers.hpp"
 #include "jobs/open_job.hpp"
 #include "runtime/tasks.hpp"
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -57,14 +57,14 @@
   return coordinator;
 }
 
-}  // namespace
-
 usage::UsagePublisherSettings publisher_settings(const std::string& life) {
   usage::UsagePublisherSettings publisher;
   publisher.process = life;
   return publisher;
 }
 
+}  // namespace
+
 Node::Node(NodeInputs inputs, NodeSettings settings)
     : inputs_(std::move(inputs)),
       settings_(std::move(settings)),
--- a/src/ports/platform_duties.hpp
+++ b/src/ports/platform_duties.hpp
@@ -1,6 +1,6 @@
 /// \file
 /// Port to the platform's interface for duties that one process does for all: reports of
-/// usage. A client belongs to one thread.
+/// usage and orders of replicas. A client belongs to one thread.
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
--- a/src/usage/freeze_decision.hpp
+++ b/src/usage/freeze_decision.hpp
@@ -16,7 +16,8 @@
 struct FreezeSettings {
   /// Nothing is frozen earlier after a window's end: the last requests of it are still open.
   core::Duration earliest = std::chrono::milliseconds(600);
-  /// Processes that have not written are not waited for any longer after a window's end.
+  /// Processes that have not written are not waited for any longer after a window's end. The
+  /// settings that the platform writes replace it by what its due time leaves.
   core::Duration latest = std::chrono::milliseconds(6500);
 };
 
--- a/src/usage/usage_reporter.cpp
+++ b/src/usage/usage_reporter.cpp
@@ -13,7 +13,7 @@
 const std::string kSubject = "usage";
 /// Windows that ended longer ago are not caught up with: nobody kept their counts.
 constexpr WindowIndex kMostMissedWindows = 4;
-/// Of a window; not to be frozen any more, however late.
+/// Between two looks for records that are older than the retention.
 constexpr core::Duration kRemovalInterval = std::chrono::seconds(20);
 /// Records of one table that one transaction removes.
 constexpr std::size_t kMostRemovals = 50;
