One gate asks for every sender whether a request may go to a replica now

Cause: which replica may get a request was answered in the forwarder, the dispatcher and the loader each in its own way, and nothing read evacuations, cold replicas or allowed regions. Ruled out: a further check in each sender.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -48,6 +48,7 @@
     EventName{DecisionEvent::kUsageSent, "usage_sent"},
     EventName{DecisionEvent::kUsageGivenUp, "usage_given_up"},
     EventName{DecisionEvent::kReplicasOrdered, "replicas_ordered"},
+    EventName{DecisionEvent::kZonesEvacuated, "zones_evacuated"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -45,7 +45,8 @@
   kUsageSent,
   kUsageGivenUp,
   kReplicasOrdered,
-  kLast = kReplicasOrdered,
+  kZonesEvacuated,
+  kLast = kZonesEvacuated,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- /dev/null
+++ b/src/eligibility/send_gate.cpp
@@ -0,0 +1,44 @@
+#include "eligibility/send_gate.hpp"
+
+namespace stoneport::eligibility {
+
+std::string_view to_string(Objection objection) {
+  switch (objection) {
+    case Objection::kEvacuatedZone:
+      return "evacuated_zone";
+    case Objection::kOutsideRegions:
+      return "outside_regions";
+    case Objection::kColdPace:
+      return "cold_pace";
+  }
+  return "unknown";
+}
+
+std::optional<Objection> SendGate::objection(const Destination& destination, const Origin& origin,
+                                             core::MonotonicTime now) const {
+  if (!is_open(destination.zone)) {
+    return Objection::kEvacuatedZone;
+  }
+  const bool is_bound = origin.binding != nullptr && origin.binding->is_bound();
+  if (is_bound && !origin.binding->allows(region_of(destination.zone))) {
+    return Objection::kOutsideRegions;
+  }
+  const PacedReplica paced{destination.id, destination.service, destination.cold_until};
+  if (!cold_pace_.may_send(paced, origin.sender, now)) {
+    return Objection::kColdPace;
+  }
+  return std::nullopt;
+}
+
+void SendGate::note_sent(const Destination& destination, const Origin& origin,
+                         core::MonotonicTime now) {
+  cold_pace_.note_sent({destination.id, destination.service, destination.cold_until},
+                       origin.sender, now);
+}
+
+core::RegionName SendGate::region_of(const core::ZoneName& zone) const {
+  const auto found = regions_.find(zone);
+  return found == regions_.end() ? core::RegionName() : found->second;
+}
+
+}  // namespace stoneport::eligibility
--- /dev/null
+++ b/src/eligibility/send_gate.hpp
@@ -0,0 +1,76 @@
+/// \file
+/// The one answer to the question: may this request go to this replica now, and from here?
+/// Every sender of this process asks it: first tries, retries, resumed streams, texts that are
+/// begun or moved, rating calls, orders of weights. Owns what binds replicas as a whole: zones
+/// that are evacuated, regions that requests are bound to, what cold replicas bear. Plain code;
+/// belongs to one thread. docs/design/newcomers.md
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string_view>
+
+#include "core/identifiers.hpp"
+#include "core/time.hpp"
+#include "eligibility/cold_pace.hpp"
+#include "eligibility/evacuations.hpp"
+#include "eligibility/region_binding.hpp"
+
+namespace stoneport::eligibility {
+
+/// Why a replica may not get a request now.
+enum class Objection {
+  kEvacuatedZone,   ///< nothing goes to its zone until the operator takes that back
+  kOutsideRegions,  ///< the request is bound to other regions
+  kColdPace,        ///< it is cold, and as much was sent to it as it bears
+};
+std::string_view to_string(Objection objection);
+
+/// A replica as far as the gate looks at it. Refers to its owner's values.
+struct Destination {
+  const core::ReplicaId& id;
+  const core::ServiceName& service;
+  const core::ZoneName& zone;
+  core::MonotonicTime cold_until{};  ///< in the past for a warm one
+};
+
+/// What a request brings along.
+struct Origin {
+  Sender sender = Sender::kFrontEnd;
+  const RegionBinding* binding = nullptr;  ///< null binds nothing
+};
+
+/// The region of each zone, from the settings.
+using ZoneRegions = std::map<core::ZoneName, core::RegionName>;
+
+class SendGate {
+ public:
+  explicit SendGate(ZoneRegions regions = {}) : regions_(std::move(regions)) {}
+
+  /// \return why \p origin's request may not go to \p destination now; nothing when it may.
+  std::optional<Objection> objection(const Destination& destination, const Origin& origin,
+                                     core::MonotonicTime now) const;
+  bool may_send(const Destination& destination, const Origin& origin,
+                core::MonotonicTime now) const {
+    return !objection(destination, origin, now);
+  }
+  /// \return whether work may be planned for \p zone at all.
+  bool is_open(const core::ZoneName& zone) const { return !evacuations_.contains(zone); }
+  /// A request goes to \p destination now.
+  void note_sent(const Destination& destination, const Origin& origin, core::MonotonicTime now);
+
+  /// \return the region of \p zone; empty when the settings do not name it.
+  core::RegionName region_of(const core::ZoneName& zone) const;
+  const ZoneRegions& regions() const { return regions_; }
+  Evacuations& evacuations() { return evacuations_; }
+  const Evacuations& evacuations() const { return evacuations_; }
+  ColdPace& cold_pace() { return cold_pace_; }
+  const ColdPace& cold_pace() const { return cold_pace_; }
+
+ private:
+  ZoneRegions regions_;
+  Evacuations evacuations_;
+  ColdPace cold_pace_;
+};
+
+}  // namespace stoneport::eligibility
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -29,6 +29,10 @@
   return route.kind == RouteKind::kRepeatable || route.resumable;
 }
 
+eligibility::Origin origin_of(const ForwardedRequest& request) {
+  return {eligibility::Sender::kFrontEnd, &request.binding};
+}
+
 /// A replica that said so, or that was silent, has not begun: another one will.
 void note_attempt(const ports::CallFailure& failure, ObservedRun& observed) {
   const bool may_have_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
@@ -103,18 +107,27 @@
 
 Forwarder::~Forwarder() = default;
 
-std::vector<ReplicaPointer> Forwarder::candidates(const Route& route,
+bool Forwarder::may_get(const ReplicaState& replica, const ForwardedRequest& request) const {
+  return replica.accepts_work() &&
+         directory_.gate().may_send(replica.destination(), origin_of(request), time_.now());
+}
+
+std::vector<ReplicaPointer> Forwarder::candidates(const ForwardedRequest& request,
                                                   const Progress& progress) const {
   std::vector<ReplicaPointer> found = directory_.of_service(*progress.service);
   std::erase_if(found, [&](const ReplicaPointer& replica) {
-    return !replica->accepts_work() || progress.preference.excluded.contains(replica->record.id);
+    const bool was_tried = progress.preference.excluded.contains(replica->record.id);
+    return was_tried || !may_get(*replica, request);
   });
-  if (!found.empty() || route.targets.size() == 1) {
+  if (!found.empty() || request.route->targets.size() == 1) {
     return found;
   }
-  for (const RouteTarget& target : route.targets) {
-    const std::vector<ReplicaPointer> others = directory_.of_service(target.service);
-    found.insert(found.end(), others.begin(), others.end());
+  for (const RouteTarget& target : request.route->targets) {
+    for (const ReplicaPointer& other : directory_.of_service(target.service)) {
+      if (may_get(*other, request)) {
+        found.push_back(other);
+      }
+    }
   }
   return found;
 }
@@ -137,7 +150,7 @@
     }
   }
   while (true) {
-    const std::vector<ReplicaPointer> usable = candidates(*request.route, progress);
+    const std::vector<ReplicaPointer> usable = candidates(request, progress);
     ReplicaPointer replica = choose_replica(usable, progress.preference, time_.now(), random_);
     if (replica) {
       co_return replica;
@@ -265,6 +278,7 @@
     const InFlight in_flight(replica);
     const core::MonotonicTime sent_at = time_.now();
     observed.sent(sent_at);
+    directory_.gate().note_sent(replica->destination(), origin_of(request), sent_at);
     ports::ReplicaCall call = replica_call(request, progress);
     const bool is_last = progress.runs + 1 >= request.route->most_attempts;
     if (is_repeatable(*request.route) && !is_last) {
@@ -395,6 +409,7 @@
     asio::cancellation_signal cut;
     response.when_client_gone([&cut] { cut.emit(asio::cancellation_type::terminal); });
     observed.sent(time_.now());
+    directory_.gate().note_sent(replica->destination(), origin_of(request), time_.now());
     ports::ReplicaTarget target{replica->record.id, replica->record.address};
     asio::awaitable<ports::CallResult<ports::StreamAnswer>> task =
         client_.open_stream(std::move(target), replica_call(request, progress));
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -26,7 +26,8 @@
   core::MonotonicTime received;
   core::MonotonicTime deadline;  ///< the client gives up then
   std::optional<std::uint64_t> resume_after = std::nullopt;
-  core::TenantName tenant = {};  ///< whose request it is; empty for nobody's
+  core::TenantName tenant = {};             ///< whose request it is; empty for nobody's
+  eligibility::RegionBinding binding = {};  ///< regions that its route and tenant allow
 };
 
 /// Why no answer of a replica can be passed on.
@@ -84,7 +85,10 @@
   /// \return null when no replica accepted work until the request had to be given up.
   boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
                                                 Progress& progress);
-  std::vector<ReplicaPointer> candidates(const Route& route, const Progress& progress) const;
+  /// \return the replicas that may get \p request now.
+  std::vector<ReplicaPointer> candidates(const ForwardedRequest& request,
+                                         const Progress& progress) const;
+  bool may_get(const ReplicaState& replica, const ForwardedRequest& request) const;
   ReplicaPreference preference_for(const Route& route) const;
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
   void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -142,6 +142,7 @@
   replica->listed = false;
   remove_from_service(*replica);
   replicas_.erase(known);
+  gate_.cold_pace().forget(id);
   return replica->record.address;
 }
 
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -15,6 +15,7 @@
 #include "core/identifiers.hpp"
 #include "core/random.hpp"
 #include "core/time.hpp"
+#include "eligibility/send_gate.hpp"
 #include "ingress/outlier_detector.hpp"
 
 namespace stoneport::ingress {
@@ -27,7 +28,8 @@
   core::ZoneName zone;
   std::uint32_t slots = 1;
   bool draining = false;
-  bool spot = false;  ///< the platform may take it away at short notice
+  bool spot = false;                 ///< the platform may take it away at short notice
+  core::MonotonicTime cold_until{};  ///< it bears little until then; in the past for a warm one
   std::map<core::ModelName, core::WeightVersion> versions;
 
   bool operator==(const ReplicaRecord&) const = default;
@@ -44,6 +46,10 @@
   OutlierDetector outliers;
 
   bool accepts_work() const { return listed && !record.draining; }
+  /// \return it as the gate looks at it; valid while the record is.
+  eligibility::Destination destination() const {
+    return {record.id, record.service, record.zone, record.cold_until};
+  }
   bool is_suspect(core::MonotonicTime now) const { return now < suspect_until; }
   void note_latency(core::Duration latency);
   /// A call that the replica ran, or may have run, failed.
@@ -83,6 +89,8 @@
 
 class ReplicaDirectory {
  public:
+  /// \param regions the region of each zone
+  explicit ReplicaDirectory(eligibility::ZoneRegions regions = {}) : gate_(std::move(regions)) {}
   /// Replaces the listing. \return addresses whose replica ended or is leaving.
   std::vector<core::Address> update(std::vector<ReplicaRecord> records);
   /// Changes the listing, which counts as loaded from then on.
@@ -94,6 +102,9 @@
   /// \return the replica that is listed as \p id, or null.
   ReplicaPointer find(const core::ReplicaId& id) const;
   std::size_t size() const { return replicas_.size(); }
+  /// \return what says whether a request may go to a replica now; every sender asks it.
+  eligibility::SendGate& gate() { return gate_; }
+  const eligibility::SendGate& gate() const { return gate_; }
 
  private:
   /// Takes \p record in. \return its address if the replica starts to drain.
@@ -104,6 +115,7 @@
 
   std::map<core::ReplicaId, ReplicaPointer> replicas_;
   std::map<core::ServiceName, std::vector<ReplicaPointer>> by_service_;
+  eligibility::SendGate gate_;
   bool loaded_ = false;
 };
 
--- a/src/ingress/route_table.cpp
+++ b/src/ingress/route_table.cpp
@@ -16,12 +16,14 @@
 }
 
 RouteTable::RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits,
-                       tenants::TenantTable tenants, ScalingByService scaling)
+                       tenants::TenantTable tenants, ScalingByService scaling,
+                       eligibility::ColdStarts cold_starts)
     : version_(version),
       routes_(std::move(routes)),
       limits_(limits),
       tenants_(std::move(tenants)),
-      scaling_(std::move(scaling)) {
+      scaling_(std::move(scaling)),
+      cold_starts_(std::move(cold_starts)) {
   for (std::size_t index = 0; index < routes_.size(); ++index) {
     by_host_[routes_[index].host].push_back(index);
   }
--- a/src/ingress/route_table.hpp
+++ b/src/ingress/route_table.hpp
@@ -12,6 +12,8 @@
 
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
+#include "eligibility/cold_pace.hpp"
+#include "eligibility/region_binding.hpp"
 #include "scaling/spot_plan.hpp"
 #include "tenants/tenant_table.hpp"
 
@@ -36,14 +38,15 @@
   RouteKind kind = RouteKind::kOnce;
   bool is_public = false;  ///< needs no key
   bool resumable = false;
-  bool single_version = false;       ///< one weight version makes a whole text
-  core::Duration timeout{};          ///< longest time a request is held
-  core::Duration target_latency{};   ///< within which an answer earns its full credit
-  std::uint32_t most_attempts = 1;   ///< replicas that one request may be sent to
-  std::uint32_t priority = 0;        ///< 0 is served first
-  std::vector<RouteTarget> targets;  ///< never empty
-  core::Duration run_deadline{};     ///< rollout: all results are due after that
-  core::Duration queue_limit{};      ///< rollout: an item may be given up after that
+  bool single_version = false;        ///< one weight version makes a whole text
+  core::Duration timeout{};           ///< longest time a request is held
+  core::Duration target_latency{};    ///< within which an answer earns its full credit
+  std::uint32_t most_attempts = 1;    ///< replicas that one request may be sent to
+  std::uint32_t priority = 0;         ///< 0 is served first
+  std::vector<RouteTarget> targets;   ///< never empty
+  core::Duration run_deadline{};      ///< rollout: all results are due after that
+  core::Duration queue_limit{};       ///< rollout: an item may be given up after that
+  eligibility::Regions regions = {};  ///< where its requests may be served; empty: anywhere
 };
 
 struct ClientLimits {
@@ -60,13 +63,15 @@
  public:
   RouteTable() = default;
   RouteTable(std::uint64_t version, std::vector<Route> routes, ClientLimits limits,
-             tenants::TenantTable tenants = {}, ScalingByService scaling = {});
+             tenants::TenantTable tenants = {}, ScalingByService scaling = {},
+             eligibility::ColdStarts cold_starts = {});
 
   std::uint64_t version() const { return version_; }
   const ClientLimits& limits() const { return limits_; }
   const std::vector<Route>& routes() const { return routes_; }
   const tenants::TenantTable& tenants() const { return tenants_; }
   const ScalingByService& scaling() const { return scaling_; }
+  const eligibility::ColdStarts& cold_starts() const { return cold_starts_; }
   /// \param host as in a Host field; its port and case do not matter
   /// \return the route of that host with the longest prefix of \p path, or null.
   const Route* find(std::string_view host, std::string_view path) const;
@@ -81,6 +86,7 @@
   ClientLimits limits_;
   tenants::TenantTable tenants_;
   ScalingByService scaling_;
+  eligibility::ColdStarts cold_starts_;
   std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;  ///< longest prefix first
 };
 
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -64,7 +64,7 @@
                                                 core::MonotonicTime now) {
   JobView view;
   view.job = job;
-  view.replicas = usable_replicas(*job);
+  view.replicas = usable_replicas(*job, now);
   view.loads = loads(view.replicas, *job, now);
   view.median = median_event_gap(view.loads);
   return view;
@@ -132,22 +132,34 @@
 /// One text more runs on \p replica.
 void ItemDispatcher::count_text(JobView& view, const core::ReplicaId& replica,
                                 core::MonotonicTime now) const {
-  for (ReplicaLoad& load : view.loads) {
+  for (std::size_t index = 0; index < view.loads.size(); ++index) {
+    ReplicaLoad& load = view.loads[index];
     if (load.id == replica) {
       ++load.running;
       load.event_gap = speeds_.event_gap(load.id, {load.running + 1, load.slots}, now);
+      load.closed |= objection(*view.job, *view.replicas[index], now).has_value();
     }
   }
 }
 
-std::vector<ingress::ReplicaPointer> ItemDispatcher::usable_replicas(const OpenJob& job) const {
+std::optional<eligibility::Objection> ItemDispatcher::objection(
+    const OpenJob& job, const ingress::ReplicaState& replica, core::MonotonicTime now) const {
+  const eligibility::Origin origin{eligibility::Sender::kCoordinator, &job.binding};
+  return inputs_.directory.gate().objection(replica.destination(), origin, now);
+}
+
+std::vector<ingress::ReplicaPointer> ItemDispatcher::usable_replicas(
+    const OpenJob& job, core::MonotonicTime now) const {
   std::vector<ingress::ReplicaPointer> usable;
   for (const ingress::RouteTarget& target : job.route->targets) {
     for (const ingress::ReplicaPointer& replica : inputs_.directory.of_service(target.service)) {
       const auto version = replica->record.versions.find(job.job.model);
       const bool fits =
           version != replica->record.versions.end() && version->second >= job.job.oldest_version;
-      if (fits && replica->accepts_work()) {
+      const bool may_work = fits && replica->accepts_work();
+      // A cold one takes texts again in a moment: it counts, as closed.
+      const auto bar = may_work ? objection(job, *replica, now) : std::nullopt;
+      if (may_work && (!bar || *bar == eligibility::Objection::kColdPace)) {
         usable.push_back(replica);
       }
     }
@@ -168,7 +180,8 @@
     load.event_gap = speeds_.event_gap(load.id, {load.running + 1, load.slots}, now);
     const bool is_ejected = avoids_ejected && replica->outliers.is_ejected(now);
     load.closed = now < work.closed_until || replica->is_suspect(now) || is_ejected ||
-                  inputs_.is_loading(load.id, job.job.model);
+                  inputs_.is_loading(load.id, job.job.model) ||
+                  objection(job, *replica, now).has_value();
     loads.push_back(load);
   }
   return loads;
@@ -202,6 +215,8 @@
   run->replica = std::move(replica);
   run->began = inputs_.time.now();
   run->last_event = run->began;
+  inputs_.directory.gate().note_sent(
+      run->replica->destination(), {eligibility::Sender::kCoordinator, &job->binding}, run->began);
   job->items[item].state = ItemState::kRunning;
   ++work_[run->replica->record.id].running;
   run->place = runs_.insert(runs_.end(), run);
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -118,6 +118,10 @@
   };
 
   static bool has_work(const OpenJob& job, core::MonotonicTime now);
+  /// \return why the gate lets no text of \p job go to \p replica now; nothing when it may.
+  std::optional<eligibility::Objection> objection(const OpenJob& job,
+                                                  const ingress::ReplicaState& replica,
+                                                  core::MonotonicTime now) const;
   JobView view_of(const OpenJobPointer& job, core::MonotonicTime now);
   /// Places the queued items of \p views, which have one priority.
   void place_all(std::vector<JobView> views, core::MonotonicTime now);
@@ -127,7 +131,8 @@
   bool place_next(JobView& view, std::vector<JobView>& views, core::MonotonicTime now);
   void count_text(JobView& view, const core::ReplicaId& replica, core::MonotonicTime now) const;
   const LengthLaw& law_of(const OpenJob& job) { return laws_[job.job.model]; }
-  std::vector<ingress::ReplicaPointer> usable_replicas(const OpenJob& job) const;
+  std::vector<ingress::ReplicaPointer> usable_replicas(const OpenJob& job,
+                                                       core::MonotonicTime now) const;
   std::vector<ReplicaLoad> loads(const std::vector<ingress::ReplicaPointer>& replicas,
                                  const OpenJob& job, core::MonotonicTime now);
   void begin_run(const OpenJobPointer& job, std::size_t item, ingress::ReplicaPointer replica);
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -51,6 +51,7 @@
   JobIndexEntry entry;
   std::shared_ptr<const ingress::RouteTable> table;  ///< owns the route
   const ingress::Route* route = nullptr;             ///< last one known
+  eligibility::RegionBinding binding;                ///< regions that route and tenant allow
   std::vector<ItemProgress> items;                   ///< as in job.items
   std::vector<std::size_t> start_order;              ///< indexes into items, longest rest first
   bool order_is_stale = false;                       ///< an item was queued again
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -68,6 +68,7 @@
 Node::Node(NodeInputs inputs, NodeSettings settings)
     : inputs_(std::move(inputs)),
       settings_(std::move(settings)),
+      directory_(settings_.zone_regions),
       life_number_(life_of_process(inputs_.time)),
       life_(holder_name(settings_.name, life_number_)),
       window_clock_(inputs_.time, settings_.usage.window_length),
@@ -186,6 +187,7 @@
                                                                   {"routes", routes},
                                                                   {"tenants", tenants.size()},
                                                                   {"faults", tenants.faults()}});
+  directory_.gate().cold_pace().replace_limits(routes_.current()->cold_starts());
   join_when_ready();
   coordinator_.on_inputs_changed();
 }
@@ -213,6 +215,18 @@
   }
 }
 
+void Node::replace_evacuations(std::set<core::ZoneName> zones) {
+  if (!directory_.gate().evacuations().replace(std::move(zones))) {
+    return;
+  }
+  nlohmann::json names = nlohmann::json::array();
+  for (const core::ZoneName& zone : directory_.gate().evacuations().zones()) {
+    names.push_back(zone.value());
+  }
+  core::log_decision(core::DecisionEvent::kZonesEvacuated, {{"zones", std::move(names)}});
+  coordinator_.on_inputs_changed();
+}
+
 bool Node::ready() const {
   return !draining_ && routes_.current() != nullptr && directory_.loaded();
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "controllers/gossip_controller.hpp"
@@ -34,7 +35,8 @@
   core::Address caller_address;  ///< where callers reach this process
   core::Address gossip_address;  ///< UDP between processes
   std::vector<core::Address> gossip_seeds;
-  double processor_share = 1;  ///< of a core; large machines coordinate first
+  eligibility::ZoneRegions zone_regions;  ///< the region of each zone
+  double processor_share = 1;             ///< of a core; large machines coordinate first
   jobs::CoordinatorSettings coordinator;
   UsageSettings usage;
   bool orders_replicas = false;  ///< whether the platform takes orders of replicas
@@ -68,6 +70,8 @@
   /// To be called once for the first listing, also when it is empty, and for each change.
   void change_replicas(ingress::ReplicaChanges changes);
   void replace_named_versions(std::map<core::ModelName, core::WeightVersion> versions);
+  /// Takes in which zones the operator has evacuated now.
+  void replace_evacuations(std::set<core::ZoneName> zones);
 
   /// \return whether callers should be sent here.
   bool ready() const;
--- a/src/tenants/tenant_table.hpp
+++ b/src/tenants/tenant_table.hpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/identifiers.hpp"
+#include "eligibility/region_binding.hpp"
 
 namespace stoneport::tenants {
 
@@ -21,6 +22,7 @@
 struct Tenant {
   core::TenantName name;
   std::optional<std::uint32_t> priority;  ///< goes before the route's; 0 is served first
+  eligibility::Regions regions = {};      ///< where its requests may be served; empty: anywhere
 };
 
 /// A tenant as a configuration describes it.
--- a/src/weights/weight_loader.cpp
+++ b/src/weights/weight_loader.cpp
@@ -124,7 +124,7 @@
     const std::vector<ingress::ReplicaPointer>& replicas = directory_.of_service(service);
     for (const ingress::ReplicaPointer& replica : replicas) {
       slots += replica->record.slots;
-      if (replica->accepts_work()) {
+      if (replica->accepts_work() && directory_.gate().is_open(replica->record.zone)) {
         add_replica(*replica, of_service, scope, now);
       }
     }
--- a/tests/platform/replica_rows_test.cpp
+++ b/tests/platform/replica_rows_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(a_row_that_cannot_be_decoded_stands_for_no_replica);
   CPPUNIT_TEST_SUITE_END();
 
+  static constexpr core::MonotonicTime kNow{};
   core::Metrics metrics_;
   ReplicaRowReader reader_{metrics_};
   records::TableMirror::Records rows_;
@@ -36,17 +37,17 @@
   void a_new_sequence_alone_is_no_change() {
     write("a", entry(1));
     write("b", entry(1));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader_.read(rows_).written.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, reader_.read(rows_, kNow).written.size());
     write("a", entry(2));
-    CPPUNIT_ASSERT(reader_.read(rows_).empty());
+    CPPUNIT_ASSERT(reader_.read(rows_, kNow).empty());
   }
 
   void new_words_are_a_change() {
     write("a", entry(1));
     write("b", entry(1));
-    reader_.read(rows_);
+    reader_.read(rows_, kNow);
     write("a", entry(2, "draining"));
-    const ingress::ReplicaChanges changes = reader_.read(rows_);
+    const ingress::ReplicaChanges changes = reader_.read(rows_, kNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.written.size());
     CPPUNIT_ASSERT(changes.written.front().draining);
     CPPUNIT_ASSERT(changes.removed.empty());
@@ -54,23 +55,23 @@
 
   void a_row_that_goes_is_a_removal() {
     write("a", entry(1));
-    reader_.read(rows_);
+    reader_.read(rows_, kNow);
     rows_.erase("a");
-    const ingress::ReplicaChanges changes = reader_.read(rows_);
+    const ingress::ReplicaChanges changes = reader_.read(rows_, kNow);
     CPPUNIT_ASSERT(changes.removed == std::vector<core::ReplicaId>{core::ReplicaId("a")});
-    CPPUNIT_ASSERT(reader_.read(rows_).empty());
+    CPPUNIT_ASSERT(reader_.read(rows_, kNow).empty());
   }
 
   void a_row_that_cannot_be_decoded_stands_for_no_replica() {
     write("a", entry(1));
     write("b", "{");
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader_.read(rows_).written.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader_.read(rows_, kNow).written.size());
     write("a", R"({"address":"nowhere"})");
-    const ingress::ReplicaChanges changes = reader_.read(rows_);
+    const ingress::ReplicaChanges changes = reader_.read(rows_, kNow);
     CPPUNIT_ASSERT(changes.written.empty());
     CPPUNIT_ASSERT(changes.removed == std::vector<core::ReplicaId>{core::ReplicaId("a")});
     write("a", entry(3));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader_.read(rows_).written.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, reader_.read(rows_, kNow).written.size());
   }
 };
 
