Rating calls get the time that they need: second calls, no constant cut

Cause: each rating call was cut after a constant 900 ms. A text whose rating takes longer each time never got its score, and its replica was suspected for it. Ruled out: a longer constant, which leaves calls at a silent replica for as long. Change: a call may take the timeout of its route. A replica that was silent meanwhile is suspected, and calls that wait there go elsewhere. Second calls are a tenth of the first ones and six more in 10 s, and need a free place. A call that is no longer wanted is cut at once. Calls don't wait in the forwarder while no replica takes work, as that used up their time. The forwarder doesn't blame a replica for a call that was cut: the client returns it as a failed one. The fake client of the tests does so too now. The eight new tests of the scorer fail on the code before; the route of that test has a timeout of 3 s and a target now, which the two older tests don't depend on.

--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -194,6 +194,11 @@
   }
 }
 
+void Forwarder::note_silent(ReplicaState& replica) {
+  note_failed_run(replica);
+  replica.suspect(time_.now(), settings_.suspicion);
+}
+
 void Forwarder::note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
                              const ports::CallFailure& failure, Progress& progress) {
   meters_->attempts_failed.Increment();
@@ -225,6 +230,7 @@
 
 Forwarder::Verdict Forwarder::judge(const ForwardedRequest& request, ReplicaState& replica,
                                     ports::ReplicaAnswer& answer, Progress& progress) {
+  replica.last_answer = time_.now();
   const unsigned status = answer.response.head.status;
   const bool is_success = status < 400;
   const bool retry_may_help = status >= kServerError || is_promise(status);
@@ -253,6 +259,7 @@
   ObservedRun observed(observer_, request.tenant);
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
   progress.preference = preference_for(*request.route);
+  progress.preference.excluded = request.avoided;
   const core::Duration patience =
       std::max(settings_.shortest_patience,
                core::from_seconds(core::to_seconds(request.route->target_latency) *
@@ -265,6 +272,9 @@
     const InFlight in_flight(replica);
     const core::MonotonicTime sent_at = time_.now();
     observed.sent(sent_at);
+    if (request.on_sent) {
+      request.on_sent(replica);
+    }
     ports::ReplicaCall call = replica_call(request, progress);
     const bool is_last = progress.runs + 1 >= request.route->most_attempts;
     if (is_repeatable(*request.route) && !is_last) {
@@ -275,6 +285,7 @@
         co_await client_.call(std::move(target), std::move(call));
     if (!answer) {
       note_attempt(answer.error(), observed);
+      co_await runtime::end_if_cut();  // the replica is not to blame for a call that was cut
       note_failure(request, replica, answer.error(), progress);
       continue;
     }
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -4,8 +4,10 @@
 /// to one thread.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/metrics.hpp"
@@ -26,7 +28,10 @@
   core::MonotonicTime received;
   core::MonotonicTime deadline;  ///< the client gives up then
   std::optional<std::uint64_t> resume_after = std::nullopt;
-  core::TenantName tenant = {};  ///< whose request it is; empty for nobody's
+  core::TenantName tenant = {};            ///< whose request it is; empty for nobody's
+  std::set<core::ReplicaId> avoided = {};  ///< get it only when no other accepts work
+  /// Called with the replica each time that the request goes out.
+  std::function<void(const ReplicaPointer&)> on_sent = {};
 };
 
 /// Why no answer of a replica can be passed on.
@@ -73,6 +78,8 @@
 
   /// \return a replica's whole answer. May be cut off at any suspension.
   boost::asio::awaitable<ForwardResult> call(ForwardedRequest request);
+  /// A caller cut a call that \p replica had not answered when another one had.
+  void note_silent(ReplicaState& replica);
   /// Answers a client; stops working for one that leaves.
   boost::asio::awaitable<void> serve(ForwardedRequest request, http::ResponseWriter& response);
 
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -40,7 +40,8 @@
   bool listed = true;           ///< false once the store no longer lists it
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
-  double latency_seconds = 0;  ///< moving average of answered calls; zero when none
+  double latency_seconds = 0;         ///< moving average of answered calls; zero when none
+  core::MonotonicTime last_answer{};  ///< to a whole call, failed or not
   OutlierDetector outliers;
 
   bool accepts_work() const { return listed && !record.draining; }
--- /dev/null
+++ b/src/jobs/call_times.cpp
@@ -0,0 +1,55 @@
+#include "jobs/call_times.hpp"
+
+#include <algorithm>
+
+namespace stoneport::jobs {
+namespace {
+constexpr double kLargestUsualShare = 0.5;
+constexpr std::uint32_t kMostDoublings = 8;
+
+core::Duration times(core::Duration length, double factor) {
+  return core::from_seconds(core::to_seconds(length) * factor);
+}
+
+double doubled(std::uint32_t given_up) {
+  return 1U << std::min(given_up, kMostDoublings);
+}
+}  // namespace
+
+void CallTimes::note(core::Duration taken) {
+  if (newest_.size() < settings_.remembered) {
+    newest_.push_back(taken);
+    return;
+  }
+  newest_[next_] = taken;
+  next_ = (next_ + 1) % settings_.remembered;
+}
+
+core::Duration CallTimes::usual(const CallBounds& bounds) const {
+  core::Duration usual = bounds.target;
+  if (newest_.size() >= settings_.fewest) {
+    std::vector<core::Duration> sorted = newest_;
+    const auto place =
+        static_cast<std::size_t>(settings_.usual_quantile * static_cast<double>(sorted.size()));
+    const auto at =
+        sorted.begin() + static_cast<std::ptrdiff_t>(std::min(place, sorted.size() - 1));
+    std::nth_element(sorted.begin(), at, sorted.end());
+    usual = *at;
+  } else if (usual <= core::Duration(0)) {
+    usual = times(bounds.timeout, settings_.usual_share_of_timeout);
+  }
+  return std::min(std::max(usual, settings_.shortest_usual),
+                  times(bounds.timeout, kLargestUsualShare));
+}
+
+core::Duration CallTimes::patience_with_suspect(const CallBounds& bounds,
+                                                std::uint32_t given_up) const {
+  return std::min(times(usual(bounds), doubled(given_up)), bounds.timeout);
+}
+
+core::Duration CallTimes::patience(const CallBounds& bounds, std::uint32_t given_up) const {
+  const double usual_times = settings_.patience_in_usual_times * doubled(given_up);
+  return std::min(times(usual(bounds), usual_times), bounds.timeout);
+}
+
+}  // namespace stoneport::jobs
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -1,5 +1,11 @@
 #include "jobs/scorer.hpp"
 
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::jobs {
@@ -8,12 +14,55 @@
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 constexpr unsigned kServerError = 500;
-constexpr std::uint32_t kUnknownLimit = 1000;
+constexpr std::size_t kMostCallsOfText = 2;
 /// Answers of failure after which a call is given up, in the attempts of its route: a
 /// replica may fail whatever it runs.
 constexpr std::uint32_t kMostRoundsOfFailures = 2;
 }  // namespace
 
+struct Scorer::Meters {
+  explicit Meters(core::Metrics& metrics)
+      : scored(metrics.counter("stoneport_scores_total", "Texts that were rated")),
+        failed_answers(metrics.counter("stoneport_score_failures_total",
+                                       "Rating calls that a replica ran and failed")),
+        second_calls(metrics.counter("stoneport_score_hedges_total",
+                                     "Second rating calls beside one that took long")),
+        second_calls_won(metrics.counter("stoneport_score_hedges_won_total",
+                                         "Second rating calls that were answered first")),
+        cut(metrics.counter("stoneport_score_calls_cut_total",
+                            "Rating calls that were cut because nobody needed their answer "
+                            "or their replica was silent")) {}
+  prometheus::Counter& scored;
+  prometheus::Counter& failed_answers;
+  prometheus::Counter& second_calls;
+  prometheus::Counter& second_calls_won;
+  prometheus::Counter& cut;
+};
+
+struct Scorer::Attempt {
+  ingress::ReplicaPointer replica;  ///< null until it was sent
+  core::MonotonicTime sent_at{};
+  bool is_second = false;
+  /// False once another call of the text, which was out at the same time, has failed.
+  bool counts_failure = true;
+  bool is_cut = false;
+  asio::cancellation_signal cut;
+};
+
+struct Scorer::Text {
+  Text(asio::any_io_executor executor, ScoringCall scoring_call)
+      : call(std::move(scoring_call)), changed(std::move(executor)) {}
+
+  ScoringCall call;
+  std::list<AttemptPointer> attempts;  ///< that are out, in the order of their beginning
+  asio::steady_timer changed;          ///< cancelled when one of them ends
+  core::MonotonicTime not_before{};    ///< the next one begins then at the earliest
+  std::uint32_t failures = 0;
+  std::uint32_t given_up = 0;      ///< calls that got no answer in their time
+  std::set<core::ReplicaId> left;  ///< where they were
+  std::optional<Score> end;
+};
+
 Scorer::Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
                const ingress::ReplicaDirectory& directory, const core::TimeSource& time,
                core::Metrics& metrics, ScorerSettings settings)
@@ -22,90 +71,315 @@
       directory_(directory),
       time_(time),
       settings_(settings),
-      scored_(metrics.counter("stoneport_scores_total", "Texts that were rated")),
-      failed_answers_(metrics.counter("stoneport_score_failures_total",
-                                      "Rating calls that a replica ran and failed")) {}
+      meters_(std::make_unique<Meters>(metrics)) {}
+
+Scorer::~Scorer() = default;
+
+Scorer::RouteInForce Scorer::route_of(const ScoringCall& call) const {
+  RouteInForce found;
+  found.table = routes_.current();
+  if (found.table) {
+    found.route = found.table->find(call.host, http::path_of(call.path));
+  }
+  return found;
+}
+
+Scorer::KnownRoute& Scorer::known(const ingress::Route& route) {
+  const auto found = known_.find(route.name);
+  if (found != known_.end()) {
+    return found->second;
+  }
+  KnownRoute fresh{CallTimes(settings_.call_times), routing::RetryBudget(settings_.second_calls)};
+  return known_.emplace(route.name, std::move(fresh)).first->second;
+}
 
 std::uint32_t Scorer::most_at_once(const ScoringCall& call) const {
-  const std::shared_ptr<const ingress::RouteTable> table = routes_.current();
-  const ingress::Route* route = table ? table->find(call.host, http::path_of(call.path)) : nullptr;
+  const RouteInForce in_force = route_of(call);
   std::uint32_t places = 0;
-  if (route != nullptr) {
-    for (const ingress::RouteTarget& target : route->targets) {
+  if (in_force.route != nullptr) {
+    for (const ingress::RouteTarget& target : in_force.route->targets) {
       for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
         places += replica->accepts_work() ? replica->record.slots : 0;
       }
     }
   }
+  if (places == 0) {
+    return 0;  // a call that waited for a replica would have less time for its answer
+  }
   const auto usual = static_cast<std::uint32_t>(places * settings_.share_of_places);
   const auto most = static_cast<std::uint32_t>(places * settings_.share_under_pressure);
   return std::max(waiting_ > usual ? most : usual, settings_.fewest_at_once);
 }
 
-asio::awaitable<Scorer::Attempt> Scorer::attempt(const ScoringCall& call) {
-  Attempt attempt;
-  attempt.most_failures = kUnknownLimit;
-  const std::shared_ptr<const ingress::RouteTable> table = routes_.current();
-  const ingress::Route* route = table ? table->find(call.host, http::path_of(call.path)) : nullptr;
-  if (route == nullptr) {
-    co_return attempt;
+Scorer::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) const {
+  const core::MonotonicTime now = time_.now();
+  const core::MonotonicTime sent_at = text.attempts.back()->sent_at;
+  const auto has_call = [&text](const ingress::ReplicaPointer& replica) {
+    return std::any_of(text.attempts.begin(), text.attempts.end(),
+                       [&](const AttemptPointer& attempt) { return attempt->replica == replica; });
+  };
+  Elsewhere found;
+  for (const ingress::RouteTarget& target : route.targets) {
+    for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (!replica->accepts_work() || replica->is_suspect(now) || has_call(replica)) {
+        continue;
+      }
+      found.is_sound = true;
+      found.has_place |= replica->in_flight < replica->record.slots;
+      found.has_answered |= replica->last_answer > sent_at;
+    }
+  }
+  found.has_place = found.has_place && in_flight_ < most_at_once(text.call);
+  return found;
+}
+
+/// A slow replica answers other calls meanwhile.
+bool Scorer::is_silent(const Attempt& attempt) const {
+  return attempt.replica->last_answer < attempt.sent_at;
+}
+
+asio::awaitable<Scorer::Answer> Scorer::call(TextPointer text, AttemptPointer attempt) {
+  const RouteInForce in_force = route_of(text->call);
+  Answer answer;
+  if (in_force.route == nullptr) {
+    co_return answer;
   }
   // One replica a call: the answers of failure are counted here.
-  ingress::Route single = *route;
+  ingress::Route single = *in_force.route;
   single.most_attempts = 1;
-  attempt.most_failures = route->most_attempts;
   ingress::ForwardedRequest request;
-  request.table = table;
+  request.table = in_force.table;
   request.route = &single;
-  request.request_id = call.request_id;
+  request.request_id = text->call.request_id;
   request.head.method = "POST";
-  request.head.target = call.path;
-  request.head.headers.add("Host", call.host);
-  request.body = call.body;
+  request.head.target = text->call.path;
+  request.head.headers.add("Host", text->call.host);
+  request.body = text->call.body;
   request.received = time_.now();
-  request.deadline = request.received + settings_.attempt_timeout;
-  const ingress::ForwardResult answer = co_await forwarder_.call(std::move(request));
-  if (!answer) {
-    co_return attempt;
+  request.deadline = request.received + single.timeout;
+  request.avoided = text->left;
+  for (const AttemptPointer& other : text->attempts) {
+    if (other->replica) {
+      request.avoided.insert(other->replica->record.id);
+    }
+  }
+  request.on_sent = [this, sent = attempt.get()](const ingress::ReplicaPointer& replica) {
+    sent->replica = replica;
+    sent->sent_at = time_.now();
+  };
+  const ingress::ForwardResult result = co_await forwarder_.call(std::move(request));
+  if (!result) {
+    const bool is_late = result.error().may_have_run && result.error().timed_out;
+    answer.kind = is_late ? AnswerKind::kOutOfTime : AnswerKind::kNone;
+    co_return answer;
   }
-  const unsigned status = answer->response.head.status;
-  if (status >= kFirstSuccess && status < kFirstRedirect) {
-    attempt.signature = answer->signature;
+  const unsigned status = result->response.head.status;
+  if (status >= kFirstSuccess && status < kFirstRedirect && !result->signature.empty()) {
+    answer.kind = AnswerKind::kRatedText;
+    answer.signature = result->signature;
+  } else if (status == kServerError) {
+    answer.kind = AnswerKind::kFailedAnswer;
   }
-  attempt.ran_and_failed = status == kServerError;
-  co_return attempt;
+  co_return answer;
 }
 
-asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted) {
-  Score score;
-  std::uint32_t failures = 0;
-  while (is_wanted()) {
-    ++waiting_;
-    while (is_wanted() && in_flight_ >= most_at_once(call)) {
-      co_await runtime::sleep_for(settings_.retry_pause / 4);
-    }
-    --waiting_;
-    ++in_flight_;
-    const Attempt made = co_await attempt(call);
-    --in_flight_;
-    if (!made.signature.empty()) {
-      scored_.Increment();
-      score.end = ScoreEnd::kScored;
-      score.signature = made.signature;
-      co_return score;
+asio::awaitable<void> Scorer::run(TextPointer text, AttemptPointer attempt) {
+  std::optional<Answer> answer;
+  if (!attempt->is_cut) {
+    answer = co_await runtime::run_cancellable(call(text, attempt), attempt->cut);
+  }
+  on_end(*text, attempt, answer.value_or(Answer()));
+}
+
+void Scorer::begin(const TextPointer& text, bool is_second) {
+  const auto attempt = std::make_shared<Attempt>();
+  attempt->is_second = is_second;
+  text->attempts.push_back(attempt);
+  ++in_flight_;
+  runtime::start(text->changed.get_executor(), "rating call", run(text, attempt));
+}
+
+void Scorer::on_end(Text& text, const AttemptPointer& attempt, const Answer& answer) {
+  text.attempts.remove(attempt);
+  --in_flight_;
+  text.changed.cancel();
+  if (text.end) {
+    return;
+  }
+  if (answer.kind == AnswerKind::kRatedText) {
+    on_rated(text, *attempt, answer.signature);
+  } else if (answer.kind == AnswerKind::kFailedAnswer) {
+    on_failed_answer(text, *attempt);
+  } else if (!attempt->is_cut) {
+    text.not_before = time_.now() + settings_.retry_pause;
+  }
+  if (answer.kind == AnswerKind::kOutOfTime) {
+    ++text.given_up;
+    text.left.insert(attempt->replica->record.id);
+  }
+}
+
+void Scorer::on_rated(Text& text, const Attempt& winner, const std::string& signature) {
+  text.end = Score{ScoreEnd::kScored, signature};
+  meters_->scored.Increment();
+  if (winner.is_second) {
+    meters_->second_calls_won.Increment();
+  }
+  const core::MonotonicTime now = time_.now();
+  const RouteInForce in_force = route_of(text.call);
+  CallTimes* times = in_force.route == nullptr ? nullptr : &known(*in_force.route).times;
+  if (times != nullptr) {
+    times->note(now - winner.sent_at);
+  }
+  for (const AttemptPointer& other : text.attempts) {
+    const bool was_overtaken = other->replica && other->sent_at < winner.sent_at;
+    if (!was_overtaken || other->is_cut) {
+      continue;
     }
-    if (made.ran_and_failed) {
-      failed_answers_.Increment();
-      ++failures;
-      if (failures >= made.most_failures * kMostRoundsOfFailures) {
-        score.end = ScoreEnd::kFailed;
-        co_return score;
+    const core::Duration taken = now - other->sent_at;
+    if (is_silent(*other)) {
+      forwarder_.note_silent(*other->replica);
+    } else {
+      // It takes at least that long; without it, only the quick ones would be known.
+      other->replica->note_latency(taken);
+      if (times != nullptr) {
+        times->note(taken);
       }
-      continue;
     }
-    co_await runtime::sleep_for(settings_.retry_pause);
   }
-  co_return score;
+}
+
+void Scorer::on_failed_answer(Text& text, const Attempt& failed) {
+  if (!failed.counts_failure) {
+    return;
+  }
+  meters_->failed_answers.Increment();
+  ++text.failures;
+  for (const AttemptPointer& other : text.attempts) {
+    other->counts_failure = false;
+  }
+  const RouteInForce in_force = route_of(text.call);
+  if (in_force.route != nullptr &&
+      text.failures >= in_force.route->most_attempts * kMostRoundsOfFailures) {
+    text.end = Score{ScoreEnd::kFailed, ""};
+  }
+}
+
+void Scorer::cut(Attempt& attempt) {
+  if (attempt.is_cut) {
+    return;
+  }
+  attempt.is_cut = true;
+  meters_->cut.Increment();
+  attempt.cut.emit(asio::cancellation_type::terminal);
+}
+
+asio::awaitable<void> Scorer::cut_all(Text& text) {
+  const std::list<AttemptPointer> attempts = text.attempts;
+  for (const AttemptPointer& attempt : attempts) {
+    cut(*attempt);
+  }
+  while (!text.attempts.empty()) {
+    co_await wait_for_change(text);
+  }
+}
+
+asio::awaitable<void> Scorer::wait_for_change(Text& text) {
+  text.changed.expires_after(settings_.look_interval);
+  co_await text.changed.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+/// A call at a suspect replica is free to go elsewhere, as others have shown that it is silent;
+/// without that the service as a whole may be slow, and another call loads it more.
+bool Scorer::should_cut(const Text& text, const Attempt& attempt, const CallBounds& bounds,
+                        KnownRoute& route) {
+  if (!attempt.replica || attempt.is_cut || !is_silent(attempt)) {
+    return false;
+  }
+  const core::MonotonicTime now = time_.now();
+  const core::Duration taken = now - attempt.sent_at;
+  if (attempt.replica->is_suspect(now)) {
+    return taken >= route.times.patience_with_suspect(bounds, text.given_up);
+  }
+  return text.attempts.size() == kMostCallsOfText &&
+         taken >= route.times.patience(bounds, text.given_up) && route.second_calls.try_retry(now);
+}
+
+void Scorer::look_after(const TextPointer& text) {
+  const RouteInForce in_force = route_of(text->call);
+  const AttemptPointer newest = text->attempts.back();
+  if (in_force.route == nullptr || !newest->replica || newest->is_cut) {
+    return;
+  }
+  const core::MonotonicTime now = time_.now();
+  const CallBounds bounds{in_force.route->timeout, in_force.route->target_latency};
+  KnownRoute& route = known(*in_force.route);
+  if (now - newest->sent_at < route.times.usual(bounds)) {
+    return;
+  }
+  const Elsewhere elsewhere = look_elsewhere(*text, *in_force.route);
+  if (!elsewhere.is_sound) {
+    return;
+  }
+  for (const AttemptPointer& attempt : text->attempts) {
+    if (should_cut(*text, *attempt, bounds, route)) {
+      give_up(*text, *attempt);
+      return;
+    }
+  }
+  if (text->attempts.size() == kMostCallsOfText || now < text->not_before) {
+    return;
+  }
+  // Without a place for a second call the first one makes room, where only its replica is silent.
+  const bool may_replace = elsewhere.has_answered && is_silent(*newest);
+  if (elsewhere.has_place && route.second_calls.try_retry(now)) {
+    meters_->second_calls.Increment();
+    begin(text, true);
+  } else if (!elsewhere.has_place && may_replace && route.second_calls.try_retry(now)) {
+    forwarder_.note_silent(*newest->replica);
+    give_up(*text, *newest);
+  }
+}
+
+void Scorer::give_up(Text& text, Attempt& attempt) {
+  ++text.given_up;
+  text.left.insert(attempt.replica->record.id);
+  cut(attempt);
+}
+
+asio::awaitable<void> Scorer::begin_when_free(TextPointer text,
+                                              const std::function<bool()>& is_wanted) {
+  const core::Duration left = text->not_before - time_.now();
+  if (left > core::Duration(0)) {
+    co_await runtime::sleep_for(left);
+  }
+  ++waiting_;
+  while (is_wanted() && in_flight_ >= most_at_once(text->call)) {
+    co_await runtime::sleep_for(settings_.retry_pause / 4);
+  }
+  --waiting_;
+  if (!is_wanted()) {
+    co_return;
+  }
+  const RouteInForce in_force = route_of(text->call);
+  if (in_force.route != nullptr) {
+    known(*in_force.route).second_calls.first_attempt(time_.now());
+  }
+  begin(text, false);
+}
+
+asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted) {
+  const auto text = std::make_shared<Text>(co_await asio::this_coro::executor, std::move(call));
+  while (!text->end && is_wanted()) {
+    if (text->attempts.empty()) {
+      co_await begin_when_free(text, is_wanted);
+    } else {
+      look_after(text);
+    }
+    co_await wait_for_change(*text);
+  }
+  co_await cut_all(*text);
+  co_return text->end.value_or(Score());
 }
 
 }  // namespace stoneport::jobs
--- a/src/jobs/scorer.hpp
+++ b/src/jobs/scorer.hpp
@@ -1,13 +1,20 @@
 /// \file
-/// Has whole texts rated by the calls that their jobs name. Belongs to the
-/// coordinator's thread.
+/// Has whole texts rated by the calls that their jobs name. A call that takes unusually
+/// long gets a second one beside it, at another replica; the first success counts and the
+/// other call is cut. Belongs to the coordinator's thread.
 #pragma once
 
 #include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
 #include <string>
 
 #include "ingress/forwarder.hpp"
+#include "jobs/call_times.hpp"
 #include "jobs/job.hpp"
+#include "routing/retry_budget.hpp"
 
 namespace stoneport::jobs {
 
@@ -19,8 +26,15 @@
   /// more than late lookups.
   double share_under_pressure = 1.0;
   std::uint32_t fewest_at_once = 2;
-  core::Duration attempt_timeout = std::chrono::milliseconds(900);
+  CallTimeSettings call_times;
+  /// Second calls, and the third for those that get no answer: a tenth of the first ones, so that a
+  /// service that turned slow as a whole is not loaded with twice the calls, and about as many as
+  /// one replica has places.
+  routing::RetryBudgetOptions second_calls{
+      .ratio = 0.1, .minimum = 6, .window = std::chrono::seconds(10)};
   core::Duration retry_pause = std::chrono::milliseconds(60);
+  /// Between two looks whether a call that is out is still wanted.
+  core::Duration look_interval = std::chrono::milliseconds(50);
 };
 
 enum class ScoreEnd {
@@ -39,28 +53,80 @@
   Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
          const ingress::ReplicaDirectory& directory, const core::TimeSource& time,
          core::Metrics& metrics, ScorerSettings settings = {});
+  ~Scorer();
 
-  /// Repeats the call until it is answered or no longer wanted.
+  /// Repeats the call until it is answered or no longer wanted. None of its calls is out
+  /// any more when it returns.
   boost::asio::awaitable<Score> score(ScoringCall call, std::function<bool()> is_wanted);
 
  private:
-  struct Attempt {
-    bool ran_and_failed = false;
-    std::string signature;  ///< empty unless it was a success
-    std::uint32_t most_failures = 0;
+  struct Meters;
+  /// One call to a replica.
+  struct Attempt;
+  using AttemptPointer = std::shared_ptr<Attempt>;
+  /// A text that is rated now.
+  struct Text;
+  using TextPointer = std::shared_ptr<Text>;
+  enum class AnswerKind {
+    kNone,         ///< refused, cut off or garbled
+    kOutOfTime,    ///< no answer for as long as the call was to be waited for
+    kRatedText,    ///< with a signature
+    kFailedAnswer  ///< the replica ran it and failed
   };
-  boost::asio::awaitable<Attempt> attempt(const ScoringCall& call);
+  struct Answer {
+    AnswerKind kind = AnswerKind::kNone;
+    std::string signature;
+  };
+  /// What is known of a route's calls.
+  struct KnownRoute {
+    CallTimes times;
+    routing::RetryBudget second_calls;
+  };
+  /// The route of a call in the table in force.
+  struct RouteInForce {
+    std::shared_ptr<const ingress::RouteTable> table;  ///< owns route
+    const ingress::Route* route = nullptr;             ///< null when there is none
+  };
+  RouteInForce route_of(const ScoringCall& call) const;
+  KnownRoute& known(const ingress::Route& route);
   std::uint32_t most_at_once(const ScoringCall& call) const;
+  /// What the replicas that a text has no call at could do for it.
+  struct Elsewhere {
+    bool is_sound = false;      ///< one takes work and is not suspect
+    bool has_place = false;     ///< one has a place, and rating calls may take it
+    bool has_answered = false;  ///< one has answered a call since the text's newest was sent
+  };
+  Elsewhere look_elsewhere(const Text& text, const ingress::Route& route) const;
+  /// \return whether the replica has answered nothing since \p attempt was sent there.
+  bool is_silent(const Attempt& attempt) const;
+
+  boost::asio::awaitable<void> begin_when_free(TextPointer text,
+                                               const std::function<bool()>& is_wanted);
+  void begin(const TextPointer& text, bool is_second);
+  boost::asio::awaitable<void> run(TextPointer text, AttemptPointer attempt);
+  boost::asio::awaitable<Answer> call(TextPointer text, AttemptPointer attempt);
+  void on_end(Text& text, const AttemptPointer& attempt, const Answer& answer);
+  void on_rated(Text& text, const Attempt& winner, const std::string& signature);
+  void on_failed_answer(Text& text, const Attempt& failed);
+  /// Cuts a call that waits for a silent replica, or sends a second one where it is due.
+  void look_after(const TextPointer& text);
+  /// \return whether to end \p attempt, which may be lost, and to send another one.
+  bool should_cut(const Text& text, const Attempt& attempt, const CallBounds& bounds,
+                  KnownRoute& route);
+  void give_up(Text& text, Attempt& attempt);
+  void cut(Attempt& attempt);
+  boost::asio::awaitable<void> cut_all(Text& text);
+  boost::asio::awaitable<void> wait_for_change(Text& text);
 
   ingress::Forwarder& forwarder_;
   const ingress::RouteTableHolder& routes_;
   const ingress::ReplicaDirectory& directory_;
   const core::TimeSource& time_;
   ScorerSettings settings_;
+  std::unique_ptr<Meters> meters_;
   std::uint32_t in_flight_ = 0;
   std::uint32_t waiting_ = 0;
-  prometheus::Counter& scored_;
-  prometheus::Counter& failed_answers_;
+  std::map<std::string, KnownRoute> known_;  ///< by the route's name
 };
 
 }  // namespace stoneport::jobs
--- a/src/runtime/cancellable.hpp
+++ b/src/runtime/cancellable.hpp
@@ -31,4 +31,9 @@
   co_return std::nullopt;
 }
 
+/// Ends a coroutine that was cut off while it waited for something that does not throw then.
+inline boost::asio::awaitable<void> end_if_cut() {
+  co_return;  // Asio looks at each co_await whether the caller was cancelled
+}
+
 }  // namespace stoneport::runtime
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -19,13 +19,16 @@
   struct Replica {
     std::uint64_t version = 1;
     core::Duration event_gap = std::chrono::milliseconds(2);
-    int cut_after = -1;       ///< events of one stream, then its connection breaks; -1 never
-    bool silent = false;      ///< takes requests and never answers
-    int refuse = 0;           ///< calls that it has not run
-    int fail = 0;             ///< calls that it ran and failed
-    bool impossible = false;  ///< says that requests can never be done
-    bool gone = false;        ///< another one has the address
-    int lose_orders = 0;      ///< orders without an answer and without effect
+    int cut_after = -1;            ///< events of one stream, then its connection breaks; -1 never
+    bool silent = false;           ///< takes requests and never answers
+    int refuse = 0;                ///< calls that it has not run
+    int fail = 0;                  ///< calls that it ran and failed
+    bool impossible = false;       ///< says that requests can never be done
+    bool gone = false;             ///< another one has the address
+    int lose_orders = 0;           ///< orders without an answer and without effect
+    core::Duration answer_time{};  ///< of a whole call that it runs
+    int running_calls = 0;         ///< whole calls that it has now
+    int answered_calls = 0;        ///< whole calls that it ran to their end, failed or not
     std::uint64_t order_count = 0;
     std::vector<std::uint64_t> orders;  ///< versions ordered
   };
@@ -61,10 +64,17 @@
 
   boost::asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> call(
       ports::ReplicaTarget target, ports::ReplicaCall call) override {
+    const RunningCall running_call(replicas[target.id.value()]);
     const std::optional<ports::CallFailure> failure = co_await meet(target, call);
     if (failure) {
       co_return *failure;
     }
+    const std::optional<ports::CallFailure> lateness =
+        co_await take_time(replicas[target.id.value()].answer_time, call);
+    if (lateness) {
+      co_return *lateness;
+    }
+    ++replicas[target.id.value()].answered_calls;
     ports::ReplicaAnswer answer;
     answer.response.head.status = take(replicas[target.id.value()].fail) ? 500 : 200;
     answer.signature = "signed-" + call.request_id;
@@ -178,6 +188,36 @@
     http::ResponseHead head_;
   };
 
+  /// Counts a whole call while it lives.
+  class RunningCall {
+   public:
+    explicit RunningCall(Replica& replica) : replica_(replica) { ++replica_.running_calls; }
+    ~RunningCall() { --replica_.running_calls; }
+    RunningCall(const RunningCall&) = delete;
+    RunningCall& operator=(const RunningCall&) = delete;
+
+   private:
+    Replica& replica_;
+  };
+
+  /// \return a failure when \p call is out of time before its answer is due, or is cut.
+  static boost::asio::awaitable<std::optional<ports::CallFailure>> take_time(
+      core::Duration answer_time, const ports::ReplicaCall& call) {
+    if (answer_time > core::Duration(0)) {
+      co_await runtime::sleep_for(std::min(answer_time, call.time_left));
+    }
+    const boost::asio::cancellation_state state =
+        co_await boost::asio::this_coro::cancellation_state;
+    const bool is_cut = state.cancelled() != boost::asio::cancellation_type::none;
+    if (!is_cut && answer_time <= call.time_left) {
+      co_return std::nullopt;
+    }
+    ports::CallFailure failure;
+    failure.reason = is_cut ? "cut" : "no answer in time";
+    failure.unreachable = !is_cut;
+    co_return failure;
+  }
+
   static bool take(int& left) {
     if (left <= 0) {
       return false;
--- a/tests/unit/jobs/scorer_test.cpp
+++ b/tests/unit/jobs/scorer_test.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Rating calls leave places of their service to clients, and are counted as the
-/// route allows.
+/// Rating calls leave places of their service to clients, are counted as the route
+/// allows, and get the time that they need.
 #include "jobs/scorer.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -17,10 +17,18 @@
   CPPUNIT_TEST_SUITE(ScorerTest);
   CPPUNIT_TEST(places_are_left_to_clients);
   CPPUNIT_TEST(failures_are_counted_one_by_one);
+  CPPUNIT_TEST(a_call_that_takes_long_each_time_is_scored);
+  CPPUNIT_TEST(a_silent_replica_is_left);
+  CPPUNIT_TEST(a_silent_replica_is_left_while_all_places_are_taken);
+  CPPUNIT_TEST(a_second_call_counts_no_failure_twice);
+  CPPUNIT_TEST(second_calls_stay_few_when_all_are_slow);
+  CPPUNIT_TEST(no_call_runs_on_once_unwanted);
+  CPPUNIT_TEST(the_call_that_lost_is_cut_and_blames_nobody);
+  CPPUNIT_TEST(calls_wait_for_a_replica_before_their_time_runs);
   CPPUNIT_TEST_SUITE_END();
 
   struct World {
-    explicit World(std::uint32_t replica_count) {
+    explicit World(std::uint32_t replica_count, std::uint32_t most_attempts = 3) {
       std::vector<ingress::ReplicaRecord> records;
       for (std::uint32_t index = 0; index < replica_count; ++index) {
         ingress::ReplicaRecord record;
@@ -36,12 +44,19 @@
       route.host = "host";
       route.path_prefix = "/score/";
       route.kind = ingress::RouteKind::kRepeatable;
-      route.timeout = std::chrono::seconds(2);
-      route.most_attempts = 3;
+      route.timeout = std::chrono::seconds(3);
+      route.target_latency = milliseconds(800);
+      route.most_attempts = most_attempts;
       route.targets = {{core::ServiceName("rating"), 1}};
       routes.offer(std::make_shared<ingress::RouteTable>(1, std::vector<ingress::Route>{route},
                                                          ingress::ClientLimits()));
     }
+    /// What runs ends before what it uses.
+    ~World() {
+      is_wanted = false;
+      context.restart();
+      context.run_for(std::chrono::seconds(5));
+    }
     std::uint32_t in_flight() const {
       std::uint32_t sum = 0;
       for (const auto& replica : directory.of_service(core::ServiceName("rating"))) {
@@ -60,11 +75,52 @@
     Scorer scorer{forwarder, routes, directory, time, metrics};
     std::vector<Score> scores;
 
+    bool is_wanted = true;
+
     void score(const std::string& id) {
       boost::asio::co_spawn(
-          context, scorer.score({id, "host", "/score/x", "body"}, [] { return true; }),
+          context, scorer.score({id, "host", "/score/x", "body"}, [this] { return is_wanted; }),
           [this](std::exception_ptr, Score score) { scores.push_back(std::move(score)); });
     }
+    /// Runs until \p count texts have their end, for \p longest at most.
+    void run_until_scored(std::size_t count, core::Duration longest) {
+      const auto give_up_at = std::chrono::steady_clock::now() + longest;
+      while (scores.size() < count && std::chrono::steady_clock::now() < give_up_at) {
+        context.restart();
+        context.run_one_until(give_up_at);
+      }
+    }
+    void run_for(core::Duration length) {
+      context.restart();
+      context.run_for(length);
+    }
+    /// Has enough texts rated that the usual time of a call is known.
+    void learn_usual_time(core::Duration answer_time) {
+      set_answer_time(answer_time);
+      for (int text = 0; text < 30; ++text) {
+        score("usual-" + std::to_string(text));
+      }
+      run_until_scored(30, std::chrono::seconds(5));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{30}, scores.size());
+      scores.clear();
+    }
+    void set_answer_time(core::Duration answer_time) {
+      for (auto& [id, replica] : replicas.replicas) {
+        replica.answer_time = answer_time;
+      }
+    }
+    int running_calls() const {
+      int sum = 0;
+      for (const auto& [id, replica] : replicas.replicas) {
+        sum += replica.running_calls;
+      }
+      return sum;
+    }
+    ingress::ReplicaPointer state_of(const std::string& id) const {
+      return directory.find(core::ReplicaId(id));
+    }
+    double counted(const std::string& name) { return metrics.counter(name, "").Value(); }
+    double hedges() { return counted("stoneport_score_hedges_total"); }
   };
 
   void places_are_left_to_clients() {
@@ -107,6 +163,140 @@
     CPPUNIT_ASSERT(world.scores.back().end == ScoreEnd::kFailed);
     CPPUNIT_ASSERT_EQUAL(0, world.replicas.replicas["r0"].fail);
   }
+
+  void a_call_that_takes_long_each_time_is_scored() {
+    for (const bool is_usual_known : {false, true}) {
+      World world(3);
+      if (is_usual_known) {
+        world.learn_usual_time(milliseconds(200));
+      }
+      world.set_answer_time(milliseconds(1500));
+      world.score("long");
+      world.run_until_scored(1, milliseconds(2600));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.scores.size());
+      CPPUNIT_ASSERT(world.scores.front().end == ScoreEnd::kScored);
+      for (const std::string id : {"r0", "r1", "r2"}) {
+        CPPUNIT_ASSERT(!world.state_of(id)->is_suspect(world.time.now()));
+      }
+    }
+  }
+
+  void a_silent_replica_is_left() {
+    World world(3);
+    world.learn_usual_time(milliseconds(20));
+    world.replicas.replicas["r0"].silent = true;
+    for (int text = 0; text < 6; ++text) {
+      world.score("s" + std::to_string(text));
+    }
+    world.run_until_scored(6, milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, world.scores.size());
+    for (const Score& score : world.scores) {
+      CPPUNIT_ASSERT(score.end == ScoreEnd::kScored);
+    }
+    CPPUNIT_ASSERT(world.state_of("r0")->is_suspect(world.time.now()));
+    CPPUNIT_ASSERT(!world.state_of("r1")->is_suspect(world.time.now()));
+    CPPUNIT_ASSERT(world.hedges() >= 1);
+    CPPUNIT_ASSERT(world.counted("stoneport_score_hedges_won_total") >= 1);
+    CPPUNIT_ASSERT(world.counted("stoneport_score_calls_cut_total") >= 1);
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+  }
+
+  void a_silent_replica_is_left_while_all_places_are_taken() {
+    World world(4);
+    world.learn_usual_time(milliseconds(60));
+    world.replicas.replicas["r0"].silent = true;
+    const std::size_t calls = 250;
+    for (std::size_t call = 0; call < calls; ++call) {
+      world.score("s" + std::to_string(call));
+    }
+    world.run_for(milliseconds(500));
+    CPPUNIT_ASSERT(world.scores.size() < calls);
+    CPPUNIT_ASSERT(world.state_of("r0")->is_suspect(world.time.now()));
+    CPPUNIT_ASSERT_EQUAL(0, world.replicas.replicas["r0"].running_calls);
+    CPPUNIT_ASSERT(!world.state_of("r1")->is_suspect(world.time.now()));
+  }
+
+  void a_second_call_counts_no_failure_twice() {
+    // Given up after two answers of failure; the second call was out when the first failed.
+    World world(2, 1);
+    world.learn_usual_time(milliseconds(20));
+    world.set_answer_time(milliseconds(400));
+    world.replicas.replicas["r0"].fail = 1;
+    world.replicas.replicas["r1"].fail = 1;
+    world.score("a");
+    world.run_until_scored(1, std::chrono::seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.scores.size());
+    CPPUNIT_ASSERT(world.scores.front().end == ScoreEnd::kScored);
+    CPPUNIT_ASSERT_EQUAL(0, world.replicas.replicas["r0"].fail);
+    CPPUNIT_ASSERT_EQUAL(0, world.replicas.replicas["r1"].fail);
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("stoneport_score_failures_total"));
+  }
+
+  void second_calls_stay_few_when_all_are_slow() {
+    World world(30);
+    world.learn_usual_time(milliseconds(20));
+    world.set_answer_time(milliseconds(700));
+    const std::size_t calls = 40;  // with places for twenty second ones
+    for (std::size_t call = 0; call < calls; ++call) {
+      world.score("s" + std::to_string(call));
+    }
+    world.run_until_scored(calls, std::chrono::seconds(8));
+    CPPUNIT_ASSERT_EQUAL(calls, world.scores.size());
+    CPPUNIT_ASSERT(world.hedges() >= 6);
+    const double most = 0.1 * static_cast<double>(calls + 30) + 6;
+    CPPUNIT_ASSERT(world.hedges() <= most);
+    CPPUNIT_ASSERT(world.counted("stoneport_score_calls_cut_total") <= most);
+  }
+
+  void no_call_runs_on_once_unwanted() {
+    World world(2);
+    world.set_answer_time(milliseconds(700));
+    world.score("a");
+    world.run_for(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(1, world.running_calls());
+    world.is_wanted = false;
+    world.run_until_scored(1, milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.scores.size());
+    CPPUNIT_ASSERT(world.scores.front().end == ScoreEnd::kCut);
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("stoneport_score_calls_cut_total"));
+    for (const std::string id : {"r0", "r1"}) {
+      CPPUNIT_ASSERT_EQUAL(0.0, world.state_of(id)->outliers.failure_rate());
+      CPPUNIT_ASSERT(!world.state_of(id)->is_suspect(world.time.now()));
+    }
+  }
+
+  void the_call_that_lost_is_cut_and_blames_nobody() {
+    World world(2);
+    world.learn_usual_time(milliseconds(20));
+    world.set_answer_time(milliseconds(450));
+    world.score("a");
+    world.run_until_scored(1, std::chrono::seconds(2));
+    CPPUNIT_ASSERT(world.scores.front().end == ScoreEnd::kScored);
+    CPPUNIT_ASSERT_EQUAL(1.0, world.hedges());
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("stoneport_score_hedges_won_total"));
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("stoneport_score_calls_cut_total"));
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    for (const std::string id : {"r0", "r1"}) {
+      CPPUNIT_ASSERT_EQUAL(0.0, world.state_of(id)->outliers.failure_rate());
+    }
+  }
+
+  void calls_wait_for_a_replica_before_their_time_runs() {
+    World world(1);
+    ingress::ReplicaRecord record = world.state_of("r0")->record;
+    record.draining = true;
+    world.directory.update({record});
+    world.score("a");
+    world.run_for(milliseconds(700));
+    record.draining = false;
+    world.directory.update({record});
+    world.set_answer_time(milliseconds(500));
+    world.run_until_scored(1, std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.scores.size());
+    CPPUNIT_ASSERT(world.scores.front().end == ScoreEnd::kScored);
+    CPPUNIT_ASSERT_EQUAL(0.0, world.state_of("r0")->outliers.failure_rate());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ScorerTest);
