A text that is moved for speed blames no replica

Cause: the client returns a stream that the coordinator cut as a broken one, so each move for speed counted as a failed run of the replica; two in a row ejected it, which closed it for other texts and sent those on as well. Change: the end of a run that was cut is a cut, unless the replica had answered. The fake client ends a cut stream as the real one does; the new test fails on the code before.

--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -10,6 +10,20 @@
 /// Answers of failure after which an item is given up, in the attempts of its route,
 /// where fewer replicas than that have failed it.
 constexpr std::uint32_t kMostRoundsOfFailures = 2;
+
+/// The client returns a stream that was cut as a broken one, and a connection as one that was
+/// not made: the replica is to blame for neither. Two moves in a row would eject it otherwise.
+AttemptEnd end_of_cut(const AttemptEnd& end) {
+  const bool is_of_cut = end.kind == AttemptEndKind::kBroken ||
+                         (end.kind == AttemptEndKind::kNotRun && end.unreachable);
+  if (!is_of_cut) {
+    return end;
+  }
+  AttemptEnd cut;
+  cut.reason = end.reason;
+  cut.version = end.version;
+  return cut;
+}
 }  // namespace
 
 struct ItemDispatcher::Meters {
@@ -229,7 +243,8 @@
       job->items[run->item].text, rules, std::move(on_event));
   const std::optional<AttemptEnd> end =
       co_await runtime::run_cancellable(std::move(task), run->cut);
-  self->on_end(run, end.value_or(AttemptEnd()));
+  const AttemptEnd ended = end.value_or(AttemptEnd());
+  self->on_end(run, run->is_cut ? end_of_cut(ended) : ended);
 }
 
 void ItemDispatcher::on_event(Run& run) {
@@ -330,6 +345,11 @@
 void ItemDispatcher::move(Run& run, std::string reason) {
   run.move_reason = std::move(reason);
   meters_->moved.Increment();
+  cut(run);
+}
+
+void ItemDispatcher::cut(Run& run) {
+  run.is_cut = true;
   run.cut.emit(asio::cancellation_type::terminal);
 }
 
@@ -344,7 +364,7 @@
   const std::list<RunPointer> runs = runs_;
   for (const RunPointer& run : runs) {
     if (!job || run->job == job) {
-      run->cut.emit(asio::cancellation_type::terminal);
+      cut(*run);
     }
   }
 }
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -91,6 +91,7 @@
     std::uint64_t events_made = 0;  ///< in this run
     std::string move_reason;        ///< set when it is cut to go on elsewhere
     bool fell_silent = false;       ///< that was the reason
+    bool is_cut = false;            ///< by the coordinator
     boost::asio::cancellation_signal cut;
     std::list<RunPointer>::iterator place;  ///< in runs_
   };
@@ -152,6 +153,7 @@
   std::map<OpenJob*, JobView> views_of_runs(core::MonotonicTime now);
   core::Duration median_gap(core::MonotonicTime now) const;
   void move(Run& run, std::string reason);
+  static void cut(Run& run);
 
   ItemDispatcherInputs inputs_;
   Listener listener_;
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -136,6 +136,11 @@
   }
 
  private:
+  /// As the client over the network does, calls and streams that were cut end with a failure.
+  static bool is_cut(const boost::asio::cancellation_state& state) {
+    return state.cancelled() != boost::asio::cancellation_type::none;
+  }
+
   class Stream : public ports::TokenStream {
    public:
     Stream(FakeReplicaClient& owner, std::string replica, std::string request, std::uint64_t made)
@@ -155,9 +160,12 @@
     boost::asio::awaitable<core::Result<std::optional<ports::TokenEvent>>> next() override {
       const Replica& replica = owner_.replicas[replica_];
       co_await runtime::sleep_for(replica.event_gap);
-      while (replica.silent) {
+      while (replica.silent && !is_cut(co_await boost::asio::this_coro::cancellation_state)) {
         co_await runtime::sleep_for(std::chrono::milliseconds(5));
       }
+      if (is_cut(co_await boost::asio::this_coro::cancellation_state)) {
+        co_return core::make_error(core::ErrorCode::kCancelled, "the stream was cut");
+      }
       if (replica.cut_after >= 0 && sent_ >= replica.cut_after) {
         co_return core::make_error(core::ErrorCode::kTruncated, "cut");
       }
@@ -206,15 +214,13 @@
     if (answer_time > core::Duration(0)) {
       co_await runtime::sleep_for(std::min(answer_time, call.time_left));
     }
-    const boost::asio::cancellation_state state =
-        co_await boost::asio::this_coro::cancellation_state;
-    const bool is_cut = state.cancelled() != boost::asio::cancellation_type::none;
-    if (!is_cut && answer_time <= call.time_left) {
+    const bool was_cut = is_cut(co_await boost::asio::this_coro::cancellation_state);
+    if (!was_cut && answer_time <= call.time_left) {
       co_return std::nullopt;
     }
     ports::CallFailure failure;
-    failure.reason = is_cut ? "cut" : "no answer in time";
-    failure.unreachable = !is_cut;
+    failure.reason = was_cut ? "cut" : "no answer in time";
+    failure.unreachable = !was_cut;
     co_return failure;
   }
 
--- a/tests/unit/jobs/faster_replicas_test.cpp
+++ b/tests/unit/jobs/faster_replicas_test.cpp
@@ -7,6 +7,7 @@
 class FasterReplicasTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(FasterReplicasTest);
   CPPUNIT_TEST(a_long_text_leaves_a_slow_replica);
+  CPPUNIT_TEST(a_text_that_is_moved_blames_no_replica);
   CPPUNIT_TEST(a_text_stays_while_ends_are_unknown);
   CPPUNIT_TEST(an_item_that_comes_back_begins_by_its_known_length);
   CPPUNIT_TEST(long_texts_of_a_younger_job_go_before_short_ones);
@@ -52,6 +53,19 @@
     CPPUNIT_ASSERT(start.world.replicas.most_running_at_once <= 1);
   }
 
+  void a_text_that_is_moved_blames_no_replica() {
+    SlowStart start;
+    const ingress::ReplicaPointer slow = start.process.directory.find(core::ReplicaId("m0"));
+    start.world.submit(start.process, "job", 2);
+    CPPUNIT_ASSERT(start.world.run_until([&] { return start.world.replicas.starts.size() == 2; }));
+    start.world.run_for(milliseconds(200));
+    start.fast_ones_accept(true);
+    CPPUNIT_ASSERT(start.world.run_until([&] { return start.world.replicas.starts.size() == 4; }));
+    CPPUNIT_ASSERT_EQUAL(0.0, slow->outliers.failure_rate());
+    CPPUNIT_ASSERT(!slow->outliers.is_ejected(start.world.time.now()));
+    CPPUNIT_ASSERT(!slow->is_suspect(start.world.time.now()));
+  }
+
   /// Without a fresh view of ends no text may be begun, so none is taken from where it is.
   void a_text_stays_while_ends_are_unknown() {
     SlowStart start;
