Senders share what a cold replica bears, and cap what may have turned cold

Cause: each process paced cold replicas for itself, rating calls counted as a front end's, and a replica that turned cold without notice got whatever its free slots took. Change: the coordinator has what rollout services bear (half where clients' routes lead there too) and keeps a cap over any second for every replica of such a service; two thirds of the bound while sure of its term, the rest while another may coordinate too.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -49,6 +49,7 @@
     EventName{DecisionEvent::kUsageGivenUp, "usage_given_up"},
     EventName{DecisionEvent::kReplicasOrdered, "replicas_ordered"},
     EventName{DecisionEvent::kZonesEvacuated, "zones_evacuated"},
+    EventName{DecisionEvent::kColdReplicas, "cold_replicas"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -46,7 +46,8 @@
   kUsageGivenUp,
   kReplicasOrdered,
   kZonesEvacuated,
-  kLast = kZonesEvacuated,
+  kColdReplicas,
+  kLast = kColdReplicas,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- a/src/eligibility/send_gate.cpp
+++ b/src/eligibility/send_gate.cpp
@@ -1,6 +1,13 @@
 #include "eligibility/send_gate.hpp"
 
 namespace stoneport::eligibility {
+namespace {
+
+PacedReplica paced(const Destination& destination) {
+  return {destination.id, destination.service, destination.zone, destination.cold_until};
+}
+
+}  // namespace
 
 std::string_view to_string(Objection objection) {
   switch (objection) {
@@ -23,8 +30,7 @@
   if (is_bound && !origin.binding->allows(region_of(destination.zone))) {
     return Objection::kOutsideRegions;
   }
-  const PacedReplica paced{destination.id, destination.service, destination.cold_until};
-  if (!cold_pace_.may_send(paced, origin.sender, now)) {
+  if (!cold_pace_.may_send(paced(destination), origin.sender, now)) {
     return Objection::kColdPace;
   }
   return std::nullopt;
@@ -32,8 +38,11 @@
 
 void SendGate::note_sent(const Destination& destination, const Origin& origin,
                          core::MonotonicTime now) {
-  cold_pace_.note_sent({destination.id, destination.service, destination.cold_until},
-                       origin.sender, now);
+  cold_pace_.note_sent(paced(destination), origin.sender, now);
+}
+
+bool SendGate::is_cold(const Destination& destination, core::MonotonicTime now) const {
+  return cold_pace_.is_cold(paced(destination), now);
 }
 
 core::RegionName SendGate::region_of(const core::ZoneName& zone) const {
--- a/src/eligibility/send_gate.hpp
+++ b/src/eligibility/send_gate.hpp
@@ -22,7 +22,7 @@
 enum class Objection {
   kEvacuatedZone,   ///< nothing goes to its zone until the operator takes that back
   kOutsideRegions,  ///< the request is bound to other regions
-  kColdPace,        ///< it is cold, and as much was sent to it as it bears
+  kColdPace,        ///< as much was sent to it as a cold one bears, or others send there
 };
 std::string_view to_string(Objection objection);
 
@@ -56,6 +56,8 @@
   }
   /// \return whether work may be planned for \p zone at all.
   bool is_open(const core::ZoneName& zone) const { return !evacuations_.contains(zone); }
+  /// \return whether \p destination is cold, as far as this process knows: it is slow then.
+  bool is_cold(const Destination& destination, core::MonotonicTime now) const;
   /// A request goes to \p destination now.
   void note_sent(const Destination& destination, const Origin& origin, core::MonotonicTime now);
 
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -30,7 +30,7 @@
 }
 
 eligibility::Origin origin_of(const ForwardedRequest& request) {
-  return {eligibility::Sender::kFrontEnd, &request.binding};
+  return {request.sender, &request.binding};
 }
 
 /// A replica that said so, or that was silent, has not begun: another one will.
@@ -66,6 +66,7 @@
   std::optional<std::uint64_t> last_event;
   std::optional<ports::ReplicaAnswer> last_answer;  ///< a failure that may be passed on
   std::string reason = "no replica accepts work";
+  bool was_held_for_cold = false;
   bool started = false;  ///< the head of a stream has gone to the client
 };
 
@@ -77,6 +78,8 @@
         client_gone(outcome(metrics, "client_gone")),
         attempts_failed(metrics.counter("stoneport_forward_attempt_failures_total",
                                         "Attempts without a usable answer")),
+        held_for_cold(metrics.counter("stoneport_forward_held_for_cold_total",
+                                      "Requests that waited as only cold replicas were left")),
         ejections(metrics.counter("stoneport_replica_ejections_total",
                                   "Replicas left out for a while because they failed calls")),
         seconds(metrics.seconds_histogram("stoneport_forward_seconds",
@@ -90,6 +93,7 @@
   prometheus::Counter& failed;
   prometheus::Counter& client_gone;
   prometheus::Counter& attempts_failed;
+  prometheus::Counter& held_for_cold;
   prometheus::Counter& ejections;
   prometheus::Histogram& seconds;
 };
@@ -107,9 +111,45 @@
 
 Forwarder::~Forwarder() = default;
 
+std::optional<eligibility::Objection> Forwarder::objection(const ReplicaState& replica,
+                                                           const ForwardedRequest& request) const {
+  return directory_.gate().objection(replica.destination(), origin_of(request), time_.now());
+}
+
 bool Forwarder::may_get(const ReplicaState& replica, const ForwardedRequest& request) const {
-  return replica.accepts_work() &&
-         directory_.gate().may_send(replica.destination(), origin_of(request), time_.now());
+  return replica.accepts_work() && !objection(replica, request);
+}
+
+bool Forwarder::is_cold(const ReplicaState& replica) const {
+  return directory_.gate().is_cold(replica.destination(), time_.now());
+}
+
+bool Forwarder::is_held_for_cold(const ForwardedRequest& request) const {
+  for (const RouteTarget& target : request.route->targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      const bool is_held = replica->accepts_work() &&
+                           objection(*replica, request) == eligibility::Objection::kColdPace;
+      if (is_held) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool Forwarder::is_held_too_long(const ForwardedRequest& request, Progress& progress) const {
+  if (!is_held_for_cold(request)) {
+    return false;
+  }
+  if (!progress.was_held_for_cold) {
+    progress.was_held_for_cold = true;
+    meters_->held_for_cold.Increment();
+  }
+  progress.reason = "only cold replicas are left";
+  const core::Duration longest = core::from_seconds(
+      core::to_seconds(request.route->target_latency) * settings_.cold_wait_in_target_latencies);
+  // One that has run already can be refused no more.
+  return progress.runs == 0 && time_.now() - request.received >= longest;
 }
 
 std::vector<ReplicaPointer> Forwarder::candidates(const ForwardedRequest& request,
@@ -158,7 +198,8 @@
     if (!progress.preference.excluded.empty()) {
       progress.preference.excluded.clear();  // all were tried: any may be tried again
     }
-    if (time_.now() + settings_.no_replica_pause >= progress.give_up_at) {
+    const bool is_too_late = time_.now() + settings_.no_replica_pause >= progress.give_up_at;
+    if (is_too_late || is_held_too_long(request, progress)) {
       co_return nullptr;
     }
     co_await runtime::sleep_for(settings_.no_replica_pause);
@@ -212,7 +253,8 @@
   meters_->attempts_failed.Increment();
   const bool has_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
   ++(has_run ? progress.runs : progress.refusals);
-  if (has_run && !failure.stale_connection) {
+  const bool is_just_slow = failure.unreachable && is_cold(*replica);
+  if (has_run && !failure.stale_connection && !is_just_slow) {
     note_failed_run(*replica);
   }
   progress.preference.excluded.insert(replica->record.id);
@@ -262,6 +304,11 @@
 }
 
 asio::awaitable<ForwardResult> Forwarder::call(ForwardedRequest request) {
+  request.sender = eligibility::Sender::kCoordinator;
+  co_return co_await run(std::move(request));
+}
+
+asio::awaitable<ForwardResult> Forwarder::run(ForwardedRequest request) {
   Progress progress;
   ObservedRun observed(observer_, request.tenant);
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
@@ -277,6 +324,7 @@
     }
     const InFlight in_flight(replica);
     const core::MonotonicTime sent_at = time_.now();
+    const bool was_cold = is_cold(*replica);
     observed.sent(sent_at);
     directory_.gate().note_sent(replica->destination(), origin_of(request), sent_at);
     ports::ReplicaCall call = replica_call(request, progress);
@@ -295,7 +343,9 @@
     observed.ran();
     const Verdict verdict = judge(request, *replica, *answer, progress);
     if (verdict == Verdict::kAnswer) {
-      replica->note_latency(time_.now() - sent_at);
+      if (!was_cold) {  // it is slow for a while, which says nothing of it when warm
+        replica->note_latency(time_.now() - sent_at);
+      }
       co_return std::move(*answer);
     }
     if (verdict == Verdict::kGiveUp) {
@@ -338,7 +388,7 @@
   if (is_repeatable(*request.route)) {
     response.when_client_gone([&cut] { cut.emit(asio::cancellation_type::terminal); });
   }
-  asio::awaitable<ForwardResult> task = call(request);
+  asio::awaitable<ForwardResult> task = run(request);
   std::optional<ForwardResult> result = co_await runtime::run_cancellable(std::move(task), cut);
   response.when_client_gone({});
   if (!result) {
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -28,6 +28,8 @@
   std::optional<std::uint64_t> resume_after = std::nullopt;
   core::TenantName tenant = {};             ///< whose request it is; empty for nobody's
   eligibility::RegionBinding binding = {};  ///< regions that its route and tenant allow
+  /// Whose it is; call() makes it the coordinator's.
+  eligibility::Sender sender = eligibility::Sender::kFrontEnd;
 };
 
 /// Why no answer of a replica can be passed on.
@@ -60,6 +62,9 @@
   core::Duration suspicion = std::chrono::seconds(2);
   /// Between two looks for a replica when none accepts work.
   core::Duration no_replica_pause = std::chrono::milliseconds(40);
+  /// A request that only cold replicas could run, which get no more from here, is refused after
+  /// this share of its target latency: other processes may send there.
+  double cold_wait_in_target_latencies = 0.2;
   /// Refusals, beyond the attempts of the route, after which a request is given up.
   std::uint32_t most_refusals = 6;
 };
@@ -72,6 +77,7 @@
             std::uint64_t seed, const core::TimeSource& time, core::Metrics& metrics,
             RunObserver* observer = nullptr);
 
+  /// Runs a call of the coordinator's own, such as a rating call.
   /// \return a replica's whole answer. May be cut off at any suspension.
   boost::asio::awaitable<ForwardResult> call(ForwardedRequest request);
   /// Answers a client; stops working for one that leaves.
@@ -82,13 +88,21 @@
   struct Meters;
   enum class Verdict { kAnswer, kRetry, kGiveUp };
 
+  boost::asio::awaitable<ForwardResult> run(ForwardedRequest request);
   /// \return null when no replica accepted work until the request had to be given up.
   boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
                                                 Progress& progress);
   /// \return the replicas that may get \p request now.
   std::vector<ReplicaPointer> candidates(const ForwardedRequest& request,
                                          const Progress& progress) const;
+  std::optional<eligibility::Objection> objection(const ReplicaState& replica,
+                                                  const ForwardedRequest& request) const;
   bool may_get(const ReplicaState& replica, const ForwardedRequest& request) const;
+  /// \return whether replicas that accept work get nothing more from here as they are cold.
+  bool is_held_for_cold(const ForwardedRequest& request) const;
+  /// \return whether \p request has waited for cold replicas as long as it should.
+  bool is_held_too_long(const ForwardedRequest& request, Progress& progress) const;
+  bool is_cold(const ReplicaState& replica) const;
   ReplicaPreference preference_for(const Route& route) const;
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
   void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -13,6 +13,8 @@
 /// In calls: a new connection takes a replica's time and is priced, and with hundreds of
 /// processes that each send a call a second nearly every call would open one.
 constexpr double kNewConnectionCost = 1;
+/// In calls: a cold one takes longer, and bears only few.
+constexpr double kColdCost = 2;
 constexpr double kAvoidedCost = 1000;
 /// Of a service's replicas; with more of them ejected, ejection is ignored.
 constexpr double kMostEjectedShare = 0.5;
@@ -196,7 +198,8 @@
   };
   const auto cost_of = [&](const ReplicaPointer& replica) {
     const double connecting = is_connected(*replica) ? 0 : kNewConnectionCost;
-    return cost(*replica, preference.zone, usual, is_avoided(*replica)) + connecting;
+    const double warming = now < replica->record.cold_until ? kColdCost : 0;
+    return cost(*replica, preference.zone, usual, is_avoided(*replica)) + connecting + warming;
   };
   const ReplicaPointer& first = usable[random.uniform(0, usable.size() - 1)];
   const ReplicaPointer& second = usable[random.uniform(0, usable.size() - 1)];
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -102,6 +102,7 @@
   /// \return the replica that is listed as \p id, or null.
   ReplicaPointer find(const core::ReplicaId& id) const;
   std::size_t size() const { return replicas_.size(); }
+  const std::map<core::ReplicaId, ReplicaPointer>& all() const { return replicas_; }
   /// \return what says whether a request may go to a replica now; every sender asks it.
   eligibility::SendGate& gate() { return gate_; }
   const eligibility::SendGate& gate() const { return gate_; }
--- a/src/ingress/route_table.cpp
+++ b/src/ingress/route_table.cpp
@@ -27,6 +27,14 @@
   for (std::size_t index = 0; index < routes_.size(); ++index) {
     by_host_[routes_[index].host].push_back(index);
   }
+  for (const Route& route : routes_) {
+    for (const RouteTarget& target : route.targets) {
+      const auto start = cold_starts_.find(target.service);
+      if (start != cold_starts_.end()) {
+        start->second.takes_clients |= route.kind != RouteKind::kRollout;
+      }
+    }
+  }
   for (auto& [host, indexes] : by_host_) {
     std::stable_sort(indexes.begin(), indexes.end(), [this](std::size_t left, std::size_t right) {
       return routes_[left].path_prefix.size() > routes_[right].path_prefix.size();
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -19,10 +19,14 @@
                               "Texts taken from a slow or silent replica")),
         ejected(metrics.counter("stoneport_text_replica_ejections_total",
                                 "Replicas left out for a while because they failed texts")),
+        held_for_cold(metrics.counter(
+            "stoneport_texts_held_for_cold_total",
+            "Times that texts found no place while replicas took no more as cold ones bear")),
         whole(metrics.counter("stoneport_texts_whole_total", "Texts that were made whole")) {}
   prometheus::Gauge& running;
   prometheus::Counter& moved;
   prometheus::Counter& ejected;
+  prometheus::Counter& held_for_cold;
   prometheus::Counter& whole;
 };
 
@@ -117,6 +121,13 @@
   const std::optional<std::size_t> chosen =
       place_item(view.loads, view.median, home, item.failed_at, settings_.placement);
   if (!chosen) {
+    const bool is_held = std::any_of(
+        view.replicas.begin(), view.replicas.end(), [&](const ingress::ReplicaPointer& replica) {
+          return objection(*view.job, *replica, now) == eligibility::Objection::kColdPace;
+        });
+    if (is_held) {
+      meters_->held_for_cold.Increment();
+    }
     // Replicas that have not failed it may have room for the others.
     return !item.failed_at.empty();
   }
@@ -148,6 +159,10 @@
   return inputs_.directory.gate().objection(replica.destination(), origin, now);
 }
 
+bool ItemDispatcher::is_cold(const ingress::ReplicaState& replica, core::MonotonicTime now) const {
+  return inputs_.directory.gate().is_cold(replica.destination(), now);
+}
+
 std::vector<ingress::ReplicaPointer> ItemDispatcher::usable_replicas(
     const OpenJob& job, core::MonotonicTime now) const {
   std::vector<ingress::ReplicaPointer> usable;
@@ -250,7 +265,8 @@
 void ItemDispatcher::on_event(Run& run) {
   const core::MonotonicTime now = inputs_.time.now();
   const ingress::ReplicaRecord& replica = run.replica->record;
-  if (run.events_made > 0) {
+  // How fast it is while cold says nothing of it when warm.
+  if (run.events_made > 0 && !is_cold(*run.replica, now)) {
     const Occupancy taken{work_[replica.id].running, replica.slots};
     speeds_.note_event(replica.id, taken, now - run.last_event, now);
   }
@@ -296,7 +312,8 @@
   }
   const bool failed_run =
       end.kind == AttemptEndKind::kFailedAnswer || end.kind == AttemptEndKind::kBroken;
-  const bool fell_silent = end.kind == AttemptEndKind::kCut && run.fell_silent;
+  const bool fell_silent =
+      end.kind == AttemptEndKind::kCut && run.fell_silent && !is_cold(*run.replica, now);
   if ((failed_run && !end.stale_connection) || fell_silent) {
     if (run.replica->note_failed_run(now)) {
       meters_->ejected.Increment();
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -30,6 +30,8 @@
   double silence_in_gaps = 8;
   /// The same while the replica loads weights.
   core::Duration loading_silence = std::chrono::milliseconds(1600);
+  /// The same while the replica is cold, and so slow.
+  core::Duration cold_silence = std::chrono::milliseconds(1600);
   /// How long a silent or unreachable replica gets no work.
   core::Duration suspicion = std::chrono::milliseconds(1500);
   core::Duration refusal_pause = std::chrono::milliseconds(60);
@@ -122,6 +124,7 @@
   std::optional<eligibility::Objection> objection(const OpenJob& job,
                                                   const ingress::ReplicaState& replica,
                                                   core::MonotonicTime now) const;
+  bool is_cold(const ingress::ReplicaState& replica, core::MonotonicTime now) const;
   JobView view_of(const OpenJobPointer& job, core::MonotonicTime now);
   /// Places the queued items of \p views, which have one priority.
   void place_all(std::vector<JobView> views, core::MonotonicTime now);
--- a/src/jobs/item_dispatcher_moves.cpp
+++ b/src/jobs/item_dispatcher_moves.cpp
@@ -49,6 +49,9 @@
   if (inputs_.is_loading(id, run.job->job.model)) {
     patience = std::max(patience, settings_.loading_silence);
   }
+  if (is_cold(*run.replica, now)) {
+    patience = std::max(patience, settings_.cold_silence);
+  }
   if (now - run.last_event <= patience) {
     return false;
   }
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -20,6 +20,9 @@
 /// Below the time within which an acknowledged end must be in force (3 s), with room for
 /// a request on its way.
 constexpr core::Duration kOldestIndexView = std::chrono::milliseconds(2200);
+/// A former holder that has stopped may have sent for this long before it did: as long as the
+/// span over which requests to a cold replica count, and a little for the way.
+constexpr core::Duration kLastSends = std::chrono::milliseconds(1100);
 /// A gap between ticks that means that this process was paused.
 constexpr core::Duration kLongestGap = std::chrono::milliseconds(500);
 }  // namespace
@@ -55,6 +58,8 @@
 void Tenure::start() {
   make_parts();
   last_tick_ = inputs_.time.now();
+  inputs_.directory.gate().cold_pace().begin_term(last_tick_ + settings_.order_confirmation +
+                                                  kLastSends);
   writer_->start();
   loader_->start();
   for (const TermDutyPointer& duty : duties_) {
@@ -68,6 +73,7 @@
 
 void Tenure::stop() {
   over_ = true;
+  keep_pace();
   index_->stop();
   writer_->stop();
   loader_->stop();
@@ -83,6 +89,7 @@
 
 asio::awaitable<void> Tenure::hand_over() {
   handing_over_ = true;
+  keep_pace();
   loader_->stop();
   co_await writer_->flush(kLongestFlush);
 }
@@ -381,6 +388,14 @@
   return !over_ && !handing_over_ && is_awake && is_confirmed;
 }
 
+void Tenure::keep_pace() {
+  const bool has_ended = over_ || handing_over_;
+  const core::MonotonicTime sure_until =
+      std::min(keeper_.confirmed_at() + settings_.order_confirmation, last_tick_ + kLongestGap);
+  inputs_.directory.gate().cold_pace().keep_sure_until(has_ended ? core::MonotonicTime()
+                                                                 : sure_until);
+}
+
 bool Tenure::may_order() const {
   return orders_known_ && is_sure_of_term();
 }
@@ -444,6 +459,7 @@
     const core::MonotonicTime now = self->inputs_.time.now();
     const bool was_paused = now - self->last_tick_ > kLongestGap;
     self->last_tick_ = now;
+    self->keep_pace();
     if (was_paused) {
       self->dispatcher_->forget_silence();
     } else if (self->knows_ends()) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -14,6 +14,9 @@
 constexpr std::size_t kEnoughNearby = 3;
 constexpr std::size_t kMostAddresses = 64;
 constexpr core::Duration kHandOverCheck = std::chrono::milliseconds(100);
+/// Between two looks at who lives and which replicas are cold: well below the time in which
+/// members notice that one has died.
+constexpr core::Duration kColdLook = std::chrono::milliseconds(250);
 
 std::uint64_t life_of_process(const core::TimeSource& time) {
   return static_cast<std::uint64_t>(time.wall_now().time_since_epoch().count());
@@ -84,7 +87,10 @@
       coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
                    seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
-      usage_publisher_(publisher_inputs(), publisher_settings(life_)) {}
+      usage_publisher_(publisher_inputs(), publisher_settings(life_)),
+      cold_census_(inputs_.metrics) {
+  directory_.gate().cold_pace().replace_bound(settings_.cold_bound);
+}
 
 Node::~Node() = default;
 
@@ -166,6 +172,32 @@
   coordinator_.start();
   store_watch_.start();
   usage_publisher_.start();
+  runtime::start(inputs_.executor, "cold replicas", follow_cold_replicas());
+}
+
+std::vector<std::string> Node::cold_senders() const {
+  if (draining_ || !joined_ || is_isolated()) {
+    return {};
+  }
+  std::vector<std::string> living = {settings_.name.value()};
+  for (const auto& [node, member] : gossip_.members_by_node()) {
+    const bool is_other = node != settings_.name;
+    if (is_other && member.state == wire::MemberState::kAlive && !member.leaving) {
+      living.push_back(node.value());
+    }
+  }
+  return living;
+}
+
+asio::awaitable<void> Node::follow_cold_replicas() {
+  while (true) {
+    const core::MonotonicTime now = inputs_.time.now();
+    if (joined_) {
+      directory_.gate().cold_pace().replace_members(settings_.name.value(), cold_senders(), now);
+    }
+    cold_census_.look(directory_, now);
+    co_await runtime::sleep_for(kColdLook);
+  }
 }
 
 /// Members are those that are ready, so a process joins no earlier.
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -12,6 +12,7 @@
 #include "controllers/gossip_controller.hpp"
 #include "controllers/gossip_endpoint.hpp"
 #include "fleet/replica_scaler.hpp"
+#include "ingress/cold_census.hpp"
 #include "ingress/forwarder.hpp"
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
@@ -36,6 +37,7 @@
   core::Address gossip_address;  ///< UDP between processes
   std::vector<core::Address> gossip_seeds;
   eligibility::ZoneRegions zone_regions;  ///< the region of each zone
+  eligibility::ColdBound cold_bound;      ///< on what a cold replica may receive
   double processor_share = 1;             ///< of a core; large machines coordinate first
   jobs::CoordinatorSettings coordinator;
   UsageSettings usage;
@@ -106,6 +108,11 @@
   std::vector<std::string> running_processes() const;
   bool another_is_ready() const;
   void join_when_ready();
+  /// \return the processes that may send clients' requests to cold replicas; none while this
+  /// process is cut off and cannot know.
+  std::vector<std::string> cold_senders() const;
+  /// Tells the gate who shares the sends to cold replicas, and counts these.
+  boost::asio::awaitable<void> follow_cold_replicas();
 
   NodeInputs inputs_;
   NodeSettings settings_;
@@ -125,6 +132,7 @@
   jobs::Coordinator coordinator_;
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
+  ingress::ColdCensus cold_census_;
   bool joined_ = false;
   bool draining_ = false;
 };
