--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -4,6 +4,7 @@
 /// Lives on one io_context.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -33,6 +34,7 @@
     std::string request;
     std::string replica;
     std::uint64_t resume_after = 0;
+    std::chrono::steady_clock::time_point at = {};
   };
   struct Order {
     std::string replica;
@@ -42,6 +44,7 @@
   std::map<std::string, Replica> replicas;
   std::vector<Order> all_orders;  ///< in the order in which they came
   std::vector<Start> starts;
+  std::vector<std::string> calls;             ///< replicas that got whole calls, in order
   std::uint64_t text_length = 5;              ///< events of a whole text
   std::map<std::string, int> running;         ///< streams now, by request
   int most_running_at_once = 0;               ///< of one request, ever
@@ -59,8 +62,23 @@
     return text;
   }
 
+  /// \return the most texts that were begun at \p replica in any second.
+  std::size_t most_starts_in_a_second(const std::string& replica) const {
+    std::size_t most = 0;
+    for (const Start& first : starts) {
+      const auto counts = [&](const Start& start) {
+        return start.replica == replica && start.at >= first.at &&
+               start.at <= first.at + std::chrono::seconds(1);
+      };
+      most = std::max(
+          most, static_cast<std::size_t>(std::count_if(starts.begin(), starts.end(), counts)));
+    }
+    return most;
+  }
+
   boost::asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> call(
       ports::ReplicaTarget target, ports::ReplicaCall call) override {
+    calls.push_back(target.id.value());
     const std::optional<ports::CallFailure> failure = co_await meet(target, call);
     if (failure) {
       co_return *failure;
@@ -74,7 +92,8 @@
 
   boost::asio::awaitable<ports::CallResult<ports::StreamAnswer>> open_stream(
       ports::ReplicaTarget target, ports::ReplicaCall call) override {
-    starts.push_back({call.request_id, target.id.value(), call.resume_after.value_or(0)});
+    starts.push_back({call.request_id, target.id.value(), call.resume_after.value_or(0),
+                      std::chrono::steady_clock::now()});
     const std::optional<ports::CallFailure> failure = co_await meet(target, call);
     if (failure) {
       co_return *failure;
