--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -247,6 +247,12 @@
   }
 }
 
+void Node::note_cold(const core::ReplicaId& replica, core::Duration left) {
+  if (directory_.find(replica)) {
+    directory_.gate().cold_pace().presume_cold(replica, inputs_.time.now() + left);
+  }
+}
+
 void Node::replace_evacuations(std::set<core::ZoneName> zones) {
   if (!directory_.gate().evacuations().replace(std::move(zones))) {
     return;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -72,6 +72,8 @@
   /// To be called once for the first listing, also when it is empty, and for each change.
   void change_replicas(ingress::ReplicaChanges changes);
   void replace_named_versions(std::map<core::ModelName, core::WeightVersion> versions);
+  /// An answer of \p replica said that it is cold for \p left more.
+  void note_cold(const core::ReplicaId& replica, core::Duration left);
   /// Takes in which zones the operator has evacuated now.
   void replace_evacuations(std::set<core::ZoneName> zones);
 
--- a/tests/unit/eligibility/cold_pace_walk_test.cpp
+++ b/tests/unit/eligibility/cold_pace_walk_test.cpp
@@ -131,10 +131,8 @@
     if (now_ >= cold_until_ && random_.chance(0.005)) {
       cold_until_ = now_ + kColdLength;
       cold_spells_.emplace_back(now_, cold_until_);
-      for (Process& process : processes_) {
-        const auto late = std::chrono::duration_cast<core::Duration>(kLatestNews);
-        hears_at_.push_back(now_ + core::from_seconds(random_.fraction() * core::to_seconds(late)));
-        (void)process;
+      for (core::MonotonicTime& hears_at : hears_at_) {
+        hears_at = now_ + core::from_seconds(random_.fraction() * core::to_seconds(kLatestNews));
       }
       // Front ends that have not heard send what clients ask for, which the gate does not bound.
       front_ends_from_ = now_ + kLatestNews;
@@ -142,9 +140,8 @@
   }
 
   void hear_news() {
-    const std::size_t first = hears_at_.size() - std::min(hears_at_.size(), processes_.size());
-    for (std::size_t index = 0; index < processes_.size() && !hears_at_.empty(); ++index) {
-      if (now_ >= hears_at_[first + index]) {
+    for (std::size_t index = 0; index < processes_.size(); ++index) {
+      if (now_ >= hears_at_[index]) {
         processes_[index].cold_until = cold_until_;
       }
     }
@@ -197,7 +194,8 @@
   core::MonotonicTime cold_until_{};
   core::MonotonicTime front_ends_from_{};
   std::vector<std::pair<core::MonotonicTime, core::MonotonicTime>> cold_spells_;
-  std::vector<core::MonotonicTime> hears_at_;
+  std::vector<core::MonotonicTime> hears_at_ =
+      std::vector<core::MonotonicTime>(kProcesses, core::MonotonicTime::max());
   std::vector<core::MonotonicTime> sent_;
   std::size_t holder_ = 0;
 };
