--- a/tests/unit/eligibility/cold_pace_test.cpp
+++ b/tests/unit/eligibility/cold_pace_test.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(a_replica_taken_for_warm_is_capped_too);
   CPPUNIT_TEST(a_new_holder_and_an_unsure_one_send_less);
   CPPUNIT_TEST(a_few_front_ends_send_to_a_cold_replica);
+  CPPUNIT_TEST(a_newly_chosen_sender_waits_for_the_former_ones);
   CPPUNIT_TEST(a_process_that_knows_no_members_sends_nothing_there);
   CPPUNIT_TEST(a_zone_may_be_presumed_cold);
   CPPUNIT_TEST(an_answer_may_tell_that_a_replica_is_cold);
@@ -144,6 +145,30 @@
     CPPUNIT_ASSERT_EQUAL(budget.front_end_senders, senders);
   }
 
+  void a_newly_chosen_sender_waits_for_the_former_ones() {
+    const PacedReplica cold = replica(kBoth, kLater);
+    const std::vector<std::string> all = members(40);
+    const std::size_t count = cold_budget(starts().at(kBoth), kBound).front_end_senders;
+    std::vector<std::string> rest;
+    for (const std::string& name : all) {
+      if (!is_chosen_sender(name, all, kReplica, count)) {
+        rest.push_back(name);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(all.size() - count, rest.size());
+    const core::MonotonicTime change = kStart + seconds(10);
+    std::size_t new_senders = 0;
+    for (const std::string& self : rest) {
+      ColdPace one = pace();
+      one.replace_members(self, all, kStart);
+      one.replace_members(self, rest, change);
+      CPPUNIT_ASSERT_EQUAL(0,
+                           sent_within(one, cold, Sender::kFrontEnd, milliseconds(1000), change));
+      new_senders += one.may_send(cold, Sender::kFrontEnd, change + milliseconds(1100)) ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(count, new_senders);
+  }
+
   void a_process_that_knows_no_members_sends_nothing_there() {
     ColdPace alone = pace();
     const PacedReplica cold = replica(kBoth, kLater);
