Learn how much a full replica slows its texts down

Cause: placement and moves took 0.2 for each replica. Where it is more, a full replica looks slower than it is, and texts are moved to and fro. Ruled out: comparing replicas with each other, as fast ones get more texts. Change: each service's law is learned from how the gaps of its replicas change with what they run, each held against its own average; between 0 and 1, with the setting as the prior. Gaps that are far off, as of a stalled or slowed replica, don't count. The tests of placement give the service of an event now; what they check is unchanged.

--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -252,7 +252,7 @@
   const ingress::ReplicaRecord& replica = run.replica->record;
   if (run.events_made > 0) {
     const Occupancy taken{work_[replica.id].running, replica.slots};
-    speeds_.note_event(replica.id, taken, now - run.last_event, now);
+    speeds_.note_event(replica.id, replica.service, taken, now - run.last_event, now);
   }
   ++run.events_made;
   run.last_event = now;
--- a/src/jobs/replica_speeds.cpp
+++ b/src/jobs/replica_speeds.cpp
@@ -5,24 +5,38 @@
 
 namespace stoneport::jobs {
 
-double ReplicaSpeeds::slowdown(const Occupancy& taken) const {
-  const double share = static_cast<double>(taken.running) / std::max(taken.slots, 1u);
-  return 1 + settings_.slowdown_when_full * share;
+namespace {
+
+double share_of(const Occupancy& taken) {
+  return static_cast<double>(taken.running) / std::max(taken.slots, 1u);
+}
+
+double slowdown(const SlowdownLaw& law, const Occupancy& taken) {
+  return 1 + law.when_full() * share_of(taken);
 }
 
-void ReplicaSpeeds::note_event(const core::ReplicaId& replica, const Occupancy& taken,
-                               core::Duration gap, core::MonotonicTime now) {
-  const double seconds = core::to_seconds(gap) / slowdown(taken);
+}  // namespace
+
+void ReplicaSpeeds::note_event(const core::ReplicaId& replica, const core::ServiceName& service,
+                               const Occupancy& taken, core::Duration gap,
+                               core::MonotonicTime now) {
+  SlowdownLaw& law = laws_.try_emplace(service, settings_.slowdown).first->second;
   Known& known = known_[replica];
   const bool is_new = known.empty_gap <= 0 || now - known.last_event > settings_.memory;
-  known.last_event = now;
   if (is_new) {
-    known.empty_gap = seconds;
-    return;
+    known = Known();
   }
+  known.last_event = now;
+  known.law = &law;
   // Many texts tell of the same time: each counts for its share of it.
   const double texts = std::max(taken.running, 1u);
   const double time = core::to_seconds(gap) / texts;
+  law.note(known.usual, core::to_seconds(gap), share_of(taken), time);
+  const double seconds = core::to_seconds(gap) / slowdown(law, taken);
+  if (is_new) {
+    known.empty_gap = seconds;
+    return;
+  }
   const double weight = 1 - std::exp(-time / core::to_seconds(settings_.averaging));
   known.empty_gap += weight * (seconds - known.empty_gap);
 }
@@ -33,7 +47,7 @@
   if (found == known_.end() || now - found->second.last_event > settings_.memory) {
     return core::Duration(0);
   }
-  return core::from_seconds(found->second.empty_gap * slowdown(taken));
+  return core::from_seconds(found->second.empty_gap * slowdown(*found->second.law, taken));
 }
 
 }  // namespace stoneport::jobs
--- a/src/jobs/replica_speeds.hpp
+++ b/src/jobs/replica_speeds.hpp
@@ -1,15 +1,17 @@
 /// \file
 /// How fast each replica makes texts, from the times between events. A replica that
 /// runs more texts makes each of them more slowly; that is taken out of what is
-/// remembered, so that a full fast replica does not look like an empty slow one.
-/// Plain code.
+/// remembered, so that a full fast replica does not look like an empty slow one. How much
+/// more slowly is learned for each service. Plain code.
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <unordered_map>
 
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
+#include "jobs/slowdown_law.hpp"
 
 namespace stoneport::jobs {
 
@@ -24,17 +26,19 @@
   core::Duration averaging = std::chrono::milliseconds(1000);
   /// Without an event for this long a replica's speed is forgotten.
   core::Duration memory = std::chrono::seconds(10);
-  /// How much longer events take on a full replica than on an empty one, as a share.
-  double slowdown_when_full = 0.2;
+  SlowdownSettings slowdown;
 };
 
 class ReplicaSpeeds {
  public:
   explicit ReplicaSpeeds(ReplicaSpeedSettings settings = {}) : settings_(settings) {}
+  ReplicaSpeeds(const ReplicaSpeeds&) = delete;  // its parts point to each other
+  ReplicaSpeeds& operator=(const ReplicaSpeeds&) = delete;
 
   /// An event of one text came \p gap after the one before it.
-  void note_event(const core::ReplicaId& replica, const Occupancy& taken, core::Duration gap,
-                  core::MonotonicTime now);
+  /// \param service of \p replica
+  void note_event(const core::ReplicaId& replica, const core::ServiceName& service,
+                  const Occupancy& taken, core::Duration gap, core::MonotonicTime now);
   /// \return the time between two events of a text while \p taken holds; zero when nothing
   /// is known of the replica.
   core::Duration event_gap(const core::ReplicaId& replica, const Occupancy& taken,
@@ -44,11 +48,13 @@
   struct Known {
     double empty_gap = 0;  ///< seconds between events if a text ran alone
     core::MonotonicTime last_event{};
+    UsualWork usual;
+    const SlowdownLaw* law = nullptr;  ///< of its service
   };
-  double slowdown(const Occupancy& taken) const;
 
   ReplicaSpeedSettings settings_;
   std::unordered_map<core::ReplicaId, Known> known_;
+  std::map<core::ServiceName, SlowdownLaw> laws_;
 };
 
 }  // namespace stoneport::jobs
--- a/tests/unit/jobs/placement_test.cpp
+++ b/tests/unit/jobs/placement_test.cpp
@@ -100,14 +100,14 @@
     while (now < until) {
       now += gap;
       for (std::uint32_t text = 0; text < running; ++text) {
-        speeds.note_event(core::ReplicaId(id), {running, 8}, gap, now);
+        speeds.note_event(core::ReplicaId(id), core::ServiceName("model"), {running, 8}, gap, now);
       }
     }
   }
 
   void speeds_tell_load_and_replica_apart() {
     ReplicaSpeedSettings settings;
-    settings.slowdown_when_full = 0.2;
+    settings.slowdown.prior = 0.2;
     ReplicaSpeeds speeds(settings);
     core::MonotonicTime now{};
     play(speeds, "full", 8, milliseconds(48), milliseconds(3000), now);
