A text whose first event takes long gets more time with each move

Cause: a text that got no event for a fixed time was moved as from a silent replica, however often that had happened. One whose first event takes longer at each replica (a long prompt) was never made. Change: from the third such move in a row on, it gets twice the time with each. The new test fails on the code before (the text never ends).

--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -251,6 +251,7 @@
   const core::MonotonicTime now = inputs_.time.now();
   const ingress::ReplicaRecord& replica = run.replica->record;
   if (run.events_made > 0) {
+    run.job->items[run.item].silent_moves = 0;
     const Occupancy taken{work_[replica.id].running, replica.slots};
     speeds_.note_event(replica.id, replica.service, taken, now - run.last_event, now);
   }
--- a/src/jobs/item_dispatcher_moves.cpp
+++ b/src/jobs/item_dispatcher_moves.cpp
@@ -7,6 +7,16 @@
 namespace asio = boost::asio;
 namespace {
 constexpr double kMillisecondsPerSecond = 1000;
+/// Two replicas may be silent; a text that is moved more often may take longer by itself, as for
+/// reading its prompt, and gets twice the time with each move.
+constexpr std::uint32_t kMovesBeforeDoubling = 1;
+constexpr std::uint32_t kMostDoublings = 8;
+
+std::int64_t patience_factor(const ItemProgress& item) {
+  const std::uint32_t doublings =
+      item.silent_moves - std::min(item.silent_moves, kMovesBeforeDoubling);
+  return std::int64_t{1} << std::min(doublings, kMostDoublings);
+}
 }  // namespace
 
 core::Duration ItemDispatcher::median_gap(core::MonotonicTime now) const {
@@ -49,7 +59,7 @@
   if (inputs_.is_loading(id, run.job->job.model)) {
     patience = std::max(patience, settings_.loading_silence);
   }
-  if (now - run.last_event <= patience) {
+  if (now - run.last_event <= patience * patience_factor(run.job->items[run.item])) {
     return false;
   }
   run.replica->suspect(now, settings_.suspicion);
@@ -68,6 +78,7 @@
     }
     const JobView view = view_of(run->job, now);
     if (place_elsewhere(*run, view, settings_.placement)) {
+      ++run->job->items[run->item].silent_moves;
       move(*run, fmt::format("silent for {:.0f} ms",
                              core::to_seconds(now - run->last_event) * kMillisecondsPerSecond));
     }
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -42,6 +42,7 @@
   std::uint32_t impossible_answers = 0;  ///< a replica says it can never be done
   core::MonotonicTime not_before{};      ///< when it may be placed again
   std::uint32_t speed_moves = 0;         ///< times that it went to a faster replica
+  std::uint32_t silent_moves = 0;        ///< times that it left a silent one since its last event
   std::optional<SeenLength> seen;        ///< of an earlier job: its group came back
   std::optional<MadeAt> made_at;         ///< the run that made the text whole
 };
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -19,16 +19,17 @@
   struct Replica {
     std::uint64_t version = 1;
     core::Duration event_gap = std::chrono::milliseconds(2);
-    int cut_after = -1;            ///< events of one stream, then its connection breaks; -1 never
-    bool silent = false;           ///< takes requests and never answers
-    int refuse = 0;                ///< calls that it has not run
-    int fail = 0;                  ///< calls that it ran and failed
-    bool impossible = false;       ///< says that requests can never be done
-    bool gone = false;             ///< another one has the address
-    int lose_orders = 0;           ///< orders without an answer and without effect
-    core::Duration answer_time{};  ///< of a whole call that it runs
-    int running_calls = 0;         ///< whole calls that it has now
-    int answered_calls = 0;        ///< whole calls that it ran to their end, failed or not
+    int cut_after = -1;       ///< events of one stream, then its connection breaks; -1 never
+    bool silent = false;      ///< takes requests and never answers
+    int refuse = 0;           ///< calls that it has not run
+    int fail = 0;             ///< calls that it ran and failed
+    bool impossible = false;  ///< says that requests can never be done
+    bool gone = false;        ///< another one has the address
+    int lose_orders = 0;      ///< orders without an answer and without effect
+    core::Duration first_event_time{};  ///< of a stream, instead of event_gap if it is longer
+    core::Duration answer_time{};       ///< of a whole call that it runs
+    int running_calls = 0;              ///< whole calls that it has now
+    int answered_calls = 0;             ///< whole calls that it ran to their end, failed or not
     std::uint64_t order_count = 0;
     std::vector<std::uint64_t> orders;  ///< versions ordered
   };
@@ -159,7 +160,8 @@
     }
     boost::asio::awaitable<core::Result<std::optional<ports::TokenEvent>>> next() override {
       const Replica& replica = owner_.replicas[replica_];
-      co_await runtime::sleep_for(replica.event_gap);
+      const core::Duration before = sent_ == 0 ? replica.first_event_time : core::Duration(0);
+      co_await runtime::sleep_for(std::max(replica.event_gap, before));
       while (replica.silent && !is_cut(co_await boost::asio::this_coro::cancellation_state)) {
         co_await runtime::sleep_for(std::chrono::milliseconds(5));
       }
--- a/tests/unit/jobs/faster_replicas_test.cpp
+++ b/tests/unit/jobs/faster_replicas_test.cpp
@@ -8,6 +8,7 @@
   CPPUNIT_TEST_SUITE(FasterReplicasTest);
   CPPUNIT_TEST(a_long_text_leaves_a_slow_replica);
   CPPUNIT_TEST(a_text_that_is_moved_blames_no_replica);
+  CPPUNIT_TEST(a_text_whose_first_event_takes_long_is_made);
   CPPUNIT_TEST(a_text_stays_while_ends_are_unknown);
   CPPUNIT_TEST(an_item_that_comes_back_begins_by_its_known_length);
   CPPUNIT_TEST(long_texts_of_a_younger_job_go_before_short_ones);
@@ -66,6 +67,18 @@
     CPPUNIT_ASSERT(!slow->is_suspect(start.world.time.now()));
   }
 
+  /// Several times as long as a text is left at a silent replica, wherever it goes.
+  void a_text_whose_first_event_takes_long_is_made() {
+    World world;
+    World::Process process(world, "a");
+    for (auto& [id, replica] : world.replicas.replicas) {
+      replica.first_event_time = milliseconds(250);
+    }
+    world.submit(process, "job", 1);
+    CPPUNIT_ASSERT(world.run_until([&] { return world.is_whole(process, "job", 1); }));
+    CPPUNIT_ASSERT(world.replicas.starts.size() <= 6);
+  }
+
   /// Without a fresh view of ends no text may be begun, so none is taken from where it is.
   void a_text_stays_while_ends_are_unknown() {
     SlowStart start;
