A replica that fails a rating call isn't asked again for that text

Cause: the next call for the text could go to the same replica, which answers its failures fast and so looks free: one that fails all it runs condemned texts by itself. Change: the next calls avoid it while others take work. How often a text may fail is as before. The new test fails on the code before.

--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -59,7 +59,7 @@
   core::MonotonicTime not_before{};    ///< the next one begins then at the earliest
   std::uint32_t failures = 0;
   std::uint32_t given_up = 0;      ///< calls that got no answer in their time
-  std::set<core::ReplicaId> left;  ///< where they were
+  std::set<core::ReplicaId> left;  ///< replicas that did not answer it, or failed it
   std::optional<Score> end;
 };
 
@@ -250,6 +250,7 @@
 }
 
 void Scorer::on_failed_answer(Text& text, const Attempt& failed) {
+  text.left.insert(failed.replica->record.id);  // one that fails all it runs condemns no text
   if (!failed.counts_failure) {
     return;
   }
--- a/tests/unit/jobs/scorer_test.cpp
+++ b/tests/unit/jobs/scorer_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(a_silent_replica_is_left);
   CPPUNIT_TEST(a_silent_replica_is_left_while_all_places_are_taken);
   CPPUNIT_TEST(a_second_call_counts_no_failure_twice);
+  CPPUNIT_TEST(a_replica_that_fails_all_condemns_no_text);
   CPPUNIT_TEST(second_calls_stay_few_when_all_are_slow);
   CPPUNIT_TEST(no_call_runs_on_once_unwanted);
   CPPUNIT_TEST(the_call_that_lost_is_cut_and_blames_nobody);
@@ -232,6 +233,22 @@
     CPPUNIT_ASSERT_EQUAL(1.0, world.counted("stoneport_score_failures_total"));
   }
 
+  /// Given up after two answers of failure: the second call must go to another replica.
+  void a_replica_that_fails_all_condemns_no_text() {
+    for (int round = 0; round < 5; ++round) {
+      World world(3, 1);
+      world.replicas.replicas["r0"].fail = 1000;
+      for (int text = 0; text < 6; ++text) {
+        world.score("s" + std::to_string(text));
+      }
+      world.run_until_scored(6, std::chrono::seconds(2));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{6}, world.scores.size());
+      for (const Score& score : world.scores) {
+        CPPUNIT_ASSERT(score.end == ScoreEnd::kScored);
+      }
+    }
+  }
+
   void second_calls_stay_few_when_all_are_slow() {
     World world(30);
     world.learn_usual_time(milliseconds(20));
