--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -297,10 +297,13 @@
 void ItemDispatcher::on_event(Run& run) {
   const core::MonotonicTime now = inputs_.time.now();
   const ingress::ReplicaRecord& replica = run.replica->record;
+  if (run.events_made > 0) {
+    run.job->items[run.item].silent_moves = 0;
+  }
   // How fast it is while cold says nothing of it when warm.
   if (run.events_made > 0 && !is_cold(*run.replica, now)) {
     const Occupancy taken{work_[replica.id].running, replica.slots};
-    speeds_.note_event(replica.id, taken, now - run.last_event, now);
+    speeds_.note_event(replica.id, replica.service, taken, now - run.last_event, now);
   }
   ++run.events_made;
   run.last_event = now;
