An end known before the term began does not depose its holder

Cause: a process that starts with a clock behind its predecessor's is known to the members by a later life than its name as the holder holds (it starts a life above the one that it hears of). They took it for ended and bid for its term at once, as long as it ran. Ruled out: another name after the raise, as the counts of usage stand under the first one. Change: the sign of an end counts only when it comes up during the holder's term; else silence alone does. Both new tests fail without it.

--- a/src/jobs/term_keeper.cpp
+++ b/src/jobs/term_keeper.cpp
@@ -47,8 +47,16 @@
   return settings_.take_over_after;
 }
 
+HolderSign TermWatch::weighed(HolderSign sign) {
+  const bool is_ended = sign == HolderSign::kEnded;
+  ended_before_ = is_ended && (ended_before_ || is_new_holder_);
+  is_new_holder_ = false;
+  return ended_before_ ? HolderSign::kUnknown : sign;
+}
+
 bool TermWatch::should_bid(core::MonotonicTime now, core::MonotonicTime last_answer, double spread,
                            HolderSign sign) {
+  const HolderSign trusted = weighed(sign);
   const bool was_paused = last_tick_ && now - *last_tick_ > settings_.longest_gap;
   last_tick_ = now;
   const bool store_is_silent = now - last_answer > settings_.longest_store_silence;
@@ -60,7 +68,7 @@
       core::from_seconds(core::to_seconds(settings_.bid_spread) * spread);
   const core::Duration own_delay = settings_.bid_delay + spread_length;
   const bool is_early = ineligible_at_ && now - *ineligible_at_ < own_delay;
-  return !is_early && now - *changed_at_ >= patience(sign) + own_delay;
+  return !is_early && now - *changed_at_ >= patience(trusted) + own_delay;
 }
 
 TermKeeper::TermKeeper(asio::any_io_executor executor, ports::RecordStore& store,
@@ -101,7 +109,11 @@
   const bool changed = heartbeat_revision != heartbeat_revision_ || term_revision != seen_revision_;
   heartbeat_revision_ = heartbeat_revision;
   if (term != records.end()) {
-    seen_ = decode_term(term->second.value).value_or(TermRecord());
+    TermRecord told = decode_term(term->second.value).value_or(TermRecord());
+    if (told.holder != seen_.holder) {
+      watch_.on_new_holder();
+    }
+    seen_ = std::move(told);
     seen_revision_ = term_revision;
   }
   if (changed) {
--- a/src/jobs/term_keeper.hpp
+++ b/src/jobs/term_keeper.hpp
@@ -68,6 +68,10 @@
   /// later ones are timed by their arrival
   void on_change(core::MonotonicTime now, bool has_holder,
                  core::Duration heartbeat_age = core::Duration(0));
+  /// Another process holds the term. What the members said of it before it did proves
+  /// nothing: where a clock was set back, a process takes a later number for its life than
+  /// the one that its name holds, and would be taken for ended as long as it runs.
+  void on_new_holder() { is_new_holder_ = true; }
   /// \param last_answer when the store last answered
   /// \param spread between 0 and 1, drawn anew for each process
   /// \return whether to bid for the term now.
@@ -78,9 +82,13 @@
 
  private:
   core::Duration patience(HolderSign sign) const;
+  /// \return \p sign, or nothing where it is an end from before the holder's term.
+  HolderSign weighed(HolderSign sign);
 
   TermSettings settings_;
   bool has_holder_ = false;
+  bool is_new_holder_ = false;  ///< since the last look at its sign
+  bool ended_before_ = false;   ///< the sign of an end is older than the holder's term
   std::optional<core::MonotonicTime> changed_at_;
   std::optional<core::MonotonicTime> last_tick_;
   std::optional<core::MonotonicTime> ineligible_at_;  ///< last time
--- a/tests/unit/jobs/coordinator_term_test.cpp
+++ b/tests/unit/jobs/coordinator_term_test.cpp
@@ -8,6 +8,7 @@
   CPPUNIT_TEST_SUITE(CoordinatorTermTest);
   CPPUNIT_TEST(another_process_takes_over_and_keeps_what_is_listed);
   CPPUNIT_TEST(a_new_holder_keeps_the_term_on_a_slow_store);
+  CPPUNIT_TEST(a_holder_whose_life_counts_as_over_keeps_its_term);
   CPPUNIT_TEST(a_deposed_coordinator_lists_nothing);
   CPPUNIT_TEST(a_planned_stop_hands_over_at_once);
   CPPUNIT_TEST(orders_of_two_holders_stay_apart);
@@ -53,6 +54,22 @@
     CPPUNIT_ASSERT(!second.coordinator->holds_term());
   }
 
+  /// Its clock was set back between two starts: the members know it by a later life than its
+  /// name says.
+  void a_holder_whose_life_counts_as_over_keeps_its_term() {
+    World world;
+    World::Process second(world, "b", std::chrono::seconds(120), milliseconds(500));
+    second.eligible = false;
+    second.sign = HolderSign::kEnded;
+    world.run_for(milliseconds(50));
+    World::Process first(world, "a", std::chrono::seconds(120), milliseconds(500));
+    CPPUNIT_ASSERT(world.run_until([&] { return first.coordinator->holds_term(); }));
+    second.eligible = true;
+    world.run_for(milliseconds(1000));
+    CPPUNIT_ASSERT(first.coordinator->holds_term());
+    CPPUNIT_ASSERT(!second.coordinator->holds_term());
+  }
+
   void a_deposed_coordinator_lists_nothing() {
     World world;
     World::Process first(world, "a");
--- a/tests/unit/jobs/coordinator_world.hpp
+++ b/tests/unit/jobs/coordinator_world.hpp
@@ -89,7 +89,7 @@
                                *forwarder,
                                [&world] { return world.named; },
                                [this] { return eligible; },
-                               [](const std::string&) { return HolderSign::kUnknown; },
+                               [this](const std::string&) { return sign; },
                                world.time,
                                metrics};
       coordinator = std::make_unique<Coordinator>(std::move(inputs), settings, 7);
@@ -103,6 +103,7 @@
     std::unique_ptr<ingress::Forwarder> forwarder;
     std::unique_ptr<Coordinator> coordinator;
     bool eligible = true;
+    HolderSign sign = HolderSign::kUnknown;  ///< what the members say of any holder
   };
 
   World() {
--- a/tests/unit/jobs/term_watch_test.cpp
+++ b/tests/unit/jobs/term_watch_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(silence_of_the_store_proves_nothing);
   CPPUNIT_TEST(a_pause_of_the_process_proves_nothing);
   CPPUNIT_TEST(signs_of_the_members_shorten_the_wait);
+  CPPUNIT_TEST(an_end_from_before_the_term_proves_nothing);
   CPPUNIT_TEST(a_process_that_starts_counts_the_silence_before_it);
   CPPUNIT_TEST(small_machines_bid_later);
   CPPUNIT_TEST(a_small_machine_that_knows_first_leaves_the_term_to_a_large_one);
@@ -90,6 +91,26 @@
     }
   }
 
+  void an_end_from_before_the_term_proves_nothing() {
+    TermWatch watch{TermSettings()};
+    const auto bids = [&](int now, HolderSign sign) {
+      return watch.should_bid(at(now), at(now), 0, sign);
+    };
+    watch.on_new_holder();
+    for (int now = 0; now <= 3000; now += 100) {
+      if (now % 300 == 0) {
+        watch.on_change(at(now), true);
+      }
+      CPPUNIT_ASSERT(!bids(now, HolderSign::kEnded));
+    }
+    CPPUNIT_ASSERT(!bids(3300, HolderSign::kEnded));
+    // Silence counts as ever, and so does an end that comes to be known now.
+    CPPUNIT_ASSERT(bids(3800, HolderSign::kSuspect));
+    watch.on_change(at(3900), true);
+    CPPUNIT_ASSERT(!bids(3900, HolderSign::kUnknown));
+    CPPUNIT_ASSERT(bids(4000, HolderSign::kEnded));
+  }
+
   void a_process_that_starts_counts_the_silence_before_it() {
     TermWatch watch{TermSettings()};
     watch.on_change(at(10000), true, std::chrono::milliseconds(5000));
