The soak evacuates zones and has their replicas back cold

Stand-in processes and replicas have zones; replicas can be down and return cold, with coldRemainingMs in their rows and coldStartS and coldPerS in the configuration. Every 10 s the soak ends all other faults and strikes a zone. Two checks from outside: nothing reaches an evacuated zone later than 5 s after the row was written and before it is taken back; a cold replica gets at most coldPerS x 1.5 + 5 requests in any span of a second. Nothing else strikes meanwhile, as both bounds are those of processes that the store serves.

--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -25,6 +25,7 @@
 constexpr core::Duration kBeat = std::chrono::milliseconds(300);
 constexpr core::Duration kSilence = std::chrono::seconds(30);
 const std::string kHost = "users.example";
+const std::string kEvacuationKeyStart = "evacuate/";
 
 nlohmann::json row_of(const ports::Record& record) {
   nlohmann::json row = {{"table", record.table},
@@ -231,6 +232,10 @@
 asio::awaitable<void> PlatformStandIn::beat(PlatformStandIn* self) {
   while (!self->stopped_) {
     for (const auto& [id, replica] : self->replicas_) {
+      if (replica->faults.down) {
+        self->store_->put(std::string(platform::kReplicaTable), id, std::nullopt);
+        continue;
+      }
       const std::string entry = replica->entry();
       const auto rows = self->store_->rows().table(platform::kReplicaTable);
       const auto known = rows.find(id);
@@ -244,8 +249,9 @@
 
 void PlatformStandIn::add_replica(const std::string& id, const std::string& service,
                                   bool is_model) {
-  auto replica =
-      std::make_unique<StandInReplica>(loop_.executor(), id, service, is_model, ledger_, metrics_);
+  auto replica = std::make_unique<StandInReplica>(loop_.executor(), id, service, is_model, ledger_,
+                                                  arrivals_, metrics_);
+  replica->zone = zone_name(replicas_.size());
   const auto port = static_cast<std::uint16_t>(kFirstPort - 100 + 50 + replicas_.size());
   replica->listen({prefix_ + "1", port}).value();
   replicas_[id] = std::move(replica);
@@ -262,7 +268,7 @@
   }
   const nlohmann::json settings = {
       {"nodeName", "node-" + std::to_string(process)},
-      {"zone", "zone-a"},
+      {"zone", zone_name(process)},
       {"region", "region-a"},
       {"ipAddress", prefix_ + std::to_string(10 + process)},
       {"listen",
@@ -277,6 +283,9 @@
         {"graceS", 8},
         {"statusS", 120},
         {"reportWindowS", 1},
+        {"coldOverage", kColdOverage},
+        {"coldSlack", kColdSlack},
+        {"evacuationMs", kEvacuation.count()},
         {"usageLateS", 5}}},
       {"cloud",
        {{"address", prefix_ + "1:" + std::to_string(kCloudPort)},
@@ -348,8 +357,12 @@
     routes.push_back(added);
   }
   nlohmann::json configuration = {{"version", version}, {"routes", routes}};
+  configuration["services"].push_back(
+      {{"name", "plain"}, {"coldStartS", kColdStart.count()}, {"coldPerS", kColdPerSecond}});
   configuration["services"].push_back(
       {{"name", "models"},
+       {"coldStartS", kColdStart.count()},
+       {"coldPerS", kColdPerSecond},
        {"scaling", {{"minReplicas", 1}, {"maxReplicas", 8}, {"zonePrices", {{"zone-a", 1.0}}}}}});
   for (const auto& [name, keys] : options_.tenants) {
     configuration["tenants"].push_back({{"name", name}, {"apiKeys", keys}});
@@ -382,6 +395,35 @@
   return ids;
 }
 
+std::string PlatformStandIn::zone_name(std::size_t index) const {
+  return std::string("zone-") + static_cast<char>('a' + index % options_.zones);
+}
+
+void PlatformStandIn::evacuate(const std::string& zone, bool is_wanted) {
+  on_loop([&] {
+    store_->put(std::string(platform::kOperatorTable), kEvacuationKeyStart + zone,
+                is_wanted ? std::optional<std::string>("{}") : std::nullopt);
+  });
+}
+
+void PlatformStandIn::set_zone_down(const std::string& zone, bool is_down) {
+  on_loop([&] {
+    for (const auto& [id, replica] : replicas_) {
+      if (replica->zone != zone) {
+        continue;
+      }
+      replica->faults.down = is_down;
+      if (!is_down) {
+        replica->turn_cold(kColdStart);
+      }
+    }
+  });
+}
+
+StandInReplica::Arrivals PlatformStandIn::arrivals() {
+  return on_loop([this] { return arrivals_; });
+}
+
 StandInReplica::Ledger PlatformStandIn::ledger() {
   return on_loop([this] { return ledger_; });
 }
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -68,12 +68,23 @@
 
 class PlatformStandIn {
  public:
+  /// How long the replicas are cold that come back, and what they bear then, by the
+  /// configuration; and how far it may be exceeded, by the settings.
+  static constexpr std::chrono::seconds kColdStart{3};
+  static constexpr double kColdPerSecond = 4;
+  static constexpr double kColdOverage = 1.5;
+  static constexpr double kColdSlack = 5;
+  /// An evacuation is in force this long after it was written.
+  static constexpr std::chrono::milliseconds kEvacuation{5000};
+
   struct Options {
     std::size_t processes = 3;
     std::size_t models = 3;
     std::size_t plain = 2;
     /// Keys by tenant; without any, requests need no key.
     std::map<std::string, std::vector<std::string>> tenants = {};
+    /// Processes and replicas are spread over "zone-a" and so on in turn.
+    std::size_t zones = 1;
   };
   /// Starts everything and waits until all processes are ready.
   PlatformStandIn();
@@ -121,6 +132,12 @@
   StandInReplica& replica(const std::string& id) { return *replicas_.at(id); }
   std::vector<std::string> replica_ids() const;
   StandInReplica::Ledger ledger();
+  StandInReplica::Arrivals arrivals();
+  std::string zone_name(std::size_t index) const;
+  /// Wants the replicas of \p zone to get nothing more, or takes that back.
+  void evacuate(const std::string& zone, bool is_wanted);
+  /// Ends the replicas of \p zone, or has them back, cold.
+  void set_zone_down(const std::string& zone, bool is_down);
 
   /// One request of a client.
   HttpAnswer request(std::size_t process, const std::string& method, const std::string& target,
@@ -158,6 +175,7 @@
   std::vector<std::unique_ptr<StoreDoor>> doors_;  ///< one a process
   std::vector<std::unique_ptr<emulator::Relay>> relays_;
   StandInReplica::Ledger ledger_;
+  StandInReplica::Arrivals arrivals_;
   std::vector<std::unique_ptr<ChildProcess>> processes_;
   HttpCaller http_;
   bool stopped_ = false;
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -21,11 +21,13 @@
 }  // namespace
 
 StandInReplica::StandInReplica(asio::any_io_executor executor, std::string id, std::string service,
-                               bool is_model, Ledger& ledger, core::Metrics& metrics)
+                               bool is_model, Ledger& ledger, Arrivals& arrivals,
+                               core::Metrics& metrics)
     : id_(std::move(id)),
       service_(std::move(service)),
       is_model_(is_model),
       ledger_(ledger),
+      arrivals_(arrivals),
       server_(executor, "stand-in replica", http::ServerLimits(), *this, metrics) {
   if (is_model_) {
     versions["model"] = 1;
@@ -45,14 +47,20 @@
   }
   return nlohmann::json({{"service", service_},
                          {"address", core::to_string(address_)},
-                         {"zone", "zone-a"},
+                         {"zone", zone},
                          {"version", "v1"},
                          {"slots", 8},
+                         {"coldRemainingMs", is_cold() ? cold_length_.count() : 0},
                          {"state", draining ? "draining" : "ready"},
                          {"models", models}})
       .dump();
 }
 
+void StandInReplica::turn_cold(std::chrono::milliseconds length) {
+  cold_length_ = length;
+  cold_until_ = std::chrono::steady_clock::now() + length;
+}
+
 std::string StandInReplica::event_data(const std::string& request, std::uint64_t number) {
   return request + "." + std::to_string(core::hash64(request, number) % 100000);
 }
@@ -105,7 +113,7 @@
                                              http::BodySource& body,
                                              http::ResponseWriter& response) {
   const core::Result<std::string> whole = co_await http::read_whole(body, 1u << 20);
-  if (!whole) {
+  if (!whole || faults.down) {
     co_return;
   }
   const std::string path(http::path_of(request.target));
@@ -130,6 +138,7 @@
     co_await response.send(std::move(refusal));
     co_return;
   }
+  arrivals_.push_back({std::chrono::steady_clock::now(), id_, zone, request_id, is_cold()});
   if (take(faults.not_run)) {
     refusal.head.status = 503;
     refusal.head.headers.add(std::string(platform::kNotRunHeader), "1");
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -4,6 +4,7 @@
 /// ran. Lives on the stand-in's event loop.
 #pragma once
 
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,7 +28,17 @@
   bool saw_credentials = false;  ///< a key came with the request
 };
 
+/// One request that came to a replica, whether it was run or not.
+struct ReplicaArrival {
+  std::chrono::steady_clock::time_point at;
+  std::string replica;
+  std::string zone;
+  std::string request_id;
+  bool was_cold = false;
+};
+
 struct ReplicaFaults {
+  bool down = false;          ///< takes nothing, and its entry is gone
   bool dark = false;          ///< takes requests and never answers
   int cut_after_events = -1;  ///< streams break after so many events; -1 never
   int cut_answers = 0;        ///< whole answers that are run and then cut
@@ -41,9 +52,10 @@
 class StandInReplica : public http::RequestHandler {
  public:
   using Ledger = std::vector<ReplicaRun>;
+  using Arrivals = std::vector<ReplicaArrival>;
 
   StandInReplica(boost::asio::any_io_executor executor, std::string id, std::string service,
-                 bool is_model, Ledger& ledger, core::Metrics& metrics);
+                 bool is_model, Ledger& ledger, Arrivals& arrivals, core::Metrics& metrics);
   core::Result<void> listen(const core::Address& address);
   boost::asio::awaitable<void> handle(const http::RequestHead& request, http::BodySource& body,
                                       http::ResponseWriter& response) override;
@@ -57,7 +69,12 @@
   static std::string whole_text(const std::string& request);
   static std::string signature(const std::string& request);
 
+  /// Tells from now on that it is cold for \p length.
+  void turn_cold(std::chrono::milliseconds length);
+  bool is_cold() const { return std::chrono::steady_clock::now() < cold_until_; }
+
   ReplicaFaults faults;
+  std::string zone = "zone-a";
   bool draining = false;
   std::map<std::string, std::uint64_t> versions;  ///< by model
   std::vector<std::string> order_holders;         ///< of each order carried out
@@ -77,6 +94,9 @@
   std::string service_;
   bool is_model_;
   Ledger& ledger_;
+  Arrivals& arrivals_;
+  std::chrono::milliseconds cold_length_{};  ///< as told when it turned cold
+  std::chrono::steady_clock::time_point cold_until_{};
   core::Address address_;
   std::uint64_t orders_ = 0;
   http::Server server_;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -9,6 +9,7 @@
 #include "platform/names.hpp"
 #include "soak/soak_faults.hpp"
 #include "soak/soak_model.hpp"
+#include "soak/soak_zones.hpp"
 #include "support/test_cluster.hpp"
 
 namespace stoneport::tests {
@@ -26,11 +27,17 @@
 /// store serves.
 constexpr auto kKeysInForce = std::chrono::seconds(3);
 constexpr auto kLongestRecovery = std::chrono::seconds(60);
+constexpr std::size_t kZones = 2;
+/// Between events of zones, during which nothing else strikes: their bounds hold for processes
+/// that the store serves.
+constexpr auto kZonePause = std::chrono::seconds(10);
+constexpr auto kEvacuated = std::chrono::seconds(8);
+constexpr auto kZoneDown = milliseconds(1500);
 
 class Soak {
  public:
   Soak(std::uint64_t seed, std::chrono::seconds length)
-      : platform_({kProcesses, 4, 3, keys_.held()}),
+      : platform_({kProcesses, 4, 4, keys_.held(), kZones}),
         faults_(platform_, keys_, kProcesses, seed * 2 + 1),
         random_(seed),
         length_(length) {
@@ -40,6 +47,7 @@
   int run() {
     const Clock::time_point started = Clock::now();
     Clock::time_point next_fault = started + milliseconds(500);
+    Clock::time_point next_zone_event = started + kZonePause;
     while (Clock::now() - started < length_ && model_.violations.empty()) {
       if (Clock::now() >= next_fault) {
         const std::string fault = faults_.begin();
@@ -51,11 +59,16 @@
       }
       faults_.end_due();
       step();
+      if (Clock::now() >= next_zone_event) {
+        strike_zone();
+        next_zone_event = Clock::now() + kZonePause;
+      }
     }
     faults_.end_due(true);
     recover();
     model_.check_ledger(platform_.ledger());
     check_usage();
+    check_zones();
     return report();
   }
 
@@ -92,6 +105,49 @@
     std::this_thread::sleep_for(milliseconds(30));
   }
 
+  void step_for(core::Duration length) {
+    const Clock::time_point end = Clock::now() + length;
+    while (Clock::now() < end) {
+      step();
+    }
+  }
+
+  /// Evacuates a zone, or has its replicas down and back cold, while all else is well.
+  void strike_zone() {
+    faults_.end_due(true);
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      platform_.wait_until_ready(process);
+    }
+    const std::string zone = platform_.zone_name(random_.uniform(0, kZones - 1));
+    if (random_.chance(0.5)) {
+      std::cout << zone << " evacuated" << std::endl;
+      platform_.evacuate(zone, true);
+      const Clock::time_point written = Clock::now();
+      step_for(kEvacuated);
+      evacuations_.push_back({zone, written, Clock::now()});
+      platform_.evacuate(zone, false);
+      return;
+    }
+    std::cout << zone << " down and back cold" << std::endl;
+    platform_.set_zone_down(zone, true);
+    step_for(kZoneDown);
+    platform_.set_zone_down(zone, false);
+    step_for(PlatformStandIn::kColdStart);
+  }
+
+  void check_zones() {
+    const StandInReplica::Arrivals arrivals = platform_.arrivals();
+    const double most = PlatformStandIn::kColdPerSecond * PlatformStandIn::kColdOverage +
+                        PlatformStandIn::kColdSlack;
+    for (const std::string& fault :
+         late_arrivals(arrivals, evacuations_, PlatformStandIn::kEvacuation)) {
+      model_.violate(fault);
+    }
+    for (const std::string& fault : overrun_replicas(arrivals, most)) {
+      model_.violate(fault);
+    }
+  }
+
   /// Every call has the client's patience, so that a paused process holds up no more.
   static HttpCall call_of(const core::Address& address, const std::string& method,
                           const std::string& target, const std::string& id) {
@@ -247,6 +303,7 @@
   core::RandomSource random_;
   std::chrono::seconds length_;
   SoakModel model_;
+  std::vector<Evacuation> evacuations_;
   std::uint64_t requests_ = 0;
   std::uint64_t served_ = 0;
 };
