--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -79,6 +79,11 @@
                                         "Attempts without a usable answer")),
         ejections(metrics.counter("stoneport_replica_ejections_total",
                                   "Replicas left out for a while because they failed calls")),
+        refused_for_regions(
+            metrics.counter("stoneport_region_refusals_total",
+                            "Requests that no replica may get because of their regions")),
+        sent_to_other_region(metrics.counter("stoneport_sent_to_other_region_total",
+                                             "Attempts at replicas of another region")),
         seconds(metrics.seconds_histogram("stoneport_forward_seconds",
                                           "From a request's arrival to its answer")) {}
   static prometheus::Counter& outcome(core::Metrics& metrics, const std::string& name) {
@@ -91,6 +96,8 @@
   prometheus::Counter& client_gone;
   prometheus::Counter& attempts_failed;
   prometheus::Counter& ejections;
+  prometheus::Counter& refused_for_regions;
+  prometheus::Counter& sent_to_other_region;
   prometheus::Histogram& seconds;
 };
 
@@ -112,6 +119,27 @@
          directory_.gate().may_send(replica.destination(), origin_of(request), time_.now());
 }
 
+bool Forwarder::has_replica_in_regions(const ForwardedRequest& request) const {
+  if (!request.binding.is_bound()) {
+    return true;
+  }
+  for (const RouteTarget& target : request.route->targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (request.binding.allows(directory_.gate().region_of(replica->record.zone))) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void Forwarder::note_sent(const ReplicaState& replica, const ForwardedRequest& request) {
+  directory_.gate().note_sent(replica.destination(), origin_of(request), time_.now());
+  if (directory_.gate().region_of(replica.record.zone) != settings_.region) {
+    meters_->sent_to_other_region.Increment();
+  }
+}
+
 std::vector<ReplicaPointer> Forwarder::candidates(const ForwardedRequest& request,
                                                   const Progress& progress) const {
   std::vector<ReplicaPointer> found = directory_.of_service(*progress.service);
@@ -155,6 +183,11 @@
     if (replica) {
       co_return replica;
     }
+    if (usable.empty() && !has_replica_in_regions(request)) {
+      meters_->refused_for_regions.Increment();
+      progress.reason = "no replica in the regions that its route and tenant allow";
+      co_return nullptr;
+    }
     if (!progress.preference.excluded.empty()) {
       progress.preference.excluded.clear();  // all were tried: any may be tried again
     }
@@ -168,6 +201,9 @@
 ReplicaPreference Forwarder::preference_for(const Route& route) const {
   ReplicaPreference preference;
   preference.zone = settings_.zone;
+  preference.in_other_region = [this](const core::ZoneName& zone) {
+    return directory_.gate().region_of(zone) != settings_.region;
+  };
   if (is_repeatable(route)) {  // others never go out on a kept connection
     preference.is_connected = [this](const core::Address& address) {
       return client_.keeps_connection(address);
@@ -278,7 +314,7 @@
     const InFlight in_flight(replica);
     const core::MonotonicTime sent_at = time_.now();
     observed.sent(sent_at);
-    directory_.gate().note_sent(replica->destination(), origin_of(request), sent_at);
+    note_sent(*replica, request);
     ports::ReplicaCall call = replica_call(request, progress);
     const bool is_last = progress.runs + 1 >= request.route->most_attempts;
     if (is_repeatable(*request.route) && !is_last) {
@@ -409,7 +445,7 @@
     asio::cancellation_signal cut;
     response.when_client_gone([&cut] { cut.emit(asio::cancellation_type::terminal); });
     observed.sent(time_.now());
-    directory_.gate().note_sent(replica->destination(), origin_of(request), time_.now());
+    note_sent(*replica, request);
     ports::ReplicaTarget target{replica->record.id, replica->record.address};
     asio::awaitable<ports::CallResult<ports::StreamAnswer>> task =
         client_.open_stream(std::move(target), replica_call(request, progress));
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -49,6 +49,7 @@
 
 struct ForwarderSettings {
   core::ZoneName zone;
+  core::RegionName region = {};
   /// A repeatable request that gets no answer within this many target latencies
   /// is sent to another replica.
   double patience_in_target_latencies = 3;
@@ -88,6 +89,9 @@
   /// \return the replicas that may get \p request now.
   std::vector<ReplicaPointer> candidates(const ForwardedRequest& request,
                                          const Progress& progress) const;
+  /// \return whether any listed replica is where \p request may be served, busy or not.
+  bool has_replica_in_regions(const ForwardedRequest& request) const;
+  void note_sent(const ReplicaState& replica, const ForwardedRequest& request);
   bool may_get(const ReplicaState& replica, const ForwardedRequest& request) const;
   ReplicaPreference preference_for(const Route& route) const;
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -10,6 +10,11 @@
 constexpr double kLatencyWeight = 0.2;
 /// In calls: how much better a replica of another zone must be.
 constexpr double kOtherZoneCost = 0.5;
+/// In calls, on top of the other zone: a round trip between regions (24 ms at 12 ms one way) takes
+/// as long as an ordinary call works (25 ms), so it costs one call; bytes between regions have a
+/// price besides, taken as one call more. Replicas of the own region that are lightly loaded come
+/// first, busy, slow and suspected ones do not.
+constexpr double kOtherRegionCost = 2;
 /// In calls: a new connection takes a replica's time and is priced, and with hundreds of
 /// processes that each send a call a second nearly every call would open one.
 constexpr double kNewConnectionCost = 1;
@@ -18,16 +23,19 @@
 constexpr double kMostEjectedShare = 0.5;
 
 /// The time that one more call is likely to take there, in units of a usual call.
-double cost(const ReplicaState& replica, const core::ZoneName& zone, double usual_latency,
+double cost(const ReplicaState& replica, const ReplicaPreference& preference, double usual_latency,
             bool is_avoided) {
   double relative = 1;
   if (replica.latency_seconds > 0 && usual_latency > 0) {
     relative = std::max(1.0, replica.latency_seconds / usual_latency);
   }
   double cost = (replica.in_flight + 1.0) * relative;
-  if (replica.record.zone != zone) {
+  if (replica.record.zone != preference.zone) {
     cost += kOtherZoneCost;
   }
+  if (preference.in_other_region && preference.in_other_region(replica.record.zone)) {
+    cost += kOtherRegionCost;
+  }
   if (is_avoided) {
     cost += kAvoidedCost;
   }
@@ -196,7 +204,7 @@
   };
   const auto cost_of = [&](const ReplicaPointer& replica) {
     const double connecting = is_connected(*replica) ? 0 : kNewConnectionCost;
-    return cost(*replica, preference.zone, usual, is_avoided(*replica)) + connecting;
+    return cost(*replica, preference, usual, is_avoided(*replica)) + connecting;
   };
   const ReplicaPointer& first = usable[random.uniform(0, usable.size() - 1)];
   const ReplicaPointer& second = usable[random.uniform(0, usable.size() - 1)];
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -122,6 +122,8 @@
 struct ReplicaPreference {
   core::ZoneName zone;                 ///< where this process runs
   std::set<core::ReplicaId> excluded;  ///< tried by this request already
+  /// Whether a zone is in another region; none is known to be when this is empty.
+  std::function<bool(const core::ZoneName&)> in_other_region = {};
   /// Whether a call there needs no new connection; none is known to when this is empty.
   std::function<bool(const core::Address&)> is_connected = {};
   /// A kept connection is no reason to stay with a replica that takes longer than this;
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -1,5 +1,6 @@
 #include "jobs/scorer.hpp"
 
+#include "ingress/route_regions.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::jobs {
@@ -62,6 +63,7 @@
   request.head.target = call.path;
   request.head.headers.add("Host", call.host);
   request.body = call.body;
+  request.binding = ingress::binding_of(*table, *route, {});  // a rating call has no tenant
   request.received = time_.now();
   request.deadline = request.received + settings_.attempt_timeout;
   const ingress::ForwardResult answer = co_await forwarder_.call(std::move(request));
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -1,6 +1,7 @@
 #include "jobs/tenure.hpp"
 
 #include "core/decision_log.hpp"
+#include "ingress/route_regions.hpp"
 #include "jobs/job_adoption.hpp"
 #include "runtime/tasks.hpp"
 
@@ -224,6 +225,7 @@
   if (route != nullptr) {
     job.table = table;
     job.route = route;
+    job.binding = ingress::binding_of(*table, *route, job.entry.tenant);
   }
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "core/decision_log.hpp"
 #include "core/hash.hpp"
+#include "ingress/route_regions.hpp"
 #include "node/holder_sign.hpp"
 #include "node/isolation.hpp"
 #include "runtime/tasks.hpp"
@@ -10,9 +11,6 @@
 namespace asio = boost::asio;
 namespace {
 
-/// With fewer in the caller's zone, members of all zones are named.
-constexpr std::size_t kEnoughNearby = 3;
-constexpr std::size_t kMostAddresses = 64;
 constexpr core::Duration kHandOverCheck = std::chrono::milliseconds(100);
 
 std::uint64_t life_of_process(const core::TimeSource& time) {
@@ -46,6 +44,7 @@
 ingress::ForwarderSettings forwarder_settings(const NodeSettings& settings) {
   ingress::ForwarderSettings forwarder;
   forwarder.zone = settings.zone;
+  forwarder.region = settings.region;
   return forwarder;
 }
 
@@ -71,6 +70,7 @@
       directory_(settings_.zone_regions),
       life_number_(life_of_process(inputs_.time)),
       life_(holder_name(settings_.name, life_number_)),
+      directory_random_(seed_for(settings_, life_number_, "directory")),
       window_clock_(inputs_.time, settings_.usage.window_length),
       usage_counter_(window_clock_),
       forwarder_(directory_, inputs_.replicas, forwarder_settings(settings_),
@@ -183,10 +183,14 @@
     return;
   }
   const tenants::TenantTable& tenants = routes_.current()->tenants();
-  core::log_decision(core::DecisionEvent::kConfigurationInForce, {{"version", version},
-                                                                  {"routes", routes},
-                                                                  {"tenants", tenants.size()},
-                                                                  {"faults", tenants.faults()}});
+  std::vector<std::string> region_faults =
+      ingress::region_faults(*routes_.current(), settings_.zone_regions);
+  core::log_decision(core::DecisionEvent::kConfigurationInForce,
+                     {{"version", version},
+                      {"routes", routes},
+                      {"tenants", tenants.size()},
+                      {"faults", tenants.faults()},
+                      {"region_faults", std::move(region_faults)}});
   directory_.gate().cold_pace().replace_limits(routes_.current()->cold_starts());
   join_when_ready();
   coordinator_.on_inputs_changed();
@@ -231,30 +235,32 @@
   return !draining_ && routes_.current() != nullptr && directory_.loaded();
 }
 
+bool Node::serves_a_region_of(const eligibility::RegionBinding& binding) const {
+  return ingress::is_known(binding, settings_.zone_regions);
+}
+
 bool Node::is_isolated() const {
   const core::Duration silence = inputs_.time.now() - inputs_.store.last_served();
   return node::is_isolated(settings_.name, gossip_.members_by_node(), silence);
 }
 
-std::vector<core::Address> Node::caller_addresses(const core::ZoneName& zone) const {
+std::vector<core::Address> Node::caller_addresses(const CallerPlace& place, std::string_view host) {
   if (is_isolated()) {
     return {};
   }
-  std::vector<core::Address> near;
-  std::vector<core::Address> all;
+  std::vector<wire::Member> takers;
   for (const auto& [node, member] : gossip_.members_by_node()) {
     const bool is_self = node == settings_.name;
     const bool takes_callers =
         is_self ? ready() : member.state == wire::MemberState::kAlive && !member.leaving;
-    if (!takes_callers || all.size() >= kMostAddresses) {
-      continue;
-    }
-    all.push_back(member.peer_address);
-    if (member.zone == zone) {
-      near.push_back(member.peer_address);
+    if (takes_callers) {
+      takers.push_back(member);
     }
   }
-  return near.size() >= kEnoughNearby ? near : all;
+  const eligibility::Regions homes = routes_.current()
+                                         ? ingress::regions_of_host(*routes_.current(), host)
+                                         : eligibility::Regions();
+  return addresses_for(std::move(takers), place, homes, directory_random_);
 }
 
 bool Node::another_is_ready() const {
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -15,6 +15,7 @@
 #include "ingress/forwarder.hpp"
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
+#include "node/caller_directory.hpp"
 #include "records/store_watch.hpp"
 #include "usage/usage_publisher.hpp"
 #include "usage/usage_reporter.hpp"
@@ -75,11 +76,14 @@
 
   /// \return whether callers should be sent here.
   bool ready() const;
+  /// \return whether \p binding allows a region of this system; without one, what it binds can
+  /// never be served.
+  bool serves_a_region_of(const eligibility::RegionBinding& binding) const;
   /// \return whether this process is cut off from the others and from the store: whom it
   /// would name to callers is out of date.
   bool is_isolated() const;
-  /// \return addresses of processes that take callers from \p zone, most of them near.
-  std::vector<core::Address> caller_addresses(const core::ZoneName& zone) const;
+  /// \return addresses of processes that take a caller's requests for \p host; nearest first.
+  std::vector<core::Address> caller_addresses(const CallerPlace& place, std::string_view host);
 
   const ingress::RouteTableHolder& routes() const { return routes_; }
   /// \return the name of this life of this process, as the holder of a term and elsewhere.
@@ -116,6 +120,7 @@
   /// be those of two lives, of which the members take the older one for ended.
   std::uint64_t life_number_;
   std::string life_;  ///< the name of this life of this process
+  core::RandomSource directory_random_;
   usage::WindowClock window_clock_;
   usage::UsageCounter usage_counter_;
   ingress::Forwarder forwarder_;
--- a/src/tenants/tenant_table.hpp
+++ b/src/tenants/tenant_table.hpp
@@ -47,6 +47,7 @@
   /// \return the tenant named \p name, or null.
   const Tenant* find(const core::TenantName& name) const;
   std::size_t size() const { return tenants_.size(); }
+  const std::vector<Tenant>& tenants() const { return tenants_; }
   /// \return what is wrong with the configuration's tenants; no text holds a key.
   const std::vector<std::string>& faults() const { return faults_; }
 
