--- a/src/node/caller_directory.cpp
+++ b/src/node/caller_directory.cpp
@@ -8,7 +8,7 @@
 
 /// Groups of processes, nearest first.
 enum Nearness : std::size_t { kSameZone, kSameRegion, kInHome, kElsewhere, kGroups };
-using Groups = std::array<std::vector<core::Address>, kGroups>;
+using Groups = std::array<Takers, kGroups>;
 
 Nearness nearness_of(const wire::Member& member, const CallerPlace& place,
                      const eligibility::Regions& homes) {
@@ -21,21 +21,21 @@
   return homes.contains(member.region) ? kInHome : kElsewhere;
 }
 
-/// Puts \p addresses in an order by chance, so that the first few are a fair sample.
-void mix(std::vector<core::Address>& addresses, core::RandomSource& random) {
-  for (std::size_t left = addresses.size(); left > 1; --left) {
-    std::swap(addresses[left - 1], addresses[random.uniform(0, left - 1)]);
+/// Puts \p takers in an order by chance, so that the first few are a fair sample.
+void mix(Takers& takers, core::RandomSource& random) {
+  for (std::size_t left = takers.size(); left > 1; --left) {
+    std::swap(takers[left - 1], takers[random.uniform(0, left - 1)]);
   }
 }
 
 }  // namespace
 
-std::vector<core::Address> addresses_for(std::vector<wire::Member> takers, const CallerPlace& place,
+std::vector<core::Address> addresses_for(const Takers& takers, const CallerPlace& place,
                                          const eligibility::Regions& homes,
                                          core::RandomSource& random) {
   Groups groups;
-  for (wire::Member& member : takers) {
-    groups[nearness_of(member, place, homes)].push_back(std::move(member.peer_address));
+  for (const wire::Member* member : takers) {
+    groups[nearness_of(*member, place, homes)].push_back(member);
   }
   std::vector<core::Address> named;
   for (std::size_t group = 0; group < kGroups; ++group) {
@@ -44,10 +44,11 @@
       break;
     }
     mix(groups[group], random);
-    const std::size_t room = kMostAddresses - named.size();
-    const std::size_t count = std::min(room, groups[group].size());
-    named.insert(named.end(), groups[group].begin(),
-                 groups[group].begin() + static_cast<std::ptrdiff_t>(count));
+    for (const wire::Member* member : groups[group]) {
+      if (named.size() < kMostAddresses) {
+        named.push_back(member->peer_address);
+      }
+    }
   }
   return named;
 }
--- a/src/node/caller_directory.hpp
+++ b/src/node/caller_directory.hpp
@@ -25,11 +25,14 @@
   core::RegionName region;  ///< empty when the caller does not say
 };
 
+/// Members that take callers now. Refers to their owner's values.
+using Takers = std::vector<const wire::Member*>;
+
 /// \param takers members that take callers now
 /// \param homes regions that the routes of the caller's host allow; empty binds nothing
 /// \return the addresses of the nearest groups (zone, region, homes, others) that together have
 /// enough, in that order; of a group that is too large, a sample by chance.
-std::vector<core::Address> addresses_for(std::vector<wire::Member> takers, const CallerPlace& place,
+std::vector<core::Address> addresses_for(const Takers& takers, const CallerPlace& place,
                                          const eligibility::Regions& homes,
                                          core::RandomSource& random);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -248,19 +248,19 @@
   if (is_isolated()) {
     return {};
   }
-  std::vector<wire::Member> takers;
+  Takers takers;
   for (const auto& [node, member] : gossip_.members_by_node()) {
     const bool is_self = node == settings_.name;
     const bool takes_callers =
         is_self ? ready() : member.state == wire::MemberState::kAlive && !member.leaving;
     if (takes_callers) {
-      takers.push_back(member);
+      takers.push_back(&member);
     }
   }
   const eligibility::Regions homes = routes_.current()
                                          ? ingress::regions_of_host(*routes_.current(), host)
                                          : eligibility::Regions();
-  return addresses_for(std::move(takers), place, homes, directory_random_);
+  return addresses_for(takers, place, homes, directory_random_);
 }
 
 bool Node::another_is_ready() const {
