Keep bound jobs where they may be served; leave the own region for a call only when it is worse

Ordinary and rating calls draw two replicas of the own region besides the two of all; another region costs two calls more.

--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -18,6 +18,8 @@
 /// In calls: a new connection takes a replica's time and is priced, and with hundreds of
 /// processes that each send a call a second nearly every call would open one.
 constexpr double kNewConnectionCost = 1;
+/// Replicas of the own region that are drawn besides, where there are others.
+constexpr int kNearDraws = 2;
 constexpr double kAvoidedCost = 1000;
 /// Of a service's replicas; with more of them ejected, ejection is ignored.
 constexpr double kMostEjectedShare = 0.5;
@@ -42,6 +44,18 @@
   return cost;
 }
 
+/// \return those of \p usable that are in the own region; none when no region is known.
+std::vector<ReplicaPointer> in_own_region(const std::vector<ReplicaPointer>& usable,
+                                          const ReplicaPreference& preference) {
+  std::vector<ReplicaPointer> near;
+  for (const ReplicaPointer& replica : usable) {
+    if (preference.in_other_region && !preference.in_other_region(replica->record.zone)) {
+      near.push_back(replica);
+    }
+  }
+  return near.size() == usable.size() ? std::vector<ReplicaPointer>() : near;
+}
+
 double least_latency(const std::vector<ReplicaPointer>& replicas) {
   double least = 0;
   for (const ReplicaPointer& replica : replicas) {
@@ -209,6 +223,12 @@
   const ReplicaPointer& first = usable[random.uniform(0, usable.size() - 1)];
   const ReplicaPointer& second = usable[random.uniform(0, usable.size() - 1)];
   ReplicaPointer better = cost_of(first) <= cost_of(second) ? first : second;
+  // With three regions both drawn are elsewhere in four of nine cases.
+  const std::vector<ReplicaPointer> near = in_own_region(usable, preference);
+  for (int draw = 0; draw < kNearDraws && !near.empty(); ++draw) {
+    const ReplicaPointer& drawn = near[random.uniform(0, near.size() - 1)];
+    better = cost_of(drawn) < cost_of(better) ? drawn : better;
+  }
   for (const ReplicaPointer& replica : usable) {
     if (is_connected(*replica) && cost_of(replica) < cost_of(better)) {
       better = replica;
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "jobs/coordinator.hpp"
 
 #include "jobs/tenure.hpp"
+#include "runtime/tasks.hpp"
 
 namespace stoneport::jobs {
 namespace asio = boost::asio;
@@ -9,7 +10,7 @@
     : inputs_(std::move(inputs)),
       settings_(std::move(settings)),
       keeper_(inputs_.executor, inputs_.store, settings_.term,
-              {inputs_.eligible, inputs_.sign_of, [this](Term term) { begin(term); },
+              {[this] { return may_bid(); }, inputs_.sign_of, [this](Term term) { begin(term); },
                [this] { finish(); }},
               seed, inputs_.time, inputs_.metrics) {}
 
@@ -20,6 +21,7 @@
 }
 
 void Coordinator::begin(Term term) {
+  began_at_ = inputs_.time.now();
   tenure_ = std::make_shared<Tenure>(inputs_, settings_, keeper_, term);
   tenure_->start();
 }
@@ -34,9 +36,37 @@
 void Coordinator::on_inputs_changed() {
   if (tenure_) {
     tenure_->dispatch_soon();
+    leave_if_elsewhere();
   }
 }
 
+bool Coordinator::belongs_elsewhere() const {
+  return inputs_.belongs_elsewhere && inputs_.belongs_elsewhere();
+}
+
+bool Coordinator::may_bid() const {
+  const core::Duration silence = inputs_.time.now() - keeper_.changed_at();
+  const bool leaves_it = belongs_elsewhere() && silence < settings_.patience_with_others;
+  return !leaves_it && inputs_.eligible();
+}
+
+void Coordinator::leave_if_elsewhere() {
+  const bool has_stayed = inputs_.time.now() - began_at_ >= settings_.shortest_stay;
+  if (!leaving_ && has_stayed && inputs_.eligible() && belongs_elsewhere()) {
+    leaving_ = true;
+    runtime::start(inputs_.executor, "coordinator leaves its term", leave());
+  }
+}
+
+asio::awaitable<void> Coordinator::leave() {
+  const std::shared_ptr<Tenure> tenure = tenure_;
+  if (tenure) {
+    co_await tenure->hand_over();
+  }
+  co_await keeper_.hand_back();
+  leaving_ = false;
+}
+
 asio::awaitable<void> Coordinator::stop() {
   const std::shared_ptr<Tenure> tenure = tenure_;
   if (tenure) {
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -9,6 +9,8 @@
 namespace asio = boost::asio;
 namespace {
 constexpr core::Duration kAdoptionRetry = std::chrono::milliseconds(100);
+/// Between two looks whether a job that is bound to other regions may be worked on here.
+constexpr core::Duration kElsewhereRetry = std::chrono::milliseconds(500);
 constexpr double kMillisecondsPerSecond = 1000;
 /// Listed items at the end of a job whose lines in the log are kept.
 constexpr std::size_t kLastItemsKept = 12;
@@ -34,11 +36,15 @@
                                                    "Time of one placing of all texts that wait")),
         dispatches_held_back(
             metrics.counter("stoneport_dispatches_held_back_total",
-                            "Times that nothing was placed as ends of jobs were not known")) {}
+                            "Times that nothing was placed as ends of jobs were not known")),
+        adoptions_held_back(
+            metrics.counter("stoneport_adoptions_held_back_total",
+                            "Looks at jobs whose regions do not allow this coordinator")) {}
   prometheus::Gauge& open_jobs;
   prometheus::Histogram& job_seconds;
   prometheus::Histogram& dispatch_seconds;
   prometheus::Counter& dispatches_held_back;
+  prometheus::Counter& adoptions_held_back;
 };
 
 Tenure::Tenure(const CoordinatorInputs& inputs, const CoordinatorSettings& settings,
@@ -144,6 +150,11 @@
 asio::awaitable<void> Tenure::adopt(std::shared_ptr<Tenure> self, std::string id,
                                     JobIndexEntry entry, bool is_fresh) {
   while (!self->over_ && !self->closed_.contains(id)) {
+    if (!self->may_hold(entry)) {
+      self->meters_->adoptions_held_back.Increment();
+      co_await runtime::sleep_for(kElsewhereRetry);
+      continue;
+    }
     core::Result<OpenJobPointer> adopted =
         co_await adopt_job(self->inputs_.jobs, self->inputs_.parser, id, entry, is_fresh);
     if (self->over_ || self->closed_.contains(id)) {
@@ -164,6 +175,14 @@
   self->adopting_.erase(id);
 }
 
+bool Tenure::may_hold(const JobIndexEntry& entry) const {
+  const std::shared_ptr<const ingress::RouteTable> table = inputs_.routes.current();
+  const ingress::Route* route =
+      table ? table->find(entry.host, http::path_of(entry.path)) : nullptr;
+  return route == nullptr ||
+         ingress::binding_of(*table, *route, entry.tenant).allows(settings_.region);
+}
+
 void Tenure::open(const OpenJobPointer& job, bool is_fresh) {
   core::log_decision(core::DecisionEvent::kJobAdopted,
                      {{"job", job->job.id},
@@ -268,10 +287,13 @@
     return;
   }
   const core::MonotonicTime began = inputs_.time.now();
-  const std::vector<OpenJobPointer> jobs = open_jobs();
+  std::vector<OpenJobPointer> jobs = open_jobs();
   for (const OpenJobPointer& job : jobs) {
     refresh_route(*job);
   }
+  std::erase_if(jobs, [this](const OpenJobPointer& job) {
+    return !job->binding.allows(settings_.region);  // its bodies may not go out from here
+  });
   dispatcher_->dispatch(jobs);
   const core::MonotonicTime ended = inputs_.time.now();
   dispatch_pacer_.note(began, ended);
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -53,6 +53,8 @@
   /// Keeps how long the texts of \p job were, for groups that come back.
   void remember_lengths(const OpenJob& job);
   void recall_lengths(OpenJob& job) const;
+  /// \return whether the job's body may be read by this process, by its regions.
+  bool may_hold(const JobIndexEntry& entry) const;
   void refresh_route(OpenJob& job) const;
   void expire_items();
   std::vector<OpenJobPointer> open_jobs() const;
--- a/src/jobs/term_keeper.cpp
+++ b/src/jobs/term_keeper.cpp
@@ -189,17 +189,31 @@
   }
 }
 
-asio::awaitable<void> TermKeeper::release() {
-  released_ = true;
+asio::awaitable<void> TermKeeper::give_up_term() {
   if (!held_) {
     co_return;
   }
   const Term term = *held_;
+  const TermRecord nobody{term.epoch.value(), std::string()};
   ports::RecordTransaction release = transaction(term.revision);
-  release.writes.push_back({std::string(kTermTable), std::string(kTermKey),
-                            encode_term({term.epoch.value(), std::string()})});
-  co_await store_.commit(std::move(release), settings_.write_timeout);
+  release.writes.push_back({std::string(kTermTable), std::string(kTermKey), encode_term(nobody)});
+  const core::Result<core::Revision> committed =
+      co_await store_.commit(std::move(release), settings_.write_timeout);
+  // What was seen before must not look like a bid of this process whose answer was lost.
+  if (committed && *committed > seen_revision_) {
+    seen_ = nobody;
+    seen_revision_ = *committed;
+  }
   on_deposed("released");
 }
 
+asio::awaitable<void> TermKeeper::hand_back() {
+  co_await give_up_term();
+}
+
+asio::awaitable<void> TermKeeper::release() {
+  released_ = true;
+  co_await give_up_term();
+}
+
 }  // namespace stoneport::jobs
--- a/src/jobs/term_keeper.hpp
+++ b/src/jobs/term_keeper.hpp
@@ -75,6 +75,8 @@
                   HolderSign sign = HolderSign::kUnknown);
   /// This process could not coordinate yet: its bid delay counts from now on.
   void on_ineligible(core::MonotonicTime now) { ineligible_at_ = now; }
+  /// \return when either record last changed; the start of time before the first one.
+  core::MonotonicTime changed_at() const { return changed_at_.value_or(core::MonotonicTime()); }
 
  private:
   core::Duration patience(HolderSign sign) const;
@@ -107,12 +109,17 @@
   void on_confirmed(core::MonotonicTime sent_at);
   /// The holder's writes have met another term.
   void on_deposed(std::string_view reason);
+  /// \return when the term or its heartbeat last changed as seen from here.
+  core::MonotonicTime changed_at() const { return watch_.changed_at(); }
+  /// Gives the term up for now; this process may bid again.
+  boost::asio::awaitable<void> hand_back();
   /// Gives the term up, so that another process takes it at once; never bids again.
   boost::asio::awaitable<void> release();
 
  private:
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<void> bid();
+  boost::asio::awaitable<void> give_up_term();
   void on_records(const records::TableMirror::Records& records);
   void gain(Term term);
   ports::RecordTransaction transaction(core::Revision condition) const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,6 +5,7 @@
 #include "ingress/route_regions.hpp"
 #include "node/holder_sign.hpp"
 #include "node/isolation.hpp"
+#include "node/term_region.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::node {
@@ -52,6 +53,7 @@
                                                const std::string& life) {
   jobs::CoordinatorSettings coordinator = settings.coordinator;
   coordinator.term.holder = life;
+  coordinator.region = settings.region;
   coordinator.term.bid_delay = jobs::bid_delay_of(settings.processor_share);
   return coordinator;
 }
@@ -103,6 +105,9 @@
       [this](const std::string& holder) { return holder_sign(holder, gossip_.members_by_node()); },
       inputs_.time,
       inputs_.metrics,
+      [this] {
+        return has_coordinator_elsewhere(settings_.region, job_regions_, gossip_.members_by_node());
+      },
       [this](const jobs::TermContext& context) { return make_duties(context); }};
 }
 
@@ -191,6 +196,7 @@
                       {"tenants", tenants.size()},
                       {"faults", tenants.faults()},
                       {"region_faults", std::move(region_faults)}});
+  job_regions_ = ingress::binding_of_jobs(*routes_.current());
   directory_.gate().cold_pace().replace_limits(routes_.current()->cold_starts());
   join_when_ready();
   coordinator_.on_inputs_changed();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -116,6 +116,7 @@
   ingress::RouteTableHolder routes_;
   ingress::ReplicaDirectory directory_;
   std::map<core::ModelName, core::WeightVersion> named_versions_;
+  eligibility::RegionBinding job_regions_;  ///< that all routes of jobs allow
   /// When this process began. Read once: a name and a member record made of two readings would
   /// be those of two lives, of which the members take the older one for ended.
   std::uint64_t life_number_;
--- a/tests/unit/ingress/replica_directory_test.cpp
+++ b/tests/unit/ingress/replica_directory_test.cpp
@@ -15,6 +15,7 @@
   CPPUNIT_TEST(a_whole_listing_removes_what_it_does_not_name);
   CPPUNIT_TEST(a_row_may_name_another_service);
   CPPUNIT_TEST(a_kept_connection_is_used_unless_its_replica_is_busy_or_slow);
+  CPPUNIT_TEST(another_region_gets_a_call_only_when_the_own_one_is_worse);
   CPPUNIT_TEST_SUITE_END();
 
   inline static const core::ServiceName kModels{"models"};
@@ -101,6 +102,51 @@
     CPPUNIT_ASSERT_EQUAL(std::string("a "), ids(directory, moved.service));
   }
 
+  void another_region_gets_a_call_only_when_the_own_one_is_worse() {
+    struct Case {
+      std::string name;
+      std::uint32_t in_flight;
+      double latency_seconds;
+      bool suspect;
+      bool stays;   ///< all calls stay in the own region
+      bool leaves;  ///< some calls leave it
+    };
+    const Case cases[] = {
+        {"idle", 0, 0.03, false, true, false},  {"one call each", 1, 0.03, false, true, false},
+        {"busy", 6, 0.03, false, false, true},  {"slow", 0, 0.3, false, false, true},
+        {"silent", 0, 0.03, true, false, true},
+    };
+    for (const Case& one : cases) {
+      ReplicaDirectory directory;
+      directory.apply({{record("a"), record("b"), record("c"), record("d"), record("e"),
+                        record("f"), record("g"), record("h"), record("i")},
+                       {}});
+      const std::vector<ReplicaPointer>& replicas = directory.of_service(kModels);
+      const core::MonotonicTime now{std::chrono::seconds(100)};
+      for (std::size_t index = 0; index < replicas.size(); ++index) {
+        const bool is_near = index < 3;
+        replicas[index]->record.zone = core::ZoneName(is_near ? "near" : "far");
+        replicas[index]->latency_seconds = is_near ? one.latency_seconds : 0.03;
+        if (is_near) {
+          replicas[index]->in_flight = one.in_flight;
+        }
+        if (is_near && one.suspect) {
+          replicas[index]->suspect(now, std::chrono::seconds(1));
+        }
+      }
+      ReplicaPreference preference{core::ZoneName("near"), {}};
+      preference.in_other_region = [](const core::ZoneName& zone) { return zone.value() == "far"; };
+      core::RandomSource random(1);
+      int left = 0;
+      for (int call = 0; call < 200; ++call) {
+        const ReplicaPointer chosen = choose_replica(replicas, preference, now, random);
+        left += chosen->record.zone.value() == "far" ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_MESSAGE(one.name, !one.stays || left == 0);
+      CPPUNIT_ASSERT_MESSAGE(one.name, !one.leaves || left > 100);
+    }
+  }
+
   void a_kept_connection_is_used_unless_its_replica_is_busy_or_slow() {
     struct Case {
       std::string name;
--- a/tests/unit/jobs/coordinator_world.hpp
+++ b/tests/unit/jobs/coordinator_world.hpp
@@ -58,9 +58,12 @@
     Process(World& world, const std::string& name,
             core::Duration retention = std::chrono::seconds(120),
             core::Duration take_over_after = milliseconds(60))
-        : store(world.store), jobs(store, world.time, metrics) {
+        : store(world.store), directory(world.zone_regions), jobs(store, world.time, metrics) {
       CoordinatorSettings settings;
       settings.term.holder = name;
+      settings.region = world.region;
+      settings.shortest_stay = milliseconds(20);
+      settings.patience_with_others = milliseconds(400);
       settings.retention = retention;
       settings.sweep_interval = milliseconds(50);
       settings.writer.heartbeat_interval = milliseconds(10);
@@ -91,7 +94,8 @@
                                [this] { return eligible; },
                                [](const std::string&) { return HolderSign::kUnknown; },
                                world.time,
-                               metrics};
+                               metrics,
+                               [this] { return belongs_elsewhere; }};
       coordinator = std::make_unique<Coordinator>(std::move(inputs), settings, 7);
       coordinator->start();
     }
@@ -103,6 +107,7 @@
     std::unique_ptr<ingress::Forwarder> forwarder;
     std::unique_ptr<Coordinator> coordinator;
     bool eligible = true;
+    bool belongs_elsewhere = false;
   };
 
   World() {
@@ -140,6 +145,18 @@
     replicas.replicas[id] = {};
   }
 
+  /// Binds the jobs' route, and the one of rating calls if so wanted, to \p regions; in force for
+  /// processes that start from now on.
+  void bind_routes(const eligibility::Regions& regions, bool binds_scores) {
+    std::vector<ingress::Route> routes = table->routes();
+    routes[0].regions = regions;
+    if (binds_scores) {
+      routes[1].regions = regions;
+    }
+    table = std::make_shared<ingress::RouteTable>(table->version() + 1, std::move(routes),
+                                                  ingress::ClientLimits());
+  }
+
   void submit(Process& process, const std::string& id, int items) {
     JobSubmission submission{id, "host", "/jobs/", std::to_string(items)};
     const auto accepted = support::run_task(
@@ -194,6 +211,8 @@
   std::vector<ingress::ReplicaRecord> records;
   std::map<core::ModelName, core::WeightVersion> named;
   core::Duration order_pause = milliseconds(20);
+  eligibility::ZoneRegions zone_regions;  ///< for processes that start from now on
+  core::RegionName region;                ///< of processes that start from now on
   /// Destroyed first: streams that are still open touch what stands above.
   boost::asio::io_context context;
 };
