--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -56,6 +56,7 @@
 
 struct ForwarderSettings {
   core::ZoneName zone;
+  core::RegionName region = {};
   /// A repeatable request that gets no answer within this many target latencies
   /// is sent to another replica.
   double patience_in_target_latencies = 3;
@@ -104,6 +105,9 @@
                                          const Progress& progress) const;
   std::optional<eligibility::Objection> objection(const ReplicaState& replica,
                                                   const ForwardedRequest& request) const;
+  /// \return whether any listed replica is where \p request may be served, busy or not.
+  bool has_replica_in_regions(const ForwardedRequest& request) const;
+  void note_sent(const ReplicaState& replica, const ForwardedRequest& request);
   bool may_get(const ReplicaState& replica, const ForwardedRequest& request) const;
   /// \return whether replicas that accept work get nothing more from here as they are cold.
   bool is_held_for_cold(const ForwardedRequest& request) const;
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -10,32 +10,54 @@
 constexpr double kLatencyWeight = 0.2;
 /// In calls: how much better a replica of another zone must be.
 constexpr double kOtherZoneCost = 0.5;
+/// In calls, on top of the other zone: a round trip between regions (24 ms at 12 ms one way) takes
+/// as long as an ordinary call works (25 ms), so it costs one call; bytes between regions have a
+/// price besides, taken as one call more. Replicas of the own region that are lightly loaded come
+/// first, busy, slow and suspected ones do not.
+constexpr double kOtherRegionCost = 2;
 /// In calls: a new connection takes a replica's time and is priced, and with hundreds of
 /// processes that each send a call a second nearly every call would open one.
 constexpr double kNewConnectionCost = 1;
 /// In calls: a cold one takes longer, and bears only few.
 constexpr double kColdCost = 2;
+/// Replicas of the own region that are drawn besides, where there are others.
+constexpr int kNearDraws = 2;
 constexpr double kAvoidedCost = 1000;
 /// Of a service's replicas; with more of them ejected, ejection is ignored.
 constexpr double kMostEjectedShare = 0.5;
 
 /// The time that one more call is likely to take there, in units of a usual call.
-double cost(const ReplicaState& replica, const core::ZoneName& zone, double usual_latency,
+double cost(const ReplicaState& replica, const ReplicaPreference& preference, double usual_latency,
             bool is_avoided) {
   double relative = 1;
   if (replica.latency_seconds > 0 && usual_latency > 0) {
     relative = std::max(1.0, replica.latency_seconds / usual_latency);
   }
   double cost = (replica.in_flight + 1.0) * relative;
-  if (replica.record.zone != zone) {
+  if (replica.record.zone != preference.zone) {
     cost += kOtherZoneCost;
   }
+  if (preference.in_other_region && preference.in_other_region(replica.record.zone)) {
+    cost += kOtherRegionCost;
+  }
   if (is_avoided) {
     cost += kAvoidedCost;
   }
   return cost;
 }
 
+/// \return those of \p usable that are in the own region; none when no region is known.
+std::vector<ReplicaPointer> in_own_region(const std::vector<ReplicaPointer>& usable,
+                                          const ReplicaPreference& preference) {
+  std::vector<ReplicaPointer> near;
+  for (const ReplicaPointer& replica : usable) {
+    if (preference.in_other_region && !preference.in_other_region(replica->record.zone)) {
+      near.push_back(replica);
+    }
+  }
+  return near.size() == usable.size() ? std::vector<ReplicaPointer>() : near;
+}
+
 double least_latency(const std::vector<ReplicaPointer>& replicas) {
   double least = 0;
   for (const ReplicaPointer& replica : replicas) {
@@ -199,11 +221,17 @@
   const auto cost_of = [&](const ReplicaPointer& replica) {
     const double connecting = is_connected(*replica) ? 0 : kNewConnectionCost;
     const double warming = now < replica->record.cold_until ? kColdCost : 0;
-    return cost(*replica, preference.zone, usual, is_avoided(*replica)) + connecting + warming;
+    return cost(*replica, preference, usual, is_avoided(*replica)) + connecting + warming;
   };
   const ReplicaPointer& first = usable[random.uniform(0, usable.size() - 1)];
   const ReplicaPointer& second = usable[random.uniform(0, usable.size() - 1)];
   ReplicaPointer better = cost_of(first) <= cost_of(second) ? first : second;
+  // With three regions both drawn are elsewhere in four of nine cases.
+  const std::vector<ReplicaPointer> near = in_own_region(usable, preference);
+  for (int draw = 0; draw < kNearDraws && !near.empty(); ++draw) {
+    const ReplicaPointer& drawn = near[random.uniform(0, near.size() - 1)];
+    better = cost_of(drawn) < cost_of(better) ? drawn : better;
+  }
   for (const ReplicaPointer& replica : usable) {
     if (is_connected(*replica) && cost_of(replica) < cost_of(better)) {
       better = replica;
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "ingress/route_regions.hpp"
 #include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
 
@@ -155,6 +156,8 @@
   request.head.target = text->call.path;
   request.head.headers.add("Host", text->call.host);
   request.body = text->call.body;
+  // A rating call has no tenant.
+  request.binding = ingress::binding_of(*in_force.table, *in_force.route, {});
   request.received = time_.now();
   request.deadline = request.received + single.timeout;
   request.avoided = text->left;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -2,10 +2,11 @@
 
 #include "core/decision_log.hpp"
 #include "core/hash.hpp"
-#include "node/directory_answer.hpp"
+#include "ingress/route_regions.hpp"
 #include "node/gossip_pace.hpp"
 #include "node/holder_sign.hpp"
 #include "node/isolation.hpp"
+#include "node/term_region.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::node {
@@ -40,6 +41,7 @@
 ingress::ForwarderSettings forwarder_settings(const NodeSettings& settings) {
   ingress::ForwarderSettings forwarder;
   forwarder.zone = settings.zone;
+  forwarder.region = settings.region;
   return forwarder;
 }
 
@@ -47,6 +49,7 @@
                                                const std::string& life) {
   jobs::CoordinatorSettings coordinator = settings.coordinator;
   coordinator.term.holder = life;
+  coordinator.region = settings.region;
   coordinator.term.bid_delay = jobs::bid_delay_of(settings.processor_share);
   return coordinator;
 }
@@ -65,6 +68,7 @@
       directory_(settings_.zone_regions),
       life_number_(life_of_process(inputs_.time)),
       life_(holder_name(settings_.name, life_number_)),
+      directory_random_(seed_for(settings_, life_number_, "directory")),
       window_clock_(inputs_.time, settings_.usage.window_length),
       usage_counter_(window_clock_),
       forwarder_(directory_, inputs_.replicas, forwarder_settings(settings_),
@@ -99,6 +103,9 @@
       [this](const std::string& holder) { return holder_sign(holder, gossip_.members_by_node()); },
       inputs_.time,
       inputs_.metrics,
+      [this] {
+        return has_coordinator_elsewhere(settings_.region, job_regions_, gossip_.members_by_node());
+      },
       [this](const jobs::TermContext& context) { return make_duties(context); }};
 }
 
@@ -205,10 +212,15 @@
     return;
   }
   const tenants::TenantTable& tenants = routes_.current()->tenants();
-  core::log_decision(core::DecisionEvent::kConfigurationInForce, {{"version", version},
-                                                                  {"routes", routes},
-                                                                  {"tenants", tenants.size()},
-                                                                  {"faults", tenants.faults()}});
+  std::vector<std::string> region_faults =
+      ingress::region_faults(*routes_.current(), settings_.zone_regions);
+  core::log_decision(core::DecisionEvent::kConfigurationInForce,
+                     {{"version", version},
+                      {"routes", routes},
+                      {"tenants", tenants.size()},
+                      {"faults", tenants.faults()},
+                      {"region_faults", std::move(region_faults)}});
+  job_regions_ = ingress::binding_of_jobs(*routes_.current());
   directory_.gate().cold_pace().replace_limits(routes_.current()->cold_starts());
   join_when_ready();
   coordinator_.on_inputs_changed();
@@ -259,17 +271,25 @@
   return !draining_ && routes_.current() != nullptr && directory_.loaded();
 }
 
+bool Node::serves_a_region_of(const eligibility::RegionBinding& binding) const {
+  return ingress::is_known(binding, settings_.zone_regions);
+}
+
 bool Node::is_isolated() const {
   const core::Duration silence = inputs_.time.now() - inputs_.store.last_served();
   return node::is_isolated(settings_.name, gossip_.members_by_node(), silence, reaches_others());
 }
 
-std::vector<core::Address> Node::caller_addresses(const core::ZoneName& zone) const {
+std::vector<core::Address> Node::caller_addresses(const CallerPlace& place, std::string_view host) {
   if (is_isolated()) {
     return {};
   }
-  const DirectoryQuestion question{settings_.name, ready(), reaches_others(), zone};
-  return directory_answer(question, gossip_.members_by_node());
+  const Takers takers =
+      takers_of({settings_.name, ready(), reaches_others()}, gossip_.members_by_node());
+  const eligibility::Regions homes = routes_.current()
+                                         ? ingress::regions_of_host(*routes_.current(), host)
+                                         : eligibility::Regions();
+  return addresses_for(takers, place, homes, directory_random_);
 }
 
 bool Node::reaches_others() const {
