Pings of suspects carry no news

Cause: with a zone cut off, half of the packets were pings to members that do not answer, and the news in them counted against the byte rate.

--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -55,6 +55,11 @@
   if (about != nullptr) {
     space -= std::min(space, records_.append(*about, packet, room));
   }
+  // A ping to a suspect is rarely read: the news that it had would be lost.
+  const bool pings_suspect = about != nullptr && std::holds_alternative<wire::Ping>(packet.message);
+  if (pings_suspect) {
+    return finish_packet(to, packet);
+  }
   news_.fill(records_, packet, space, transmission_limit());
   return finish_packet(to, packet);
 }
--- a/tests/unit/node/gossip_zone_test.cpp
+++ b/tests/unit/node/gossip_zone_test.cpp
@@ -23,8 +23,8 @@
 /// the deployments.
 constexpr core::Duration kLongestNamed = std::chrono::seconds(7);
 /// Of a lost third, with time left for answers that callers keep: named for 5.2 to 6.25 s at
-/// 6,000 bytes a second and process, for 3.55 to 4.3 s now.
-constexpr core::Duration kLostZoneKnown = std::chrono::milliseconds(5000);
+/// 6,000 bytes a second and process, for 2.15 to 3.4 s now.
+constexpr core::Duration kLostZoneKnown = std::chrono::milliseconds(4000);
 
 GossipSimulationSettings zone_settings(std::uint64_t seed) {
   GossipSimulationSettings settings;
