A text whose rating fails everywhere blames one replica

Cause: each answer of failure counted against its replica, also when another one had failed the text before. Change: only a text's first failure counts against the replica. The new test fails without it (4 replicas blamed).

--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -239,7 +239,9 @@
     return Verdict::kAnswer;
   }
   ++progress.runs;
-  note_failed_run(replica);
+  if (!request.has_failed) {
+    note_failed_run(replica);
+  }
   progress.reason = fmt::format("a replica answered {}", status);
   core::log_decision(
       core::DecisionEvent::kAttemptFailed,
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -30,6 +30,7 @@
   std::optional<std::uint64_t> resume_after = std::nullopt;
   core::TenantName tenant = {};            ///< whose request it is; empty for nobody's
   std::set<core::ReplicaId> avoided = {};  ///< get it only when no other accepts work
+  bool has_failed = false;  ///< elsewhere: one more failure tells of it, not of the replica
   /// Called with the replica each time that the request goes out.
   std::function<void(const ReplicaPointer&)> on_sent = {};
 };
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -158,6 +158,7 @@
   request.received = time_.now();
   request.deadline = request.received + single.timeout;
   request.avoided = text->left;
+  request.has_failed = text->failures > 0;
   for (const AttemptPointer& other : text->attempts) {
     if (other->replica) {
       request.avoided.insert(other->replica->record.id);
--- a/tests/unit/jobs/scorer_test.cpp
+++ b/tests/unit/jobs/scorer_test.cpp
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(a_silent_replica_is_left_while_all_places_are_taken);
   CPPUNIT_TEST(a_second_call_counts_no_failure_twice);
   CPPUNIT_TEST(a_replica_that_fails_all_condemns_no_text);
+  CPPUNIT_TEST(a_text_that_fails_everywhere_blames_one_replica);
   CPPUNIT_TEST(second_calls_stay_few_when_all_are_slow);
   CPPUNIT_TEST(no_call_runs_on_once_unwanted);
   CPPUNIT_TEST(the_call_that_lost_is_cut_and_blames_nobody);
@@ -249,6 +250,21 @@
     }
   }
 
+  void a_text_that_fails_everywhere_blames_one_replica() {
+    World world(4, 2);
+    for (auto& [id, replica] : world.replicas.replicas) {
+      replica.fail = 1;
+    }
+    world.score("a");
+    world.run_until_scored(1, std::chrono::seconds(2));
+    CPPUNIT_ASSERT(world.scores.front().end == ScoreEnd::kFailed);
+    int blamed = 0;
+    for (const auto& replica : world.directory.of_service(core::ServiceName("rating"))) {
+      blamed += replica->outliers.failure_rate() > 0 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(1, blamed);
+  }
+
   void second_calls_stay_few_when_all_are_slow() {
     World world(30);
     world.learn_usual_time(milliseconds(20));
