--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -31,6 +31,7 @@
   core::TenantName tenant = {};             ///< whose request it is; empty for nobody's
   eligibility::RegionBinding binding = {};  ///< regions that its route and tenant allow
   std::set<core::ReplicaId> avoided = {};   ///< get it only when no other accepts work
+  bool has_failed = false;  ///< elsewhere: one more failure tells of it, not of the replica
   /// Called with the replica each time that the request goes out.
   std::function<void(const ReplicaPointer&)> on_sent = {};
   /// Whose it is; call() makes it the coordinator's.
