--- a/src/eligibility/cold_pace.cpp
+++ b/src/eligibility/cold_pace.cpp
@@ -18,10 +18,10 @@
 constexpr double kCoordinatorShare = 0.5;
 /// Of the bound: for front ends, over all views.
 constexpr double kFrontEndShare = 1.0 / 3;
-/// Of what the coordinator may send in a second: the most while it is sure of its term. The
-/// rest, nearly as much, is for another process that coordinates at the same time, for all that
-/// each can tell: the busiest seconds are those after the term changed hands.
-constexpr double kSureShare = 0.53;
+/// Of what the coordinator may send in a second: the most while it is not sure of its term, as
+/// another process may coordinate at the same time. Nearly half, as the busiest seconds are
+/// those after the term changed hands.
+constexpr double kUnsureShare = 0.475;
 /// How much slower the coordinator sends to cold replicas while it is not sure of its term.
 constexpr int kUnsureSpacing = 2;
 /// For this long a process that has started, and may not yet know the others, sends nothing to
@@ -55,9 +55,9 @@
     budget.front_end_senders = at_least_one(front_ends);
     left -= static_cast<double>(budget.front_end_senders) * kViews;
   }
-  budget.coordinator_most = at_least_one(left * kSureShare);
-  budget.coordinator_most_unsure =
-      at_least_one(left - static_cast<double>(budget.coordinator_most));
+  budget.coordinator_most_unsure = at_least_one(left * kUnsureShare);
+  budget.coordinator_most =
+      at_least_one(left - static_cast<double>(budget.coordinator_most_unsure));
   return budget;
 }
 
