--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -264,6 +264,7 @@
       {"nodeName", "node-" + std::to_string(process)},
       {"zone", "zone-a"},
       {"region", "region-a"},
+      {"zones", {{"zone-a", "region-a"}, {"zone-b", "region-b"}}},
       {"ipAddress", prefix_ + std::to_string(10 + process)},
       {"listen",
        {{"front", core::to_string(address(process, 0))},
