Evacuated zones: no order, report or retry goes there, and processes tell one another

The gate stood in the forwarder, the dispatcher and the loader's plan. Three paths passed it by: a report before an order, an order whose announcement was under way, and the reports of a load. Zones are now known by the store's revision, so that words of other processes (gossip) and listings can come in any order; the later revision holds. Packets without such a notice are the same bytes as before. A request whose services' replicas all lie in evacuated zones is refused at once; spot replicas there count as gone and none is ordered; replicas of a zone that comes back count as cold for their service's cold start.

--- a/src/controllers/gossip_controller.cpp
+++ b/src/controllers/gossip_controller.cpp
@@ -167,6 +167,7 @@
     told = tell(member_topic_, state_.members_version());
     told = tell(policy_topic_, state_.policies_version()) || told;
     told = tell(drain_mark_topic_, state_.drain_marks_version()) || told;
+    told = tell(zone_topic_, state_.zone_notices_version()) || told;
   }
   telling_ = false;
 }
@@ -217,6 +218,15 @@
   drain_mark_topic_.listeners.push_back(std::move(listener));
 }
 
+void GossipController::announce_zone(const wire::ZoneNotice& notice) {
+  state_.announce_zone(notice);
+  tell_listeners();
+}
+
+void GossipController::on_zone_change(Listener listener) {
+  zone_topic_.listeners.push_back(std::move(listener));
+}
+
 std::size_t GossipController::send_message(const core::Address& to, wire::GossipMessage message) {
   const OutgoingPacket packet = state_.wrap(to, std::move(message));
   transport_.send(packet);
--- a/src/controllers/gossip_controller.hpp
+++ b/src/controllers/gossip_controller.hpp
@@ -68,6 +68,13 @@
   }
   void on_drain_mark_change(Listener listener);
 
+  void announce_zone(const wire::ZoneNotice& notice);
+  /// \return the latest notice about each zone that was ever evacuated.
+  const std::map<core::ZoneName, wire::ZoneNotice>& zone_notices() const {
+    return state_.records().zone_notices();
+  }
+  void on_zone_change(Listener listener);
+
   /// Sends a watcher's message; its bytes are the caller's to limit.
   /// \return the bytes sent.
   std::size_t send_message(const core::Address& to, wire::GossipMessage message);
@@ -99,6 +106,7 @@
   Topic member_topic_;
   Topic policy_topic_;
   Topic drain_mark_topic_;
+  Topic zone_topic_;
   MessageListener message_listener_;
   bool telling_ = false;
   std::shared_ptr<bool> alive_;  ///< reset by stop(); ends run()
--- a/src/controllers/gossip_news_queue.hpp
+++ b/src/controllers/gossip_news_queue.hpp
@@ -13,7 +13,7 @@
 
 /// More urgent news goes into a packet first.
 enum class NewsPriority : std::uint8_t {
-  kDrain,          ///< drain marks and policy versions
+  kDrain,          ///< drain marks, notices of evacuated zones and policy versions
   kLiveness,       ///< joined, suspect, dead, refuted
   kConfiguration,  ///< a member's configuration revision
 };
--- a/src/controllers/gossip_records.cpp
+++ b/src/controllers/gossip_records.cpp
@@ -66,6 +66,18 @@
   return added || raise(position->second, mark.incarnation);
 }
 
+bool GossipRecords::merge(const wire::ZoneNotice& notice) {
+  const auto known = zone_notices_.find(notice.zone);
+  const bool is_known = known != zone_notices_.end();
+  const bool is_dropped =
+      is_known ? notice.revision <= known->second.revision : zone_notices_.size() >= kMostZones;
+  if (is_dropped) {
+    return false;
+  }
+  zone_notices_[notice.zone] = notice;
+  return true;
+}
+
 std::optional<core::NodeId> GossipRecords::merge_revision(std::uint64_t holder,
                                                           core::Revision revision) {
   const auto node = nodes_by_life_.find(holder);
@@ -129,6 +141,9 @@
   for (const auto& [replica, incarnation] : drain_marks_) {
     hashes[bucket_of(replica.value())] += record_hash(replica.value(), incarnation.value(), 2);
   }
+  for (const auto& [zone, notice] : zone_notices_) {
+    hashes[bucket_of(zone.value())] += record_hash(zone.value(), notice.revision.value(), 3);
+  }
   return hashes;
 }
 
@@ -141,6 +156,7 @@
       }
     }
   };
+  collect(zone_notices_);
   collect(drain_marks_);
   collect(policy_versions_);
   collect(members_);
@@ -159,6 +175,12 @@
                ? 0
                : append_if_it_fits({found->first, found->second}, packet.policy_versions, space);
   }
+  if (const auto* zone = std::get_if<core::ZoneName>(&key)) {
+    const auto found = zone_notices_.find(*zone);
+    return found == zone_notices_.end()
+               ? 0
+               : append_if_it_fits(found->second, packet.zone_notices, space);
+  }
   const auto found = drain_marks_.find(std::get<core::ReplicaId>(key));
   return found == drain_marks_.end()
              ? 0
--- a/src/controllers/gossip_records.hpp
+++ b/src/controllers/gossip_records.hpp
@@ -1,6 +1,6 @@
 /// \file
-/// What gossip spreads: member records, policy versions and drain marks of
-/// replicas, each with its merge rule. Plain state without clock or socket;
+/// What gossip spreads: member records, policy versions, drain marks of replicas and
+/// notices of evacuated zones, each with its merge rule. Plain state without clock or socket;
 /// owned by one GossipState.
 #pragma once
 
@@ -18,10 +18,12 @@
 namespace stoneport::controllers {
 
 /// Names one record.
-using RecordKey = std::variant<core::NodeId, core::PolicyName, core::ReplicaId>;
+using RecordKey = std::variant<core::NodeId, core::PolicyName, core::ReplicaId, core::ZoneName>;
 
 /// Anti-entropy compares this many hashes.
 inline constexpr std::size_t kSyncBuckets = 32;
+/// Notices of more zones than this are not taken in: each stays for the process's life.
+inline constexpr std::size_t kMostZones = 64;
 using BucketHashes = std::array<std::uint32_t, kSyncBuckets>;
 
 class GossipRecords {
@@ -35,12 +37,15 @@
   }
   const std::map<core::ReplicaId, core::Incarnation>& drain_marks() const { return drain_marks_; }
 
+  const std::map<core::ZoneName, wire::ZoneNotice>& zone_notices() const { return zone_notices_; }
+
   /// \return the record of \p node, or null.
   const wire::Member* find(const core::NodeId& node) const;
   /// Each merge returns whether anything changed.
   bool merge(const wire::Member& member);
   bool merge(const wire::PolicyVersion& version);
   bool merge(const wire::ReplicaDrainMark& mark);
+  bool merge(const wire::ZoneNotice& notice);
   /// Raises the configuration revision of the member whose life_key() is
   /// \p holder; of one that is not known, or of another life, it is ignored.
   /// \return the node, if anything changed.
@@ -71,6 +76,7 @@
   std::unordered_map<std::uint64_t, core::NodeId> nodes_by_life_;
   std::map<core::PolicyName, core::WeightVersion> policy_versions_;
   std::map<core::ReplicaId, core::Incarnation> drain_marks_;
+  std::map<core::ZoneName, wire::ZoneNotice> zone_notices_;
 };
 
 }  // namespace stoneport::controllers
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -99,6 +99,10 @@
   merge_drain_mark(mark);
 }
 
+void GossipState::announce_zone(const wire::ZoneNotice& notice) {
+  merge_zone_notice(notice);
+}
+
 void GossipState::merge_packet(const wire::GossipPacket& packet, core::MonotonicTime now) {
   merge_member(packet.sender, now);
   for (const wire::Member& member : packet.members) {
@@ -110,6 +114,9 @@
   for (const wire::ReplicaDrainMark& mark : packet.drain_marks) {
     merge_drain_mark(mark);
   }
+  for (const wire::ZoneNotice& notice : packet.zone_notices) {
+    merge_zone_notice(notice);
+  }
   for (const wire::RevisionHolders& revision : packet.revisions) {
     merge_revision(revision);
   }
@@ -201,6 +208,13 @@
   }
 }
 
+void GossipState::merge_zone_notice(const wire::ZoneNotice& notice) {
+  if (records_.merge(notice)) {
+    news_.add(notice.zone, NewsPriority::kDrain);
+    ++zone_notices_version_;
+  }
+}
+
 void GossipState::merge_revision(const wire::RevisionHolders& revision) {
   const std::uint64_t own_key = wire::life_key(self());
   for (const std::uint64_t holder : revision.holders) {
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -95,6 +95,7 @@
   bool mark_leaving(const core::NodeId& node);
   void announce_policy_version(const wire::PolicyVersion& version);
   void mark_replica_draining(const wire::ReplicaDrainMark& mark);
+  void announce_zone(const wire::ZoneNotice& notice);
   /// \return last packets of a leaving process: others need not wait for a timeout.
   std::vector<OutgoingPacket> farewell();
   /// Wraps a watcher's message; its bytes count against the caller's budget.
@@ -112,6 +113,7 @@
   std::uint64_t members_version() const { return members_version_; }
   std::uint64_t policies_version() const { return policies_version_; }
   std::uint64_t drain_marks_version() const { return drain_marks_version_; }
+  std::uint64_t zone_notices_version() const { return zone_notices_version_; }
 
  private:
   void merge_packet(const wire::GossipPacket& packet, core::MonotonicTime now);
@@ -119,6 +121,7 @@
   void merge_about_self(const wire::Member& member);
   void merge_policy(const wire::PolicyVersion& version);
   void merge_drain_mark(const wire::ReplicaDrainMark& mark);
+  void merge_zone_notice(const wire::ZoneNotice& notice);
   void merge_revision(const wire::RevisionHolders& revision);
   void update_self(const wire::Member& member, NewsPriority priority);
   void suspect(const core::NodeId& node, core::MonotonicTime now);
@@ -185,6 +188,7 @@
   std::uint64_t members_version_ = 0;
   std::uint64_t policies_version_ = 0;
   std::uint64_t drain_marks_version_ = 0;
+  std::uint64_t zone_notices_version_ = 0;
 };
 
 }  // namespace stoneport::controllers
--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -9,8 +9,8 @@
 using wire::MemberState;
 
 /// Lengths of the packet's lists, beyond what an empty list takes: up to 65,535 records in
-/// each of the four lists.
-constexpr std::size_t kListHeaderBytes = 8;
+/// each of the four lists, and up to kMostZones in that of zone notices.
+constexpr std::size_t kListHeaderBytes = 8 + 1 + wire::kZoneListBytes;
 /// News that goes into a packet even when the budget is spent, so that a node
 /// that many ask at once (a seed) still introduces them to one another.
 constexpr std::size_t kReservedNewsBytes = 200;
@@ -28,8 +28,10 @@
   return wire::size_without_records(packet) + kListHeaderBytes;
 }
 
-bool is_drain_mark(const RecordKey& key) {
-  return std::holds_alternative<core::ReplicaId>(key);
+/// \return whether \p key names what keeps work away from replicas.
+bool is_mark(const RecordKey& key) {
+  return std::holds_alternative<core::ReplicaId>(key) ||
+         std::holds_alternative<core::ZoneName>(key);
 }
 
 }  // namespace
@@ -172,7 +174,7 @@
   if (budget_.available() < settings_.packet_bytes) {
     // The asking side tries another member next time. Marks do not wait for it:
     // a member that was frozen sends work to what it does not know as leaving.
-    std::erase_if(keys, [](const RecordKey& key) { return !is_drain_mark(key); });
+    std::erase_if(keys, [](const RecordKey& key) { return !is_mark(key); });
     send_records(keys, from, output);
     return;
   }
@@ -197,7 +199,7 @@
   }
   shuffle(differing, random_);
   // Not all may fit, and a mark that comes late sends work to a leaving replica.
-  std::stable_partition(differing.begin(), differing.end(), is_drain_mark);
+  std::stable_partition(differing.begin(), differing.end(), is_mark);
   return differing;
 }
 
@@ -206,7 +208,7 @@
   std::size_t position = 0;
   for (std::uint32_t count = 0; count < settings_.sync_packets; ++count) {
     const bool is_short = budget_.available() < settings_.packet_bytes;
-    if (position == keys.size() || (is_short && !is_drain_mark(keys[position]))) {
+    if (position == keys.size() || (is_short && !is_mark(keys[position]))) {
       return;
     }
     wire::GossipPacket packet;
--- a/src/eligibility/evacuations.cpp
+++ b/src/eligibility/evacuations.cpp
@@ -4,7 +4,47 @@
 
 namespace stoneport::eligibility {
 
-bool Evacuations::replace(std::set<core::ZoneName> zones) {
+bool Evacuations::take_listing(ListedEvacuations listed, core::Revision as_of) {
+  if (as_of < listed_as_of_) {
+    return false;
+  }
+  for (const auto& [zone, revision] : listed_) {
+    if (!listed.contains(zone)) {
+      own_notices_[zone] = {zone, as_of, false};
+    }
+  }
+  for (const auto& [zone, revision] : listed) {
+    own_notices_[zone] = {zone, revision, true};
+  }
+  listed_ = std::move(listed);
+  listed_as_of_ = as_of;
+  return refresh();
+}
+
+bool Evacuations::take_notice(const ZoneNotice& notice) {
+  const auto [known, is_new] = heard_.try_emplace(notice.zone, notice);
+  if (!is_new && notice.revision <= known->second.revision) {
+    return false;
+  }
+  known->second = notice;
+  return refresh();
+}
+
+bool Evacuations::refresh() {
+  std::set<core::ZoneName> zones;
+  for (const auto& [zone, revision] : listed_) {
+    zones.insert(zone);
+  }
+  for (const auto& [zone, notice] : heard_) {
+    if (notice.revision <= listed_as_of_) {
+      continue;  // the listing knows better
+    }
+    if (notice.evacuated) {
+      zones.insert(zone);
+    } else {
+      zones.erase(zone);
+    }
+  }
   if (zones == zones_) {
     return false;
   }
--- a/src/fleet/replica_scaler.cpp
+++ b/src/fleet/replica_scaler.cpp
@@ -124,6 +124,7 @@
   scaling::Fleet fleet;
   for (const ingress::ReplicaPointer& replica : inputs_.directory.of_service(service)) {
     scaling::ZoneFleet& zone = fleet[replica->record.zone];
+    zone.evacuated = !inputs_.directory.gate().is_open(replica->record.zone);
     if (replica->accepts_work()) {
       ++(replica->record.spot ? zone.spot : zone.on_demand);
     }
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "core/decision_log.hpp"
 #include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
@@ -52,7 +54,8 @@
   }
   error.code = core::ErrorCode::kUnavailable;
   http::Response response = http::error_response(kUnavailable, error);
-  response.head.headers.set("Retry-After", fmt::format("{:.3f}", core::to_seconds(kReturnAfter)));
+  const core::Duration return_after = failure.return_after.value_or(kReturnAfter);
+  response.head.headers.set("Retry-After", fmt::format("{:.3f}", core::to_seconds(return_after)));
   return response;
 }
 
@@ -66,7 +69,8 @@
   std::optional<std::uint64_t> last_event;
   std::optional<ports::ReplicaAnswer> last_answer;  ///< a failure that may be passed on
   std::string reason = "no replica accepts work";
-  bool started = false;  ///< the head of a stream has gone to the client
+  bool started = false;    ///< the head of a stream has gone to the client
+  bool evacuated = false;  ///< ended because all replicas lie in evacuated zones
 };
 
 struct Forwarder::Meters {
@@ -77,6 +81,9 @@
         client_gone(outcome(metrics, "client_gone")),
         attempts_failed(metrics.counter("stoneport_forward_attempt_failures_total",
                                         "Attempts without a usable answer")),
+        evacuated(metrics.counter("stoneport_evacuation_refusals_total",
+                                  "Requests refused at once because all replicas of their services "
+                                  "lie in evacuated zones")),
         ejections(metrics.counter("stoneport_replica_ejections_total",
                                   "Replicas left out for a while because they failed calls")),
         seconds(metrics.seconds_histogram("stoneport_forward_seconds",
@@ -90,6 +97,7 @@
   prometheus::Counter& failed;
   prometheus::Counter& client_gone;
   prometheus::Counter& attempts_failed;
+  prometheus::Counter& evacuated;
   prometheus::Counter& ejections;
   prometheus::Histogram& seconds;
 };
@@ -112,6 +120,30 @@
          directory_.gate().may_send(replica.destination(), origin_of(request), time_.now());
 }
 
+bool Forwarder::is_evacuated(const Route& route) const {
+  bool has_replicas = false;
+  for (const RouteTarget& target : route.targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (replica->accepts_work() && directory_.gate().is_open(replica->record.zone)) {
+        return false;
+      }
+      has_replicas |= replica->accepts_work();
+    }
+  }
+  return has_replicas;
+}
+
+core::Duration Forwarder::evacuated_return(const Route& route, core::Duration left) const {
+  for (const RouteTarget& target : route.targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (directory_.gate().is_open(replica->record.zone)) {
+        return kReturnAfter;
+      }
+    }
+  }
+  return std::clamp(left / 2, kReturnAfter, settings_.evacuated_return);
+}
+
 std::vector<ReplicaPointer> Forwarder::candidates(const ForwardedRequest& request,
                                                   const Progress& progress) const {
   std::vector<ReplicaPointer> found = directory_.of_service(*progress.service);
@@ -155,6 +187,13 @@
     if (replica) {
       co_return replica;
     }
+    // What has begun is worth waiting for the zone; what has not is told to come back.
+    if (progress.runs == 0 && !progress.started && is_evacuated(*request.route)) {
+      progress.evacuated = true;
+      progress.reason = "all replicas lie in evacuated zones";
+      meters_->evacuated.Increment();
+      co_return nullptr;
+    }
     if (!progress.preference.excluded.empty()) {
       progress.preference.excluded.clear();  // all were tried: any may be tried again
     }
@@ -233,6 +272,9 @@
   failure.may_have_run = progress.runs > 0;
   failure.timed_out = time_.now() >= progress.give_up_at;
   failure.reason = "route " + request.route->name + ": " + progress.reason;
+  if (progress.evacuated) {
+    failure.return_after = evacuated_return(*request.route, progress.give_up_at - time_.now());
+  }
   return failure;
 }
 
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -35,6 +35,8 @@
   bool may_have_run = false;
   bool timed_out = false;
   std::string reason;
+  /// When to come back, where more is known than usual.
+  std::optional<core::Duration> return_after = std::nullopt;
 };
 
 [[noreturn]] inline void throw_exception_from_error(const ForwardFailure& failure,
@@ -60,6 +62,9 @@
   core::Duration suspicion = std::chrono::seconds(2);
   /// Between two looks for a replica when none accepts work.
   core::Duration no_replica_pause = std::chrono::milliseconds(40);
+  /// When to come back to a service all of whose replicas lie in evacuated zones: an operator
+  /// takes that back after seconds at the soonest. At most half of what the client has left.
+  core::Duration evacuated_return = std::chrono::seconds(2);
   /// Refusals, beyond the attempts of the route, after which a request is given up.
   std::uint32_t most_refusals = 6;
 };
@@ -89,6 +94,12 @@
   std::vector<ReplicaPointer> candidates(const ForwardedRequest& request,
                                          const Progress& progress) const;
   bool may_get(const ReplicaState& replica, const ForwardedRequest& request) const;
+  /// \return whether replicas of the route's services take work, and all of them lie in evacuated
+  /// zones: waiting for one would hold the request in vain.
+  bool is_evacuated(const Route& route) const;
+  /// \return when to come back after that: soon while replicas of other zones are about to take
+  /// work, else a part of \p left, which is what the client may still wait.
+  core::Duration evacuated_return(const Route& route, core::Duration left) const;
   ReplicaPreference preference_for(const Route& route) const;
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
   void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -125,6 +125,7 @@
     core::WeightVersion& listed = record.versions[model];
     listed = std::max(listed, version);
   }
+  record.cold_until = std::max(record.cold_until, replica->presumed_cold_until);
   replica->record = std::move(record);
   replica->listed = true;
   if (is_new || has_moved) {
@@ -146,6 +147,35 @@
   return replica->record.address;
 }
 
+void ReplicaDirectory::presume_cold(const core::ZoneName& zone, core::MonotonicTime now) {
+  for (const auto& [id, replica] : replicas_) {
+    ReplicaRecord& record = replica->record;
+    const core::Duration length = gate_.cold_pace().start_of(record.service).length;
+    if (record.zone == zone && length > core::Duration(0)) {
+      replica->presumed_cold_until = now + length;
+      record.cold_until = std::max(record.cold_until, replica->presumed_cold_until);
+    }
+  }
+}
+
+std::set<core::ZoneName> ReplicaDirectory::unknown_zones(
+    const std::set<core::ZoneName>& zones) const {
+  std::set<core::ZoneName> unknown = zones;
+  for (const auto& [zone, region] : gate_.regions()) {
+    unknown.erase(zone);
+  }
+  for (const auto& [id, replica] : replicas_) {
+    unknown.erase(replica->record.zone);
+  }
+  return unknown;
+}
+
+bool ReplicaDirectory::has_open_zone() const {
+  return std::any_of(replicas_.begin(), replicas_.end(), [this](const auto& entry) {
+    return gate_.is_open(entry.second->record.zone);
+  });
+}
+
 void ReplicaDirectory::add_to_service(const ReplicaPointer& replica) {
   std::vector<ReplicaPointer>& replicas = by_service_[replica->record.service];
   const auto place = std::lower_bound(replicas.begin(), replicas.end(), replica,
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -42,7 +42,8 @@
   bool listed = true;           ///< false once the store no longer lists it
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
-  double latency_seconds = 0;  ///< moving average of answered calls; zero when none
+  core::MonotonicTime presumed_cold_until{};  ///< its zone was evacuated until lately
+  double latency_seconds = 0;                 ///< moving average of answered calls; zero when none
   OutlierDetector outliers;
 
   bool accepts_work() const { return listed && !record.draining; }
@@ -102,6 +103,14 @@
   /// \return the replica that is listed as \p id, or null.
   ReplicaPointer find(const core::ReplicaId& id) const;
   std::size_t size() const { return replicas_.size(); }
+  /// The replicas of \p zone take work again at \p now. They may have gone cold meanwhile, and
+  /// their rows may not say so yet: those of services with a cold start count as cold for its
+  /// length, or for longer where their rows say so.
+  void presume_cold(const core::ZoneName& zone, core::MonotonicTime now);
+  /// \return those of \p zones that neither the settings nor any replica name.
+  std::set<core::ZoneName> unknown_zones(const std::set<core::ZoneName>& zones) const;
+  /// \return whether any replica lies in a zone that is not evacuated.
+  bool has_open_zone() const;
   /// \return what says whether a request may go to a replica now; every sender asks it.
   eligibility::SendGate& gate() { return gate_; }
   const eligibility::SendGate& gate() const { return gate_; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,8 @@
 #include "node/node.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 #include "core/decision_log.hpp"
 #include "core/hash.hpp"
 #include "node/holder_sign.hpp"
@@ -63,6 +66,22 @@
   return publisher;
 }
 
+std::set<core::ZoneName> difference(const std::set<core::ZoneName>& from,
+                                    const std::set<core::ZoneName>& without) {
+  std::set<core::ZoneName> left;
+  std::set_difference(from.begin(), from.end(), without.begin(), without.end(),
+                      std::inserter(left, left.end()));
+  return left;
+}
+
+nlohmann::json names_of(const std::set<core::ZoneName>& zones) {
+  nlohmann::json names = nlohmann::json::array();
+  for (const core::ZoneName& zone : zones) {
+    names.push_back(zone.value());
+  }
+  return names;
+}
+
 }  // namespace
 
 Node::Node(NodeInputs inputs, NodeSettings settings)
@@ -84,7 +103,9 @@
       coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
                    seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
-      usage_publisher_(publisher_inputs(), publisher_settings(life_)) {}
+      usage_publisher_(publisher_inputs(), publisher_settings(life_)),
+      evacuated_zones_(inputs_.metrics.gauge("stoneport_evacuated_zones",
+                                             "Zones to whose replicas nothing is sent now")) {}
 
 Node::~Node() = default;
 
@@ -163,6 +184,7 @@
 
 void Node::start() {
   gossip_.set_seeds(settings_.gossip_seeds);
+  gossip_.on_zone_change([this] { hear_evacuations(); });
   coordinator_.start();
   store_watch_.start();
   usage_publisher_.start();
@@ -215,15 +237,43 @@
   }
 }
 
-void Node::replace_evacuations(std::set<core::ZoneName> zones) {
-  if (!directory_.gate().evacuations().replace(std::move(zones))) {
-    return;
+void Node::take_evacuations(eligibility::ListedEvacuations listed, core::Revision as_of) {
+  eligibility::Evacuations& evacuations = directory_.gate().evacuations();
+  const std::set<core::ZoneName> before = evacuations.zones();
+  const bool has_changed = evacuations.take_listing(std::move(listed), as_of);
+  if (has_changed) {
+    on_evacuations_changed(before);
   }
-  nlohmann::json names = nlohmann::json::array();
-  for (const core::ZoneName& zone : directory_.gate().evacuations().zones()) {
-    names.push_back(zone.value());
+  for (const auto& [zone, notice] : evacuations.notices()) {
+    gossip_.announce_zone({notice.zone, notice.revision, notice.evacuated});
+  }
+}
+
+void Node::hear_evacuations() {
+  eligibility::Evacuations& evacuations = directory_.gate().evacuations();
+  const std::set<core::ZoneName> before = evacuations.zones();
+  bool has_changed = false;
+  for (const auto& [zone, notice] : gossip_.zone_notices()) {
+    has_changed |= evacuations.take_notice({notice.zone, notice.revision, notice.evacuated});
+  }
+  if (has_changed) {
+    on_evacuations_changed(before);
+  }
+}
+
+void Node::on_evacuations_changed(const std::set<core::ZoneName>& before) {
+  const std::set<core::ZoneName>& now = directory_.gate().evacuations().zones();
+  const std::set<core::ZoneName> ended = difference(before, now);
+  for (const core::ZoneName& zone : ended) {
+    directory_.presume_cold(zone, inputs_.time.now());
   }
-  core::log_decision(core::DecisionEvent::kZonesEvacuated, {{"zones", std::move(names)}});
+  evacuated_zones_.Set(static_cast<double>(now.size()));
+  core::log_decision(core::DecisionEvent::kZonesEvacuated,
+                     {{"zones", names_of(now)},
+                      {"begun", names_of(difference(now, before))},
+                      {"ended", names_of(ended)},
+                      {"unknown", names_of(directory_.unknown_zones(now))},
+                      {"all", directory_.size() > 0 && !directory_.has_open_zone()}});
   coordinator_.on_inputs_changed();
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -70,8 +70,8 @@
   /// To be called once for the first listing, also when it is empty, and for each change.
   void change_replicas(ingress::ReplicaChanges changes);
   void replace_named_versions(std::map<core::ModelName, core::WeightVersion> versions);
-  /// Takes in which zones the operator has evacuated now.
-  void replace_evacuations(std::set<core::ZoneName> zones);
+  /// Takes in which zones the operator has evacuated, as the store lists them as of \p as_of.
+  void take_evacuations(eligibility::ListedEvacuations listed, core::Revision as_of);
 
   /// \return whether callers should be sent here.
   bool ready() const;
@@ -104,6 +104,9 @@
   bool counts_usage() const;
   /// \return the lives of processes that run now, this one among them.
   std::vector<std::string> running_processes() const;
+  /// Takes in what other processes tell about evacuated zones.
+  void hear_evacuations();
+  void on_evacuations_changed(const std::set<core::ZoneName>& before);
   bool another_is_ready() const;
   void join_when_ready();
 
@@ -125,6 +128,7 @@
   jobs::Coordinator coordinator_;
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
+  prometheus::Gauge& evacuated_zones_;
   bool joined_ = false;
   bool draining_ = false;
 };
--- a/src/records/table_mirror.cpp
+++ b/src/records/table_mirror.cpp
@@ -90,6 +90,9 @@
 const TableMirror::Records& TableMirror::records() const {
   return state_->records;
 }
+core::Revision TableMirror::position() const {
+  return state_->position;
+}
 core::MonotonicTime TableMirror::last_answer() const {
   return state_->last_answer;
 }
--- a/src/records/table_mirror.hpp
+++ b/src/records/table_mirror.hpp
@@ -43,6 +43,8 @@
   void stop();
   bool loaded() const;
   const Records& records() const;
+  /// \return the store's revision as of which the records are known.
+  core::Revision position() const;
   /// \return when the store last answered this mirror.
   core::MonotonicTime last_answer() const;
   /// \return the store's time up to which its changes are known here; nothing before the first
--- a/src/scaling/spot_plan.cpp
+++ b/src/scaling/spot_plan.cpp
@@ -11,11 +11,13 @@
   return known == limits.zone_prices.end() ? 1 : known->second;
 }
 
-/// \return the zones of \p fleet, the cheapest first.
+/// \return the zones of \p fleet where replicas may be ordered, the cheapest first.
 std::vector<core::ZoneName> by_price(const Fleet& fleet, const ScalingLimits& limits) {
   std::vector<core::ZoneName> zones;
   for (const auto& [zone, replicas] : fleet) {
-    zones.push_back(zone);
+    if (!replicas.evacuated) {
+      zones.push_back(zone);
+    }
   }
   std::stable_sort(zones.begin(), zones.end(),
                    [&](const core::ZoneName& left, const core::ZoneName& right) {
@@ -27,7 +29,7 @@
 std::uint32_t on_demand_of(const Fleet& fleet) {
   std::uint32_t total = 0;
   for (const auto& [zone, replicas] : fleet) {
-    total += replicas.on_demand;
+    total += replicas.evacuated ? 0 : replicas.on_demand;
   }
   return total;
 }
--- a/src/scaling/spot_plan.hpp
+++ b/src/scaling/spot_plan.hpp
@@ -25,6 +25,7 @@
 struct ZoneFleet {
   std::uint32_t on_demand = 0;
   std::uint32_t spot = 0;
+  bool evacuated = false;  ///< nothing goes there: its replicas count as gone, none is ordered
 };
 using Fleet = std::map<core::ZoneName, ZoneFleet>;
 
--- a/src/weights/weight_loader.cpp
+++ b/src/weights/weight_loader.cpp
@@ -124,7 +124,7 @@
     const std::vector<ingress::ReplicaPointer>& replicas = directory_.of_service(service);
     for (const ingress::ReplicaPointer& replica : replicas) {
       slots += replica->record.slots;
-      if (replica->accepts_work() && directory_.gate().is_open(replica->record.zone)) {
+      if (replica->accepts_work() && may_reach(*replica)) {
         add_replica(*replica, of_service, scope, now);
       }
     }
@@ -163,6 +163,10 @@
   }
 }
 
+bool WeightLoader::may_reach(const ingress::ReplicaState& replica) const {
+  return directory_.gate().is_open(replica.record.zone);
+}
+
 void WeightLoader::take_report(ingress::ReplicaState& replica, const ports::ReplicaReport& report) {
   for (const auto& [model, version] : report.versions) {
     core::WeightVersion& known = replica.record.versions[model];
@@ -173,6 +177,9 @@
 asio::awaitable<bool> WeightLoader::order(ingress::ReplicaPointer replica, core::ModelName model,
                                           core::WeightVersion version) {
   const ports::ReplicaTarget target{replica->record.id, replica->record.address};
+  if (!may_reach(*replica)) {
+    co_return false;
+  }
   if (!order_counts_.contains(target.id)) {
     ports::ReplicaTarget asked = target;
     const core::Result<ports::ReplicaReport> report = co_await client_.report(std::move(asked));
@@ -187,7 +194,7 @@
   const bool is_late =
       !announced_at || time_.now() - *announced_at > settings_.longest_announcement;
   const bool is_there = version_of(*replica, model) >= version;
-  if (stopped_ || is_late || is_there || !inputs_.may_order()) {
+  if (stopped_ || is_late || is_there || !inputs_.may_order() || !may_reach(*replica)) {
     co_return is_there;
   }
   ports::WeightOrder order;
@@ -224,6 +231,9 @@
     if (version_of(*replica, model) >= version) {
       co_return true;  // its listing or a stream has told
     }
+    if (!may_reach(*replica)) {
+      co_return false;  // a report is a request too
+    }
     ports::ReplicaTarget target{replica->record.id, replica->record.address};
     const core::Result<ports::ReplicaReport> report = co_await client_.report(std::move(target));
     if (report) {
--- a/src/weights/weight_loader.hpp
+++ b/src/weights/weight_loader.hpp
@@ -102,6 +102,8 @@
   /// Adds \p replica to the needs of the models that it has.
   void add_replica(const ingress::ReplicaState& replica, std::vector<ModelNeed>& needs, Scope scope,
                    core::MonotonicTime now) const;
+  /// \return whether orders and reports may go to \p replica: its zone is not evacuated.
+  bool may_reach(const ingress::ReplicaState& replica) const;
   static void take_report(ingress::ReplicaState& replica, const ports::ReplicaReport& report);
 
   boost::asio::any_io_executor executor_;
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -13,6 +13,11 @@
 /// Levels of arrays that a packet of this version has, with some to spare.
 constexpr int kDeepestPacket = 8;
 
+/// Elements of a packet; zone notices are there only when a packet has some, so that packets of
+/// ordinary times carry nothing for them.
+constexpr std::size_t kParts = 7;
+constexpr std::size_t kPartsWithZones = 8;
+
 enum class MessageKind : std::uint8_t {
   kNews,
   kPing,
@@ -177,6 +182,18 @@
   return reader.ok();
 }
 
+Json write_zone_notice(const ZoneNotice& notice) {
+  return Json::array({notice.zone.value(), notice.revision.value(), notice.evacuated ? 1u : 0u});
+}
+
+bool read_zone_notice(const Json& json, ZoneNotice& notice) {
+  ArrayReader reader(json, 3);
+  notice.zone = reader.next_name<core::ZoneName>();
+  notice.revision = reader.next_counter<core::Revision>();
+  notice.evacuated = reader.next_bool();
+  return reader.ok();
+}
+
 Json write_revision(const RevisionHolders& revision) {
   return Json::array({revision.revision.value(), Json(revision.holders)});
 }
@@ -408,12 +425,16 @@
 }  // namespace
 
 std::string encode_packet(const GossipPacket& packet) {
-  return to_bytes(Json::array({kGossipProtocolVersion, write_member(packet.sender),
-                               std::visit(MessageWriter{}, packet.message),
-                               write_list(packet.members, write_member),
-                               write_list(packet.policy_versions, write_policy_version),
-                               write_list(packet.drain_marks, write_drain_mark),
-                               write_list(packet.revisions, write_revision)}));
+  Json parts = Json::array({kGossipProtocolVersion, write_member(packet.sender),
+                            std::visit(MessageWriter{}, packet.message),
+                            write_list(packet.members, write_member),
+                            write_list(packet.policy_versions, write_policy_version),
+                            write_list(packet.drain_marks, write_drain_mark),
+                            write_list(packet.revisions, write_revision)});
+  if (!packet.zone_notices.empty()) {
+    parts.push_back(write_list(packet.zone_notices, write_zone_notice));
+  }
+  return to_bytes(parts);
 }
 
 core::Result<GossipPacket> decode_packet(std::string_view bytes) {
@@ -424,7 +445,8 @@
   if (json.is_discarded()) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet is not CBOR");
   }
-  ArrayReader reader(json, 7);
+  const bool has_zones = json.is_array() && json.size() == kPartsWithZones;
+  ArrayReader reader(json, has_zones ? kPartsWithZones : kParts);
   if (reader.next_unsigned() != kGossipProtocolVersion) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet of another version");
   }
@@ -435,6 +457,12 @@
   packet.policy_versions = reader.next_list<PolicyVersion>(read_policy_version);
   packet.drain_marks = reader.next_list<ReplicaDrainMark>(read_drain_mark);
   packet.revisions = reader.next_list<RevisionHolders>(read_revision);
+  if (has_zones) {
+    packet.zone_notices = reader.next_list<ZoneNotice>(read_zone_notice);
+    if (packet.zone_notices.empty()) {
+      reader.fail();
+    }
+  }
   if (!head_ok || !reader.ok()) {
     return core::make_error(core::ErrorCode::kProtocol, "gossip packet breaks its format");
   }
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -20,6 +20,8 @@
 /// First element of each packet; another version is refused.
 inline constexpr std::uint64_t kGossipProtocolVersion = 1;
 
+/// Bytes of the list of zone notices itself, which a packet without any leaves out.
+inline constexpr std::size_t kZoneListBytes = 1;
 /// Most bytes that a further revision, and a further holder of one, add.
 inline constexpr std::size_t kRevisionBytes = 13;
 inline constexpr std::size_t kHolderBytes = 9;
@@ -34,6 +36,7 @@
 std::size_t encoded_size(const Member& member);
 std::size_t encoded_size(const PolicyVersion& version);
 std::size_t encoded_size(const ReplicaDrainMark& mark);
+std::size_t encoded_size(const ZoneNotice& notice);
 std::size_t encoded_size(const ReplicaReport& report);
 /// \return the bytes of \p packet with its sender and message, its lists being empty.
 std::size_t size_without_records(const GossipPacket& packet);
--- a/src/wire/gossip_messages.hpp
+++ b/src/wire/gossip_messages.hpp
@@ -99,6 +99,14 @@
   bool operator==(const ReplicaDrainMark&) const = default;
 };
 
+/// Whether the operator has evacuated a zone, as of a revision of the store; the highest wins.
+struct ZoneNotice {
+  core::ZoneName zone;
+  core::Revision revision;
+  bool evacuated = false;
+  bool operator==(const ZoneNotice&) const = default;
+};
+
 /// Members, by life_key(), on which one configuration revision is in force: what
 /// changes most, in the fewest bytes.
 struct RevisionHolders {
@@ -114,6 +122,7 @@
   std::vector<PolicyVersion> policy_versions;
   std::vector<ReplicaDrainMark> drain_marks;
   std::vector<RevisionHolders> revisions;
+  std::vector<ZoneNotice> zone_notices;
   bool operator==(const GossipPacket&) const = default;
 };
 
--- a/src/wire/gossip_sizes.cpp
+++ b/src/wire/gossip_sizes.cpp
@@ -51,7 +51,7 @@
 /// The head of an array of up to 23 elements.
 constexpr std::size_t kShortArray = 1;
 constexpr std::size_t kEmptyList = 1;
-/// Members, policy versions, drain marks and revisions.
+/// Members, policy versions, drain marks and revisions; an empty list of zone notices is left out.
 constexpr std::size_t kLists = 4;
 
 struct MessageSizer {
@@ -103,6 +103,10 @@
   return kShortArray + size_of(mark.replica.value()) + size_of(mark.incarnation.value());
 }
 
+std::size_t encoded_size(const ZoneNotice& notice) {
+  return kShortArray + size_of(notice.zone.value()) + size_of(notice.revision.value()) + kOneByte;
+}
+
 std::size_t encoded_size(const ReplicaReport& report) {
   const std::size_t prefixes =
       report.cached_prefixes ? size_of_numbers(*report.cached_prefixes) : kOneByte;
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -42,6 +42,8 @@
   std::map<std::string, Replica> replicas;
   std::vector<Order> all_orders;  ///< in the order in which they came
   std::vector<Start> starts;
+  std::vector<std::string> calls;             ///< replicas that got one, in order
+  std::vector<std::string> reports;           ///< replicas that were asked for theirs, in order
   std::uint64_t text_length = 5;              ///< events of a whole text
   std::map<std::string, int> running;         ///< streams now, by request
   int most_running_at_once = 0;               ///< of one request, ever
@@ -61,6 +63,7 @@
 
   boost::asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> call(
       ports::ReplicaTarget target, ports::ReplicaCall call) override {
+    calls.push_back(target.id.value());
     const std::optional<ports::CallFailure> failure = co_await meet(target, call);
     if (failure) {
       co_return *failure;
@@ -94,6 +97,7 @@
 
   boost::asio::awaitable<core::Result<ports::ReplicaReport>> report(
       ports::ReplicaTarget target) override {
+    reports.push_back(target.id.value());
     co_await runtime::sleep_for(std::chrono::milliseconds(1));
     const Replica& replica = replicas[target.id.value()];
     ports::ReplicaReport report;
--- a/tests/unit/controllers/gossip_state_test.cpp
+++ b/tests/unit/controllers/gossip_state_test.cpp
@@ -54,6 +54,8 @@
   CPPUNIT_TEST(news_told_during_a_pause_is_caught_up_with_at_once);
   CPPUNIT_TEST(a_woken_process_is_not_current_before_it_has_the_marks);
   CPPUNIT_TEST(a_woken_process_alone_goes_on_asking);
+  CPPUNIT_TEST(notices_of_zones_reach_all_within_a_second_or_two);
+  CPPUNIT_TEST(a_notice_of_a_zone_outlasts_a_cut_and_the_latest_holds);
   CPPUNIT_TEST(a_mark_outlasts_death_and_not_a_new_process);
   CPPUNIT_TEST(a_cut_heals_without_false_deaths_on_either_side);
   CPPUNIT_TEST(a_farewell_needs_no_timeout);
@@ -82,6 +84,43 @@
     }
   }
 
+  static wire::ZoneNotice notice(std::uint64_t revision, bool evacuated) {
+    return {core::ZoneName("east"), core::Revision(revision), evacuated};
+  }
+
+  /// \return whether all of the first \p members hold \p expected.
+  static bool all_hold(Cluster& cluster, std::size_t members, const wire::ZoneNotice& expected) {
+    for (std::size_t node = 0; node < members; ++node) {
+      const auto& notices = cluster.simulation.state(node).records().zone_notices();
+      const auto found = notices.find(expected.zone);
+      if (found == notices.end() || found->second != expected) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void notices_of_zones_reach_all_within_a_second_or_two() {
+    Cluster cluster(50, 0.05);
+    for (const std::uint64_t revision : {7, 8}) {
+      const wire::ZoneNotice told = notice(revision, revision == 7);
+      cluster.simulation.state(3).announce_zone(told);
+      cluster.until([&] { return all_hold(cluster, 50, told); }, 2s);
+    }
+  }
+
+  void a_notice_of_a_zone_outlasts_a_cut_and_the_latest_holds() {
+    Cluster cluster(6);
+    cluster.simulation.freeze(5);
+    cluster.simulation.state(0).announce_zone(notice(7, true));
+    cluster.run(2s);
+    cluster.simulation.state(1).announce_zone(notice(9, false));
+    cluster.simulation.state(2).announce_zone(notice(8, true));
+    cluster.until([&] { return all_hold(cluster, 5, notice(9, false)); }, 2s);
+    cluster.simulation.wake(5);
+    cluster.until([&] { return all_hold(cluster, 6, notice(9, false)); }, 2s);
+  }
+
   void a_frozen_process_refutes_when_it_wakes() {
     Cluster cluster(6);
     const core::Incarnation before = cluster.sees(0, 3).incarnation;
--- a/tests/unit/ingress/replica_directory_test.cpp
+++ b/tests/unit/ingress/replica_directory_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(a_replica_that_starts_to_drain_or_goes_is_told);
   CPPUNIT_TEST(a_whole_listing_removes_what_it_does_not_name);
   CPPUNIT_TEST(a_row_may_name_another_service);
+  CPPUNIT_TEST(replicas_of_a_zone_that_comes_back_count_as_cold);
   CPPUNIT_TEST(a_kept_connection_is_used_unless_its_replica_is_busy_or_slow);
   CPPUNIT_TEST_SUITE_END();
 
@@ -37,6 +38,32 @@
     return joined;
   }
 
+  void replicas_of_a_zone_that_comes_back_count_as_cold() {
+    const core::MonotonicTime now{std::chrono::seconds(100)};
+    const core::ZoneName east("east");
+    ReplicaDirectory directory;
+    directory.gate().cold_pace().replace_limits({{kModels, {std::chrono::seconds(4), 5}}});
+    std::vector<ReplicaRecord> records = {record("a"), record("b"), record("c")};
+    records[0].zone = east;
+    records[1].zone = east;
+    records[1].service = core::ServiceName("without a cold start");
+    records[2].zone = core::ZoneName("west");
+    directory.update(records);
+    directory.presume_cold(east, now);
+    const auto cold_until = [&](const std::string& id) {
+      return directory.find(core::ReplicaId(id))->record.cold_until;
+    };
+    CPPUNIT_ASSERT(cold_until("a") == now + std::chrono::seconds(4));
+    CPPUNIT_ASSERT(cold_until("b") == core::MonotonicTime());
+    CPPUNIT_ASSERT(cold_until("c") == core::MonotonicTime());
+    // A row from before it went cold changes nothing; one that says more is believed.
+    directory.update(records);
+    CPPUNIT_ASSERT(cold_until("a") == now + std::chrono::seconds(4));
+    records[0].cold_until = now + std::chrono::seconds(6);
+    directory.update(records);
+    CPPUNIT_ASSERT(cold_until("a") == now + std::chrono::seconds(6));
+  }
+
   void an_empty_first_listing_counts_as_loaded() {
     ReplicaDirectory directory;
     CPPUNIT_ASSERT(!directory.loaded());
--- a/tests/unit/scaling/spot_plan_test.cpp
+++ b/tests/unit/scaling/spot_plan_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(late_steps_want_a_place_for_each_open_text);
   CPPUNIT_TEST(what_is_wanted_stays_until_no_step_was_late_for_a_while);
   CPPUNIT_TEST(a_new_holder_goes_on_with_what_was_ordered);
+  CPPUNIT_TEST(an_evacuated_zone_counts_as_gone);
   CPPUNIT_TEST_SUITE_END();
 
   const core::ZoneName cheap_{"cheap"};
@@ -73,6 +74,15 @@
     CPPUNIT_ASSERT_EQUAL(10u, plan.decide(at(1), {false, 0, 6}, fleet(), limits()).at(cheap_));
     CPPUNIT_ASSERT_EQUAL(0u, plan.decide(at(16), {false, 0, 6}, fleet(), limits()).at(cheap_));
   }
+
+  void an_evacuated_zone_counts_as_gone() {
+    SpotPlan plan;
+    Fleet evacuated = fleet();
+    evacuated[cheap_].evacuated = true;
+    const SpotCounts counts = plan.decide(at(0), {true, 120, 6}, evacuated, limits());
+    CPPUNIT_ASSERT_EQUAL(0u, counts.at(cheap_));
+    CPPUNIT_ASSERT_EQUAL(10u, counts.at(dear_));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SpotPlanTest);
--- a/tests/unit/wire/gossip_codec_test.cpp
+++ b/tests/unit/wire/gossip_codec_test.cpp
@@ -55,6 +55,7 @@
   packet.policy_versions = {{core::PolicyName("compounds"), core::WeightVersion(4)}};
   packet.drain_marks = {{core::ReplicaId("engine-1"), core::Incarnation(3)}};
   packet.revisions = {{core::Revision(43), {1, ~std::uint64_t{0}}}};
+  packet.zone_notices = {{core::ZoneName("bole-hall"), core::Revision(44), true}};
   return packet;
 }
 
@@ -144,6 +145,10 @@
       CPPUNIT_ASSERT_EQUAL(
           added_bytes([&](GossipPacket& packet) { packet.policy_versions.push_back(version); }),
           encoded_size(version));
+      const ZoneNotice notice{core::ZoneName("bole-hall"), core::Revision(number), true};
+      CPPUNIT_ASSERT_EQUAL(
+          added_bytes([&](GossipPacket& packet) { packet.zone_notices.push_back(notice); }),
+          encoded_size(notice) + kZoneListBytes);
     }
   }
 
@@ -181,6 +186,9 @@
         {"a broken policy", damaged([](Json& packet) { packet[4][0][1] = "4"; })},
         {"a broken drain mark", damaged([](Json& packet) { packet[5][0][0] = 1; })},
         {"a broken revision", damaged([](Json& packet) { packet[6][0][1][0] = -1; })},
+        {"a broken zone notice", damaged([](Json& packet) { packet[7][0][2] = 2; })},
+        {"an empty zone", damaged([](Json& packet) { packet[7][0][0] = ""; })},
+        {"an empty list of zone notices", damaged([](Json& packet) { packet[7].clear(); })},
         {"a wide sequence", damaged([](Json& packet) { packet[2][1] = std::uint64_t{1} << 32; },
                                     Ping{1, core::NodeId("node-2")})},
         {"hashes that are text",
