--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -43,6 +43,8 @@
   bool may_have_run = false;
   bool timed_out = false;
   std::string reason;
+  /// When to come back, where more is known than usual.
+  std::optional<core::Duration> return_after = std::nullopt;
 };
 
 [[noreturn]] inline void throw_exception_from_error(const ForwardFailure& failure,
@@ -72,6 +74,9 @@
   /// A request that only cold replicas could run, which get no more from here, is refused after
   /// this share of its target latency: other processes may send there.
   double cold_wait_in_target_latencies = 0.2;
+  /// When to come back to a service all of whose replicas lie in evacuated zones: an operator
+  /// takes that back after seconds at the soonest. At most half of what the client has left.
+  core::Duration evacuated_return = std::chrono::seconds(2);
   /// Refusals, beyond the attempts of the route, after which a request is given up.
   std::uint32_t most_refusals = 6;
 };
@@ -115,6 +120,12 @@
   /// \return whether \p request has waited for cold replicas as long as it should.
   bool is_held_too_long(const ForwardedRequest& request, Progress& progress) const;
   bool is_cold(const ReplicaState& replica) const;
+  /// \return whether replicas of the route's services take work, and all of them lie in evacuated
+  /// zones: waiting for one would hold the request in vain.
+  bool is_evacuated(const Route& route) const;
+  /// \return when to come back after that: soon while replicas of other zones are about to take
+  /// work, else a part of \p left, which is what the client may still wait.
+  core::Duration evacuated_return(const Route& route, core::Duration left) const;
   ReplicaPreference preference_for(const Route& route) const;
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
   void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -42,8 +42,9 @@
   bool listed = true;           ///< false once the store no longer lists it
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
-  double latency_seconds = 0;         ///< moving average of answered calls; zero when none
-  core::MonotonicTime last_answer{};  ///< to a whole call, failed or not
+  double latency_seconds = 0;                 ///< moving average of answered calls; zero when none
+  core::MonotonicTime last_answer{};          ///< to a whole call, failed or not
+  core::MonotonicTime presumed_cold_until{};  ///< its zone was evacuated until lately
   OutlierDetector outliers;
 
   bool accepts_work() const { return listed && !record.draining; }
@@ -104,6 +105,14 @@
   ReplicaPointer find(const core::ReplicaId& id) const;
   std::size_t size() const { return replicas_.size(); }
   const std::map<core::ReplicaId, ReplicaPointer>& all() const { return replicas_; }
+  /// The replicas of \p zone take work again at \p now. They may have gone cold meanwhile, and
+  /// their rows may not say so yet: those of services with a cold start count as cold for its
+  /// length, or for longer where their rows say so.
+  void presume_cold(const core::ZoneName& zone, core::MonotonicTime now);
+  /// \return those of \p zones that neither the settings nor any replica name.
+  std::set<core::ZoneName> unknown_zones(const std::set<core::ZoneName>& zones) const;
+  /// \return whether any replica lies in a zone that is not evacuated.
+  bool has_open_zone() const;
   /// \return what says whether a request may go to a replica now; every sender asks it.
   eligibility::SendGate& gate() { return gate_; }
   const eligibility::SendGate& gate() const { return gate_; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,5 +1,8 @@
 #include "node/node.hpp"
 
+#include <algorithm>
+#include <iterator>
+
 #include "core/decision_log.hpp"
 #include "core/hash.hpp"
 #include "ingress/route_regions.hpp"
@@ -60,6 +63,22 @@
   return publisher;
 }
 
+std::set<core::ZoneName> difference(const std::set<core::ZoneName>& from,
+                                    const std::set<core::ZoneName>& without) {
+  std::set<core::ZoneName> left;
+  std::set_difference(from.begin(), from.end(), without.begin(), without.end(),
+                      std::inserter(left, left.end()));
+  return left;
+}
+
+nlohmann::json names_of(const std::set<core::ZoneName>& zones) {
+  nlohmann::json names = nlohmann::json::array();
+  for (const core::ZoneName& zone : zones) {
+    names.push_back(zone.value());
+  }
+  return names;
+}
+
 }  // namespace
 
 Node::Node(NodeInputs inputs, NodeSettings settings)
@@ -82,7 +101,9 @@
                    seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
       usage_publisher_(publisher_inputs(), publisher_settings(life_)),
-      cold_census_(inputs_.metrics) {
+      cold_census_(inputs_.metrics),
+      evacuated_zones_(inputs_.metrics.gauge("stoneport_evacuated_zones",
+                                             "Zones to whose replicas nothing is sent now")) {
   directory_.gate().cold_pace().replace_bound(settings_.cold_bound);
 }
 
@@ -166,6 +187,7 @@
 
 void Node::start() {
   gossip_.set_seeds(settings_.gossip_seeds);
+  gossip_.on_zone_change([this] { hear_evacuations(); });
   coordinator_.start();
   store_watch_.start();
   usage_publisher_.start();
@@ -255,15 +277,43 @@
   }
 }
 
-void Node::replace_evacuations(std::set<core::ZoneName> zones) {
-  if (!directory_.gate().evacuations().replace(std::move(zones))) {
-    return;
+void Node::take_evacuations(eligibility::ListedEvacuations listed, core::Revision as_of) {
+  eligibility::Evacuations& evacuations = directory_.gate().evacuations();
+  const std::set<core::ZoneName> before = evacuations.zones();
+  const bool has_changed = evacuations.take_listing(std::move(listed), as_of);
+  if (has_changed) {
+    on_evacuations_changed(before);
   }
-  nlohmann::json names = nlohmann::json::array();
-  for (const core::ZoneName& zone : directory_.gate().evacuations().zones()) {
-    names.push_back(zone.value());
+  for (const auto& [zone, notice] : evacuations.notices()) {
+    gossip_.announce_zone({notice.zone, notice.revision, notice.evacuated});
+  }
+}
+
+void Node::hear_evacuations() {
+  eligibility::Evacuations& evacuations = directory_.gate().evacuations();
+  const std::set<core::ZoneName> before = evacuations.zones();
+  bool has_changed = false;
+  for (const auto& [zone, notice] : gossip_.zone_notices()) {
+    has_changed |= evacuations.take_notice({notice.zone, notice.revision, notice.evacuated});
+  }
+  if (has_changed) {
+    on_evacuations_changed(before);
+  }
+}
+
+void Node::on_evacuations_changed(const std::set<core::ZoneName>& before) {
+  const std::set<core::ZoneName>& now = directory_.gate().evacuations().zones();
+  const std::set<core::ZoneName> ended = difference(before, now);
+  for (const core::ZoneName& zone : ended) {
+    directory_.presume_cold(zone, inputs_.time.now());
   }
-  core::log_decision(core::DecisionEvent::kZonesEvacuated, {{"zones", std::move(names)}});
+  evacuated_zones_.Set(static_cast<double>(now.size()));
+  core::log_decision(core::DecisionEvent::kZonesEvacuated,
+                     {{"zones", names_of(now)},
+                      {"begun", names_of(difference(now, before))},
+                      {"ended", names_of(ended)},
+                      {"unknown", names_of(directory_.unknown_zones(now))},
+                      {"all", directory_.size() > 0 && !directory_.has_open_zone()}});
   coordinator_.on_inputs_changed();
 }
 
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -75,8 +75,8 @@
   void replace_named_versions(std::map<core::ModelName, core::WeightVersion> versions);
   /// An answer of \p replica said that it is cold for \p left more.
   void note_cold(const core::ReplicaId& replica, core::Duration left);
-  /// Takes in which zones the operator has evacuated now.
-  void replace_evacuations(std::set<core::ZoneName> zones);
+  /// Takes in which zones the operator has evacuated, as the store lists them as of \p as_of.
+  void take_evacuations(eligibility::ListedEvacuations listed, core::Revision as_of);
 
   /// \return whether callers should be sent here.
   bool ready() const;
@@ -112,6 +112,9 @@
   bool counts_usage() const;
   /// \return the lives of processes that run now, this one among them.
   std::vector<std::string> running_processes() const;
+  /// Takes in what other processes tell about evacuated zones.
+  void hear_evacuations();
+  void on_evacuations_changed(const std::set<core::ZoneName>& before);
   bool another_is_ready() const;
   /// \return whether other processes still answer this one.
   bool reaches_others() const;
@@ -143,6 +146,7 @@
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
   ingress::ColdCensus cold_census_;
+  prometheus::Gauge& evacuated_zones_;
   bool joined_ = false;
   bool draining_ = false;
 };
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -49,6 +49,7 @@
   std::vector<Order> all_orders;  ///< in the order in which they came
   std::vector<Start> starts;
   std::vector<std::string> calls;             ///< replicas that got whole calls, in order
+  std::vector<std::string> reports;           ///< replicas that were asked for theirs, in order
   std::uint64_t text_length = 5;              ///< events of a whole text
   std::map<std::string, int> running;         ///< streams now, by request
   int most_running_at_once = 0;               ///< of one request, ever
@@ -124,6 +125,7 @@
 
   boost::asio::awaitable<core::Result<ports::ReplicaReport>> report(
       ports::ReplicaTarget target) override {
+    reports.push_back(target.id.value());
     co_await runtime::sleep_for(std::chrono::milliseconds(1));
     const Replica& replica = replicas[target.id.value()];
     ports::ReplicaReport report;
