--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -255,6 +255,10 @@
   return {prefix_ + std::to_string(10 + process), static_cast<std::uint16_t>(kFirstPort + offset)};
 }
 
+core::Address PlatformStandIn::metrics_page(std::size_t process) const {
+  return {address(process, 0).ip, kInternalPort + 1};
+}
+
 void PlatformStandIn::write_settings(std::size_t process) const {
   nlohmann::json seeds = nlohmann::json::array();
   for (std::size_t seed = 0; seed < options_.processes; ++seed) {
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -93,6 +93,7 @@
   core::Address front(std::size_t process) const { return address(process, 0); }
   core::Address ready(std::size_t process) const { return address(process, 1); }
   core::Address directory(std::size_t process) const { return address(process, 2); }
+  core::Address metrics_page(std::size_t process) const;
   void start(std::size_t process);
   void send_signal(std::size_t process, int signal_number);
   /// Kills the process and waits for its end.
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -45,7 +45,7 @@
   }
   return nlohmann::json({{"service", service_},
                          {"address", core::to_string(address_)},
-                         {"zone", "zone-a"},
+                         {"zone", zone},
                          {"version", "v1"},
                          {"slots", 8},
                          {"state", draining ? "draining" : "ready"},
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -59,6 +59,7 @@
 
   ReplicaFaults faults;
   bool draining = false;
+  std::string zone = "zone-a";
   std::map<std::string, std::uint64_t> versions;  ///< by model
   std::vector<std::string> order_holders;         ///< of each order carried out
   const std::string& id() const { return id_; }
