--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -103,6 +103,8 @@
   /// \return the replica that is listed as \p id, or null.
   ReplicaPointer find(const core::ReplicaId& id) const;
   std::size_t size() const { return replicas_.size(); }
+  /// \return all that are listed; valid until the next change.
+  const std::map<core::ReplicaId, ReplicaPointer>& replicas() const { return replicas_; }
   /// The replicas of \p zone take work again at \p now. They may have gone cold meanwhile, and
   /// their rows may not say so yet: those of services with a cold start count as cold for its
   /// length, or for longer where their rows say so.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -263,14 +263,19 @@
 
 void Node::on_evacuations_changed(const std::set<core::ZoneName>& before) {
   const std::set<core::ZoneName>& now = directory_.gate().evacuations().zones();
+  const std::set<core::ZoneName> begun = difference(now, before);
   const std::set<core::ZoneName> ended = difference(before, now);
+  for (const core::ZoneName& zone : begun) {
+    evacuated_since_[zone] = inputs_.time.now();
+  }
   for (const core::ZoneName& zone : ended) {
+    evacuated_since_.erase(zone);
     directory_.presume_cold(zone, inputs_.time.now());
   }
   evacuated_zones_.Set(static_cast<double>(now.size()));
   core::log_decision(core::DecisionEvent::kZonesEvacuated,
                      {{"zones", names_of(now)},
-                      {"begun", names_of(difference(now, before))},
+                      {"begun", names_of(begun)},
                       {"ended", names_of(ended)},
                       {"unknown", names_of(directory_.unknown_zones(now))},
                       {"all", directory_.size() > 0 && !directory_.has_open_zone()}});
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -15,6 +15,7 @@
 #include "ingress/forwarder.hpp"
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
+#include "node/zone_views.hpp"
 #include "records/store_watch.hpp"
 #include "usage/usage_publisher.hpp"
 #include "usage/usage_reporter.hpp"
@@ -81,6 +82,11 @@
   /// \return addresses of processes that take callers from \p zone, most of them near.
   std::vector<core::Address> caller_addresses(const core::ZoneName& zone) const;
 
+  /// \return what is known here of each zone.
+  std::vector<ZoneView> zones() const {
+    return zone_views(directory_, evacuated_since_, inputs_.time.now());
+  }
+
   const ingress::RouteTableHolder& routes() const { return routes_; }
   /// \return the name of this life of this process, as the holder of a term and elsewhere.
   const std::string& life() const { return life_; }
@@ -129,6 +135,7 @@
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
   prometheus::Gauge& evacuated_zones_;
+  std::map<core::ZoneName, core::MonotonicTime> evacuated_since_;  ///< as learned here
   bool joined_ = false;
   bool draining_ = false;
 };
--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -79,6 +79,13 @@
       world.evacuate(true);
       world.time_until({0, 1, 2}, 1, milliseconds(1000));
       CPPUNIT_ASSERT_EQUAL(std::size_t{0}, world.arrivals_in_zone());
+      const nlohmann::json zones =
+          world.platform.http().get(world.platform.metrics_page(0), "/zones").document()["zones"];
+      CPPUNIT_ASSERT_EQUAL(std::string(kZone), zones.back()["zone"].get<std::string>());
+      CPPUNIT_ASSERT(zones.back()["evacuated"].get<bool>());
+      CPPUNIT_ASSERT(zones.back()["evacuated_for_s"].get<double>() < 10);
+      CPPUNIT_ASSERT_EQUAL(1, zones.back()["replicas"].get<int>());
+      CPPUNIT_ASSERT(!zones.front()["evacuated"].get<bool>());
       world.evacuate(false);
       world.time_until({0, 1, 2}, 0, milliseconds(1000));
     }
