--- a/src/ingress/cold_census.cpp
+++ b/src/ingress/cold_census.cpp
@@ -28,7 +28,7 @@
 
 void ColdCensus::look(const ReplicaDirectory& directory, core::MonotonicTime now) {
   Ids cold;
-  for (const auto& [id, replica] : directory.all()) {
+  for (const auto& [id, replica] : directory.replicas()) {
     if (directory.gate().is_cold(replica->destination(), now)) {
       cold.insert(id);
     }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -17,6 +17,7 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
 #include "node/caller_directory.hpp"
+#include "node/zone_views.hpp"
 #include "records/store_watch.hpp"
 #include "usage/usage_publisher.hpp"
 #include "usage/usage_reporter.hpp"
@@ -89,6 +90,11 @@
   /// \return addresses of processes that take a caller's requests for \p host; nearest first.
   std::vector<core::Address> caller_addresses(const CallerPlace& place, std::string_view host);
 
+  /// \return what is known here of each zone.
+  std::vector<ZoneView> zones() const {
+    return zone_views(directory_, evacuated_since_, inputs_.time.now());
+  }
+
   const ingress::RouteTableHolder& routes() const { return routes_; }
   /// \return the name of this life of this process, as the holder of a term and elsewhere.
   const std::string& life() const { return life_; }
@@ -147,6 +153,7 @@
   usage::UsagePublisher usage_publisher_;
   ingress::ColdCensus cold_census_;
   prometheus::Gauge& evacuated_zones_;
+  std::map<core::ZoneName, core::MonotonicTime> evacuated_since_;  ///< as learned here
   bool joined_ = false;
   bool draining_ = false;
 };
