Rating calls reckon with the places that are left when a zone is evacuated

Cause: the share of a service's places that rating calls may take counted replicas in evacuated zones, whose places nobody gets. Ruled out: counting them as busy, as they may be gone for long. Change: Scorer::takes_calls asks the gate. The test places_in_an_evacuated_zone_are_none fails on the code before.

--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -94,13 +94,17 @@
   return known_.emplace(route.name, std::move(fresh)).first->second;
 }
 
+bool Scorer::takes_calls(const ingress::ReplicaState& replica) const {
+  return replica.accepts_work() && directory_.gate().is_open(replica.record.zone);
+}
+
 std::uint32_t Scorer::most_at_once(const ScoringCall& call) const {
   const RouteInForce in_force = route_of(call);
   std::uint32_t places = 0;
   if (in_force.route != nullptr) {
     for (const ingress::RouteTarget& target : in_force.route->targets) {
       for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
-        places += replica->accepts_work() ? replica->record.slots : 0;
+        places += takes_calls(*replica) ? replica->record.slots : 0;
       }
     }
   }
@@ -122,7 +126,7 @@
   Elsewhere found;
   for (const ingress::RouteTarget& target : route.targets) {
     for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
-      if (!replica->accepts_work() || replica->is_suspect(now) || has_call(replica)) {
+      if (!takes_calls(*replica) || replica->is_suspect(now) || has_call(replica)) {
         continue;
       }
       found.is_sound = true;
--- a/src/jobs/scorer.hpp
+++ b/src/jobs/scorer.hpp
@@ -89,6 +89,8 @@
   };
   RouteInForce route_of(const ScoringCall& call) const;
   KnownRoute& known(const ingress::Route& route);
+  /// \return whether \p replica has places for rating calls: it works, in a zone that is open.
+  bool takes_calls(const ingress::ReplicaState& replica) const;
   std::uint32_t most_at_once(const ScoringCall& call) const;
   /// What the replicas that a text has no call at could do for it.
   struct Elsewhere {
--- a/tests/unit/jobs/scorer_test.cpp
+++ b/tests/unit/jobs/scorer_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(ScorerTest);
   CPPUNIT_TEST(places_are_left_to_clients);
   CPPUNIT_TEST(failures_are_counted_one_by_one);
+  CPPUNIT_TEST(places_in_an_evacuated_zone_are_none);
   CPPUNIT_TEST(a_call_that_takes_long_each_time_is_scored);
   CPPUNIT_TEST(a_silent_replica_is_left);
   CPPUNIT_TEST(a_silent_replica_is_left_while_all_places_are_taken);
@@ -37,6 +38,7 @@
         record.id = core::ReplicaId("r" + std::to_string(index));
         record.service = core::ServiceName("rating");
         record.slots = 5;
+        record.zone = core::ZoneName(index % 2 == 0 ? "even" : "odd");
         records.push_back(record);
         replicas.replicas["r" + std::to_string(index)] = {};
       }
@@ -149,6 +151,27 @@
     }
   }
 
+  /// Rating calls took the places of clients that were left in the other zone.
+  void places_in_an_evacuated_zone_are_none() {
+    World world(4);
+    world.directory.gate().evacuations().take_listing({{core::ZoneName("odd"), core::Revision(1)}},
+                                                      core::Revision(1));
+    const std::uint32_t calls = 8;
+    const std::uint32_t allowed = 2 * 5 * 2 / 5;
+    for (std::uint32_t call = 0; call < calls; ++call) {
+      world.score("s" + std::to_string(call));
+    }
+    std::uint32_t most = 0;
+    const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (world.scores.size() < calls && std::chrono::steady_clock::now() < give_up_at) {
+      world.context.restart();
+      world.context.run_one_for(milliseconds(20));
+      most = std::max(most, world.in_flight());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{calls}, world.scores.size());
+    CPPUNIT_ASSERT_EQUAL(allowed, most);
+  }
+
   void failures_are_counted_one_by_one() {
     World world(1);
     world.replicas.replicas["r0"].fail = 2;
