One presumption of cold replicas: that of the directory

Cause: the pace and the directory could each presume a zone cold, and nothing called the pace's. Ruled out: keeping both. Change: the directory's stays; the tests ask for replicas instead of the zone, with the same bounds.

--- a/src/eligibility/cold_pace.cpp
+++ b/src/eligibility/cold_pace.cpp
@@ -105,11 +105,6 @@
   sure_until_ = core::MonotonicTime();
 }
 
-void ColdPace::presume_zone_cold(const core::ZoneName& zone, core::MonotonicTime until) {
-  core::MonotonicTime& known = cold_zones_[zone];
-  known = std::max(known, until);
-}
-
 void ColdPace::presume_cold(const core::ReplicaId& replica, core::MonotonicTime until) {
   core::MonotonicTime& known = presumed_[replica];
   known = std::max(known, until);
@@ -124,10 +119,6 @@
   if (now < replica.cold_until) {
     return true;
   }
-  const auto zone = cold_zones_.find(replica.zone);
-  if (zone != cold_zones_.end() && now < zone->second) {
-    return true;
-  }
   const auto presumed = presumed_.find(replica.id);
   return presumed != presumed_.end() && now < presumed->second;
 }
--- a/src/eligibility/cold_pace.hpp
+++ b/src/eligibility/cold_pace.hpp
@@ -58,8 +58,7 @@
 struct PacedReplica {
   const core::ReplicaId& id;
   const core::ServiceName& service;
-  const core::ZoneName& zone;
-  core::MonotonicTime cold_until{};  ///< as its row says
+  core::MonotonicTime cold_until{};  ///< as its row says, or as its zone is presumed
 };
 
 class ColdPace {
@@ -73,8 +72,6 @@
   void begin_term(core::MonotonicTime settled_at);
   /// Until \p until no other process has taken the term from this one.
   void keep_sure_until(core::MonotonicTime until) { sure_until_ = until; }
-  /// Replicas of \p zone count as cold until \p until, whatever their rows say.
-  void presume_zone_cold(const core::ZoneName& zone, core::MonotonicTime until);
   /// An answer of \p replica said that it is cold for longer than its row says.
   void presume_cold(const core::ReplicaId& replica, core::MonotonicTime until);
 
@@ -104,7 +101,6 @@
   bool has_members_ = false;
   core::MonotonicTime settled_at_{};
   core::MonotonicTime sure_until_{};
-  std::map<core::ZoneName, core::MonotonicTime> cold_zones_;
   std::unordered_map<core::ReplicaId, core::MonotonicTime> presumed_;
   /// When the coordinator of this process sent within the last window.
   std::unordered_map<core::ReplicaId, std::deque<core::MonotonicTime>> sent_;
--- a/src/eligibility/send_gate.cpp
+++ b/src/eligibility/send_gate.cpp
@@ -4,7 +4,7 @@
 namespace {
 
 PacedReplica paced(const Destination& destination) {
-  return {destination.id, destination.service, destination.zone, destination.cold_until};
+  return {destination.id, destination.service, destination.cold_until};
 }
 
 }  // namespace
--- a/tests/unit/eligibility/cold_pace_test.cpp
+++ b/tests/unit/eligibility/cold_pace_test.cpp
@@ -21,7 +21,7 @@
   CPPUNIT_TEST(a_few_front_ends_send_to_a_cold_replica);
   CPPUNIT_TEST(a_newly_chosen_sender_waits_for_the_former_ones);
   CPPUNIT_TEST(a_process_that_knows_no_members_sends_nothing_there);
-  CPPUNIT_TEST(a_zone_may_be_presumed_cold);
+  CPPUNIT_TEST(a_replica_may_be_presumed_cold);
   CPPUNIT_TEST(an_answer_may_tell_that_a_replica_is_cold);
   CPPUNIT_TEST_SUITE_END();
 
@@ -45,7 +45,7 @@
     return made;
   }
   static PacedReplica replica(const core::ServiceName& service, core::MonotonicTime cold_until) {
-    return {kReplica, service, kZone, cold_until};
+    return {kReplica, service, cold_until};
   }
   /// \return how many requests \p sender gets through within \p length, trying every 5 ms.
   static int sent_within(ColdPace& pace, const PacedReplica& to, Sender sender,
@@ -178,15 +178,15 @@
     CPPUNIT_ASSERT(alone.may_send(replica(kBoth, {}), Sender::kFrontEnd, kStart));
   }
 
-  void a_zone_may_be_presumed_cold() {
+  void a_replica_may_be_presumed_cold() {
     SendGate gate;
     gate.cold_pace().replace_limits(starts());
     gate.cold_pace().replace_bound(kBound);
-    const core::ZoneName other("y");
+    const core::ReplicaId other("other");
     const Destination there{kReplica, kTexts, kZone, {}};
-    const Destination elsewhere{kReplica, kTexts, other, {}};
-    gate.cold_pace().presume_zone_cold(kZone, kStart + seconds(3));
-    gate.cold_pace().presume_zone_cold(kZone, kStart + seconds(1));  // the later one holds
+    const Destination elsewhere{other, kTexts, kZone, {}};
+    gate.cold_pace().presume_cold(kReplica, kStart + seconds(3));
+    gate.cold_pace().presume_cold(kReplica, kStart + seconds(1));  // the later one holds
     CPPUNIT_ASSERT(gate.is_cold(there, kStart + milliseconds(2900)));
     CPPUNIT_ASSERT(!gate.is_cold(there, kStart + seconds(3)));
     CPPUNIT_ASSERT(!gate.is_cold(elsewhere, kStart));
--- a/tests/unit/eligibility/cold_pace_walk_test.cpp
+++ b/tests/unit/eligibility/cold_pace_walk_test.cpp
@@ -162,7 +162,7 @@
   }
 
   void send_as(Process& process, Sender sender) {
-    const PacedReplica to{replica_, service_, zone_, process.cold_until};
+    const PacedReplica to{replica_, service_, process.cold_until};
     for (int tries = 0; tries < 3 && process.pace->may_send(to, sender, now_); ++tries) {
       process.pace->note_sent(to, sender, now_);
       sent_.push_back(now_);
@@ -185,7 +185,6 @@
 
   core::RandomSource random_;
   const core::ServiceName service_{"service"};
-  const core::ZoneName zone_{"zone"};
   const core::ReplicaId replica_{"replica"};
   ColdStarts starts_;
   std::vector<Process> processes_;
--- a/tests/unit/ingress/cold_census_test.cpp
+++ b/tests/unit/ingress/cold_census_test.cpp
@@ -48,7 +48,9 @@
         {{record("a", "x", kNow + seconds(2)), record("b", "y", {}), record("c", "y", {})}, {}});
     census.look(directory, kNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, census.cold());
-    directory.gate().cold_pace().presume_zone_cold(core::ZoneName("y"), kNow + seconds(5));
+    for (const char* replica : {"b", "c"}) {
+      directory.gate().cold_pace().presume_cold(core::ReplicaId(replica), kNow + seconds(5));
+    }
     census.look(directory, kNow);
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, census.cold());
     CPPUNIT_ASSERT_EQUAL(3.0, metrics.gauge("stoneport_cold_replicas", "").Value());
