--- a/src/core/identifiers.hpp
+++ b/src/core/identifiers.hpp
@@ -61,6 +61,8 @@
 using RegionName = Name<struct RegionNameTag>;
 using StreamId = Name<struct StreamIdTag>;  ///< one generation on an engine
 using WriteId = Name<struct WriteIdTag>;    ///< one write to the table service
+/// What a request asks for, whatever its id
+using RequestFingerprint = Name<struct RequestFingerprintTag>;
 
 using WeightVersion = Counter<struct WeightVersionTag>;  ///< grows with each published policy
 using Epoch = Counter<struct EpochTag>;                  ///< fencing token; higher wins
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "core/decision_log.hpp"
+#include "quarantine/request_fingerprint.hpp"
 #include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
 
@@ -47,6 +48,11 @@
 
 }  // namespace
 
+core::RequestFingerprint ForwardedRequest::fingerprint() const {
+  return quarantine::fingerprint_of(
+      {tenant.value(), head.method, head.headers.find("Host").value_or(""), head.target, body});
+}
+
 http::Response failure_response(const ForwardFailure& failure) {
   core::Error error = core::make_error(core::ErrorCode::kOutcomeUnknown, failure.reason);
   if (failure.may_have_run) {
@@ -344,6 +350,7 @@
   }
   core::log_decision(core::DecisionEvent::kAttemptFailed,
                      {{"request", request.request_id},
+                      {"content", request.fingerprint().value()},
                       {"replica", replica->record.id.value()},
                       {"may_have_run", has_run},
                       {"reason", failure.reason}},
@@ -464,6 +471,7 @@
   (failure.may_have_run ? meters_->failed : meters_->refused).Increment();
   core::log_decision(core::DecisionEvent::kRequestRefused,
                      {{"request", request.request_id},
+                      {"content", request.fingerprint().value()},
                       {"tenant", request.tenant.value()},
                       {"route", request.route->name},
                       {"configuration", request.table->version()},
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -36,6 +36,9 @@
   std::function<void(const ReplicaPointer&)> on_sent = {};
   /// Whose it is; call() makes it the coordinator's.
   eligibility::Sender sender = eligibility::Sender::kFrontEnd;
+
+  /// \return its name by what it asks for; hashes the whole body.
+  core::RequestFingerprint fingerprint() const;
 };
 
 /// Why no answer of a replica can be passed on.
--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <filesystem>
 #include <fstream>
@@ -232,15 +233,21 @@
 asio::awaitable<void> PlatformStandIn::beat(PlatformStandIn* self) {
   while (!self->stopped_) {
     for (const auto& [id, replica] : self->replicas_) {
+      for (const std::string& lapsed : replica->take_lapsed()) {
+        self->store_->put(std::string(platform::kReplicaTable), lapsed, std::nullopt);
+      }
+      const std::string life = replica->life_id();
       if (replica->faults.down) {
-        self->store_->put(std::string(platform::kReplicaTable), id, std::nullopt);
+        self->store_->put(std::string(platform::kReplicaTable), life, std::nullopt);
+      }
+      if (!replica->is_listed()) {
         continue;
       }
       const std::string entry = replica->entry();
       const auto rows = self->store_->rows().table(platform::kReplicaTable);
-      const auto known = rows.find(id);
+      const auto known = rows.find(life);
       if (known == rows.end() || known->second != entry) {
-        self->store_->put(std::string(platform::kReplicaTable), id, entry);
+        self->store_->put(std::string(platform::kReplicaTable), life, entry);
       }
     }
     co_await runtime::sleep_for(kBeat);
@@ -429,6 +436,19 @@
   return on_loop([this] { return arrivals_; });
 }
 
+std::vector<ReplicaCrash> PlatformStandIn::crashes() {
+  return on_loop([this] {
+    std::vector<ReplicaCrash> crashes;
+    for (const auto& [id, replica] : replicas_) {
+      crashes.insert(crashes.end(), replica->crashes.begin(), replica->crashes.end());
+    }
+    std::sort(
+        crashes.begin(), crashes.end(),
+        [](const ReplicaCrash& left, const ReplicaCrash& right) { return left.at < right.at; });
+    return crashes;
+  });
+}
+
 StandInReplica::Ledger PlatformStandIn::ledger() {
   return on_loop([this] { return ledger_; });
 }
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -134,6 +134,8 @@
   std::vector<std::string> replica_ids() const;
   StandInReplica::Ledger ledger();
   StandInReplica::Arrivals arrivals();
+  /// \return the ends of all replicas under crashing requests, in order of time.
+  std::vector<ReplicaCrash> crashes();
   std::string zone_name(std::size_t index) const;
   /// Wants the replicas of \p zone to get nothing more, or takes that back.
   void evacuate(const std::string& zone, bool is_wanted);
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -28,7 +28,8 @@
       is_model_(is_model),
       ledger_(ledger),
       arrivals_(arrivals),
-      server_(executor, "stand-in replica", http::ServerLimits(), *this, metrics) {
+      executor_(std::move(executor)),
+      metrics_(metrics) {
   if (is_model_) {
     versions["model"] = 1;
   }
@@ -36,7 +37,47 @@
 
 core::Result<void> StandInReplica::listen(const core::Address& address) {
   address_ = address;
-  return server_.listen(address);
+  server_ = std::make_unique<http::Server>(executor_, "stand-in replica", http::ServerLimits(),
+                                           *this, metrics_);
+  // A life that starts anew must not fail on connections that its predecessor had.
+  return server_->listen(address, http::AddressUse::kShared);
+}
+
+std::string StandInReplica::life_id() const {
+  return life_ == 1 ? id_ : id_ + "." + std::to_string(life_);
+}
+
+std::vector<std::string> StandInReplica::take_lapsed() {
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<std::string> lapsed;
+  std::erase_if(ended_lives_, [&](const EndedLife& life) {
+    const bool has_lapsed = now >= life.at + kEntryLapse;
+    if (has_lapsed) {
+      lapsed.push_back(life.id);
+    }
+    return has_lapsed;
+  });
+  return lapsed;
+}
+
+void StandInReplica::crash(const std::string& body) {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  const auto now = std::chrono::steady_clock::now();
+  crashes.push_back({now, life_id(), body});
+  ended_lives_.push_back({life_id(), now});
+  server_->abort();
+  runtime::start(executor_, "stand-in restart", restart(this));
+}
+
+asio::awaitable<void> StandInReplica::restart(StandInReplica* self) {
+  co_await runtime::sleep_for(kRestart);
+  ++self->life_;
+  self->ended_ = false;
+  self->orders_ = 0;
+  self->listen(self->address_).value();
 }
 
 std::string StandInReplica::entry() const {
@@ -113,7 +154,7 @@
                                              http::BodySource& body,
                                              http::ResponseWriter& response) {
   const core::Result<std::string> whole = co_await http::read_whole(body, 1u << 20);
-  if (!whole || faults.down) {
+  if (!whole || faults.down || ended_) {
     co_return;
   }
   const std::string path(http::path_of(request.target));
@@ -133,12 +174,12 @@
   const std::string expected = header(request, platform::kExpectInstanceHeader);
   http::Response refusal;
   refusal.head.headers.add(std::string(platform::kRequestIdHeader), request_id);
-  if (!expected.empty() && expected != id_) {
+  if (!expected.empty() && expected != life_id()) {
     refusal.head.status = 421;
     co_await response.send(std::move(refusal));
     co_return;
   }
-  arrivals_.push_back({std::chrono::steady_clock::now(), id_, zone, request_id, is_cold()});
+  arrivals_.push_back({std::chrono::steady_clock::now(), life_id(), zone, request_id, is_cold()});
   if (take(faults.not_run)) {
     refusal.head.status = 503;
     refusal.head.headers.add(std::string(platform::kNotRunHeader), "1");
@@ -147,9 +188,14 @@
   }
   const auto resume_after =
       core::parse_number<std::uint64_t>(header(request, platform::kLastEventIdHeader)).value_or(0);
-  ledger_.push_back({request_id, id_, service_, path, *whole, resume_after,
+  ledger_.push_back({request_id, life_id(), service_, path, *whole, resume_after,
                      header(request, platform::kTenantHeader),
                      request.headers.find(platform::kAuthorizationHeader).has_value()});
+  if (whole->starts_with(kCrashingBody)) {
+    co_await runtime::sleep_for(faults.work / 2);
+    crash(*whole);
+    co_return;
+  }
   if (faults.dark) {
     co_await runtime::sleep_for(kDarkness);
     co_return;
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -37,6 +37,13 @@
   bool was_cold = false;
 };
 
+/// One end of a replica under a request that crashes whatever runs it.
+struct ReplicaCrash {
+  std::chrono::steady_clock::time_point at;
+  std::string replica;
+  std::string body;  ///< of that request
+};
+
 struct ReplicaFaults {
   bool down = false;          ///< takes nothing, and its entry is gone
   bool dark = false;          ///< takes requests and never answers
@@ -53,6 +60,12 @@
  public:
   using Ledger = std::vector<ReplicaRun>;
   using Arrivals = std::vector<ReplicaArrival>;
+  /// A request whose body begins so ends the replica midway through its work, with all of its
+  /// connections. The replica is back after kRestart as another life, under another id; the
+  /// entry of the ended life stays for kEntryLapse.
+  static constexpr std::string_view kCrashingBody = "crash";
+  static constexpr std::chrono::milliseconds kRestart{1300};
+  static constexpr std::chrono::milliseconds kEntryLapse{900};
 
   StandInReplica(boost::asio::any_io_executor executor, std::string id, std::string service,
                  bool is_model, Ledger& ledger, Arrivals& arrivals, core::Metrics& metrics);
@@ -78,9 +91,22 @@
   bool draining = false;
   std::map<std::string, std::uint64_t> versions;  ///< by model
   std::vector<std::string> order_holders;         ///< of each order carried out
+  std::vector<ReplicaCrash> crashes;
   const std::string& id() const { return id_; }
+  /// \return the id of the life that runs now, or ran last.
+  std::string life_id() const;
+  /// \return whether an entry in the store tells of the life that runs.
+  bool is_listed() const { return !faults.down && !ended_; }
+  /// \return the ended lives whose entries have lapsed since the last call.
+  std::vector<std::string> take_lapsed();
 
  private:
+  struct EndedLife {
+    std::string id;
+    std::chrono::steady_clock::time_point at;
+  };
+  void crash(const std::string& body);
+  static boost::asio::awaitable<void> restart(StandInReplica* self);
   boost::asio::awaitable<void> answer_whole(const std::string& request_id,
                                             http::ResponseWriter& response);
   boost::asio::awaitable<void> answer_stream(const std::string& request_id,
@@ -99,7 +125,12 @@
   std::chrono::steady_clock::time_point cold_until_{};
   core::Address address_;
   std::uint64_t orders_ = 0;
-  http::Server server_;
+  boost::asio::any_io_executor executor_;
+  core::Metrics& metrics_;
+  std::uint64_t life_ = 1;
+  bool ended_ = false;
+  std::vector<EndedLife> ended_lives_;
+  std::unique_ptr<http::Server> server_;
 };
 
 }  // namespace stoneport::tests
