Requests that crash replicas are remembered, run apart and are held back

Cause: nothing was remembered of a request beyond its client attempt. Its repeat has a new id and began anew at every process; each round ended all replicas of the service. Ruled out by the log: attempts beyond the route's limit (two ends a request id at most), and kept connections (ends on new ones alike). Change: an end of a replica (its connection breaks and nothing listens at its address) is noted against what it ran, by content. One that is served whole is cleared; an end is charged to those with the most ends. One end: one run at a time, never on a service's last healthy replica. Two: on a replica that runs nothing else. Three: refused at once, 503 with Retry-After 30 s. All processes are told at once and again by turns. Replicas that ended do not count against a route's attempts, so that bystanders are served elsewhere. The stand-in's child processes held its listeners open, so that an ended replica still accepted.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -50,6 +50,10 @@
     EventName{DecisionEvent::kReplicasOrdered, "replicas_ordered"},
     EventName{DecisionEvent::kZonesEvacuated, "zones_evacuated"},
     EventName{DecisionEvent::kColdReplicas, "cold_replicas"},
+    EventName{DecisionEvent::kReplicaEndedUnder, "replica_ended_under"},
+    EventName{DecisionEvent::kSuspectRuns, "suspect_runs"},
+    EventName{DecisionEvent::kSuspectHeld, "suspect_held"},
+    EventName{DecisionEvent::kSuspectCleared, "suspect_cleared"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -47,7 +47,11 @@
   kReplicasOrdered,
   kZonesEvacuated,
   kColdReplicas,
-  kLast = kColdReplicas,
+  kReplicaEndedUnder,
+  kSuspectRuns,
+  kSuspectHeld,
+  kSuspectCleared,
+  kLast = kSuspectCleared,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- /dev/null
+++ b/src/eligibility/replica_reservations.hpp
@@ -0,0 +1,31 @@
+/// \file
+/// Replicas that are kept for one request, which must run beside no other. Known from this
+/// process and from others. Plain code; belongs to one thread.
+#pragma once
+
+#include <unordered_map>
+
+#include "core/identifiers.hpp"
+#include "core/time.hpp"
+
+namespace stoneport::eligibility {
+
+class ReplicaReservations {
+ public:
+  void reserve(const core::ReplicaId& replica, core::MonotonicTime until) {
+    until_[replica] = until;
+  }
+  void release(const core::ReplicaId& replica) { until_.erase(replica); }
+  bool holds(const core::ReplicaId& replica, core::MonotonicTime now) const {
+    const auto found = until_.find(replica);
+    return found != until_.end() && now < found->second;
+  }
+  void forget_old(core::MonotonicTime now) {
+    std::erase_if(until_, [now](const auto& entry) { return entry.second <= now; });
+  }
+
+ private:
+  std::unordered_map<core::ReplicaId, core::MonotonicTime> until_;
+};
+
+}  // namespace stoneport::eligibility
--- a/src/eligibility/send_gate.cpp
+++ b/src/eligibility/send_gate.cpp
@@ -17,6 +17,8 @@
       return "outside_regions";
     case Objection::kColdPace:
       return "cold_pace";
+    case Objection::kReserved:
+      return "reserved";
   }
   return "unknown";
 }
@@ -30,6 +32,9 @@
   if (is_bound && !origin.binding->allows(region_of(destination.zone))) {
     return Objection::kOutsideRegions;
   }
+  if (!origin.may_use_reserved && reservations_.holds(destination.id, now)) {
+    return Objection::kReserved;
+  }
   if (!cold_pace_.may_send(paced(destination), origin.sender, now)) {
     return Objection::kColdPace;
   }
--- a/src/eligibility/send_gate.hpp
+++ b/src/eligibility/send_gate.hpp
@@ -2,8 +2,8 @@
 /// The one answer to the question: may this request go to this replica now, and from here?
 /// Every sender of this process asks it: first tries, retries, resumed streams, texts that are
 /// begun or moved, rating calls, orders of weights. Owns what binds replicas as a whole: zones
-/// that are evacuated, regions that requests are bound to, what cold replicas bear. Plain code;
-/// belongs to one thread. docs/design/newcomers.md
+/// that are evacuated, regions that requests are bound to, what cold replicas bear, replicas that
+/// are kept for one request. Plain code; belongs to one thread. docs/design/newcomers.md
 #pragma once
 
 #include <map>
@@ -15,6 +15,7 @@
 #include "eligibility/cold_pace.hpp"
 #include "eligibility/evacuations.hpp"
 #include "eligibility/region_binding.hpp"
+#include "eligibility/replica_reservations.hpp"
 
 namespace stoneport::eligibility {
 
@@ -23,6 +24,7 @@
   kEvacuatedZone,   ///< nothing goes to its zone until the operator takes that back
   kOutsideRegions,  ///< the request is bound to other regions
   kColdPace,        ///< as much was sent to it as a cold one bears, or others send there
+  kReserved,        ///< it is kept for a request that must run alone
 };
 std::string_view to_string(Objection objection);
 
@@ -38,6 +40,7 @@
 struct Origin {
   Sender sender = Sender::kFrontEnd;
   const RegionBinding* binding = nullptr;  ///< null binds nothing
+  bool may_use_reserved = false;           ///< it is looking for, or has, a replica of its own
 };
 
 /// The region of each zone, from the settings.
@@ -68,11 +71,13 @@
   const Evacuations& evacuations() const { return evacuations_; }
   ColdPace& cold_pace() { return cold_pace_; }
   const ColdPace& cold_pace() const { return cold_pace_; }
+  ReplicaReservations& reservations() { return reservations_; }
 
  private:
   ZoneRegions regions_;
   Evacuations evacuations_;
   ColdPace cold_pace_;
+  ReplicaReservations reservations_;
 };
 
 }  // namespace stoneport::eligibility
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -134,6 +134,15 @@
     co_return whole;
   }
 
+  static asio::awaitable<bool> refuses_connections(std::shared_ptr<Implementation> self,
+                                                   core::Address address, core::Duration limit) {
+    ClientConnection connection(self->executor_, std::move(address), self->counters_);
+    connection.timer().arm(limit);
+    const boost::system::error_code error = co_await connection.connect();
+    connection.close();
+    co_return error == asio::error::connection_refused;
+  }
+
   void forget(const core::Address& address) { pool_->forget(address); }
   bool keeps_connection(const core::Address& address) const {
     return pool_->keeps_connection(address);
@@ -212,6 +221,10 @@
   return Implementation::fetch(implementation_, std::move(address), std::move(request), options);
 }
 
+asio::awaitable<bool> Client::refuses_connections(core::Address address, core::Duration limit) {
+  return Implementation::refuses_connections(implementation_, std::move(address), limit);
+}
+
 void Client::forget(const core::Address& address) {
   implementation_->forget(address);
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -82,6 +82,9 @@
   boost::asio::awaitable<ClientResult<Response>> fetch(core::Address address, Request request,
                                                        SendOptions options);
 
+  /// Opens a connection and closes it. \return whether it was refused: nothing listens there.
+  boost::asio::awaitable<bool> refuses_connections(core::Address address, core::Duration limit);
+
   /// Closes kept connections to \p address, for example when it is leaving.
   void forget(const core::Address& address);
   /// \return whether an idle connection to \p address is kept; it may turn out closed.
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -12,6 +12,7 @@
 
 #include "core/metrics.hpp"
 #include "http/server.hpp"
+#include "ingress/crash_guard.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
 #include "ingress/run_observer.hpp"
@@ -80,6 +81,9 @@
   /// When to come back to a service all of whose replicas lie in evacuated zones: an operator
   /// takes that back after seconds at the soonest. At most half of what the client has left.
   core::Duration evacuated_return = std::chrono::seconds(2);
+  /// When to come back with a request that is held back because replicas end under it. It stays
+  /// so for minutes, or until an operator lets it go.
+  core::Duration held_back_return = std::chrono::seconds(30);
   /// Refusals, beyond the attempts of the route, after which a request is given up.
   std::uint32_t most_refusals = 6;
 };
@@ -97,6 +101,8 @@
   boost::asio::awaitable<ForwardResult> call(ForwardedRequest request);
   /// A caller cut a call that \p replica had not answered when another one had.
   void note_silent(ReplicaState& replica);
+  /// \return what keeps requests that crash replicas away from them, for every other sender too.
+  CrashGuard& guard() { return guard_; }
   /// Answers a client; stops working for one that leaves.
   boost::asio::awaitable<void> serve(ForwardedRequest request, http::ResponseWriter& response);
 
@@ -109,15 +115,27 @@
   /// \return null when no replica accepted work until the request had to be given up.
   boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
                                                 Progress& progress);
+  /// Draws the service of \p request by the weights of its route.
+  void draw_service(const ForwardedRequest& request, Progress& progress);
+  struct Choice {
+    std::vector<ReplicaPointer> usable;
+    ReplicaPointer replica;  ///< null when none can be chosen now
+  };
+  Choice choose_now(const ForwardedRequest& request, Progress& progress);
+  /// \return whether \p request is given up, as \p choice has no replica for it.
+  bool ends_without_replica(const ForwardedRequest& request, Progress& progress,
+                            const Choice& choice);
+  /// \param is_suspect replicas ended under it, so that it may look for a reserved one
   /// \return the replicas that may get \p request now.
-  std::vector<ReplicaPointer> candidates(const ForwardedRequest& request,
-                                         const Progress& progress) const;
+  std::vector<ReplicaPointer> candidates(const ForwardedRequest& request, const Progress& progress,
+                                         bool is_suspect) const;
   std::optional<eligibility::Objection> objection(const ReplicaState& replica,
-                                                  const ForwardedRequest& request) const;
+                                                  const ForwardedRequest& request,
+                                                  bool is_suspect) const;
   /// \return whether any listed replica is where \p request may be served, busy or not.
   bool has_replica_in_regions(const ForwardedRequest& request) const;
   void note_sent(const ReplicaState& replica, const ForwardedRequest& request);
-  bool may_get(const ReplicaState& replica, const ForwardedRequest& request) const;
+  bool may_get(const ReplicaState& replica, const ForwardedRequest& request, bool is_suspect) const;
   /// \return whether replicas that accept work get nothing more from here as they are cold.
   bool is_held_for_cold(const ForwardedRequest& request) const;
   /// \return whether \p request has waited for cold replicas as long as it should.
@@ -135,6 +153,15 @@
                     const ports::CallFailure& failure, Progress& progress);
   /// A call that the replica ran, or may have run, failed.
   void note_failed_run(ReplicaState& replica);
+  std::optional<CrashGuard::Run> begin_if_suspect(const ReplicaState& replica,
+                                                  const Progress& progress);
+  /// Finds out whether \p replica ended while it ran \p request, where \p failure may tell so.
+  boost::asio::awaitable<void> settle_failure(const ForwardedRequest& request,
+                                              const ReplicaPointer& replica,
+                                              const ports::CallFailure& failure,
+                                              Progress& progress);
+  boost::asio::awaitable<void> settle_broken_run(const ForwardedRequest& request,
+                                                 const ReplicaPointer& replica, Progress& progress);
   Verdict judge(const ForwardedRequest& request, ReplicaState& replica,
                 ports::ReplicaAnswer& answer, Progress& progress);
   bool may_try_again(const ForwardedRequest& request, const Progress& progress) const;
@@ -158,6 +185,7 @@
   const core::TimeSource& time_;
   RunObserver* observer_;
   std::unique_ptr<Meters> meters_;
+  CrashGuard guard_;
 
  public:
   ~Forwarder();
--- /dev/null
+++ b/src/ingress/forwarder_choice.cpp
@@ -0,0 +1,218 @@
+// The part of Forwarder that chooses a replica, or finds that there is none for a request.
+#include <algorithm>
+
+#include "ingress/forwarder_parts.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::ingress {
+namespace asio = boost::asio;
+namespace {
+
+eligibility::Origin origin_of(const ForwardedRequest& request, bool is_suspect) {
+  return {request.sender, &request.binding, is_suspect};
+}
+
+}  // namespace
+
+std::optional<eligibility::Objection> Forwarder::objection(const ReplicaState& replica,
+                                                           const ForwardedRequest& request,
+                                                           bool is_suspect) const {
+  return directory_.gate().objection(replica.destination(), origin_of(request, is_suspect),
+                                     time_.now());
+}
+
+bool Forwarder::may_get(const ReplicaState& replica, const ForwardedRequest& request,
+                        bool is_suspect) const {
+  return replica.accepts_work() && !objection(replica, request, is_suspect);
+}
+
+bool Forwarder::is_cold(const ReplicaState& replica) const {
+  return directory_.gate().is_cold(replica.destination(), time_.now());
+}
+
+bool Forwarder::is_held_for_cold(const ForwardedRequest& request) const {
+  for (const RouteTarget& target : request.route->targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      const bool is_held = replica->accepts_work() &&
+                           objection(*replica, request, false) == eligibility::Objection::kColdPace;
+      if (is_held) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+bool Forwarder::is_held_too_long(const ForwardedRequest& request, Progress& progress) const {
+  if (!is_held_for_cold(request)) {
+    return false;
+  }
+  if (!progress.was_held_for_cold) {
+    progress.was_held_for_cold = true;
+    meters_->held_for_cold.Increment();
+  }
+  progress.reason = "only cold replicas are left";
+  const core::Duration longest = core::from_seconds(
+      core::to_seconds(request.route->target_latency) * settings_.cold_wait_in_target_latencies);
+  // One that has run already can be refused no more.
+  return progress.runs == 0 && time_.now() - request.received >= longest;
+}
+
+bool Forwarder::has_replica_in_regions(const ForwardedRequest& request) const {
+  if (!request.binding.is_bound()) {
+    return true;
+  }
+  for (const RouteTarget& target : request.route->targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (request.binding.allows(directory_.gate().region_of(replica->record.zone))) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void Forwarder::note_sent(const ReplicaState& replica, const ForwardedRequest& request) {
+  directory_.gate().note_sent(replica.destination(), origin_of(request, false), time_.now());
+  if (directory_.gate().region_of(replica.record.zone) != settings_.region) {
+    meters_->sent_to_other_region.Increment();
+  }
+}
+
+bool Forwarder::is_evacuated(const Route& route) const {
+  bool has_replicas = false;
+  for (const RouteTarget& target : route.targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (replica->accepts_work() && directory_.gate().is_open(replica->record.zone)) {
+        return false;
+      }
+      has_replicas |= replica->accepts_work();
+    }
+  }
+  return has_replicas;
+}
+
+core::Duration Forwarder::evacuated_return(const Route& route, core::Duration left) const {
+  for (const RouteTarget& target : route.targets) {
+    for (const ReplicaPointer& replica : directory_.of_service(target.service)) {
+      if (directory_.gate().is_open(replica->record.zone)) {
+        return kReturnAfter;
+      }
+    }
+  }
+  return std::clamp(left / 2, kReturnAfter, settings_.evacuated_return);
+}
+
+std::vector<ReplicaPointer> Forwarder::candidates(const ForwardedRequest& request,
+                                                  const Progress& progress, bool is_suspect) const {
+  std::vector<ReplicaPointer> found = directory_.of_service(*progress.service);
+  std::erase_if(found, [&](const ReplicaPointer& replica) {
+    const bool was_tried = progress.preference.excluded.contains(replica->record.id);
+    return was_tried || !may_get(*replica, request, is_suspect);
+  });
+  if (!found.empty() || request.route->targets.size() == 1) {
+    return found;
+  }
+  for (const RouteTarget& target : request.route->targets) {
+    for (const ReplicaPointer& other : directory_.of_service(target.service)) {
+      if (may_get(*other, request, is_suspect)) {
+        found.push_back(other);
+      }
+    }
+  }
+  return found;
+}
+
+void Forwarder::draw_service(const ForwardedRequest& request, Progress& progress) {
+  double total = 0;
+  for (const RouteTarget& target : request.route->targets) {
+    total += target.weight;
+  }
+  double drawn = random_.fraction() * total;
+  progress.service = request.route->targets.back().service;
+  for (const RouteTarget& target : request.route->targets) {
+    drawn -= target.weight;
+    if (drawn < 0) {
+      progress.service = target.service;
+      break;
+    }
+  }
+}
+
+Forwarder::Choice Forwarder::choose_now(const ForwardedRequest& request, Progress& progress) {
+  const bool is_suspect = guard_.has_suspects() && guard_.is_suspect(progress.content_of(request));
+  Choice choice;
+  choice.usable = candidates(request, progress, is_suspect);
+  progress.admission = Admission();
+  if (is_suspect) {
+    progress.admission = guard_.admit(progress.content, *request.route, choice.usable);
+    if (progress.admission.kind != AdmissionKind::kFree) {
+      choice.usable = progress.admission.allowed;
+    }
+  }
+  choice.replica = choose_replica(choice.usable, progress.preference, time_.now(), random_);
+  return choice;
+}
+
+bool Forwarder::ends_without_replica(const ForwardedRequest& request, Progress& progress,
+                                     const Choice& choice) {
+  if (progress.admission.kind == AdmissionKind::kHeld) {
+    progress.held_back = true;
+    progress.reason = "held back: replicas ended under it";
+    return true;
+  }
+  const bool waits_to_run_apart = progress.admission.kind == AdmissionKind::kWait;
+  if (waits_to_run_apart) {
+    progress.reason = "waits to run apart from others: replicas ended under it";
+  }
+  if (choice.usable.empty() && !waits_to_run_apart && !has_replica_in_regions(request)) {
+    meters_->refused_for_regions.Increment();
+    progress.reason = "no replica in the regions that its route and tenant allow";
+    return true;
+  }
+  // What has begun is worth waiting for the zone; what has not is told to come back.
+  if (progress.runs == 0 && !progress.started && is_evacuated(*request.route)) {
+    progress.evacuated = true;
+    progress.reason = "all replicas lie in evacuated zones";
+    meters_->evacuated.Increment();
+    return true;
+  }
+  const bool is_too_late = time_.now() + settings_.no_replica_pause >= progress.give_up_at;
+  return is_too_late || is_held_too_long(request, progress);
+}
+
+asio::awaitable<ReplicaPointer> Forwarder::choose(const ForwardedRequest& request,
+                                                  Progress& progress) {
+  if (!progress.service) {
+    draw_service(request, progress);
+  }
+  while (true) {
+    const Choice choice = choose_now(request, progress);
+    if (choice.replica) {
+      co_return choice.replica;
+    }
+    if (ends_without_replica(request, progress, choice)) {
+      co_return nullptr;
+    }
+    progress.preference.excluded.clear();  // all were tried: any may be tried again
+    co_await runtime::sleep_for(settings_.no_replica_pause);
+  }
+}
+
+ReplicaPreference Forwarder::preference_for(const Route& route) const {
+  ReplicaPreference preference;
+  preference.zone = settings_.zone;
+  preference.in_other_region = [this](const core::ZoneName& zone) {
+    return directory_.gate().region_of(zone) != settings_.region;
+  };
+  if (is_repeatable(route)) {  // others never go out on a kept connection
+    preference.is_connected = [this](const core::Address& address) {
+      return client_.keeps_connection(address);
+    };
+    preference.usual_latency = core::from_seconds(core::to_seconds(route.target_latency) *
+                                                  settings_.usual_in_target_latencies);
+  }
+  return preference;
+}
+
+}  // namespace stoneport::ingress
--- /dev/null
+++ b/src/ingress/forwarder_parts.hpp
@@ -0,0 +1,97 @@
+/// \file
+/// What the forwarder's sources share: the state of one request, the counters, the statuses.
+/// Private to src/ingress.
+#pragma once
+
+#include "ingress/forwarder.hpp"
+
+namespace stoneport::ingress {
+
+/// When to come back to a service that may take work again at any moment.
+inline constexpr core::Duration kReturnAfter = std::chrono::milliseconds(250);
+
+inline bool is_repeatable(const Route& route) {
+  return route.kind == RouteKind::kRepeatable || route.resumable;
+}
+
+/// A replica that said so, or that was silent, has not begun: another one will.
+inline void note_attempt(const ports::CallFailure& failure, ObservedRun& observed) {
+  const bool may_have_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
+  if (may_have_run && !failure.unreachable) {
+    observed.ran();
+  } else {
+    observed.not_run();
+  }
+}
+
+/// What one request has been through.
+struct Forwarder::Progress {
+  core::MonotonicTime give_up_at;
+  ReplicaPreference preference;
+  std::optional<core::ServiceName> service;  ///< drawn once, by the route's weights
+  std::uint32_t runs = 0;                    ///< attempts that may have run
+  std::uint32_t ended_runs = 0;              ///< of these, on replicas that ended meanwhile
+  std::uint32_t refusals = 0;                ///< attempts that have not
+  std::optional<std::uint64_t> last_event;
+  std::optional<ports::ReplicaAnswer> last_answer;  ///< a failure that may be passed on
+  std::string reason = "no replica accepts work";
+  bool was_held_for_cold = false;
+  bool fell_silent = false;          ///< the last stream got no event in time
+  bool started = false;              ///< the head of a stream has gone to the client
+  bool evacuated = false;            ///< ended because all replicas lie in evacuated zones
+  bool held_back = false;            ///< ended because replicas end under it
+  core::RequestFingerprint content;  ///< empty until it was asked for
+  Admission admission;               ///< of the next attempt
+
+  /// \return what \p request asks for; hashes its body the first time.
+  const core::RequestFingerprint& content_of(const ForwardedRequest& request) {
+    if (content.empty()) {
+      content = request.fingerprint();
+    }
+    return content;
+  }
+  /// \return attempts that count against the route's limit. Replicas that ended do not: a request
+  /// that was on one by chance is served elsewhere, and one that ends them is held back.
+  std::uint32_t counted_runs() const { return runs - ended_runs; }
+};
+
+struct Forwarder::Meters {
+  explicit Meters(core::Metrics& metrics)
+      : answered(outcome(metrics, "answered")),
+        refused(outcome(metrics, "refused")),
+        failed(outcome(metrics, "failed")),
+        client_gone(outcome(metrics, "client_gone")),
+        attempts_failed(metrics.counter("stoneport_forward_attempt_failures_total",
+                                        "Attempts without a usable answer")),
+        held_for_cold(metrics.counter("stoneport_forward_held_for_cold_total",
+                                      "Requests that waited as only cold replicas were left")),
+        evacuated(metrics.counter("stoneport_evacuation_refusals_total",
+                                  "Requests refused at once because all replicas of their services "
+                                  "lie in evacuated zones")),
+        ejections(metrics.counter("stoneport_replica_ejections_total",
+                                  "Replicas left out for a while because they failed calls")),
+        refused_for_regions(
+            metrics.counter("stoneport_region_refusals_total",
+                            "Requests that no replica may get because of their regions")),
+        sent_to_other_region(metrics.counter("stoneport_sent_to_other_region_total",
+                                             "Attempts at replicas of another region")),
+        seconds(metrics.seconds_histogram("stoneport_forward_seconds",
+                                          "From a request's arrival to its answer")) {}
+  static prometheus::Counter& outcome(core::Metrics& metrics, const std::string& name) {
+    return metrics.counter("stoneport_forwarded_requests_total", "Requests by end",
+                           {{"outcome", name}});
+  }
+  prometheus::Counter& answered;
+  prometheus::Counter& refused;
+  prometheus::Counter& failed;
+  prometheus::Counter& client_gone;
+  prometheus::Counter& attempts_failed;
+  prometheus::Counter& held_for_cold;
+  prometheus::Counter& evacuated;
+  prometheus::Counter& ejections;
+  prometheus::Counter& refused_for_regions;
+  prometheus::Counter& sent_to_other_region;
+  prometheus::Histogram& seconds;
+};
+
+}  // namespace stoneport::ingress
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -47,7 +47,12 @@
   core::MonotonicTime presumed_cold_until{};  ///< its zone was evacuated until lately
   OutlierDetector outliers;
 
+  std::optional<core::MonotonicTime> ended_at;  ///< it was found to have ended
+
   bool accepts_work() const { return listed && !record.draining; }
+  /// \return whether this life has ended, though the store may list it for some seconds more.
+  bool has_ended() const { return ended_at && last_answer <= *ended_at; }
+  void note_end(core::MonotonicTime now) { ended_at = now; }
   /// \return it as the gate looks at it; valid while the record is.
   eligibility::Destination destination() const {
     return {record.id, record.service, record.zone, record.cold_until};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -97,6 +97,9 @@
       gossip_endpoint_(inputs_.executor, inputs_.metrics),
       gossip_(inputs_.executor, gossip_endpoint_, self_of(settings_, life_number_), gossip_pace(),
               seed_for(settings_, life_number_, "gossip"), inputs_.time, inputs_.metrics),
+      suspect_exchange_(inputs_.executor, gossip_, forwarder_.guard(), settings_.name,
+                        seed_for(settings_, life_number_, "suspects"), inputs_.time,
+                        inputs_.metrics),
       coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
                    seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
@@ -188,6 +191,9 @@
 void Node::start() {
   gossip_.set_seeds(settings_.gossip_seeds);
   gossip_.on_zone_change([this] { hear_evacuations(); });
+  gossip_.on_message(
+      [this](const controllers::ReceivedMessage& message) { suspect_exchange_.hear(message); });
+  suspect_exchange_.start();
   coordinator_.start();
   store_watch_.start();
   usage_publisher_.start();
@@ -254,6 +260,7 @@
   for (const core::Address& address : left) {
     inputs_.replicas.forget(address);
   }
+  crash_guard().on_listing_changed();
   core::log_decision(core::DecisionEvent::kReplicasChanged,
                      {{"listed", directory_.size()}, {"written", written}, {"left", left.size()}},
                      core::DecisionWeight::kRoutine);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -17,6 +17,7 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
 #include "node/caller_directory.hpp"
+#include "node/suspect_exchange.hpp"
 #include "node/zone_views.hpp"
 #include "records/store_watch.hpp"
 #include "usage/usage_publisher.hpp"
@@ -101,6 +102,8 @@
   /// \return the processes that are known, this one among them.
   const wire::MemberMap& members() const { return gossip_.members_by_node(); }
   ingress::Forwarder& forwarder() { return forwarder_; }
+  /// \return what keeps requests that crash replicas away from them.
+  ingress::CrashGuard& crash_guard() { return forwarder_.guard(); }
   jobs::JobStore& jobs() { return job_store_; }
 
   /// Leaves the directory, hands the jobs over and takes no part in control any
@@ -148,6 +151,7 @@
   jobs::JobStore job_store_;
   controllers::GossipEndpoint gossip_endpoint_;
   controllers::GossipController gossip_;
+  SuspectExchange suspect_exchange_;
   jobs::Coordinator coordinator_;
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
--- a/src/ports/replica_client.hpp
+++ b/src/ports/replica_client.hpp
@@ -120,6 +120,9 @@
                                                                        ReplicaCall call) = 0;
   virtual boost::asio::awaitable<core::Result<ReplicaReport>> report(ReplicaTarget target) = 0;
   virtual boost::asio::awaitable<OrderEnd> order(ReplicaTarget target, WeightOrder order) = 0;
+  /// \return whether nothing listens at the replica's address: it has ended. False when that
+  /// cannot be told, as behind a cut.
+  virtual boost::asio::awaitable<bool> refuses_connections(ReplicaTarget target) = 0;
   /// Closes kept connections to a replica that is leaving or gone.
   virtual void forget(const core::Address& address) = 0;
   /// \return whether a call to \p address needs no new connection.
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -26,6 +26,7 @@
   kSyncRequest,
   kDigestSubscription,
   kDigestPush,
+  kSuspectReport,
 };
 
 /// Reads the elements of one array in order. After the first error every
@@ -245,6 +246,46 @@
   return reader.ok();
 }
 
+Json write_suspect(const SuspectNotice& notice) {
+  Json ended = Json::array();
+  for (const core::ReplicaId& replica : notice.ended) {
+    ended.push_back(replica.value());
+  }
+  return Json::array({notice.content.value(), notice.generation, std::move(ended), notice.left_ms});
+}
+
+bool read_suspect(const Json& json, SuspectNotice& notice) {
+  ArrayReader reader(json, 4);
+  notice.content = reader.next_name<core::RequestFingerprint>();
+  notice.generation = reader.next_unsigned();
+  notice.ended = reader.next_list<core::ReplicaId>(read_replica_id);
+  notice.left_ms = reader.next_unsigned32();
+  return reader.ok();
+}
+
+Json write_suspect_run(const SuspectRunNotice& notice) {
+  return Json::array({notice.content.value(), notice.replica.value(), notice.is_alone ? 1u : 0u,
+                      notice.is_over ? 1u : 0u});
+}
+
+bool read_suspect_run(const Json& json, SuspectRunNotice& notice) {
+  ArrayReader reader(json, 4);
+  notice.content = reader.next_name<core::RequestFingerprint>();
+  notice.replica = reader.next_name<core::ReplicaId>();
+  notice.is_alone = reader.next_bool();
+  notice.is_over = reader.next_bool();
+  return reader.ok();
+}
+
+template <class Item, class WriteItem>
+Json write_list(const std::vector<Item>& items, WriteItem write_item) {
+  Json list = Json::array();
+  for (const Item& item : items) {
+    list.push_back(write_item(item));
+  }
+  return list;
+}
+
 std::uint64_t kind_number(MessageKind kind) {
   return static_cast<std::uint64_t>(kind);
 }
@@ -280,6 +321,11 @@
     }
     return Json::array({kind_number(MessageKind::kDigestPush), std::move(reports)});
   }
+  Json operator()(const SuspectReport& report) const {
+    return Json::array({kind_number(MessageKind::kSuspectReport),
+                        write_list(report.suspects, write_suspect),
+                        write_list(report.runs, write_suspect_run)});
+  }
 };
 
 bool read_ping(const Json& json, GossipMessage& message) {
@@ -341,12 +387,22 @@
   return reader.ok();
 }
 
+bool read_suspect_report(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 3);
+  reader.next();
+  SuspectReport report;
+  report.suspects = reader.next_list<SuspectNotice>(read_suspect);
+  report.runs = reader.next_list<SuspectRunNotice>(read_suspect_run);
+  message = std::move(report);
+  return reader.ok();
+}
+
 bool read_message(const Json& json, GossipMessage& message) {
   if (!json.is_array() || json.empty() || !json.front().is_number_unsigned()) {
     return false;
   }
   const auto kind = json.front().get<std::uint64_t>();
-  if (kind > kind_number(MessageKind::kDigestPush)) {
+  if (kind > kind_number(MessageKind::kSuspectReport)) {
     return false;
   }
   switch (static_cast<MessageKind>(kind)) {
@@ -365,19 +421,12 @@
       return read_digest_subscription(json, message);
     case MessageKind::kDigestPush:
       return read_digest_push(json, message);
+    case MessageKind::kSuspectReport:
+      return read_suspect_report(json, message);
   }
   return false;
 }
 
-template <class Item, class WriteItem>
-Json write_list(const std::vector<Item>& items, WriteItem write_item) {
-  Json list = Json::array();
-  for (const Item& item : items) {
-    list.push_back(write_item(item));
-  }
-  return list;
-}
-
 std::string to_bytes(const Json& json) {
   std::string bytes;
   Json::to_cbor(json, bytes);
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -38,6 +38,8 @@
 std::size_t encoded_size(const ReplicaDrainMark& mark);
 std::size_t encoded_size(const ZoneNotice& notice);
 std::size_t encoded_size(const ReplicaReport& report);
+std::size_t encoded_size(const SuspectNotice& notice);
+std::size_t encoded_size(const SuspectRunNotice& notice);
 /// \return the bytes of \p packet with its sender and message, its lists being empty.
 std::size_t size_without_records(const GossipPacket& packet);
 
--- a/src/wire/gossip_messages.hpp
+++ b/src/wire/gossip_messages.hpp
@@ -82,8 +82,33 @@
   bool operator==(const DigestPush&) const = default;
 };
 
+/// A request under which replicas ended, as the sender knows it.
+struct SuspectNotice {
+  core::RequestFingerprint content;
+  std::uint64_t generation = 0;  ///< rises each time that the request is cleared
+  std::vector<core::ReplicaId> ended;
+  std::uint32_t left_ms = 0;  ///< until the sender forgets it, when sent
+  bool operator==(const SuspectNotice&) const = default;
+};
+
+/// A request under suspicion that the sender runs, or keeps a replica for, now.
+struct SuspectRunNotice {
+  core::RequestFingerprint content;
+  core::ReplicaId replica;
+  bool is_alone = false;  ///< nothing else may go to the replica meanwhile
+  bool is_over = false;
+  bool operator==(const SuspectRunNotice&) const = default;
+};
+
+/// Tells of requests that may crash replicas.
+struct SuspectReport {
+  std::vector<SuspectNotice> suspects;
+  std::vector<SuspectRunNotice> runs;
+  bool operator==(const SuspectReport&) const = default;
+};
+
 using GossipMessage = std::variant<News, Ping, Acknowledgement, IndirectPing, SyncRequest,
-                                   DigestSubscription, DigestPush>;
+                                   DigestSubscription, DigestPush, SuspectReport>;
 
 /// The newest published version of a policy; the highest wins.
 struct PolicyVersion {
--- a/src/wire/gossip_sizes.cpp
+++ b/src/wire/gossip_sizes.cpp
@@ -84,6 +84,17 @@
     }
     return size;
   }
+  std::size_t operator()(const SuspectReport& report) const {
+    std::size_t size = kShortArray + kOneByte + head_bytes(report.suspects.size()) +
+                       head_bytes(report.runs.size());
+    for (const SuspectNotice& notice : report.suspects) {
+      size += encoded_size(notice);
+    }
+    for (const SuspectRunNotice& notice : report.runs) {
+      size += encoded_size(notice);
+    }
+    return size;
+  }
 };
 
 }  // namespace
@@ -117,6 +128,20 @@
          size_of(report.prefetched.value()) + prefixes;
 }
 
+std::size_t encoded_size(const SuspectNotice& notice) {
+  std::size_t size = kShortArray + size_of(notice.content.value()) + size_of(notice.generation) +
+                     head_bytes(notice.ended.size()) + size_of(std::uint64_t{notice.left_ms});
+  for (const core::ReplicaId& replica : notice.ended) {
+    size += size_of(replica.value());
+  }
+  return size;
+}
+
+std::size_t encoded_size(const SuspectRunNotice& notice) {
+  return kShortArray + size_of(notice.content.value()) + size_of(notice.replica.value()) +
+         kOneByte + kOneByte;
+}
+
 std::size_t size_without_records(const GossipPacket& packet) {
   return kShortArray + size_of(kGossipProtocolVersion) + encoded_size(packet.sender) +
          std::visit(MessageSizer{}, packet.message) + kLists * kEmptyList;
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -39,8 +39,7 @@
   address_ = address;
   server_ = std::make_unique<http::Server>(executor_, "stand-in replica", http::ServerLimits(),
                                            *this, metrics_);
-  // A life that starts anew must not fail on connections that its predecessor had.
-  return server_->listen(address, http::AddressUse::kShared);
+  return server_->listen(address);
 }
 
 std::string StandInReplica::life_id() const {
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -30,6 +30,9 @@
   posix_spawn_file_actions_addopen(&actions, 1, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
                                    0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // A listener of the test's own that a child holds too would go on accepting once the test has
+  // closed it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   const int failure =
       posix_spawn(&process_id_, raw_arguments[0], &actions, nullptr, raw_arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -26,6 +26,7 @@
     int fail = 0;             ///< calls that it ran and failed
     bool impossible = false;  ///< says that requests can never be done
     bool gone = false;        ///< another one has the address
+    bool ended = false;       ///< nothing listens at its address
     int lose_orders = 0;      ///< orders without an answer and without effect
     core::Duration first_event_time{};  ///< of a stream, instead of event_gap if it is longer
     core::Duration answer_time{};       ///< of a whole call that it runs
@@ -151,6 +152,11 @@
     co_return ports::OrderEnd::kAccepted;
   }
 
+  boost::asio::awaitable<bool> refuses_connections(ports::ReplicaTarget target) override {
+    co_await runtime::sleep_for(std::chrono::milliseconds(1));
+    co_return replicas[target.id.value()].ended;
+  }
+
   void forget(const core::Address& address) override { (void)address; }
   bool keeps_connection(const core::Address& address) const override {
     (void)address;
