--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "core/metrics.hpp"
@@ -67,10 +69,15 @@
   class Run {
    public:
     Run(CrashGuard& guard, SuspectRun run) : guard_(&guard), run_(std::move(run)) {}
-    Run(Run&& other) noexcept : guard_(std::exchange(other.guard_, nullptr)), run_(other.run_) {}
+    Run(Run&& other) noexcept
+        : guard_(std::exchange(other.guard_, nullptr)), run_(std::move(other.run_)) {}
+    Run& operator=(Run&& other) noexcept {
+      std::swap(guard_, other.guard_);
+      std::swap(run_, other.run_);
+      return *this;
+    }
     Run(const Run&) = delete;
     Run& operator=(const Run&) = delete;
-    Run& operator=(Run&&) = delete;
     ~Run();
 
    private:
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -134,6 +134,10 @@
   if (known_home != view.job->homes.end()) {
     text.preferred = known_home->second;
   }
+  if (inputs_.guard.has_suspects() && inputs_.guard.is_suspect(content_of(*view.job, index))) {
+    place_suspect(view, views, text, now);
+    return true;
+  }
   const std::optional<std::size_t> chosen =
       place_item(view.loads, view.median, text, settings_.placement);
   if (!chosen) {
@@ -148,12 +152,19 @@
     return !item.failed_at.empty();
   }
   const core::ReplicaId replica = view.loads[*chosen].id;
-  view.job->homes[group] = replica;
   begin_run(view.job, index, view.replicas[*chosen], text.is_long);
+  note_placed(view, views, replica, text.is_long, now);
+  return true;
+}
+
+void ItemDispatcher::note_placed(const JobView& view, std::vector<JobView>& views,
+                                 const core::ReplicaId& replica, bool is_long,
+                                 core::MonotonicTime now) const {
+  const std::size_t index = view.job->start_order[view.next];
+  view.job->homes[view.job->job.items[index].group] = replica;
   for (JobView& other : views) {
-    count_text(other, replica, text.is_long, now);
+    count_text(other, replica, is_long, now);
   }
-  return true;
 }
 
 bool ItemDispatcher::is_long(const JobView& view, std::size_t item) {
@@ -199,9 +210,11 @@
       const bool fits =
           version != replica->record.versions.end() && version->second >= job.job.oldest_version;
       const bool may_work = fits && replica->accepts_work();
-      // A cold one takes texts again in a moment: it counts, as closed.
+      // A cold or reserved one takes texts again in a moment: it counts, as closed.
       const auto bar = may_work ? objection(job, *replica, now) : std::nullopt;
-      if (may_work && (!bar || *bar == eligibility::Objection::kColdPace)) {
+      const bool is_closed =
+          bar == eligibility::Objection::kColdPace || bar == eligibility::Objection::kReserved;
+      if (may_work && (!bar || is_closed)) {
         usable.push_back(replica);
       }
     }
@@ -251,13 +264,17 @@
 }
 
 void ItemDispatcher::begin_run(const OpenJobPointer& job, std::size_t item,
-                               ingress::ReplicaPointer replica, bool is_long) {
+                               ingress::ReplicaPointer replica, bool is_long,
+                               const ingress::Admission& admission) {
   const auto run = std::make_shared<Run>();
   run->job = job;
   run->item = item;
   run->replica = std::move(replica);
   run->began = inputs_.time.now();
   run->last_event = run->began;
+  if (admission.kind != ingress::AdmissionKind::kFree) {
+    run->suspect_run = inputs_.guard.begin(content_of(*job, item), *run->replica, admission);
+  }
   inputs_.directory.gate().note_sent(
       run->replica->destination(), {eligibility::Sender::kCoordinator, &job->binding}, run->began);
   job->items[item].state = ItemState::kRunning;
@@ -291,6 +308,7 @@
   const std::optional<AttemptEnd> end =
       co_await runtime::run_cancellable(std::move(task), run->cut);
   const AttemptEnd ended = end.value_or(AttemptEnd());
+  co_await settle(self, run, ended);
   self->on_end(run, run->is_cut ? end_of_cut(ended) : ended);
 }
 
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -13,6 +13,7 @@
 
 #include "core/metrics.hpp"
 #include "core/work_pacer.hpp"
+#include "ingress/crash_guard.hpp"
 #include "ingress/replica_directory.hpp"
 #include "jobs/open_job.hpp"
 #include "jobs/placement.hpp"
@@ -51,6 +52,7 @@
   core::Metrics& metrics;
   /// Whether a replica loads a version of a model now.
   std::function<bool(const core::ReplicaId&, const core::ModelName&)> is_loading;
+  ingress::CrashGuard& guard;  ///< asked about texts under which replicas ended
 };
 
 class ItemDispatcher : public std::enable_shared_from_this<ItemDispatcher> {
@@ -96,7 +98,8 @@
     bool fell_silent = false;       ///< that was the reason
     bool is_cut = false;            ///< by the coordinator
     boost::asio::cancellation_signal cut;
-    std::list<RunPointer>::iterator place;  ///< in runs_
+    std::list<RunPointer>::iterator place;                ///< in runs_
+    std::optional<ingress::CrashGuard::Run> suspect_run;  ///< replicas ended under it before
   };
   /// What has been seen of one replica.
   struct ReplicaWork {
@@ -135,6 +138,13 @@
   bool advance(JobView& view, core::MonotonicTime now);
   /// \return false when no replica has room for any item of \p view.
   bool place_next(JobView& view, std::vector<JobView>& views, core::MonotonicTime now);
+  /// The same for an item under which replicas ended.
+  void place_suspect(JobView& view, std::vector<JobView>& views, const TextToPlace& text,
+                     core::MonotonicTime now);
+  static core::RequestFingerprint content_of(const OpenJob& job, std::size_t item);
+  /// Finds out whether a replica ended that was making the text, and tells the guard.
+  static boost::asio::awaitable<void> settle(std::shared_ptr<ItemDispatcher> self, RunPointer run,
+                                             AttemptEnd end);
   void count_text(JobView& view, const core::ReplicaId& replica, bool is_long,
                   core::MonotonicTime now) const;
   /// \return whether the text of \p item is expected to last long on a usual replica of \p view.
@@ -145,7 +155,10 @@
   std::vector<ReplicaLoad> loads(const std::vector<ingress::ReplicaPointer>& replicas,
                                  const OpenJob& job, core::MonotonicTime now);
   void begin_run(const OpenJobPointer& job, std::size_t item, ingress::ReplicaPointer replica,
-                 bool is_long);
+                 bool is_long, const ingress::Admission& admission = {});
+  /// A text of \p view was placed on \p replica.
+  void note_placed(const JobView& view, std::vector<JobView>& views, const core::ReplicaId& replica,
+                   bool is_long, core::MonotonicTime now) const;
   ports::ReplicaCall item_call(const OpenJob& job, const JobItem& item) const;
   static boost::asio::awaitable<void> run_item(std::shared_ptr<ItemDispatcher> self,
                                                RunPointer run);
--- a/src/jobs/tenure_parts.cpp
+++ b/src/jobs/tenure_parts.cpp
@@ -51,8 +51,9 @@
       self->dispatch_soon();
     }
   };
-  ItemDispatcherInputs inputs{inputs_.executor, inputs_.directory, inputs_.replicas, inputs_.store,
-                              inputs_.time,     inputs_.metrics,   nullptr};
+  ItemDispatcherInputs inputs{
+      inputs_.executor, inputs_.directory, inputs_.replicas, inputs_.store,
+      inputs_.time,     inputs_.metrics,   nullptr,          inputs_.forwarder.guard()};
   inputs.is_loading = [weak](const core::ReplicaId& replica, const core::ModelName& model) {
     const auto self = weak.lock();
     return self && self->loader_->is_loading(replica, model);
