--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -3,12 +3,31 @@
 /// clock; only daemons, programs and tests own a TimeSource.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 namespace stoneport::core {
 
 using Duration = std::chrono::microseconds;
-using MonotonicClock = std::chrono::steady_clock;
+
+/// The time since the machine started, with the time that it was suspended. The standard
+/// library's steady clock leaves that out: a lease, a silence or a time limit measured by it would
+/// seem younger, by as long as the machine was away, than all others know it to be. Timers of the
+/// event loop still run on the steady clock, so that a wait across a suspension ends late by at
+/// most what was left of it; whatever decides compares points of this clock.
+struct MonotonicClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+  static time_point now() noexcept {
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);  // cannot fail: the clock exists and the target is ours
+    return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+  }
+};
 /// Point on the process's monotonic clock, at microsecond resolution.
 using MonotonicTime = std::chrono::time_point<MonotonicClock, Duration>;
 /// Milliseconds since the Unix epoch; for records and scheduled starts only,
--- a/src/filters/admission_filter.cpp
+++ b/src/filters/admission_filter.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "http/deadline_timer.hpp"
 namespace stoneport::filters {
 namespace asio = boost::asio;
 using routing::AdmissionTicket;
@@ -61,7 +62,8 @@
 asio::awaitable<std::optional<Outcome>> AdmissionFilter::wait_for_turn(
     const RequestContext& request, AdmissionTicket ticket) {
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
-  Waiter waiter{asio::steady_timer(executor, request.deadline), std::nullopt};
+  Waiter waiter{asio::steady_timer(executor, request.deadline - http::monotonic_now()),
+                std::nullopt};
   state_->waiters.emplace(ticket, &waiter);
   request.response->when_client_gone([&waiter] { waiter.wake_up.cancel(); });
   if (!request.response->client_gone()) {
--- a/src/filters/claim_filter.cpp
+++ b/src/filters/claim_filter.cpp
@@ -8,6 +8,7 @@
 #include "core/hash.hpp"
 #include "filters/caller_headers.hpp"
 #include "filters/recording_writer.hpp"
+#include "http/deadline_timer.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::filters {
@@ -78,7 +79,7 @@
 asio::awaitable<std::optional<ClaimFilter::ClaimResult>> ClaimFilter::claim_in_time(
     const RequestContext& request, ClaimKey key) {
   const asio::any_io_executor executor = co_await asio::this_coro::executor;
-  asio::steady_timer settled(executor, request.deadline);
+  asio::steady_timer settled(executor, request.deadline - http::monotonic_now());
   const auto pending =
       std::make_shared<PendingClaim>(PendingClaim{std::move(settled), std::nullopt});
   runtime::start(executor, "claim", claim_beside(std::move(key), pending));
--- a/src/http/deadline_timer.cpp
+++ b/src/http/deadline_timer.cpp
@@ -57,7 +57,7 @@
 
 void DeadlineTimer::wait(const std::shared_ptr<State>& state, core::MonotonicTime until) {
   state->waiting_until = until;
-  state->timer.expires_at(until);
+  state->timer.expires_after(until - monotonic_now());
   state->timer.async_wait([state](const boost::system::error_code& error) {
     if (error) {
       return;  // moved to an earlier point, or destroyed
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -169,7 +169,7 @@
                                                core::Duration limit) {
     const core::MonotonicTime deadline = monotonic_now() + limit;
     while (!self->idle() && monotonic_now() < deadline) {
-      self->changed_.expires_at(deadline);
+      self->changed_.expires_after(deadline - monotonic_now());
       co_await self->changed_.async_wait(kAwaitTuple);
     }
     co_return self->idle();
--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -266,7 +266,8 @@
     co_return false;
   }
   if (!replica->has_ended()) {
-    const bool has_ended = co_await client_.refuses_connections(target_of(*replica));
+    ports::ReplicaTarget target = target_of(*replica);
+    const bool has_ended = co_await client_.refuses_connections(std::move(target));
     if (!has_ended) {
       const asio::any_io_executor executor = co_await asio::this_coro::executor;
       runtime::start(executor, "second look at a replica",
@@ -286,7 +287,9 @@
   if (answers || !replica->accepts_work()) {
     co_return;
   }
-  if (replica->has_ended() || co_await client_.refuses_connections(target_of(*replica))) {
+  ports::ReplicaTarget target = target_of(*replica);
+  const bool refuses = co_await client_.refuses_connections(std::move(target));
+  if (refuses || replica->has_ended()) {
     note_end(content, request_id, replica);
   }
 }
@@ -334,6 +337,11 @@
   core::log_decision(core::DecisionEvent::kSuspectCleared,
                      {{"content", content.value()}, {"reason", "let go by an operator"}});
   announce(content);
+  for (const Listener& listener : listeners_) {
+    if (listener.on_let_go) {
+      listener.on_let_go(content);
+    }
+  }
   return true;
 }
 
@@ -375,20 +383,26 @@
 
 void CrashGuard::announce(const core::RequestFingerprint& content) {
   update_gauges();
-  if (listener_.on_suspect) {
-    listener_.on_suspect(*suspects_.find(content));
+  for (const Listener& listener : listeners_) {
+    if (listener.on_suspect) {
+      listener.on_suspect(*suspects_.find(content));
+    }
   }
 }
 
 void CrashGuard::announce_run(const SuspectRun& run) {
-  if (listener_.on_run) {
-    listener_.on_run(run);
+  for (const Listener& listener : listeners_) {
+    if (listener.on_run) {
+      listener.on_run(run);
+    }
   }
 }
 
 void CrashGuard::announce_run_over(const SuspectRun& run) {
-  if (listener_.on_run_over) {
-    listener_.on_run_over(run);
+  for (const Listener& listener : listeners_) {
+    if (listener.on_run_over) {
+      listener.on_run_over(run);
+    }
   }
 }
 
--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -60,10 +60,12 @@
 
 class CrashGuard {
  public:
+  /// Told of what this process learns by itself; what it hears from others is not repeated.
   struct Listener {
-    std::function<void(const quarantine::Suspect&)> on_suspect;
-    std::function<void(const SuspectRun&)> on_run;  ///< began, is renewed
-    std::function<void(const SuspectRun&)> on_run_over;
+    std::function<void(const quarantine::Suspect&)> on_suspect = {};
+    std::function<void(const core::RequestFingerprint&)> on_let_go = {};
+    std::function<void(const SuspectRun&)> on_run = {};  ///< a run or a reservation began
+    std::function<void(const SuspectRun&)> on_run_over = {};
   };
   /// Marks a suspect as running, and its replica as reserved where it runs alone.
   class Run {
@@ -91,7 +93,7 @@
              CrashGuardSettings settings = {});
   ~CrashGuard();
 
-  void set_listener(Listener listener) { listener_ = std::move(listener); }
+  void add_listener(Listener listener) { listeners_.push_back(std::move(listener)); }
   /// \param self breaks ties between processes that reserve replicas of one service at once
   void set_self(core::NodeId self) { self_ = std::move(self); }
 
@@ -124,6 +126,8 @@
   /// An operator lets \p content run again. \return whether it was under suspicion.
   bool let_go(const core::RequestFingerprint& content);
   const quarantine::CrashSuspects& suspects() const { return suspects_; }
+  /// \return how long a suspect that nobody sends is remembered.
+  core::Duration retention() const { return settings_.suspects.retention; }
   /// \return the runs and reservations of this process, to be told again.
   std::vector<SuspectRun> own_runs() const;
   void forget_old();
@@ -169,7 +173,7 @@
   const core::TimeSource& time_;
   CrashGuardSettings settings_;
   std::unique_ptr<Meters> meters_;
-  Listener listener_;
+  std::vector<Listener> listeners_;
   core::NodeId self_;
   quarantine::CrashSuspects suspects_;
   quarantine::ServedContents served_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -100,6 +100,8 @@
       suspect_exchange_(inputs_.executor, gossip_, forwarder_.guard(), settings_.name,
                         seed_for(settings_, life_number_, "suspects"), inputs_.time,
                         inputs_.metrics),
+      suspect_rows_(inputs_.executor, inputs_.store, forwarder_.guard(), inputs_.time,
+                    inputs_.metrics),
       coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
                    seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
@@ -194,6 +196,7 @@
   gossip_.on_message(
       [this](const controllers::ReceivedMessage& message) { suspect_exchange_.hear(message); });
   suspect_exchange_.start();
+  suspect_rows_.start();
   coordinator_.start();
   store_watch_.start();
   usage_publisher_.start();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -18,6 +18,7 @@
 #include "jobs/job_store.hpp"
 #include "node/caller_directory.hpp"
 #include "node/suspect_exchange.hpp"
+#include "node/suspect_rows.hpp"
 #include "node/zone_views.hpp"
 #include "records/store_watch.hpp"
 #include "usage/usage_publisher.hpp"
@@ -152,6 +153,7 @@
   controllers::GossipEndpoint gossip_endpoint_;
   controllers::GossipController gossip_;
   SuspectExchange suspect_exchange_;
+  SuspectRows suspect_rows_;
   jobs::Coordinator coordinator_;
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
--- a/src/node/suspect_exchange.cpp
+++ b/src/node/suspect_exchange.cpp
@@ -57,7 +57,7 @@
     new_runs_[run.content] = node::notice_of(run, true);
     wake();
   };
-  guard_.set_listener(std::move(listener));
+  guard_.add_listener(std::move(listener));
   runtime::start(executor_, "suspect exchange", run());
 }
 
--- /dev/null
+++ b/tests/unit/ingress/crash_guard_test.cpp
@@ -0,0 +1,254 @@
+/// \file
+/// On which terms a request under which replicas ended goes to replicas: never to the last
+/// healthy one, one run at a time, then beside no other; and which ends count.
+#include "ingress/crash_guard.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include "support/fake_replica_client.hpp"
+#include "support/run_task.hpp"
+
+namespace stoneport::ingress {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class CrashGuardTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashGuardTest);
+  CPPUNIT_TEST(only_an_unannounced_end_counts);
+  CPPUNIT_TEST(a_listener_that_closes_a_moment_later_is_seen);
+  CPPUNIT_TEST(the_last_healthy_replica_is_spared);
+  CPPUNIT_TEST(a_service_of_one_replica_is_used_after_a_while);
+  CPPUNIT_TEST(a_suspect_runs_once_at_a_time);
+  CPPUNIT_TEST(what_was_served_before_goes_on_after_one_end);
+  CPPUNIT_TEST(after_two_ends_it_runs_alone);
+  CPPUNIT_TEST(two_processes_do_not_keep_replicas_of_one_service);
+  CPPUNIT_TEST(an_ended_replica_is_known_by_hearsay);
+  CPPUNIT_TEST(an_operator_lets_one_go);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct World {
+    explicit World(int replicas) {
+      route.targets = {{service, 1}};
+      for (int index = 0; index < replicas; ++index) {
+        add("r" + std::to_string(index));
+      }
+      guard.set_self(core::NodeId("node-b"));
+    }
+    void add(const std::string& id) {
+      ReplicaRecord record;
+      record.id = core::ReplicaId(id);
+      record.service = service;
+      client.replicas[id] = {};
+      ReplicaChanges changes;
+      changes.written.push_back(std::move(record));
+      directory.apply(std::move(changes));
+    }
+    ReplicaPointer replica(const std::string& id) const {
+      return directory.find(core::ReplicaId(id));
+    }
+    /// \p id ends while it runs \p content. \return whether that was found out at once.
+    bool end(const core::RequestFingerprint& content, const std::string& id) {
+      client.replicas[id].ended = true;
+      return settle(content, id);
+    }
+    bool settle(const core::RequestFingerprint& content, const std::string& id) {
+      return support::run_task(context, guard.settle_broken(content, "request", replica(id)));
+    }
+    Admission admit(const core::RequestFingerprint& content) {
+      return guard.admit(content, route, directory.of_service(service));
+    }
+    quarantine::Terms terms(const core::RequestFingerprint& content) const {
+      return guard.suspects().terms_of(content);
+    }
+
+    boost::asio::io_context context;
+    core::ServiceName service{"desk"};
+    Route route;
+    support::FakeReplicaClient client;
+    ReplicaDirectory directory;
+    core::ManualTimeSource time;
+    core::Metrics metrics;
+    CrashGuard guard{directory, client, time, metrics};
+  };
+
+  const core::RequestFingerprint culprit{"culprit"};
+  const core::RequestFingerprint other{"other"};
+
+  void only_an_unannounced_end_counts() {
+    World world(4);
+    CPPUNIT_ASSERT(!world.settle(culprit, "r0"));  // it still listens: the connection was reset
+    world.replica("r1")->record.draining = true;
+    CPPUNIT_ASSERT(!world.end(culprit, "r1"));
+    world.replica("r2")->listed = false;
+    CPPUNIT_ASSERT(!world.end(culprit, "r2"));
+    CPPUNIT_ASSERT(!world.guard.has_suspects());
+    CPPUNIT_ASSERT(world.end(culprit, "r3"));
+    CPPUNIT_ASSERT(world.replica("r3")->has_ended());
+    CPPUNIT_ASSERT(world.guard.is_suspect(culprit));
+  }
+
+  void a_listener_that_closes_a_moment_later_is_seen() {
+    World world(3);
+    CPPUNIT_ASSERT(!world.settle(culprit, "r0"));
+    world.client.replicas["r0"].ended = true;
+    world.context.restart();
+    world.context.run_for(milliseconds(100));
+    CPPUNIT_ASSERT(world.guard.is_suspect(culprit));
+    // One that has answered meanwhile lives.
+    CPPUNIT_ASSERT(!world.settle(other, "r1"));
+    world.time.advance(milliseconds(1));
+    world.replica("r1")->last_answer = world.time.now();
+    world.client.replicas["r1"].ended = true;
+    world.context.restart();
+    world.context.run_for(milliseconds(100));
+    CPPUNIT_ASSERT(!world.guard.is_suspect(other));
+  }
+
+  void the_last_healthy_replica_is_spared() {
+    struct Case {
+      std::string name;
+      std::function<void(World&)> makes_r2_the_last;
+    };
+    const Case cases[] = {
+        {"ended", [this](World& world) { world.end(other, "r1"); }},
+        {"silent",
+         [](World& world) { world.replica("r1")->suspect(world.time.now(), seconds(2)); }},
+        {"draining", [](World& world) { world.replica("r1")->record.draining = true; }},
+        {"gone",
+         [](World& world) {
+           world.directory.apply({{}, {core::ReplicaId("r1")}});
+         }},
+    };
+    for (const Case& one : cases) {
+      World world(3);
+      world.end(culprit, "r0");
+      CPPUNIT_ASSERT_MESSAGE(one.name, world.admit(culprit).kind == AdmissionKind::kRun);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t{2}, world.admit(culprit).allowed.size());
+      one.makes_r2_the_last(world);
+      CPPUNIT_ASSERT_MESSAGE(one.name, world.admit(culprit).kind == AdmissionKind::kWait);
+      world.add("r3");
+      world.guard.on_listing_changed();
+      CPPUNIT_ASSERT_MESSAGE(one.name, world.admit(culprit).kind == AdmissionKind::kRun);
+    }
+  }
+
+  void a_service_of_one_replica_is_used_after_a_while() {
+    World world(1);
+    world.end(culprit, "r0");
+    world.add("r0 again");
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+    world.time.advance(seconds(11));
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kRun);
+  }
+
+  void a_suspect_runs_once_at_a_time() {
+    World world(4);
+    world.end(culprit, "r0");
+    const Admission admission = world.admit(culprit);
+    {
+      const auto run = world.guard.begin(culprit, *admission.allowed.front(), admission);
+      CPPUNIT_ASSERT(run.has_value());
+      CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+      CPPUNIT_ASSERT(world.admit(other).kind == AdmissionKind::kFree);
+    }
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kRun);
+    const core::NodeId elsewhere("node-c");
+    const SuspectRun remote{culprit, core::ReplicaId("r1"), false};
+    world.guard.hear_run(elsewhere, remote, false);
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+    world.guard.hear_run(elsewhere, remote, true);
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kRun);
+    // A process that died is not waited for.
+    world.guard.hear_run(elsewhere, remote, false);
+    world.time.advance(milliseconds(601));
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kRun);
+  }
+
+  void what_was_served_before_goes_on_after_one_end() {
+    World world(2);
+    world.guard.note_served(culprit);
+    world.end(culprit, "r0");
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kFree);
+    world.end(other, "r0");
+    CPPUNIT_ASSERT(world.admit(other).kind == AdmissionKind::kWait);
+  }
+
+  void after_two_ends_it_runs_alone() {
+    World world(5);
+    world.end(culprit, "r0");
+    world.end(culprit, "r1");
+    for (const char* id : {"r2", "r3", "r4"}) {
+      world.replica(id)->in_flight = 1;
+    }
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+    const auto reserved = [&](const std::string& id) {
+      return world.directory.gate().objection(world.replica(id)->destination(), {},
+                                              world.time.now()) ==
+             eligibility::Objection::kReserved;
+    };
+    CPPUNIT_ASSERT(reserved("r2") && !reserved("r3") && !reserved("r4"));
+    world.time.advance(milliseconds(120));
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);  // others still run there
+    world.replica("r2")->in_flight = 0;
+    const Admission admission = world.admit(culprit);
+    CPPUNIT_ASSERT(admission.kind == AdmissionKind::kRun);
+    CPPUNIT_ASSERT(admission.allowed == std::vector<ReplicaPointer>{world.replica("r2")});
+    {
+      const auto run = world.guard.begin(culprit, *admission.allowed.front(), admission);
+      CPPUNIT_ASSERT(reserved("r2"));
+    }
+    CPPUNIT_ASSERT(!reserved("r2"));
+    world.end(culprit, "r2");
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kHeld);
+  }
+
+  void two_processes_do_not_keep_replicas_of_one_service() {
+    World world(5);
+    world.end(culprit, "r0");
+    world.end(culprit, "r1");
+    world.admit(culprit);
+    world.time.advance(milliseconds(120));
+    const SuspectRun remote{core::RequestFingerprint("a"), core::ReplicaId("r4"), true};
+    world.guard.hear_run(core::NodeId("node-c"), remote, false);
+    // "a" goes before "culprit": the own reservation is given up, and none is made meanwhile.
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+    CPPUNIT_ASSERT(world.guard.own_runs().empty());
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+    CPPUNIT_ASSERT(world.guard.own_runs().empty());
+    world.guard.hear_run(core::NodeId("node-c"), remote, true);
+    world.admit(culprit);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.guard.own_runs().size());
+  }
+
+  void an_ended_replica_is_known_by_hearsay() {
+    World world(3);
+    quarantine::Suspect heard;
+    heard.content = culprit;
+    heard.ended = {core::ReplicaId("r0"), core::ReplicaId("r1")};
+    heard.forget_at = world.time.now() + seconds(60);
+    world.guard.hear(heard);
+    CPPUNIT_ASSERT(world.replica("r0")->has_ended());
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
+    world.time.advance(milliseconds(1));
+    world.replica("r0")->last_answer = world.time.now();
+    CPPUNIT_ASSERT(!world.replica("r0")->has_ended());
+  }
+
+  void an_operator_lets_one_go() {
+    World world(5);
+    for (const char* id : {"r0", "r1", "r2"}) {
+      world.end(culprit, id);
+    }
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kHeld);
+    CPPUNIT_ASSERT(world.guard.let_go(culprit));
+    CPPUNIT_ASSERT(!world.guard.let_go(culprit));
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kFree);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashGuardTest);
+
+}  // namespace stoneport::ingress
