Soak: requests that crash replicas, machines that are suspended

A crashing request comes again while all else is well: three ends at most, never the last replica, every repeatable request beside it served. Another one comes at any time, under all other faults.

--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -74,6 +74,11 @@
   return value;
 }
 
+/// \return the path of the library that makes a pause look like a suspension.
+std::string suspending_clock() {
+  return std::filesystem::absolute(TestCluster::binary("tests/libsuspending_clock.so")).string();
+}
+
 }  // namespace
 
 StandInStore::StandInStore(asio::any_io_executor executor, core::Metrics& metrics)
@@ -314,7 +319,9 @@
   processes_[process] = std::make_unique<ChildProcess>(
       std::vector<std::string>{TestCluster::binary("stoneport-platformd"), "--settings",
                                name + ".json"},
-      name + ".log");
+      name + ".log",
+      options_.suspends ? std::vector<std::string>{"LD_PRELOAD=" + suspending_clock()}
+                        : std::vector<std::string>());
 }
 
 void PlatformStandIn::send_signal(std::size_t process, int signal_number) {
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -85,6 +85,8 @@
     std::map<std::string, std::vector<std::string>> tenants = {};
     /// Processes and replicas are spread over "zone-a" and so on in turn.
     std::size_t zones = 1;
+    /// A pause of a process is a suspension of its machine: its steady clock stands still.
+    bool suspends = false;
   };
   /// Starts everything and waits until all processes are ready.
   PlatformStandIn();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "platform/names.hpp"
+#include "soak/soak_culprits.hpp"
 #include "soak/soak_faults.hpp"
 #include "soak/soak_model.hpp"
 #include "soak/soak_zones.hpp"
@@ -18,7 +19,7 @@
 using std::chrono::milliseconds;
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t kProcesses = 4;
+constexpr std::size_t kPlainReplicas = 4;
 constexpr std::size_t kMostOpenJobs = 4;
 constexpr unsigned kAccepted = 202;
 constexpr unsigned kServed = 200;
@@ -33,12 +34,19 @@
 constexpr auto kZonePause = std::chrono::seconds(10);
 constexpr auto kEvacuated = std::chrono::seconds(8);
 constexpr auto kZoneDown = milliseconds(1500);
+/// Processes that have been in touch for so long know what the others do.
+constexpr auto kContact = milliseconds(3000);
+/// A request that crashes replicas comes so often while all else is well, and in between.
+constexpr int kCulpritRounds = 5;
+constexpr const char* kStormyCulprit = "crash at any time";
 
 class Soak {
  public:
-  Soak(std::uint64_t seed, std::chrono::seconds length)
-      : platform_({kProcesses, 4, 4, keys_.held(), kZones}),
-        faults_(platform_, keys_, kProcesses, seed * 2 + 1),
+  /// Machines are suspended, and not just paused, for odd seeds.
+  Soak(std::uint64_t seed, std::chrono::seconds length, std::size_t processes)
+      : processes_(processes),
+        platform_({processes, 4, kPlainReplicas, keys_.held(), kZones, seed % 2 == 1}),
+        faults_(platform_, keys_, processes, seed * 2 + 1),
         random_(seed),
         length_(length) {
     platform_.http().set_call_limit(milliseconds(2000));
@@ -60,7 +68,11 @@
       faults_.end_due();
       step();
       if (Clock::now() >= next_zone_event) {
-        strike_zone();
+        if (random_.chance(0.5)) {
+          strike_zone();
+        } else {
+          strike_culprit();
+        }
         next_zone_event = Clock::now() + kZonePause;
       }
     }
@@ -69,11 +81,12 @@
     model_.check_ledger(platform_.ledger());
     check_usage();
     check_zones();
+    check_culprits();
     return report();
   }
 
  private:
-  std::size_t any_process() { return random_.uniform(0, kProcesses - 1); }
+  std::size_t any_process() { return random_.uniform(0, processes_ - 1); }
 
   /// A key of \p tenant that is held now.
   std::string any_key(const std::string& tenant) {
@@ -91,6 +104,9 @@
       model_.jobs[id].items = 1 + random_.uniform(0, 30);
     }
     send_requests();
+    if (!bystanders_must_be_served_ && random_.chance(0.02)) {
+      send_culprit(kStormyCulprit);
+    }
     for (auto& [id, job] : model_.jobs) {
       const bool is_checked_again = random_.chance(0.05);
       if (!job.accepted) {
@@ -112,12 +128,56 @@
     }
   }
 
-  /// Evacuates a zone, or has its replicas down and back cold, while all else is well.
-  void strike_zone() {
+  void end_all_faults() {
     faults_.end_due(true);
-    for (std::size_t process = 0; process < kProcesses; ++process) {
+    for (std::size_t process = 0; process < processes_; ++process) {
       platform_.wait_until_ready(process);
     }
+  }
+
+  /// Sends a request that crashes what runs it to any process.
+  void send_culprit(const std::string& body) {
+    HttpCall call = call_of(platform_.front(any_process()), "POST", "/safe/a",
+                            "r" + std::to_string(++requests_));
+    call.request.head.headers.set(platform::kAuthorizationHeader, "Bearer " + any_key("north"));
+    call.request.body = body;
+    model_.take_tenant("r" + std::to_string(requests_), "north");
+    platform_.http().send_all({call}, nullptr);
+  }
+
+  /// One request that crashes replicas comes again and again, while all else is well: others are
+  /// served meanwhile.
+  void strike_culprit() {
+    end_all_faults();
+    step_for(kContact);
+    const std::string body = "crash " + std::to_string(calm_culprits_.size());
+    std::cout << "'" << body << "' comes" << std::endl;
+    calm_culprits_.push_back(body);
+    bystanders_must_be_served_ = true;
+    for (int round = 0; round < kCulpritRounds; ++round) {
+      send_culprit(body);
+      step_for(milliseconds(200 + random_.uniform(0, 1000)));
+    }
+    bystanders_must_be_served_ = false;
+  }
+
+  void check_culprits() {
+    const std::vector<ReplicaCrash> crashes = platform_.crashes();
+    for (const std::string& body : calm_culprits_) {
+      for (const std::string& fault : faults_of_calm_culprit(crashes, body, kPlainReplicas)) {
+        model_.violate(fault);
+      }
+    }
+    for (const std::string& fault : faults_of_stormy_culprit(crashes, kStormyCulprit, kContact)) {
+      model_.violate(fault);
+    }
+    std::cout << "ends of replicas " << crashes.size() << ", calm culprits "
+              << calm_culprits_.size() << std::endl;
+  }
+
+  /// Evacuates a zone, or has its replicas down and back cold, while all else is well.
+  void strike_zone() {
+    end_all_faults();
     const std::string zone = platform_.zone_name(random_.uniform(0, kZones - 1));
     if (random_.chance(0.5)) {
       std::cout << zone << " evacuated" << std::endl;
@@ -180,6 +240,11 @@
     for (std::size_t index = 0; index < answers.size(); ++index) {
       const std::string id(*calls[index].request.head.headers.find(platform::kRequestIdHeader));
       served_ += answers[index].ok() ? 1 : 0;
+      const bool is_repeatable = ids[index].empty();
+      if (bystanders_must_be_served_ && is_repeatable && !answers[index].ok()) {
+        model_.violate("request " + id + " beside a crashing one got " +
+                       std::to_string(answers[index].status) + ": " + answers[index].body);
+      }
       if (answers[index].ok() && answers[index].body != "answer to " + id) {
         model_.violate("request " + id + " got another one's answer");
       }
@@ -226,7 +291,7 @@
   /// With all faults over, the newest keys count at every process.
   void check_keys() {
     std::this_thread::sleep_for(kKeysInForce);
-    for (std::size_t process = 0; process < kProcesses; ++process) {
+    for (std::size_t process = 0; process < processes_; ++process) {
       if (!knows_keys(process)) {
         model_.violate("process " + std::to_string(process) + " goes by other keys than are held");
       }
@@ -255,7 +320,7 @@
   /// With all faults over, every accepted job becomes whole and reads as before.
   void recover() {
     const Clock::time_point give_up_at = Clock::now() + kLongestRecovery;
-    for (std::size_t process = 0; process < kProcesses; ++process) {
+    for (std::size_t process = 0; process < processes_; ++process) {
       platform_.wait_until_ready(process);
     }
     check_keys();
@@ -268,7 +333,7 @@
         model_.violate("job " + id + " has not become whole: " + std::to_string(job.listed.size()) +
                        " of " + std::to_string(job.items));
       }
-      for (std::size_t process = 0; job.accepted && process < kProcesses; ++process) {
+      for (std::size_t process = 0; job.accepted && process < processes_; ++process) {
         const HttpAnswer answer = platform_.read(process, id, 0);
         model_.take_read_status(id, answer.status);
         if (answer.status == 200) {
@@ -297,6 +362,7 @@
     return model_.violations.empty() ? 0 : 1;
   }
 
+  std::size_t processes_;
   SoakKeys keys_;
   PlatformStandIn platform_;
   SoakFaults faults_;
@@ -304,6 +370,8 @@
   std::chrono::seconds length_;
   SoakModel model_;
   std::vector<Evacuation> evacuations_;
+  std::vector<std::string> calm_culprits_;  ///< bodies
+  bool bystanders_must_be_served_ = false;
   std::uint64_t requests_ = 0;
   std::uint64_t served_ = 0;
 };
@@ -314,11 +382,13 @@
 int main(int argument_count, char** arguments) {
   cxxopts::Options options("soak", "Random faults on real daemons, with checks");
   options.add_options()("seconds", "how long", cxxopts::value<int>()->default_value("60"))(
-      "seed", "of faults and clients", cxxopts::value<std::uint64_t>()->default_value("1"));
+      "seed", "of faults and clients", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "processes", "of the system", cxxopts::value<std::size_t>()->default_value("4"));
   const auto parsed = options.parse(argument_count, arguments);
   const auto seed = parsed["seed"].as<std::uint64_t>();
   std::cout << "seed " << seed << std::endl;
-  stoneport::tests::Soak soak(seed, std::chrono::seconds(parsed["seconds"].as<int>()));
+  stoneport::tests::Soak soak(seed, std::chrono::seconds(parsed["seconds"].as<int>()),
+                              parsed["processes"].as<std::size_t>());
   const int status = soak.run();
   std::cout << (status == 0 ? "1 passed, 0 failed" : "0 passed, 1 failed") << std::endl;
   return status;
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -18,12 +18,21 @@
 
 }  // namespace
 
-ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const std::string& log_path) {
+ChildProcess::ChildProcess(const std::vector<std::string>& arguments, const std::string& log_path,
+                           const std::vector<std::string>& variables) {
   std::vector<char*> raw_arguments;
   for (const std::string& argument : arguments) {
     raw_arguments.push_back(const_cast<char*>(argument.c_str()));
   }
   raw_arguments.push_back(nullptr);
+  std::vector<char*> raw_variables;
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    raw_variables.push_back(*variable);
+  }
+  for (const std::string& variable : variables) {
+    raw_variables.push_back(const_cast<char*>(variable.c_str()));
+  }
+  raw_variables.push_back(nullptr);
 
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -33,8 +42,8 @@
   // A listener of the test's own that a child holds too would go on accepting once the test has
   // closed it.
   posix_spawn_file_actions_addclosefrom_np(&actions, 3);
-  const int failure =
-      posix_spawn(&process_id_, raw_arguments[0], &actions, nullptr, raw_arguments.data(), environ);
+  const int failure = posix_spawn(&process_id_, raw_arguments[0], &actions, nullptr,
+                                  raw_arguments.data(), raw_variables.data());
   posix_spawn_file_actions_destroy(&actions);
   if (failure != 0) {
     throw std::runtime_error("cannot start " + arguments.front());
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -12,7 +12,9 @@
 class ChildProcess {
  public:
   /// Starts \p arguments[0] with its output appended to \p log_path.
-  ChildProcess(const std::vector<std::string>& arguments, const std::string& log_path);
+  /// \param variables "NAME=value", beside those of this process
+  ChildProcess(const std::vector<std::string>& arguments, const std::string& log_path,
+               const std::vector<std::string>& variables = {});
   ~ChildProcess();
   ChildProcess(const ChildProcess&) = delete;
   ChildProcess& operator=(const ChildProcess&) = delete;
