Suspects of one end go to replicas apart; tests of rows, exchange and real processes

A bystander that was with the culprit at the first end could go with it to the next replica: it then waited until it could run alone and failed (502) in one of five runs of CrashingRequestTest. Requests that were at an end now keep apart from each other for 10 ms and the length of their run; texts do not, as they take seconds and nothing is refused while they wait.

--- a/src/eligibility/send_gate.hpp
+++ b/src/eligibility/send_gate.hpp
@@ -72,6 +72,7 @@
   ColdPace& cold_pace() { return cold_pace_; }
   const ColdPace& cold_pace() const { return cold_pace_; }
   ReplicaReservations& reservations() { return reservations_; }
+  const ReplicaReservations& reservations() const { return reservations_; }
 
  private:
   ZoneRegions regions_;
--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -99,8 +99,23 @@
   return running_.contains(content) || runs_elsewhere;
 }
 
+std::vector<ReplicaPointer> CrashGuard::risked_of(const Route& route,
+                                                  const std::vector<ReplicaPointer>& usable) {
+  std::set<core::ServiceName> services;
+  for (const RouteTarget& target : route.targets) {
+    if (may_risk_one(target.service)) {
+      services.insert(target.service);
+    }
+  }
+  std::vector<ReplicaPointer> risked = usable;
+  std::erase_if(risked, [&](const ReplicaPointer& replica) {
+    return replica->has_ended() || !services.contains(replica->record.service);
+  });
+  return risked;
+}
+
 Admission CrashGuard::admit(const core::RequestFingerprint& content, const Route& route,
-                            const std::vector<ReplicaPointer>& usable) {
+                            const std::vector<ReplicaPointer>& usable, Spread spread) {
   Admission admission;
   const quarantine::Terms terms = suspects_.terms_of(content);
   const bool is_trusted = terms == quarantine::Terms::kSpareLast && served_.contains(content);
@@ -117,107 +132,131 @@
   if (runs_somewhere(content)) {
     return admission;
   }
-  std::set<core::ServiceName> risked;
-  for (const RouteTarget& target : route.targets) {
-    if (may_risk_one(target.service)) {
-      risked.insert(target.service);
-    }
+  std::vector<ReplicaPointer> risked = risked_of(route, usable);
+  const bool is_alone = terms == quarantine::Terms::kAlone;
+  if (is_alone || spread == Spread::kApart) {
+    return admit_kept(content, risked, is_alone);
   }
-  std::vector<ReplicaPointer> allowed = usable;
-  std::erase_if(allowed, [&](const ReplicaPointer& replica) {
-    return replica->has_ended() || !risked.contains(replica->record.service);
-  });
-  if (terms == quarantine::Terms::kAlone) {
-    return admit_alone(content, allowed);
-  }
-  std::erase_if(allowed, [this](const ReplicaPointer& replica) {
+  std::erase_if(risked, [this](const ReplicaPointer& replica) {
     return directory_.gate().reservations().holds(replica->record.id, time_.now());
   });
-  if (!allowed.empty()) {
+  if (!risked.empty()) {
     admission.kind = AdmissionKind::kRun;
-    admission.allowed = std::move(allowed);
+    admission.allowed = std::move(risked);
   }
   return admission;
 }
 
-Admission CrashGuard::admit_alone(const core::RequestFingerprint& content,
-                                  const std::vector<ReplicaPointer>& risked) {
+Admission CrashGuard::admit_kept(const core::RequestFingerprint& content,
+                                 const std::vector<ReplicaPointer>& risked, bool is_alone) {
   Admission admission;
   admission.kind = AdmissionKind::kWait;
-  admission.is_alone = true;
-  const core::MonotonicTime now = time_.now();
+  admission.is_alone = is_alone;
   const auto known = reservations_.find(content);
   if (known != reservations_.end()) {
     Reservation& reservation = known->second;
-    const auto replica =
+    const auto found =
         std::find_if(risked.begin(), risked.end(), [&](const ReplicaPointer& candidate) {
           return candidate->record.id == reservation.run.replica;
         });
-    const bool is_void = replica == risked.end() || now >= reservation.until ||
-                         must_give_way(content, reservation.service);
-    if (is_void) {
-      drop(known);
-      return admission;
-    }
-    const bool is_settled = now >= reservation.since + settings_.reservation_settle;
-    if (is_settled && (*replica)->in_flight == 0) {
-      admission.kind = AdmissionKind::kRun;
-      admission.allowed = {*replica};
+    const ReplicaPointer replica = found == risked.end() ? nullptr : *found;
+    if (!is_void(reservation, replica, is_alone)) {
+      const core::Duration settle =
+          is_alone ? settings_.reservation_settle : settings_.apart_settle;
+      const bool is_settled = time_.now() >= reservation.since + settle;
+      if (is_settled && (!is_alone || replica->in_flight == 0)) {
+        admission.kind = AdmissionKind::kRun;
+        admission.allowed = {replica};
+      } else {
+        renew(reservation);
+      }
       return admission;
     }
-    reserve(content, **replica);
-    return admission;
+    drop(known);
   }
   std::vector<ReplicaPointer> candidates = risked;
   std::erase_if(candidates, [&](const ReplicaPointer& replica) {
-    const auto is_of_service = [&](const auto& entry) {
-      return entry.second.service == replica->record.service;
-    };
-    const bool is_taken = std::any_of(reservations_.begin(), reservations_.end(), is_of_service) ||
-                          directory_.gate().reservations().holds(replica->record.id, now);
-    return is_taken || must_give_way(content, replica->record.service);
+    const SuspectRun run{content, replica->record.id, is_alone};
+    return is_occupied(content, *replica) || must_give_way(run, replica->record.service);
   });
   const auto idlest = std::min_element(candidates.begin(), candidates.end(),
                                        [](const ReplicaPointer& one, const ReplicaPointer& two) {
                                          return one->in_flight < two->in_flight;
                                        });
   if (idlest != candidates.end()) {
-    reserve(content, **idlest);
+    reserve({content, (*idlest)->record.id, is_alone}, (*idlest)->record.service);
   }
   return admission;
 }
 
-bool CrashGuard::must_give_way(const core::RequestFingerprint& content,
-                               const core::ServiceName& service) const {
+bool CrashGuard::is_void(const Reservation& reservation, const ReplicaPointer& replica,
+                         bool is_alone) const {
+  return !replica || time_.now() >= reservation.until || reservation.run.is_alone != is_alone ||
+         must_give_way(reservation.run, reservation.service);
+}
+
+bool CrashGuard::is_occupied(const core::RequestFingerprint& content,
+                             const ReplicaState& replica) const {
   const core::MonotonicTime now = time_.now();
-  return std::any_of(remote_runs_.begin(), remote_runs_.end(), [&](const auto& entry) {
-    const RemoteRun& remote = entry.second;
-    const ReplicaPointer replica = directory_.find(remote.run.replica);
-    const bool is_of_service = replica && replica->record.service == service;
-    const bool conflicts = remote.run.content == content || is_of_service;
-    const bool goes_first = std::tie(remote.run.content, remote.holder) < std::tie(content, self_);
-    return remote.run.is_alone && now < remote.until && conflicts && goes_first;
-  });
+  const core::ReplicaId& id = replica.record.id;
+  const auto is_there = [&](const SuspectRun& run) {
+    return run.content != content && run.replica == id;
+  };
+  return directory_.gate().reservations().holds(id, now) ||
+         std::any_of(running_.begin(), running_.end(),
+                     [&](const auto& entry) { return is_there(entry.second); }) ||
+         std::any_of(reservations_.begin(), reservations_.end(),
+                     [&](const auto& entry) { return is_there(entry.second.run); }) ||
+         std::any_of(remote_runs_.begin(), remote_runs_.end(), [&](const auto& entry) {
+           return now < entry.second.until && is_there(entry.second.run);
+         });
 }
 
-void CrashGuard::reserve(const core::RequestFingerprint& content, const ReplicaState& replica) {
+bool CrashGuard::must_give_way(const SuspectRun& run, const core::ServiceName& service) const {
   const core::MonotonicTime now = time_.now();
-  const auto [position, is_new] = reservations_.try_emplace(content);
-  Reservation& reservation = position->second;
-  if (is_new) {
-    reservation.run = {content, replica.record.id, true};
-    reservation.service = replica.record.service;
-    reservation.since = now;
-    announce_run(reservation.run);
+  const bool keeps_one_already =
+      run.is_alone &&
+      std::any_of(reservations_.begin(), reservations_.end(), [&](const auto& entry) {
+        const Reservation& other = entry.second;
+        return other.run.is_alone && other.service == service && other.run.content < run.content;
+      });
+  return keeps_one_already ||
+         std::any_of(remote_runs_.begin(), remote_runs_.end(), [&](const auto& entry) {
+           const RemoteRun& remote = entry.second;
+           const ReplicaPointer replica = directory_.find(remote.run.replica);
+           const bool are_both_alone = run.is_alone && remote.run.is_alone;
+           const bool is_of_service = replica && replica->record.service == service;
+           const bool conflicts = remote.run.content == run.content ||
+                                  remote.run.replica == run.replica ||
+                                  (are_both_alone && is_of_service);
+           const bool goes_first =
+               std::tie(remote.run.content, remote.holder) < std::tie(run.content, self_);
+           return now < remote.until && conflicts && goes_first;
+         });
+}
+
+void CrashGuard::reserve(const SuspectRun& run, const core::ServiceName& service) {
+  Reservation& reservation = reservations_[run.content];
+  reservation.run = run;
+  reservation.service = service;
+  reservation.since = time_.now();
+  renew(reservation);
+  announce_run(run);
+}
+
+void CrashGuard::renew(Reservation& reservation) {
+  reservation.until = time_.now() + settings_.notice_length;
+  if (reservation.run.is_alone) {
+    directory_.gate().reservations().reserve(reservation.run.replica, reservation.until);
   }
-  reservation.until = now + settings_.notice_length;
-  directory_.gate().reservations().reserve(replica.record.id, reservation.until);
 }
 
 void CrashGuard::drop(std::map<core::RequestFingerprint, Reservation>::iterator reservation) {
   const SuspectRun run = reservation->second.run;
   reservations_.erase(reservation);
-  directory_.gate().reservations().release(run.replica);
+  if (run.is_alone) {
+    directory_.gate().reservations().release(run.replica);
+  }
   announce_run_over(run);
 }
 
@@ -370,7 +409,9 @@
   if (is_over) {
     if (known != remote_runs_.end() && known->second.holder == holder) {
       remote_runs_.erase(known);
-      directory_.gate().reservations().release(run.replica);
+      if (run.is_alone) {
+        directory_.gate().reservations().release(run.replica);
+      }
     }
     return;
   }
--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -30,6 +30,10 @@
   /// From a reservation until its request runs: other processes hear of it within some ms, and what
   /// they have on the replica then is mostly answered within 100 ms.
   core::Duration reservation_settle = std::chrono::milliseconds(100);
+  /// The same for a request that only keeps apart from other suspects: until those that start at
+  /// the same moment elsewhere are heard of. The connections of a replica that ends break
+  /// everywhere within a millisecond, so that all of its requests look for another one at once.
+  core::Duration apart_settle = std::chrono::milliseconds(10);
   /// A reservation or run that is not renewed for so long is over.
   core::Duration notice_length = std::chrono::milliseconds(600);
   /// A replica that accepted a connection right after it broke others is looked at again: its
@@ -52,6 +56,12 @@
   kWait,  ///< not now
   kHeld,  ///< not at all
 };
+/// Whether a request that has been at one end keeps apart from others of which that is true. Else
+/// an innocent one could be at the next end too, beside the culprit, and would have to wait until
+/// it can run alone. Texts do not keep apart: they take seconds, and nothing is refused while they
+/// wait.
+enum class Spread { kApart, kTogether };
+
 struct Admission {
   AdmissionKind kind = AdmissionKind::kFree;
   std::vector<ReplicaPointer> allowed;
@@ -106,7 +116,7 @@
   /// \return what \p content, which \p route sends to one of \p usable, may do now. Asked again
   /// and again while it waits, which keeps a reservation.
   Admission admit(const core::RequestFingerprint& content, const Route& route,
-                  const std::vector<ReplicaPointer>& usable);
+                  const std::vector<ReplicaPointer>& usable, Spread spread = Spread::kApart);
   /// Marks \p content as running on \p replica; nothing for an admission that is free.
   std::optional<Run> begin(const core::RequestFingerprint& content, const ReplicaState& replica,
                            const Admission& admission);
@@ -150,13 +160,20 @@
   /// \return whether suspects may go to a replica of \p service: another healthy one is left.
   bool may_risk_one(const core::ServiceName& service);
   bool runs_somewhere(const core::RequestFingerprint& content) const;
-  Admission admit_alone(const core::RequestFingerprint& content,
-                        const std::vector<ReplicaPointer>& risked);
-  /// \return whether another process keeps a replica of \p service, or one for \p content, and
-  /// goes first.
-  bool must_give_way(const core::RequestFingerprint& content,
-                     const core::ServiceName& service) const;
-  void reserve(const core::RequestFingerprint& content, const ReplicaState& replica);
+  /// \return the replicas of \p usable that suspects may go to.
+  std::vector<ReplicaPointer> risked_of(const Route& route,
+                                        const std::vector<ReplicaPointer>& usable);
+  /// Keeps one of \p risked for \p content, and lets it run there once that has settled.
+  Admission admit_kept(const core::RequestFingerprint& content,
+                       const std::vector<ReplicaPointer>& risked, bool is_alone);
+  /// \return whether \p reservation holds on, on \p replica; null when that may not be used.
+  bool is_void(const Reservation& reservation, const ReplicaPointer& replica, bool is_alone) const;
+  /// \return whether \p replica runs, or is kept for, another suspect than \p content.
+  bool is_occupied(const core::RequestFingerprint& content, const ReplicaState& replica) const;
+  /// \return whether another process keeps what \p run needs, and goes first.
+  bool must_give_way(const SuspectRun& run, const core::ServiceName& service) const;
+  void reserve(const SuspectRun& run, const core::ServiceName& service);
+  void renew(Reservation& reservation);
   void drop(std::map<core::RequestFingerprint, Reservation>::iterator reservation);
   void end(const SuspectRun& run);
   void note_end(const core::RequestFingerprint& content, const std::string& request_id,
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -75,6 +75,8 @@
   core::Duration suspicion = std::chrono::seconds(2);
   /// Between two looks for a replica when none accepts work.
   core::Duration no_replica_pause = std::chrono::milliseconds(40);
+  /// The same for a request under which replicas ended, which waits until one is kept for it.
+  core::Duration suspect_pause = std::chrono::milliseconds(10);
   /// A request that only cold replicas could run, which get no more from here, is refused after
   /// this share of its target latency: other processes may send there.
   double cold_wait_in_target_latencies = 0.2;
@@ -119,6 +121,7 @@
   void draw_service(const ForwardedRequest& request, Progress& progress);
   struct Choice {
     std::vector<ReplicaPointer> usable;
+    bool were_all_tried = false;
     ReplicaPointer replica;  ///< null when none can be chosen now
   };
   Choice choose_now(const ForwardedRequest& request, Progress& progress);
--- a/src/ingress/forwarder_choice.cpp
+++ b/src/ingress/forwarder_choice.cpp
@@ -143,6 +143,7 @@
   const bool is_suspect = guard_.has_suspects() && guard_.is_suspect(progress.content_of(request));
   Choice choice;
   choice.usable = candidates(request, progress, is_suspect);
+  choice.were_all_tried = choice.usable.empty();
   progress.admission = Admission();
   if (is_suspect) {
     progress.admission = guard_.admit(progress.content, *request.route, choice.usable);
@@ -194,8 +195,12 @@
     if (ends_without_replica(request, progress, choice)) {
       co_return nullptr;
     }
-    progress.preference.excluded.clear();  // all were tried: any may be tried again
-    co_await runtime::sleep_for(settings_.no_replica_pause);
+    const bool waits_to_run_apart = progress.admission.kind == AdmissionKind::kWait;
+    if (!waits_to_run_apart || choice.were_all_tried) {
+      progress.preference.excluded.clear();  // any may be tried again
+    }
+    co_await runtime::sleep_for(waits_to_run_apart ? settings_.suspect_pause
+                                                   : settings_.no_replica_pause);
   }
 }
 
--- a/src/jobs/item_dispatcher_suspects.cpp
+++ b/src/jobs/item_dispatcher_suspects.cpp
@@ -26,8 +26,8 @@
 void ItemDispatcher::place_suspect(JobView& view, std::vector<JobView>& views,
                                    const TextToPlace& text, core::MonotonicTime now) {
   const std::size_t index = view.job->start_order[view.next];
-  const ingress::Admission admission =
-      inputs_.guard.admit(content_of(*view.job, index), *view.job->route, view.replicas);
+  const ingress::Admission admission = inputs_.guard.admit(
+      content_of(*view.job, index), *view.job->route, view.replicas, ingress::Spread::kTogether);
   if (admission.kind == ingress::AdmissionKind::kHeld) {
     view.job->items[index].not_before = now + kHeldLook;
     return;
--- a/tests/platform/crashing_request_test.cpp
+++ b/tests/platform/crashing_request_test.cpp
@@ -11,6 +11,7 @@
 
 #include <functional>
 
+#include "http/base64.hpp"
 #include "platform/names.hpp"
 #include "platform_support/platform_stand_in.hpp"
 
@@ -22,12 +23,18 @@
 
 constexpr std::size_t kProcesses = 3;
 constexpr std::size_t kReplicas = 3;
+/// A machine that has been in touch for so long knows what the others do.
+constexpr milliseconds kContact{3000};
 constexpr const char* kCulprit = "crash on this property";
 constexpr const char* kPopular = "asked for by everybody";
 
 class CrashingRequestTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashingRequestTest);
   CPPUNIT_TEST(it_ends_three_replicas_at_most_and_no_bystander_is_refused);
+  CPPUNIT_TEST(processes_that_start_know_what_is_held_back);
+  CPPUNIT_TEST(it_is_known_after_all_processes_went_at_once);
+  CPPUNIT_TEST(operators_see_it_and_let_it_go);
+  CPPUNIT_TEST(an_item_that_crashes_replicas_leaves_its_job_whole);
   CPPUNIT_TEST_SUITE_END();
 
   struct World {
@@ -104,6 +111,25 @@
       return most;
     }
 
+    /// Sends the crashing request until it is held back.
+    void hold_back() {
+      for (std::size_t round = 0; round < 3 && platform.crashes().size() < 3; ++round) {
+        this->round(round);
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, platform.crashes().size());
+    }
+
+    /// Sends the crashing request to \p process alone. \return the answer.
+    HttpAnswer send_culprit(std::size_t process) {
+      return platform.http().send_all({call_of(process, kCulprit)}, nullptr).front();
+    }
+
+    void check_held_back(std::size_t process) {
+      const HttpAnswer answer = send_culprit(process);
+      CPPUNIT_ASSERT_EQUAL(503u, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{3}, platform.crashes().size());
+    }
+
     std::string told_failures() const {
       std::string text = std::to_string(failures.size()) + " bystanders failed";
       for (const std::string& failure : failures) {
@@ -135,6 +161,87 @@
     CPPUNIT_ASSERT_EQUAL(503u, refused.status);
     CPPUNIT_ASSERT(refused.headers.find("Retry-After").has_value());
   }
+
+  void processes_that_start_know_what_is_held_back() {
+    World world;
+    world.hold_back();
+    world.platform.kill(2);
+    // The row is gone: the other processes tell it.
+    world.platform.on_loop([&] {
+      support::FakeRecordStore& rows = world.platform.store().rows();
+      for (const auto& [content, row] : rows.table("held_requests")) {
+        world.platform.store().put("held_requests", content, std::nullopt);
+      }
+    });
+    world.platform.start(2);
+    world.platform.wait_until_ready(2);
+    std::this_thread::sleep_for(kContact);
+    world.check_held_back(2);
+  }
+
+  void it_is_known_after_all_processes_went_at_once() {
+    World world;
+    world.hold_back();
+    std::this_thread::sleep_for(milliseconds(500));
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      world.platform.kill(process);
+    }
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      world.platform.start(process);
+    }
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      world.platform.wait_until_ready(process);
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    for (std::size_t process = 0; process < kProcesses; ++process) {
+      world.check_held_back(process);
+    }
+  }
+
+  void operators_see_it_and_let_it_go() {
+    World world;
+    world.hold_back();
+    const core::Address page = world.platform.metrics_page(1);
+    const nlohmann::json list = world.platform.http().get(page, "/suspects").document()["suspects"];
+    const auto held = std::find_if(list.begin(), list.end(),
+                                   [](const auto& one) { return one["terms"] == "held"; });
+    CPPUNIT_ASSERT(held != list.end());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, (*held)["ended"].size());
+    // Clients' listeners do not show the page.
+    CPPUNIT_ASSERT_EQUAL(
+        404u, world.platform.http().get(world.platform.directory(1), "/suspects").status);
+    const std::string content = (*held)["content"];
+    const std::string target = "/suspects?content=" + content;
+    CPPUNIT_ASSERT_EQUAL(200u, world.platform.http().send(page, "DELETE", target, {}).status);
+    CPPUNIT_ASSERT_EQUAL(404u, world.platform.http().send(page, "DELETE", target, {}).status);
+    std::this_thread::sleep_for(milliseconds(200));
+    CPPUNIT_ASSERT(world.send_culprit(0).status != 200);
+    CPPUNIT_ASSERT_MESSAGE("it runs again at every process", world.platform.crashes().size() > 3);
+  }
+
+  /// The other items become whole; the one that is held back waits until its route gives it up.
+  void an_item_that_crashes_replicas_leaves_its_job_whole() {
+    constexpr std::size_t kItems = 12;
+    PlatformStandIn platform({kProcesses, 4, 2});
+    nlohmann::json job = nlohmann::json::parse(PlatformStandIn::job_body("job", kItems));
+    job["requests"][0]["body"] = http::base64_encode(kCulprit);
+    const HttpAnswer accepted = platform.request(0, "POST", "/jobs/job", "job", job.dump());
+    CPPUNIT_ASSERT_EQUAL(202u, accepted.status);
+    CPPUNIT_ASSERT(platform.wait_whole(1, "job", kItems - 1));
+    std::this_thread::sleep_for(milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, platform.crashes().size());
+    const nlohmann::json results = platform.read(1, "job", 0).document()["results"];
+    CPPUNIT_ASSERT_EQUAL(kItems - 1, results.size());
+    for (const nlohmann::json& result : results) {
+      CPPUNIT_ASSERT_EQUAL(std::string("completed"), result["state"].get<std::string>());
+    }
+    // Known to the next coordinator too.
+    const std::optional<std::size_t> coordinator = platform.coordinator();
+    CPPUNIT_ASSERT(coordinator.has_value());
+    platform.kill(*coordinator);
+    std::this_thread::sleep_for(milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, platform.crashes().size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingRequestTest);
