What was served before is not charged beside another; a run that has begun goes first

The popular one went free after the first end, as it had been served before, and met the culprit again: it is now free also after more ends, where another request was at the same ones. The other one: a process that was held up began its run before it read that another had begun there; a run that has begun goes first, whatever its name, and a kept replica is looked at twice before it is used.

--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/asio/this_coro.hpp>
-#include <tuple>
 
 #include "core/decision_log.hpp"
 #include "runtime/tasks.hpp"
@@ -52,7 +51,7 @@
 
 CrashGuard::Run::~Run() {
   if (guard_ != nullptr) {
-    guard_->end(run_);
+    guard_->runs_.end(run_);
   }
 }
 
@@ -64,7 +63,9 @@
       time_(time),
       settings_(settings),
       meters_(std::make_unique<Meters>(metrics)),
-      suspects_(settings.suspects) {}
+      suspects_(settings.suspects),
+      runs_(directory, time, settings.runs,
+            [this](const SuspectRun& run, bool is_over) { announce_run(run, is_over); }) {}
 
 CrashGuard::~CrashGuard() = default;
 
@@ -93,10 +94,13 @@
                 [this](const auto& entry) { return healthy_count(entry.first) > 1; });
 }
 
-bool CrashGuard::runs_somewhere(const core::RequestFingerprint& content) const {
-  const auto remote = remote_runs_.find(content);
-  const bool runs_elsewhere = remote != remote_runs_.end() && time_.now() < remote->second.until;
-  return running_.contains(content) || runs_elsewhere;
+/// What everybody asks for is at most ends. One that was served before is trusted after a single
+/// end, and after more where another request was there too.
+quarantine::Terms CrashGuard::terms_of(const core::RequestFingerprint& content) const {
+  const bool was_served = served_.contains(content);
+  const quarantine::Terms terms = suspects_.terms_of(content, was_served);
+  const bool is_trusted = was_served && terms == quarantine::Terms::kSpareLast;
+  return is_trusted ? quarantine::Terms::kFree : terms;
 }
 
 std::vector<ReplicaPointer> CrashGuard::risked_of(const Route& route,
@@ -117,9 +121,8 @@
 Admission CrashGuard::admit(const core::RequestFingerprint& content, const Route& route,
                             const std::vector<ReplicaPointer>& usable, Spread spread) {
   Admission admission;
-  const quarantine::Terms terms = suspects_.terms_of(content);
-  const bool is_trusted = terms == quarantine::Terms::kSpareLast && served_.contains(content);
-  if (terms == quarantine::Terms::kFree || is_trusted) {
+  const quarantine::Terms terms = terms_of(content);
+  if (terms == quarantine::Terms::kFree) {
     return admission;
   }
   suspects_.note_seen(content, time_.now());
@@ -129,17 +132,19 @@
     return admission;
   }
   admission.kind = AdmissionKind::kWait;
-  if (runs_somewhere(content)) {
+  if (runs_.runs_somewhere(content)) {
     return admission;
   }
   std::vector<ReplicaPointer> risked = risked_of(route, usable);
-  const bool is_alone = terms == quarantine::Terms::kAlone;
-  if (is_alone || spread == Spread::kApart) {
-    return admit_kept(content, risked, is_alone);
+  admission.is_alone = terms == quarantine::Terms::kAlone;
+  if (admission.is_alone || spread == Spread::kApart) {
+    const ReplicaPointer kept = runs_.keep(content, risked, admission.is_alone);
+    risked = kept ? std::vector<ReplicaPointer>{kept} : std::vector<ReplicaPointer>();
+  } else {
+    std::erase_if(risked, [this](const ReplicaPointer& replica) {
+      return directory_.gate().reservations().holds(replica->record.id, time_.now());
+    });
   }
-  std::erase_if(risked, [this](const ReplicaPointer& replica) {
-    return directory_.gate().reservations().holds(replica->record.id, time_.now());
-  });
   if (!risked.empty()) {
     admission.kind = AdmissionKind::kRun;
     admission.allowed = std::move(risked);
@@ -147,157 +152,20 @@
   return admission;
 }
 
-Admission CrashGuard::admit_kept(const core::RequestFingerprint& content,
-                                 const std::vector<ReplicaPointer>& risked, bool is_alone) {
-  Admission admission;
-  admission.kind = AdmissionKind::kWait;
-  admission.is_alone = is_alone;
-  const auto known = reservations_.find(content);
-  if (known != reservations_.end()) {
-    Reservation& reservation = known->second;
-    const auto found =
-        std::find_if(risked.begin(), risked.end(), [&](const ReplicaPointer& candidate) {
-          return candidate->record.id == reservation.run.replica;
-        });
-    const ReplicaPointer replica = found == risked.end() ? nullptr : *found;
-    if (!is_void(reservation, replica, is_alone)) {
-      const core::Duration settle =
-          is_alone ? settings_.reservation_settle : settings_.apart_settle;
-      const bool is_settled = time_.now() >= reservation.since + settle;
-      if (is_settled && (!is_alone || replica->in_flight == 0)) {
-        admission.kind = AdmissionKind::kRun;
-        admission.allowed = {replica};
-      } else {
-        renew(reservation);
-      }
-      return admission;
-    }
-    drop(known);
-  }
-  std::vector<ReplicaPointer> candidates = risked;
-  std::erase_if(candidates, [&](const ReplicaPointer& replica) {
-    const SuspectRun run{content, replica->record.id, is_alone};
-    return is_occupied(content, *replica) || must_give_way(run, replica->record.service);
-  });
-  const auto idlest = std::min_element(candidates.begin(), candidates.end(),
-                                       [](const ReplicaPointer& one, const ReplicaPointer& two) {
-                                         return one->in_flight < two->in_flight;
-                                       });
-  if (idlest != candidates.end()) {
-    reserve({content, (*idlest)->record.id, is_alone}, (*idlest)->record.service);
-  }
-  return admission;
-}
-
-bool CrashGuard::is_void(const Reservation& reservation, const ReplicaPointer& replica,
-                         bool is_alone) const {
-  return !replica || time_.now() >= reservation.until || reservation.run.is_alone != is_alone ||
-         must_give_way(reservation.run, reservation.service);
-}
-
-bool CrashGuard::is_occupied(const core::RequestFingerprint& content,
-                             const ReplicaState& replica) const {
-  const core::MonotonicTime now = time_.now();
-  const core::ReplicaId& id = replica.record.id;
-  const auto is_there = [&](const SuspectRun& run) {
-    return run.content != content && run.replica == id;
-  };
-  return directory_.gate().reservations().holds(id, now) ||
-         std::any_of(running_.begin(), running_.end(),
-                     [&](const auto& entry) { return is_there(entry.second); }) ||
-         std::any_of(reservations_.begin(), reservations_.end(),
-                     [&](const auto& entry) { return is_there(entry.second.run); }) ||
-         std::any_of(remote_runs_.begin(), remote_runs_.end(), [&](const auto& entry) {
-           return now < entry.second.until && is_there(entry.second.run);
-         });
-}
-
-bool CrashGuard::must_give_way(const SuspectRun& run, const core::ServiceName& service) const {
-  const core::MonotonicTime now = time_.now();
-  const bool keeps_one_already =
-      run.is_alone &&
-      std::any_of(reservations_.begin(), reservations_.end(), [&](const auto& entry) {
-        const Reservation& other = entry.second;
-        return other.run.is_alone && other.service == service && other.run.content < run.content;
-      });
-  return keeps_one_already ||
-         std::any_of(remote_runs_.begin(), remote_runs_.end(), [&](const auto& entry) {
-           const RemoteRun& remote = entry.second;
-           const ReplicaPointer replica = directory_.find(remote.run.replica);
-           const bool are_both_alone = run.is_alone && remote.run.is_alone;
-           const bool is_of_service = replica && replica->record.service == service;
-           const bool conflicts = remote.run.content == run.content ||
-                                  remote.run.replica == run.replica ||
-                                  (are_both_alone && is_of_service);
-           const bool goes_first =
-               std::tie(remote.run.content, remote.holder) < std::tie(run.content, self_);
-           return now < remote.until && conflicts && goes_first;
-         });
-}
-
-void CrashGuard::reserve(const SuspectRun& run, const core::ServiceName& service) {
-  Reservation& reservation = reservations_[run.content];
-  reservation.run = run;
-  reservation.service = service;
-  reservation.since = time_.now();
-  renew(reservation);
-  announce_run(run);
-}
-
-void CrashGuard::renew(Reservation& reservation) {
-  reservation.until = time_.now() + settings_.notice_length;
-  if (reservation.run.is_alone) {
-    directory_.gate().reservations().reserve(reservation.run.replica, reservation.until);
-  }
-}
-
-void CrashGuard::drop(std::map<core::RequestFingerprint, Reservation>::iterator reservation) {
-  const SuspectRun run = reservation->second.run;
-  reservations_.erase(reservation);
-  if (run.is_alone) {
-    directory_.gate().reservations().release(run.replica);
-  }
-  announce_run_over(run);
-}
-
 std::optional<CrashGuard::Run> CrashGuard::begin(const core::RequestFingerprint& content,
                                                  const ReplicaState& replica,
                                                  const Admission& admission) {
   if (admission.kind != AdmissionKind::kRun) {
     return std::nullopt;
   }
-  const SuspectRun run{content, replica.record.id, admission.is_alone};
-  reservations_.erase(content);
-  running_[content] = run;
-  if (run.is_alone) {
-    directory_.gate().reservations().reserve(run.replica, time_.now() + settings_.notice_length);
-  }
+  const SuspectRun run{content, replica.record.id, admission.is_alone, true};
   core::log_decision(
       core::DecisionEvent::kSuspectRuns,
       {{"content", content.value()}, {"replica", run.replica.value()}, {"alone", run.is_alone}});
-  announce_run(run);
+  runs_.begin(run);
   return std::optional<Run>(std::in_place, *this, run);
 }
 
-void CrashGuard::end(const SuspectRun& run) {
-  running_.erase(run.content);
-  if (run.is_alone) {
-    directory_.gate().reservations().release(run.replica);
-  }
-  announce_run_over(run);
-}
-
-std::vector<SuspectRun> CrashGuard::own_runs() const {
-  std::vector<SuspectRun> runs;
-  for (const auto& [content, run] : running_) {
-    runs.push_back(run);
-  }
-  for (const auto& [content, reservation] : reservations_) {
-    runs.push_back(reservation.run);
-  }
-  return runs;
-}
-
 asio::awaitable<bool> CrashGuard::settle_broken(core::RequestFingerprint content,
                                                 std::string request_id, ReplicaPointer replica) {
   // A replica that has said that it leaves, or is listed no more, may end at any time.
@@ -404,24 +272,6 @@
   update_gauges();
 }
 
-void CrashGuard::hear_run(const core::NodeId& holder, const SuspectRun& run, bool is_over) {
-  const auto known = remote_runs_.find(run.content);
-  if (is_over) {
-    if (known != remote_runs_.end() && known->second.holder == holder) {
-      remote_runs_.erase(known);
-      if (run.is_alone) {
-        directory_.gate().reservations().release(run.replica);
-      }
-    }
-    return;
-  }
-  const core::MonotonicTime until = time_.now() + settings_.notice_length;
-  remote_runs_[run.content] = {run, holder, until};
-  if (run.is_alone) {
-    directory_.gate().reservations().reserve(run.replica, until);
-  }
-}
-
 void CrashGuard::announce(const core::RequestFingerprint& content) {
   update_gauges();
   for (const Listener& listener : listeners_) {
@@ -431,34 +281,17 @@
   }
 }
 
-void CrashGuard::announce_run(const SuspectRun& run) {
+void CrashGuard::announce_run(const SuspectRun& run, bool is_over) {
   for (const Listener& listener : listeners_) {
     if (listener.on_run) {
-      listener.on_run(run);
-    }
-  }
-}
-
-void CrashGuard::announce_run_over(const SuspectRun& run) {
-  for (const Listener& listener : listeners_) {
-    if (listener.on_run_over) {
-      listener.on_run_over(run);
+      listener.on_run(run, is_over);
     }
   }
 }
 
 void CrashGuard::forget_old() {
-  const core::MonotonicTime now = time_.now();
-  suspects_.forget_old(now);
-  std::erase_if(remote_runs_, [now](const auto& entry) { return entry.second.until <= now; });
-  std::erase_if(reservations_, [now](const auto& entry) { return entry.second.until <= now; });
-  directory_.gate().reservations().forget_old(now);
-  // A run that goes on keeps its replica.
-  for (const auto& [content, run] : running_) {
-    if (run.is_alone) {
-      directory_.gate().reservations().reserve(run.replica, now + settings_.notice_length);
-    }
-  }
+  suspects_.forget_old(time_.now());
+  runs_.forget_old();
   update_gauges();
 }
 
--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -16,6 +16,7 @@
 #include "core/metrics.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
+#include "ingress/suspect_runs.hpp"
 #include "ports/replica_client.hpp"
 #include "quarantine/crash_suspects.hpp"
 #include "quarantine/served_contents.hpp"
@@ -27,15 +28,7 @@
   /// After which a service with one healthy replica counts as a service of one, whose only replica
   /// suspects may use: longer than replicas take to come back (1.2 to 3.7 s were measured).
   core::Duration last_replica_patience = std::chrono::seconds(10);
-  /// From a reservation until its request runs: other processes hear of it within some ms, and what
-  /// they have on the replica then is mostly answered within 100 ms.
-  core::Duration reservation_settle = std::chrono::milliseconds(100);
-  /// The same for a request that only keeps apart from other suspects: until those that start at
-  /// the same moment elsewhere are heard of. The connections of a replica that ends break
-  /// everywhere within a millisecond, so that all of its requests look for another one at once.
-  core::Duration apart_settle = std::chrono::milliseconds(10);
-  /// A reservation or run that is not renewed for so long is over.
-  core::Duration notice_length = std::chrono::milliseconds(600);
+  SuspectRunSettings runs;
   /// A replica that accepted a connection right after it broke others is looked at again: its
   /// listener may close a moment later than they do.
   core::Duration second_look = std::chrono::milliseconds(60);
@@ -43,13 +36,6 @@
   core::Duration suspicion = std::chrono::seconds(2);
 };
 
-/// A suspect that runs, or for which a replica is kept; what other processes are told of it.
-struct SuspectRun {
-  core::RequestFingerprint content;
-  core::ReplicaId replica;
-  bool is_alone = false;  ///< nothing else may go to the replica meanwhile
-};
-
 enum class AdmissionKind {
   kFree,  ///< it is under no suspicion
   kRun,   ///< on one of the allowed replicas
@@ -74,8 +60,8 @@
   struct Listener {
     std::function<void(const quarantine::Suspect&)> on_suspect = {};
     std::function<void(const core::RequestFingerprint&)> on_let_go = {};
-    std::function<void(const SuspectRun&)> on_run = {};  ///< a run or a reservation began
-    std::function<void(const SuspectRun&)> on_run_over = {};
+    /// A run or a reservation of this process began, or is over.
+    std::function<void(const SuspectRun&, bool is_over)> on_run = {};
   };
   /// Marks a suspect as running, and its replica as reserved where it runs alone.
   class Run {
@@ -105,13 +91,13 @@
 
   void add_listener(Listener listener) { listeners_.push_back(std::move(listener)); }
   /// \param self breaks ties between processes that reserve replicas of one service at once
-  void set_self(core::NodeId self) { self_ = std::move(self); }
+  void set_self(core::NodeId self) { runs_.set_self(std::move(self)); }
 
   /// \return whether anything is under suspicion; otherwise every admission is free.
   bool has_suspects() const { return !suspects_.empty(); }
   /// \return whether \p content may run on terms only, or not at all.
   bool is_suspect(const core::RequestFingerprint& content) const {
-    return suspects_.terms_of(content) != quarantine::Terms::kFree;
+    return terms_of(content) != quarantine::Terms::kFree;
   }
   /// \return what \p content, which \p route sends to one of \p usable, may do now. Asked again
   /// and again while it waits, which keeps a reservation.
@@ -130,7 +116,9 @@
 
   /// Takes in what another process tells.
   void hear(const quarantine::Suspect& suspect);
-  void hear_run(const core::NodeId& holder, const SuspectRun& run, bool is_over);
+  void hear_run(const core::NodeId& holder, const SuspectRun& run, bool is_over) {
+    runs_.hear(holder, run, is_over);
+  }
   /// The listing of replicas has changed.
   void on_listing_changed();
   /// An operator lets \p content run again. \return whether it was under suspicion.
@@ -139,50 +127,25 @@
   /// \return how long a suspect that nobody sends is remembered.
   core::Duration retention() const { return settings_.suspects.retention; }
   /// \return the runs and reservations of this process, to be told again.
-  std::vector<SuspectRun> own_runs() const;
+  std::vector<SuspectRun> own_runs() const { return runs_.own(); }
   void forget_old();
 
  private:
   struct Meters;
-  struct Reservation {
-    SuspectRun run;
-    core::ServiceName service;
-    core::MonotonicTime since;
-    core::MonotonicTime until;
-  };
-  struct RemoteRun {
-    SuspectRun run;
-    core::NodeId holder;
-    core::MonotonicTime until;
-  };
-
+  /// \return the terms as this process sees them: it may have seen \p content served before.
+  quarantine::Terms terms_of(const core::RequestFingerprint& content) const;
   std::size_t healthy_count(const core::ServiceName& service) const;
   /// \return whether suspects may go to a replica of \p service: another healthy one is left.
   bool may_risk_one(const core::ServiceName& service);
-  bool runs_somewhere(const core::RequestFingerprint& content) const;
   /// \return the replicas of \p usable that suspects may go to.
   std::vector<ReplicaPointer> risked_of(const Route& route,
                                         const std::vector<ReplicaPointer>& usable);
-  /// Keeps one of \p risked for \p content, and lets it run there once that has settled.
-  Admission admit_kept(const core::RequestFingerprint& content,
-                       const std::vector<ReplicaPointer>& risked, bool is_alone);
-  /// \return whether \p reservation holds on, on \p replica; null when that may not be used.
-  bool is_void(const Reservation& reservation, const ReplicaPointer& replica, bool is_alone) const;
-  /// \return whether \p replica runs, or is kept for, another suspect than \p content.
-  bool is_occupied(const core::RequestFingerprint& content, const ReplicaState& replica) const;
-  /// \return whether another process keeps what \p run needs, and goes first.
-  bool must_give_way(const SuspectRun& run, const core::ServiceName& service) const;
-  void reserve(const SuspectRun& run, const core::ServiceName& service);
-  void renew(Reservation& reservation);
-  void drop(std::map<core::RequestFingerprint, Reservation>::iterator reservation);
-  void end(const SuspectRun& run);
   void note_end(const core::RequestFingerprint& content, const std::string& request_id,
                 const ReplicaPointer& replica);
   boost::asio::awaitable<void> look_again(core::RequestFingerprint content, std::string request_id,
                                           ReplicaPointer replica);
   void announce(const core::RequestFingerprint& content);
-  void announce_run(const SuspectRun& run);
-  void announce_run_over(const SuspectRun& run);
+  void announce_run(const SuspectRun& run, bool is_over);
   void update_gauges();
 
   ReplicaDirectory& directory_;
@@ -191,12 +154,9 @@
   CrashGuardSettings settings_;
   std::unique_ptr<Meters> meters_;
   std::vector<Listener> listeners_;
-  core::NodeId self_;
   quarantine::CrashSuspects suspects_;
   quarantine::ServedContents served_;
-  std::map<core::RequestFingerprint, SuspectRun> running_;        ///< of this process
-  std::map<core::RequestFingerprint, Reservation> reservations_;  ///< not running yet
-  std::map<core::RequestFingerprint, RemoteRun> remote_runs_;
+  SuspectRuns runs_;
   /// Since when a service has had one healthy replica or none.
   std::map<core::ServiceName, core::MonotonicTime> nearly_gone_since_;
 };
--- a/src/node/suspect_exchange.cpp
+++ b/src/node/suspect_exchange.cpp
@@ -9,7 +9,8 @@
 namespace {
 
 wire::SuspectRunNotice notice_of(const ingress::SuspectRun& run, bool is_over) {
-  return {run.content, run.replica, run.is_alone, is_over};
+  const auto phase = run.has_begun ? wire::SuspectRunPhase::kRunning : wire::SuspectRunPhase::kKept;
+  return {run.content, run.replica, run.is_alone, is_over ? wire::SuspectRunPhase::kOver : phase};
 }
 
 quarantine::Suspect suspect_of(const wire::SuspectNotice& notice, core::MonotonicTime now) {
@@ -49,12 +50,8 @@
     new_notices_[suspect.content] = notice_of(suspect);
     wake();
   };
-  listener.on_run = [this](const ingress::SuspectRun& run) {
-    new_runs_[run.content] = node::notice_of(run, false);
-    wake();
-  };
-  listener.on_run_over = [this](const ingress::SuspectRun& run) {
-    new_runs_[run.content] = node::notice_of(run, true);
+  listener.on_run = [this](const ingress::SuspectRun& run, bool is_over) {
+    new_runs_[run.content] = node::notice_of(run, is_over);
     wake();
   };
   guard_.add_listener(std::move(listener));
@@ -188,7 +185,9 @@
     guard_.hear(suspect_of(notice, now));
   }
   for (const wire::SuspectRunNotice& run : report->runs) {
-    guard_.hear_run(message.sender, {run.content, run.replica, run.is_alone}, run.is_over);
+    const bool has_begun = run.phase == wire::SuspectRunPhase::kRunning;
+    const bool is_over = run.phase == wire::SuspectRunPhase::kOver;
+    guard_.hear_run(message.sender, {run.content, run.replica, run.is_alone, has_begun}, is_over);
   }
 }
 
--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -91,11 +91,13 @@
   std::erase_if(suspects_, [now](const auto& entry) { return entry.second.forget_at <= now; });
 }
 
-std::size_t CrashSuspects::charged_ends(const Suspect& suspect) const {
+std::size_t CrashSuspects::charged_ends(const Suspect& suspect, bool was_served) const {
+  const std::size_t fewest = suspect.ended.size() + (was_served ? 0 : 1);
   const auto is_explained = [&](const core::ReplicaId& replica) {
     return std::any_of(suspects_.begin(), suspects_.end(), [&](const auto& entry) {
       const Suspect& other = entry.second;
-      return other.ended.size() > suspect.ended.size() && other.ended.contains(replica);
+      return other.content != suspect.content && other.ended.size() >= fewest &&
+             other.ended.contains(replica);
     });
   };
   return suspect.ended.size() - static_cast<std::size_t>(std::count_if(
@@ -108,9 +110,9 @@
   });
 }
 
-Terms CrashSuspects::terms_of(const core::RequestFingerprint& content) const {
+Terms CrashSuspects::terms_of(const core::RequestFingerprint& content, bool was_served) const {
   const Suspect* suspect = find(content);
-  const std::size_t charged = suspect == nullptr ? 0 : charged_ends(*suspect);
+  const std::size_t charged = suspect == nullptr ? 0 : charged_ends(*suspect, was_served);
   if (charged == 0) {
     return Terms::kFree;
   }
--- a/src/quarantine/crash_suspects.hpp
+++ b/src/quarantine/crash_suspects.hpp
@@ -66,7 +66,9 @@
   void note_seen(const core::RequestFingerprint& content, core::MonotonicTime now);
   void forget_old(core::MonotonicTime now);
 
-  Terms terms_of(const core::RequestFingerprint& content) const;
+  /// \param was_served some replica has served \p content before: of two requests that were at the
+  /// same ends, it is the other one
+  Terms terms_of(const core::RequestFingerprint& content, bool was_served = false) const;
   /// \return whether nothing is under suspicion.
   bool empty() const { return suspects_.empty(); }
   /// \return what is known of \p content, or null.
@@ -77,8 +79,9 @@
   using Suspects = std::map<core::RequestFingerprint, Suspect>;
   /// \return the entry of \p content, for which another one may have to give way.
   Suspect& entry_of(const core::RequestFingerprint& content, core::MonotonicTime now);
-  /// \return the ends of \p suspect that no worse suspect explains.
-  std::size_t charged_ends(const Suspect& suspect) const;
+  /// \return the ends of \p suspect that no worse suspect explains, or no equal one where it
+  /// \p was_served.
+  std::size_t charged_ends(const Suspect& suspect, bool was_served) const;
   /// \return whether another request was there at each of the ends of \p suspect.
   bool has_equal(const Suspect& suspect) const;
 
--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -265,7 +265,7 @@
 
 Json write_suspect_run(const SuspectRunNotice& notice) {
   return Json::array({notice.content.value(), notice.replica.value(), notice.is_alone ? 1u : 0u,
-                      notice.is_over ? 1u : 0u});
+                      static_cast<std::uint64_t>(notice.phase)});
 }
 
 bool read_suspect_run(const Json& json, SuspectRunNotice& notice) {
@@ -273,7 +273,8 @@
   notice.content = reader.next_name<core::RequestFingerprint>();
   notice.replica = reader.next_name<core::ReplicaId>();
   notice.is_alone = reader.next_bool();
-  notice.is_over = reader.next_bool();
+  notice.phase = static_cast<SuspectRunPhase>(
+      reader.next_unsigned(static_cast<std::uint64_t>(SuspectRunPhase::kOver)));
   return reader.ok();
 }
 
--- a/src/wire/gossip_messages.hpp
+++ b/src/wire/gossip_messages.hpp
@@ -91,12 +91,18 @@
   bool operator==(const SuspectNotice&) const = default;
 };
 
-/// A request under suspicion that the sender runs, or keeps a replica for, now.
+enum class SuspectRunPhase : std::uint8_t {
+  kKept,     ///< a replica is kept for it
+  kRunning,  ///< it goes to the replica now
+  kOver,
+};
+
+/// A request under suspicion that the sender runs, or keeps a replica for.
 struct SuspectRunNotice {
   core::RequestFingerprint content;
   core::ReplicaId replica;
   bool is_alone = false;  ///< nothing else may go to the replica meanwhile
-  bool is_over = false;
+  SuspectRunPhase phase = SuspectRunPhase::kKept;
   bool operator==(const SuspectRunNotice&) const = default;
 };
 
--- a/tests/unit/ingress/crash_guard_test.cpp
+++ b/tests/unit/ingress/crash_guard_test.cpp
@@ -66,6 +66,8 @@
     Admission admit_settled(const core::RequestFingerprint& content) {
       admit(content);
       time.advance(milliseconds(15));
+      admit(content);
+      time.advance(milliseconds(5));
       return admit(content);
     }
     quarantine::Terms terms(const core::RequestFingerprint& content) const {
@@ -210,12 +212,18 @@
     // A later name gives way itself, an earlier one goes first.
     world.guard.hear_run(elsewhere, {core::RequestFingerprint("z"), kept[0].replica, false}, false);
     world.time.advance(milliseconds(15));
+    CPPUNIT_ASSERT(world.admit(culprit).kind ==
+                   AdmissionKind::kWait);  // not looked at often enough
     CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kRun);
     world.guard.hear_run(elsewhere, {core::RequestFingerprint("a"), kept[0].replica, false}, false);
     CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
     const Admission admission = world.admit_settled(culprit);
     CPPUNIT_ASSERT(admission.kind == AdmissionKind::kRun);
     CPPUNIT_ASSERT(admission.allowed.front()->record.id != kept[0].replica);
+    // One that runs already goes first, whatever its name.
+    const core::ReplicaId next = admission.allowed.front()->record.id;
+    world.guard.hear_run(elsewhere, {core::RequestFingerprint("z"), next, false, true}, false);
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
   }
 
   void what_was_served_before_goes_on_after_one_end() {
@@ -243,6 +251,7 @@
     CPPUNIT_ASSERT(reserved("r2") && !reserved("r3") && !reserved("r4"));
     world.time.advance(milliseconds(120));
     CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);  // others still run there
+    CPPUNIT_ASSERT(world.admit(culprit).kind == AdmissionKind::kWait);
     world.replica("r2")->in_flight = 0;
     const Admission admission = world.admit(culprit);
     CPPUNIT_ASSERT(admission.kind == AdmissionKind::kRun);
--- a/tests/unit/quarantine/crash_suspects_test.cpp
+++ b/tests/unit/quarantine/crash_suspects_test.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(terms_follow_the_ends);
   CPPUNIT_TEST(an_end_is_charged_to_the_worst_suspect);
   CPPUNIT_TEST(two_that_were_always_together_are_not_held);
+  CPPUNIT_TEST(of_two_at_the_same_ends_the_one_served_before_is_free);
   CPPUNIT_TEST(what_is_served_is_cleared_also_against_older_news);
   CPPUNIT_TEST(records_merge_in_any_order);
   CPPUNIT_TEST(memory_is_bounded_and_the_worst_stay);
@@ -72,6 +73,19 @@
     check(suspects, "culprit", Terms::kHeld);
   }
 
+  void of_two_at_the_same_ends_the_one_served_before_is_free() {
+    CrashSuspects suspects;
+    for (int end = 0; end < 2; ++end) {
+      suspects.note_end(content("culprit"), replica(end), at(1));
+      suspects.note_end(content("popular"), replica(end), at(1));
+    }
+    check(suspects, "popular", Terms::kAlone);
+    CPPUNIT_ASSERT(suspects.terms_of(content("popular"), true) == Terms::kFree);
+    // Nobody else was at a third end: having been served before is no excuse.
+    suspects.note_end(content("popular"), replica(2), at(2));
+    CPPUNIT_ASSERT(suspects.terms_of(content("popular"), true) == Terms::kHeld);
+  }
+
   void what_is_served_is_cleared_also_against_older_news() {
     CrashSuspects suspects;
     suspects.note_end(content("popular"), replica(1), at(1));
--- a/tests/unit/wire/gossip_codec_test.cpp
+++ b/tests/unit/wire/gossip_codec_test.cpp
@@ -72,7 +72,8 @@
       DigestPush{{full_report(), without_prefixes}},
       SuspectReport{{{core::RequestFingerprint("00ff"), 3, {core::ReplicaId("desk-2")}, 600'000},
                      {core::RequestFingerprint("00fe"), 0, {}, 1}},
-                    {{core::RequestFingerprint("00ff"), core::ReplicaId("desk-3"), true, false}}}};
+                    {{core::RequestFingerprint("00ff"), core::ReplicaId("desk-3"), true,
+                      SuspectRunPhase::kRunning}}}};
 }
 
 std::string to_cbor(const Json& json) {
@@ -205,8 +206,8 @@
          damaged([](Json& packet) { packet[2][1][0][8] = 1001; }, DigestPush{{full_report()}})},
         {"suspect with replicas that are no list",
          damaged([](Json& packet) { packet[2][1][0][2] = "desk-2"; }, all_messages().back())},
-        {"run of a suspect that is neither over nor not",
-         damaged([](Json& packet) { packet[2][2][0][3] = 2; }, all_messages().back())},
+        {"run of a suspect in no phase",
+         damaged([](Json& packet) { packet[2][2][0][3] = 3; }, all_messages().back())},
         {"prefixes that are text",
          damaged([](Json& packet) { packet[2][1][0][11] = "none"; }, DigestPush{{full_report()}})},
     };
