Reading a table again keeps its share of the link at 985 and 1,970 processes

Cause: the cap of 2.5 s on the pause between two pages, brought with the mend of floods, let a fleet of more than 890 processes take more than a quarter of the store's link, and FeedPaceTest was cut from 250, 985 and 1,970 to 250, 500 and 890 processes with it.

Ruled out: leaving the cap out alone. The own window would be read again after 5.5 s at 1,970 processes under a flood of changes, and replicas that drain serve on for 3 s.

Change: the cap holds for what a page took, the share of the link goes without one; and pages that are read again are as small as the fleet needs (most_page_bytes: 317 KB at 985, 158 KB at 1,970), so that the own window is still read again within 2.5 s.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -247,6 +247,9 @@
     return needs_more ? core::Duration(0)
                       : records::reread_pause(gossip_.members_by_node().size(), page_bytes, took);
   };
+  options.most_page_bytes = [this] {
+    return records::most_page_bytes(gossip_.members_by_node().size());
+  };
   return options;
 }
 
--- a/src/ports/record_store.hpp
+++ b/src/ports/record_store.hpp
@@ -56,6 +56,7 @@
   std::string partition;
   std::string first_key = {};
   std::string end_key = {};
+  std::size_t most_rows = 0;  ///< of one page; zero for as many as the store gives
 };
 
 /// \return the first key behind \p key. Keys hold no blank and no control sign.
--- a/src/records/feed_pace.cpp
+++ b/src/records/feed_pace.cpp
@@ -19,7 +19,13 @@
   const double bytes = static_cast<double>(processes) * static_cast<double>(page_bytes);
   const double by_bytes = bytes / kRereadBytesPerSecond;
   const double by_time = core::to_seconds(took) * (1 / kRereadShare - 1);
-  return std::min(core::from_seconds(std::max(by_bytes, by_time)), kLongestRereadPause);
+  return std::max(core::from_seconds(by_bytes),
+                  std::min(core::from_seconds(by_time), kLongestRereadPause));
+}
+
+std::size_t most_page_bytes(std::size_t processes) {
+  const double all = kRereadBytesPerSecond * core::to_seconds(kLongestRereadPause);
+  return static_cast<std::size_t>(all / static_cast<double>(std::max<std::size_t>(processes, 1)));
 }
 
 }  // namespace stoneport::records
--- a/src/records/feed_pace.hpp
+++ b/src/records/feed_pace.hpp
@@ -46,7 +46,12 @@
 inline constexpr core::Duration kLongestRereadPause = std::chrono::milliseconds(2500);
 
 /// \return how long a process waits after a page of \p page_bytes, which took \p took, before it
-/// reads the next one.
+/// reads the next one. At most kLongestRereadPause for what the page took; longer where the page
+/// is larger than most_page_bytes().
 core::Duration reread_pause(std::size_t processes, std::size_t page_bytes, core::Duration took);
 
+/// \return the largest page after which \p processes that keep to kRereadBytesPerSecond may read
+/// again within kLongestRereadPause, in bytes.
+std::size_t most_page_bytes(std::size_t processes);
+
 }  // namespace stoneport::records
--- a/src/records/table_follower.cpp
+++ b/src/records/table_follower.cpp
@@ -74,6 +74,7 @@
   std::optional<Reread> reread;
   std::uint32_t listings = 1;  ///< begun so far
   std::string next_check;      ///< key with which the next check begins
+  std::size_t row_bytes = 0;   ///< mean of the last page that was read; zero before the first
   core::Revision position;
   core::MonotonicTime last_answer{};
   core::MonotonicTime last_told{};  ///< by the feed, a listing or a check
@@ -172,6 +173,20 @@
     loaded = true;
   }
 
+  void note_page(const std::vector<ports::Record>& records) {
+    if (!records.empty()) {
+      row_bytes = bytes_of(records) / records.size();
+    }
+  }
+
+  /// \return the rows of a page that is read again; zero for as many as the store gives.
+  std::size_t most_rows() const {
+    if (!reread_options.most_page_bytes || row_bytes == 0) {
+      return 0;
+    }
+    return std::max<std::size_t>(reread_options.most_page_bytes() / row_bytes, 1);
+  }
+
   /// \return whether \p record tells a change that the feed has passed over.
   bool was_passed_over(const ports::Record& record) const {
     const auto known = rows.find(record.key);
@@ -258,6 +273,7 @@
     listing.revision = page->revision;
     listing.answered_at = page->answered_at;
   }
+  state->note_page(page->records);
   RowChanges changes;
   changes.more = page->more && !page->records.empty();
   if (changes.more) {
@@ -315,6 +331,7 @@
   if (state->reread->has_wrapped) {
     range.end_key = state->reread->first_key;
   }
+  range.most_rows = state->most_rows();
   const core::MonotonicTime asked_at = http::monotonic_now();
   core::Result<ports::RecordPage> page =
       co_await state->store.read(range, state->options.read_timeout);
@@ -336,6 +353,7 @@
   }
   reread.is_flooded = false;
   const std::size_t bytes = bytes_of(page->records);
+  state->note_page(page->records);
   const bool has_more = page->more && !page->records.empty();
   const std::string next_key =
       has_more ? ports::key_after(page->records.back().key) : range.end_key;
--- a/src/records/table_follower.hpp
+++ b/src/records/table_follower.hpp
@@ -41,6 +41,8 @@
   std::function<std::string()> first_key;
   /// \return how long to wait after a page of so many bytes that took so long to read.
   std::function<core::Duration(std::size_t page_bytes, core::Duration took)> pause;
+  /// \return the largest page to read, in bytes; any may be read when this is empty.
+  std::function<std::size_t()> most_page_bytes = {};
 };
 
 /// How a table differs from what was told before.
--- a/tests/support/fake_record_store.hpp
+++ b/tests/support/fake_record_store.hpp
@@ -70,6 +70,8 @@
       co_return core::make_error(core::ErrorCode::kUnavailable, "down");
     }
     const Rows& rows = faults.stale ? frozen_rows_ : rows_;
+    const std::size_t most_rows =
+        range.most_rows > 0 ? std::min(range.most_rows, page_size) : page_size;
     ports::RecordPage page;
     page.revision = core::Revision(faults.stale ? frozen_revision_ : revision_);
     page.answered_at = answered_at();
@@ -80,7 +82,7 @@
           !is_below_end) {
         continue;
       }
-      if (page.records.size() == page_size) {
+      if (page.records.size() == most_rows) {
         page.more = true;
         break;
       }
--- a/tests/unit/records/feed_pace_test.cpp
+++ b/tests/unit/records/feed_pace_test.cpp
@@ -12,6 +12,7 @@
   CPPUNIT_TEST(a_small_fleet_reads_as_often_as_is_useful);
   CPPUNIT_TEST(news_is_never_held_back_for_long);
   CPPUNIT_TEST(reading_again_takes_no_more_of_the_link_in_a_larger_fleet);
+  CPPUNIT_TEST(pages_are_small_enough_for_news_of_the_own_window_to_come_in_time);
   CPPUNIT_TEST(a_process_that_knows_no_other_one_goes_by_what_a_page_takes);
   CPPUNIT_TEST_SUITE_END();
 
@@ -36,13 +37,21 @@
 
   void reading_again_takes_no_more_of_the_link_in_a_larger_fleet() {
     constexpr std::size_t kPageBytes = 350'000;
-    for (const std::size_t processes : {250u, 500u, 890u}) {
+    for (const std::size_t processes : {250u, 985u, 1970u}) {
       const double seconds = core::to_seconds(reread_pause(processes, kPageBytes, {}));
       const double bytes_per_second = static_cast<double>(processes * kPageBytes) / seconds;
       CPPUNIT_ASSERT_DOUBLES_EQUAL(125e6, bytes_per_second, 1e5);
     }
   }
 
+  /// Replicas that drain serve on for 3 s.
+  void pages_are_small_enough_for_news_of_the_own_window_to_come_in_time() {
+    for (const std::size_t processes : {250u, 985u, 1970u, 4000u}) {
+      const std::size_t page = most_page_bytes(processes);
+      CPPUNIT_ASSERT(reread_pause(processes, page, {}) <= kLongestRereadPause);
+    }
+  }
+
   void a_process_that_knows_no_other_one_goes_by_what_a_page_takes() {
     const core::Duration pause = reread_pause(1, 350'000, std::chrono::milliseconds(700));
     CPPUNIT_ASSERT(pause == kLongestRereadPause);
--- a/tests/unit/records/table_follower_test.cpp
+++ b/tests/unit/records/table_follower_test.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(a_feed_that_is_far_behind_costs_one_page_at_once_whatever_the_size);
   CPPUNIT_TEST(changes_that_come_faster_than_they_are_followed_cost_the_window_alone);
   CPPUNIT_TEST(a_table_is_read_again_around_to_where_that_began);
+  CPPUNIT_TEST(pages_that_are_read_again_are_no_larger_than_asked_for);
   CPPUNIT_TEST_SUITE_END();
 
   void tells_the_whole_table_page_by_page() {
@@ -308,6 +309,29 @@
     CPPUNIT_ASSERT(world.store.reads > before);
   }
 
+  /// A row of this table is a key of nine bytes and a value of one.
+  void pages_that_are_read_again_are_no_larger_than_asked_for() {
+    TableFollowerOptions options;
+    options.feed_wait = milliseconds(10);
+    options.retry_delay = milliseconds(5);
+    World world(40, options);
+    std::size_t largest = 0;
+    RereadOptions reread;
+    reread.first_key = [] { return World::key_of(25); };
+    reread.pause = [&largest](std::size_t page_bytes, core::Duration) {
+      largest = std::max(largest, page_bytes);
+      return milliseconds(5);
+    };
+    reread.most_page_bytes = [] { return std::size_t{45}; };
+    world.follower.set_reread(reread);
+    world.start();
+    world.put(World::key_of(2), std::nullopt);
+    lose_history(world);
+    world.run_for(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{40}, largest);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{39}, world.there.size());
+  }
+
   void rows_that_went_while_the_history_was_lost_are_removed() {
     World world(45);
     world.start();
