--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -17,6 +17,7 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
 #include "node/caller_directory.hpp"
+#include "node/load_control_settings.hpp"
 #include "node/suspect_exchange.hpp"
 #include "node/suspect_rows.hpp"
 #include "node/zone_views.hpp"
@@ -47,6 +48,7 @@
   jobs::CoordinatorSettings coordinator;
   UsageSettings usage;
   bool orders_replicas = false;  ///< whether the platform takes orders of replicas
+  LoadControlSettings load_control;
   fleet::ReplicaScalerSettings scaler;
 };
 
