Responses that clients do not read are bounded: over the bound the largest is cut, never the process

Cause: a response stays in memory until its client has taken it, for up to 60 s without progress; a list of results has up to 1 MB and the smallest machines 120 MB in all. By reading; not measured on a machine of that size.

Ruled out: a bound for each connection alone, a shorter time without progress, refusing new requests (docs/design/slow-readers.md).

Change: http/unsent_bytes counts what clients have not taken, by connection and caller; over a quarter of the machine's memory the caller for whom most is kept loses its largest connection, stalled ones first, with a log line and a counter.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -99,7 +99,14 @@
                                          "Requests whose connection ended first",
                                          {{"server", server}})),
       accept_errors(metrics.counter(metric_name("accept_errors_total"), "Failed accepts",
-                                    {{"server", server}})) {}
+                                    {{"server", server}})),
+      slow_readers_cut(metrics.counter(metric_name("slow_readers_cut_total"),
+                                       "Connections reset as too much was kept for clients that "
+                                       "do not read",
+                                       {{"server", server}})),
+      unsent_bytes(metrics.gauge(metric_name("unsent_bytes"),
+                                 "Bytes of responses that clients have not taken yet",
+                                 {{"server", server}})) {}
 
 class Server::Implementation : public std::enable_shared_from_this<Server::Implementation> {
  public:
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -17,6 +17,7 @@
 #include "core/metrics.hpp"
 #include "http/body.hpp"
 #include "http/message.hpp"
+#include "http/unsent_bytes.hpp"
 
 namespace stoneport::http {
 
@@ -76,6 +77,7 @@
   /// that a request already on its way is answered and not cut.
   core::Duration drain_grace = std::chrono::milliseconds(200);
   std::uint32_t max_connections = 4096;
+  UnsentLimits unsent = {};  ///< on what is kept for clients that do not read
   /// Put on the responses with which the server itself refuses a request that
   /// never reaches its handler.
   HeaderMap refusal_headers = {};
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,5 +1,7 @@
 #include "http/server_connection.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
@@ -56,6 +58,12 @@
   return response;
 }
 
+std::string caller_of(const asio::ip::tcp::socket& socket) {
+  boost::system::error_code error;
+  const asio::ip::tcp::endpoint endpoint = socket.remote_endpoint(error);
+  return error ? "an unknown address" : endpoint.address().to_string();
+}
+
 /// \return the bytes of a response after which the connection closes.
 std::string closing_response(const Response& response) {
   HeadText head(status_line(11, response.head.status));
@@ -67,8 +75,11 @@
 
 }  // namespace
 
-ServerSocket::ServerSocket(asio::ip::tcp::socket accepted, std::size_t buffer_limit)
-    : socket(std::move(accepted)),
+ServerSocket::ServerSocket(asio::ip::tcp::socket accepted, std::size_t buffer_limit,
+                           UnsentBytes::ConnectionId connection)
+    : id(connection),
+      caller(caller_of(accepted)),
+      socket(std::move(accepted)),
       buffer(buffer_limit),
       read_timer(socket.get_executor(),
                  [this] {
@@ -80,10 +91,44 @@
         socket.cancel(ignored);
       }) {}
 
+void ServerSocket::reset() {
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
+void ServerState::begin_unsent(ServerSocket& io, std::uint64_t bytes) {
+  const core::MonotonicTime now = monotonic_now();
+  unsent.begin(io.id, io.caller, bytes, now);
+  writing[io.id] = &io;
+  while (const auto chosen = unsent.connection_to_cut(now)) {
+    ServerSocket& slow = *writing.at(*chosen);
+    spdlog::warn(
+        "http server: reset the connection of {}, which does not read: {} bytes are kept for all "
+        "clients, more than {}",
+        slow.caller, unsent.total(), limits.unsent.most_bytes);
+    counters.slow_readers_cut.Increment();
+    slow.reset();
+    end_unsent(slow);
+  }
+  counters.unsent_bytes.Set(static_cast<double>(unsent.total()));
+}
+
+void ServerState::note_taken(const ServerSocket& io, std::uint64_t bytes) {
+  unsent.taken(io.id, bytes, monotonic_now());
+}
+
+void ServerState::end_unsent(const ServerSocket& io) {
+  unsent.end(io.id);
+  writing.erase(io.id);
+  counters.unsent_bytes.Set(static_cast<double>(unsent.total()));
+}
+
 ServerConnection::ServerConnection(std::shared_ptr<ServerState> state, asio::ip::tcp::socket socket)
     : state_(std::move(state)),
       io_(std::make_shared<ServerSocket>(std::move(socket),
-                                         state_->limits.max_header_bytes + kBufferSpareBytes)),
+                                         state_->limits.max_header_bytes + kBufferSpareBytes,
+                                         ++state_->last_connection)),
       watch_(std::make_shared<ClientWatch>(io_, state_->counters.clients_gone)) {
   boost::system::error_code ignored;
   io_->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -123,9 +168,7 @@
     return;
   }
   state_->counters.connections_reset.Increment();
-  boost::system::error_code ignored;
-  io_->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  io_->socket.close(ignored);
+  io_->reset();
 }
 
 asio::awaitable<bool> ServerConnection::wait_for_request() {
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -7,6 +7,8 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <functional>
 #include <memory>
+#include <string>
+#include <unordered_map>
 #include <unordered_set>
 
 #include "http/beast_conversion.hpp"
@@ -35,18 +37,33 @@
   prometheus::Counter& refused_connection_limit;
   prometheus::Counter& truncated_requests;
   prometheus::Counter& accept_errors;
+  prometheus::Counter& slow_readers_cut;
+  prometheus::Gauge& unsent_bytes;
 };
 
+struct ServerSocket;
+
 /// What a server shares with its connections.
 struct ServerState {
   ServerState(std::string name, ServerLimits server_limits, RequestHandler& request_handler,
               core::Metrics& metrics)
-      : limits(server_limits), handler(request_handler), counters(metrics, name) {}
+      : limits(server_limits),
+        handler(request_handler),
+        counters(metrics, name),
+        unsent(server_limits.unsent) {}
+
+  /// A response of \p bytes begins to go out on \p io; cuts slow readers where too much is kept.
+  void begin_unsent(ServerSocket& io, std::uint64_t bytes);
+  void note_taken(const ServerSocket& io, std::uint64_t bytes);
+  void end_unsent(const ServerSocket& io);
 
   ServerLimits limits;
   RequestHandler& handler;
   ServerCounters counters;
   std::unordered_set<ServerConnection*> connections;
+  UnsentBytes unsent;
+  std::unordered_map<UnsentBytes::ConnectionId, ServerSocket*> writing;  ///< those in \a unsent
+  UnsentBytes::ConnectionId last_connection = 0;
   std::size_t requests_in_flight = 0;
   bool stopping = false;
   /// Called when a request or a connection has ended.
@@ -55,8 +72,13 @@
 
 /// Socket of one connection with what reading and writing it needs.
 struct ServerSocket {
-  ServerSocket(boost::asio::ip::tcp::socket accepted, std::size_t buffer_limit);
+  ServerSocket(boost::asio::ip::tcp::socket accepted, std::size_t buffer_limit,
+               UnsentBytes::ConnectionId connection);
+  /// Closes it with a reset.
+  void reset();
 
+  UnsentBytes::ConnectionId id;  ///< within the server
+  std::string caller;            ///< the IP number of the other side
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   DeadlineTimer read_timer;
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/read.hpp>
+#include <utility>
 
 namespace stoneport::http {
 namespace asio = boost::asio;
@@ -24,6 +25,22 @@
   return status == 204 || status == 304;
 }
 
+/// Counts the bytes that go out while it lives, however the write ends.
+class UnsentResponse {
+ public:
+  UnsentResponse(ServerState& state, ServerSocket& io, std::uint64_t bytes)
+      : state_(state), io_(io) {
+    state_.begin_unsent(io_, bytes);
+  }
+  ~UnsentResponse() { state_.end_unsent(io_); }
+  UnsentResponse(const UnsentResponse&) = delete;
+  UnsentResponse& operator=(const UnsentResponse&) = delete;
+
+ private:
+  ServerState& state_;
+  ServerSocket& io_;
+};
+
 core::Error client_gone_error() {
   return core::make_error(core::ErrorCode::kUnavailable, "the client closed its connection");
 }
@@ -192,13 +209,17 @@
 
 template <class Buffers>
 asio::awaitable<core::Result<void>> ServerResponseWriter::transmit(const Buffers& buffers) {
-  auto on_progress = [this](const boost::system::error_code& error, std::size_t) -> std::size_t {
+  std::size_t taken_before = 0;
+  auto on_progress = [this, &taken_before](const boost::system::error_code& error,
+                                           std::size_t taken) -> std::size_t {
     if (error) {
       return 0;
     }
+    state_.note_taken(io_, taken - std::exchange(taken_before, taken));
     io_.write_timer.arm(state_.limits.transfer_timeout);
     return kPieceBytes;
   };
+  const UnsentResponse unsent(state_, io_, beast::buffer_bytes(buffers));
   auto [error, size] = co_await asio::async_write(io_.socket, buffers, on_progress, kAwaitTuple);
   io_.write_timer.disarm();
   if (error) {
--- a/tests/contract/http_fixture.hpp
+++ b/tests/contract/http_fixture.hpp
@@ -175,6 +175,10 @@
     return metrics.counter("stoneport_http_server_" + name, "", labels).Value();
   }
 
+  double gauge(const std::string& name) {
+    return metrics.gauge("stoneport_http_server_" + name, "", {{"server", "test"}}).Value();
+  }
+
   core::Metrics metrics;  // what is left on the context counts its end
   asio::io_context context;
   FunctionHandler handler;
--- a/tests/contract/http_server_faults_test.cpp
+++ b/tests/contract/http_server_faults_test.cpp
@@ -72,9 +72,37 @@
   CPPUNIT_TEST(idle_connection_is_closed);
   CPPUNIT_TEST(connections_beyond_the_limit_are_refused);
   CPPUNIT_TEST(header_injection_by_a_handler_is_refused);
+  CPPUNIT_TEST(slow_readers_are_cut_and_the_others_served);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  /// Eighty clients ask for 16 MB each and read nothing; others ask for little meanwhile.
+  void slow_readers_are_cut_and_the_others_served() {
+    constexpr std::size_t kLarge = 16 << 20;
+    constexpr std::uint64_t kMost = 64 << 20;
+    http::ServerLimits limits;
+    limits.unsent = {.most_bytes = kMost, .stalled_after = std::chrono::milliseconds(20)};
+    ServerFixture fixture(
+        [](const http::RequestHead& request, http::BodySource&,
+           http::ResponseWriter& response) -> asio::awaitable<void> {
+          http::Response message;
+          message.body.assign(request.target == "/large" ? kLarge : 5, 'x');
+          co_await http::respond(response, std::move(message));
+        },
+        limits);
+    std::vector<tcp::socket> readers;
+    for (int reader = 0; reader < 80; ++reader) {
+      readers.push_back(fixture.connect());
+      run(fixture.context, write_raw(readers.back(), "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"));
+      const RawText answer =
+          fixture.exchange("GET /small HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      CPPUNIT_ASSERT(answer.text.ends_with("xxxxx"));
+      CPPUNIT_ASSERT(fixture.gauge("unsent_bytes") <= static_cast<double>(kMost));
+    }
+    // Kernel buffers on loopback hold a few MB of each response.
+    CPPUNIT_ASSERT(fixture.counter("slow_readers_cut_total") >= 70);
+  }
+
   void malformed_requests_are_refused_and_counted() {
     for (const MalformedCase& fault : malformed_cases()) {
       ServerFixture fixture(echo, small_limits());
