--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -282,7 +282,7 @@
   for (std::size_t seed = 0; seed < options_.processes; ++seed) {
     seeds.push_back(core::to_string(address(seed, 3)));
   }
-  const nlohmann::json settings = {
+  nlohmann::json settings = {
       {"nodeName", "node-" + std::to_string(process)},
       {"zone", zone_name(process)},
       {"region", "region-a"},
@@ -311,6 +311,9 @@
       {"platform",
        {{"address", prefix_ + "1:" + std::to_string(kStorePort + 1 + process)},
         {"row_bytes", 65536}}}};
+  if (options_.memory_mb > 0) {
+    settings["limits"] = {{"memoryMb", options_.memory_mb}};
+  }
   std::ofstream(folder_ + "/node-" + std::to_string(process) + ".json") << settings.dump(1);
 }
 
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -87,6 +87,7 @@
     std::size_t zones = 1;
     /// A pause of a process is a suspension of its machine: its steady clock stands still.
     bool suspends = false;
+    std::uint64_t memory_mb = 0;  ///< of a machine, as its settings state it; 0: they do not
   };
   /// Starts everything and waits until all processes are ready.
   PlatformStandIn();
@@ -113,6 +114,9 @@
   void kill(std::size_t process);
   int wait(std::size_t process) { return processes_[process]->wait(); }
   bool running(std::size_t process) { return processes_[process]->running(); }
+  std::uint64_t peak_memory(std::size_t process) const {
+    return processes_[process]->peak_memory();
+  }
   bool is_ready(std::size_t process);
   void wait_until_ready(std::size_t process);
   /// \return the process that holds the coordinator's term; nothing when none does.
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -236,6 +236,9 @@
   answer.head.headers.add(std::string(platform::kRequestIdHeader), request_id);
   answer.head.headers.add(std::string(platform::kStampHeader), signature(request_id));
   answer.body = "answer to " + request_id;
+  if (answer.body.size() < faults.answer_bytes) {
+    answer.body.resize(faults.answer_bytes, '.');
+  }
   co_await response.send(std::move(answer));
 }
 
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -53,7 +53,8 @@
   int server_errors = 0;      ///< requests run and failed
   core::Duration event_gap = std::chrono::milliseconds(10);
   core::Duration work = std::chrono::milliseconds(5);
-  int lost_orders = 0;  ///< orders carried out, whose answer is lost
+  int lost_orders = 0;           ///< orders carried out, whose answer is lost
+  std::size_t answer_bytes = 0;  ///< whole answers are at least so long
 };
 
 class StandInReplica : public http::RequestHandler {
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -5,7 +5,9 @@
 #include <spawn.h>
 #include <sys/wait.h>
 
+#include <fstream>
 #include <stdexcept>
+#include <string_view>
 
 extern char** environ;
 
@@ -78,4 +80,17 @@
   return !ended_;
 }
 
+std::uint64_t ChildProcess::peak_memory() const {
+  constexpr std::string_view kField = "VmHWM:";
+  constexpr std::uint64_t kKilobyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(process_id_) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    if (line.starts_with(kField)) {
+      return std::stoull(line.substr(kField.size())) * kKilobyte;
+    }
+  }
+  throw std::runtime_error("the memory of a process that has ended was asked for");
+}
+
 }  // namespace stoneport::tests
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -4,6 +4,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   int wait();
   /// \return whether the process has not ended yet.
   bool running();
+  /// \return the most memory that it has had resident so far, in bytes.
+  std::uint64_t peak_memory() const;
 
  private:
   pid_t process_id_ = -1;
