Each process counts what became of requests, by service and tenant, and why some were refused

Cause: the counters of the forwarder say how many requests were refused, not of which service or tenant and not why; who waits is counted nowhere.

Ruled out: labels of tenants on metrics (their number isn't bounded by the configuration); counting from the log (its lines are bounded and may be dropped); a hook at each place that answers a client (rating calls take the same replicas and pass by none of them).

A record that goes with its request makes each end count once, also when a caller leaves or the event loop ends after the forwarder. The service is drawn when a request begins, so that one that comes too late is counted as well; the draws keep their order. The line request_refused has the reason by name.

--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -97,6 +97,9 @@
   meters_->attempts_failed.Increment();
   const bool has_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
   ++(has_run ? progress.runs : progress.refusals);
+  if (!has_run) {
+    progress.load.refused_by_replica(time_.now());
+  }
   const bool is_just_slow = failure.unreachable && is_cold(*replica);
   if (has_run && !failure.stale_connection && !is_just_slow) {
     note_failed_run(*replica);
@@ -115,8 +118,10 @@
                      core::DecisionWeight::kRoutine);
 }
 
-ForwardFailure Forwarder::end_of(const ForwardedRequest& request, const Progress& progress) const {
+ForwardFailure Forwarder::end_of(const ForwardedRequest& request, Progress& progress) const {
   ForwardFailure failure;
+  failure.refusal = progress.refusal();
+  progress.load.end_unanswered(failure.refusal, time_.now());
   failure.may_have_run = progress.runs > 0;
   failure.timed_out = time_.now() >= progress.give_up_at;
   failure.reason = "route " + request.route->name + ": " + progress.reason;
@@ -188,6 +193,7 @@
 
 asio::awaitable<ForwardResult> Forwarder::run(ForwardedRequest request) {
   Progress progress;
+  draw_service(request, progress);
   ObservedRun observed(observer_, request.tenant);
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
   progress.preference = preference_for(*request.route);
@@ -207,6 +213,7 @@
     const bool was_cold = is_cold(*replica);
     observed.sent(sent_at);
     note_sent(*replica, request);
+    progress.load.sent(sent_at);
     if (request.on_sent) {
       request.on_sent(replica);
     }
@@ -231,6 +238,7 @@
       if (!was_cold) {  // it is slow for a while, which says nothing of it when warm
         replica->note_latency(time_.now() - sent_at);
       }
+      progress.load.answered(time_.now());
       co_return std::move(*answer);
     }
     if (verdict == Verdict::kGiveUp) {
@@ -239,6 +247,7 @@
     progress.preference.excluded.insert(replica->record.id);
   }
   if (progress.last_answer) {
+    progress.load.answered(time_.now());
     co_return std::move(*progress.last_answer);
   }
   co_return end_of(request, progress);
@@ -264,6 +273,7 @@
                       {"configuration", request.table->version()},
                       {"may_have_run", failure.may_have_run},
                       {"held_ms", core::to_seconds(time_.now() - request.received) * 1000},
+                      {"refused_for", failure.refusal ? to_string(*failure.refusal) : ""},
                       {"reason", failure.reason}});
   co_await response.send(failure_response(failure));
 }
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -13,6 +13,7 @@
 #include "core/metrics.hpp"
 #include "http/server.hpp"
 #include "ingress/crash_guard.hpp"
+#include "ingress/load_ledger.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
 #include "ingress/run_observer.hpp"
@@ -47,6 +48,8 @@
   bool may_have_run = false;
   bool timed_out = false;
   std::string reason;
+  /// Why it was refused; none when it may have run.
+  std::optional<RefusalReason> refusal = std::nullopt;
   /// When to come back, where more is known than usual.
   std::optional<core::Duration> return_after = std::nullopt;
 };
@@ -110,6 +113,8 @@
   void note_silent(ReplicaState& replica);
   /// \return what keeps requests that crash replicas away from them, for every other sender too.
   CrashGuard& guard() { return guard_; }
+  /// \return what became of the requests, for operators.
+  const LoadLedger& ledger() const { return *ledger_; }
   /// Answers a client; stops working for one that leaves.
   boost::asio::awaitable<void> serve(ForwardedRequest request, http::ResponseWriter& response);
 
@@ -173,7 +178,8 @@
   Verdict judge(const ForwardedRequest& request, ReplicaState& replica,
                 ports::ReplicaAnswer& answer, Progress& progress);
   bool may_try_again(const ForwardedRequest& request, const Progress& progress) const;
-  ForwardFailure end_of(const ForwardedRequest& request, const Progress& progress) const;
+  /// Takes in that \p request ends without an answer.
+  ForwardFailure end_of(const ForwardedRequest& request, Progress& progress) const;
 
   boost::asio::awaitable<void> serve_whole(ForwardedRequest request,
                                            http::ResponseWriter& response);
@@ -194,6 +200,7 @@
   RunObserver* observer_;
   std::unique_ptr<Meters> meters_;
   CrashGuard guard_;
+  std::shared_ptr<LoadLedger> ledger_ = std::make_shared<LoadLedger>();
 
  public:
   ~Forwarder();
--- a/src/ingress/forwarder_choice.cpp
+++ b/src/ingress/forwarder_choice.cpp
@@ -146,6 +146,7 @@
       break;
     }
   }
+  progress.load = LoadLedger::Request(ledger_, *progress.service, request.tenant, time_.now());
 }
 
 Forwarder::Choice Forwarder::choose_now(const ForwardedRequest& request, Progress& progress) {
@@ -160,6 +161,7 @@
       choice.usable = progress.admission.allowed;
     }
   }
+  progress.was_looked_for = true;
   choice.replica = choose_replica(choice.usable, progress.preference, time_.now(), random_);
   return choice;
 }
@@ -177,6 +179,7 @@
   }
   if (choice.usable.empty() && !waits_to_run_apart && !has_replica_in_regions(request)) {
     meters_->refused_for_regions.Increment();
+    progress.outside_regions = true;
     progress.reason = "no replica in the regions that its route and tenant allow";
     return true;
   }
@@ -193,9 +196,6 @@
 
 asio::awaitable<ReplicaPointer> Forwarder::choose(const ForwardedRequest& request,
                                                   Progress& progress) {
-  if (!progress.service) {
-    draw_service(request, progress);
-  }
   while (true) {
     const Choice choice = choose_now(request, progress);
     if (choice.replica) {
@@ -208,11 +208,31 @@
     if (!waits_to_run_apart || choice.were_all_tried) {
       progress.preference.excluded.clear();  // any may be tried again
     }
+    progress.load.wait(time_.now());
     co_await runtime::sleep_for(waits_to_run_apart ? settings_.suspect_pause
                                                    : settings_.no_replica_pause);
   }
 }
 
+std::optional<RefusalReason> Forwarder::Progress::refusal() const {
+  if (runs > 0) {
+    return std::nullopt;
+  }
+  if (held_back) {
+    return RefusalReason::kHeldBack;
+  }
+  if (evacuated) {
+    return RefusalReason::kEvacuated;
+  }
+  if (outside_regions) {
+    return RefusalReason::kRegions;
+  }
+  if (refusals > 0) {
+    return RefusalReason::kReplicasRefused;
+  }
+  return was_looked_for ? RefusalReason::kNoReplica : RefusalReason::kTooLate;
+}
+
 ReplicaPreference Forwarder::preference_for(const Route& route) const {
   ReplicaPreference preference;
   preference.zone = settings_.zone;
--- a/src/ingress/forwarder_parts.hpp
+++ b/src/ingress/forwarder_parts.hpp
@@ -35,11 +35,14 @@
   std::optional<std::uint64_t> last_event;
   std::optional<ports::ReplicaAnswer> last_answer;  ///< a failure that may be passed on
   std::string reason = "no replica accepts work";
+  LoadLedger::Request load;     ///< how it is counted for operators
+  bool was_looked_for = false;  ///< a replica, at least once
   bool was_held_for_cold = false;
   bool fell_silent = false;          ///< the last stream got no event in time
   bool started = false;              ///< the head of a stream has gone to the client
   bool evacuated = false;            ///< ended because all replicas lie in evacuated zones
   bool held_back = false;            ///< ended because replicas end under it
+  bool outside_regions = false;      ///< ended because no replica is where it may be served
   core::RequestFingerprint content;  ///< empty until it was asked for
   Admission admission;               ///< of the next attempt
 
@@ -53,6 +56,8 @@
   /// \return attempts that count against the route's limit. Replicas that ended do not: a request
   /// that was on one by chance is served elsewhere, and one that ends them is held back.
   std::uint32_t counted_runs() const { return runs - ended_runs; }
+  /// \return why it is refused, if it ends now; none once it may have run.
+  std::optional<RefusalReason> refusal() const;
 };
 
 struct Forwarder::Meters {
--- a/src/ingress/forwarder_streams.cpp
+++ b/src/ingress/forwarder_streams.cpp
@@ -40,6 +40,7 @@
 asio::awaitable<void> Forwarder::serve_stream(ForwardedRequest request,
                                               http::ResponseWriter& response) {
   Progress progress;
+  draw_service(request, progress);
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
   progress.preference = preference_for(*request.route);
   progress.last_event = request.resume_after;
@@ -55,6 +56,7 @@
     response.when_client_gone([&cut] { cut.emit(asio::cancellation_type::terminal); });
     observed.sent(time_.now());
     note_sent(*replica, request);
+    progress.load.sent(time_.now());
     ports::ReplicaTarget target{replica->record.id, replica->record.address};
     asio::awaitable<ports::CallResult<ports::StreamAnswer>> task =
         client_.open_stream(std::move(target), replica_call(request, progress));
@@ -76,6 +78,7 @@
     if (answer.rejection) {
       const Verdict verdict = judge(request, *replica, *answer.rejection, progress);
       if (verdict == Verdict::kAnswer && !progress.started) {
+        progress.load.answered(time_.now());
         co_await response.send(std::move(answer.rejection->response));
         co_return;
       }
@@ -96,6 +99,7 @@
     if (end == RelayEnd::kWhole) {
       guard_.note_served(progress.content_of(request));
       meters_->answered.Increment();
+      progress.load.answered(time_.now());
       co_await response.finish();
       co_return;
     }
