Page /load and metrics: places, running, waiting and refused by service and zone

Cause: operators see neither where places are free nor which replicas a process avoids.

Change: node/load_view joins the ledger with the listing of replicas; the page /load of the operators' port has it as JSON (not on the ports of clients: it names tenants). node/load_metrics publishes the ledger once a second with services as labels, 64 at most; tenants are no labels.

Ruled out: gauges of places from the listing (each process would look at all replicas each second; the page does so only when it is asked for).

Tests: unit_node LoadViewTest 5 passed, ZoneViewsTest 1 passed, 0 failed.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,9 @@
 /// Between two looks at how many processes share the store: members are learnt over seconds.
 constexpr core::Duration kPaceLook = std::chrono::seconds(1);
 
+/// Between two updates of the metrics of load, which are read every few seconds at most.
+constexpr core::Duration kLoadLook = std::chrono::seconds(1);
+
 std::uint64_t life_of_process(const core::TimeSource& time) {
   return static_cast<std::uint64_t>(time.wall_now().time_since_epoch().count());
 }
@@ -112,6 +115,7 @@
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
       usage_publisher_(publisher_inputs(), publisher_settings(life_)),
       cold_census_(inputs_.metrics),
+      load_metrics_(inputs_.metrics),
       evacuated_zones_(inputs_.metrics.gauge("stoneport_evacuated_zones",
                                              "Zones to whose replicas nothing is sent now")) {
   directory_.gate().cold_pace().replace_bound(settings_.cold_bound);
@@ -207,6 +211,7 @@
   usage_publisher_.start();
   runtime::start(inputs_.executor, "cold replicas", follow_cold_replicas());
   runtime::start(inputs_.executor, "pace of feeds", pace_feeds());
+  runtime::start(inputs_.executor, "load", publish_load());
 }
 
 std::vector<std::string> Node::cold_senders() const {
@@ -234,6 +239,13 @@
   }
 }
 
+asio::awaitable<void> Node::publish_load() {
+  while (true) {
+    load_metrics_.publish(forwarder_.ledger(), inputs_.time.now());
+    co_await runtime::sleep_for(kLoadLook);
+  }
+}
+
 core::Duration Node::feed_interval() const {
   return records::feed_interval(gossip_.members_by_node().size(),
                                 inputs_.store.limits().reads_per_second);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -18,6 +18,8 @@
 #include "jobs/job_store.hpp"
 #include "node/caller_directory.hpp"
 #include "node/load_control_settings.hpp"
+#include "node/load_metrics.hpp"
+#include "node/load_view.hpp"
 #include "node/suspect_exchange.hpp"
 #include "node/suspect_rows.hpp"
 #include "node/zone_views.hpp"
@@ -107,6 +109,8 @@
   std::vector<ZoneView> zones() const {
     return zone_views(directory_, evacuated_since_, inputs_.time.now());
   }
+  /// \return who waits, who is refused and why, and where there are places.
+  LoadView load() const { return load_view(directory_, forwarder_.ledger(), inputs_.time.now()); }
 
   const ingress::RouteTableHolder& routes() const { return routes_; }
   /// \return the name of this life of this process, as the holder of a term and elsewhere.
@@ -149,6 +153,8 @@
   boost::asio::awaitable<void> pace_feeds();
   /// Tells the gate who shares the sends to cold replicas, and counts these.
   boost::asio::awaitable<void> follow_cold_replicas();
+  /// Keeps the metrics of load up to date.
+  boost::asio::awaitable<void> publish_load();
 
   NodeInputs inputs_;
   NodeSettings settings_;
@@ -173,6 +179,7 @@
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
   ingress::ColdCensus cold_census_;
+  LoadMetrics load_metrics_;
   prometheus::Gauge& evacuated_zones_;
   std::map<core::ZoneName, core::MonotonicTime> evacuated_since_;  ///< as learned here
   bool joined_ = false;
