stoneportctl load sums the pages of load of several processes into one table

Cause: one process sees its own requests alone; an operator asks about a tenant or a zone of all of them.

Change: `stoneportctl load [--json] ADDRESS...` reads /load of each process (2 s each), sums requests, calls in flight and waits, takes the largest of what all know alike (places), and counts how many processes avoid a replica. A page is taken in whole or not at all. What answered is printed also when others do not; the exit code then says so.

--- a/src/ctl/command.cpp
+++ b/src/ctl/command.cpp
@@ -31,7 +31,7 @@
 std::vector<Command> all_commands() {
   std::vector<Command> commands;
   for (auto group : {document_commands(), validate_commands(), view_commands(), drain_commands(),
-                     explain_commands()}) {
+                     explain_commands(), load_commands()}) {
     std::move(group.begin(), group.end(), std::back_inserter(commands));
   }
   std::vector<Command> completion = completion_commands(commands);
--- a/src/ctl/command.hpp
+++ b/src/ctl/command.hpp
@@ -48,6 +48,7 @@
 std::vector<Command> view_commands();
 std::vector<Command> drain_commands();
 std::vector<Command> explain_commands();
+std::vector<Command> load_commands();
 /// \param others the commands that are completed
 std::vector<Command> completion_commands(const std::vector<Command>& others);
 
