In a crowd the rating calls' share of the places follows from the work that is due

Cause: rating calls may take 0.4 of the places of their service, and all of them when more wait than that: a crowd of lookups starves while steps have seconds to spare, and the share says nothing of when a step is due.

Ruled out: a smaller fixed share (late steps); following the due time at all times (without a crowd free places would stay empty while texts wait).

While the service refuses a twentieth or more of what this process asks (by the ledger of load), the share is what lets all texts be rated in half of the time left, or at least in time where the service can; clients keep a tenth unless the due times need it, and also when no share would meet them. Without a crowd, without a due time or with the switch fairSteps off, as before.

--- a/src/ingress/load_ledger.cpp
+++ b/src/ingress/load_ledger.cpp
@@ -129,6 +129,13 @@
   return entries;
 }
 
+template <class Name, std::size_t kMost>
+LoadCounts LoadLedger::Table<Name, kMost>::recent_of(const Name& name,
+                                                     core::MonotonicTime now) const {
+  const auto found = windows_.find(name);
+  return found == windows_.end() ? LoadCounts() : found->second.recent(now);
+}
+
 template <class Name, std::size_t kMost>
 LoadEntry LoadLedger::Table<Name, kMost>::others(core::MonotonicTime now) const {
   return {others_.recent(now), others_.total(), 0};
@@ -145,6 +152,10 @@
 
 }  // namespace
 
+LoadCounts LoadLedger::recent_of(const core::ServiceName& service, core::MonotonicTime now) const {
+  return services_.recent_of(service, now);
+}
+
 LoadLedger::Services LoadLedger::services(core::MonotonicTime now) const {
   Services entries = services_.entries(now);
   for (const Waiting& waiting : waiting_) {
--- a/src/ingress/load_ledger.hpp
+++ b/src/ingress/load_ledger.hpp
@@ -106,6 +106,9 @@
   using Services = std::map<core::ServiceName, LoadEntry>;
   using Tenants = std::map<core::TenantName, LoadEntry>;
   Services services(core::MonotonicTime now) const;
+  /// \return what became of the requests of \p service over the last kRecent; nothing when it has
+  /// no entry. Cheaper than services().
+  LoadCounts recent_of(const core::ServiceName& service, core::MonotonicTime now) const;
   /// \return those that asked most of late.
   Tenants tenants(core::MonotonicTime now) const;
   /// \return the sum of the services, and of the tenants, without an entry of their own.
@@ -127,6 +130,7 @@
     /// \return the window of \p name, which gets one in place of the least used name's.
     detail::LoadWindow& of(const Name& name, core::MonotonicTime now);
     bool contains(const Name& name) const { return windows_.contains(name); }
+    LoadCounts recent_of(const Name& name, core::MonotonicTime now) const;
     std::map<Name, LoadEntry> entries(core::MonotonicTime now) const;
     LoadEntry others(core::MonotonicTime now) const;
 
--- a/src/jobs/coordinator.hpp
+++ b/src/jobs/coordinator.hpp
@@ -10,6 +10,7 @@
 #include "ingress/replica_directory.hpp"
 #include "jobs/item_dispatcher.hpp"
 #include "jobs/job_store.hpp"
+#include "jobs/scorer.hpp"
 #include "jobs/term_duty.hpp"
 #include "jobs/term_keeper.hpp"
 #include "jobs/term_writer.hpp"
@@ -21,6 +22,7 @@
   TermSettings term;
   TermWriterSettings writer;
   ItemDispatcherSettings dispatcher;
+  ScorerSettings scorer;
   weights::LoadPlanSettings weights;
   /// No order to a replica within this time of another holder's announcement.
   core::Duration order_pause = std::chrono::milliseconds(3700);
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -90,7 +90,8 @@
   if (found != known_.end()) {
     return found->second;
   }
-  KnownRoute fresh{CallTimes(settings_.call_times), routing::RetryBudget(settings_.second_calls)};
+  KnownRoute fresh{
+      CallTimes(settings_.call_times), routing::RetryBudget(settings_.second_calls), {}};
   return known_.emplace(route.name, std::move(fresh)).first->second;
 }
 
@@ -98,7 +99,39 @@
   return replica.accepts_work() && directory_.gate().is_open(replica.record.zone);
 }
 
-std::uint32_t Scorer::most_at_once(const ScoringCall& call) const {
+bool Scorer::is_crowded_at(const ingress::Route& route) const {
+  const core::MonotonicTime now = time_.now();
+  return std::any_of(
+      route.targets.begin(), route.targets.end(), [&](const ingress::RouteTarget& target) {
+        const ingress::LoadLedger& ledger = forwarder_.ledger();
+        return is_crowded(ledger.recent_of(target.service, now), settings_.rating_share);
+      });
+}
+
+std::optional<std::uint32_t> Scorer::places_for_due(const ingress::Route& route,
+                                                    std::uint32_t places, std::uint32_t usual) {
+  const core::MonotonicTime now = time_.now();
+  KnownRoute& of_route = known(route);
+  if (now < of_route.share_until) {
+    return of_route.share;
+  }
+  of_route.share_until = now + settings_.share_interval;
+  of_route.share.reset();
+  if (of_route.due.empty() || !is_crowded_at(route)) {
+    return std::nullopt;
+  }
+  std::vector<core::Duration> time_left;
+  time_left.reserve(of_route.due.size());
+  for (const core::MonotonicTime due : of_route.due) {
+    time_left.push_back(due - now);
+  }
+  const CallBounds bounds{route.timeout, route.target_latency};
+  const RatingService service{places, usual, of_route.times.usual(bounds)};
+  of_route.share = places_for_ratings(service, time_left, settings_.rating_share);
+  return of_route.share;
+}
+
+std::uint32_t Scorer::most_at_once(const ScoringCall& call) {
   const RouteInForce in_force = route_of(call);
   std::uint32_t places = 0;
   if (in_force.route != nullptr) {
@@ -112,11 +145,20 @@
     return 0;  // a call that waited for a replica would have less time for its answer
   }
   const auto usual = static_cast<std::uint32_t>(places * settings_.share_of_places);
+  if (in_flight_ < usual) {
+    return usual;  // whatever is due
+  }
+  if (settings_.shares_by_due_time) {
+    const auto for_due = places_for_due(*in_force.route, places, usual);
+    if (for_due) {
+      return std::clamp(*for_due, std::min(settings_.fewest_at_once, places), places);
+    }
+  }
   const auto most = static_cast<std::uint32_t>(places * settings_.share_under_pressure);
   return std::max(waiting_ > usual ? most : usual, settings_.fewest_at_once);
 }
 
-Scorer::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) const {
+Scorer::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) {
   const core::MonotonicTime now = time_.now();
   const core::MonotonicTime sent_at = text.attempts.back()->sent_at;
   const auto has_call = [&text](const ingress::ReplicaPointer& replica) {
@@ -377,8 +419,14 @@
   begin(text, false);
 }
 
-asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted) {
+asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted,
+                                     std::optional<core::MonotonicTime> due) {
   const auto text = std::make_shared<Text>(co_await asio::this_coro::executor, std::move(call));
+  const RouteInForce in_force = route_of(text->call);
+  KnownRoute* counted_at = due && in_force.route != nullptr ? &known(*in_force.route) : nullptr;
+  if (counted_at != nullptr) {
+    counted_at->due.insert(*due);
+  }
   while (!text->end && is_wanted()) {
     if (text->attempts.empty()) {
       co_await begin_when_free(text, is_wanted);
@@ -387,6 +435,9 @@
     }
     co_await wait_for_change(*text);
   }
+  if (counted_at != nullptr) {
+    counted_at->due.erase(counted_at->due.find(*due));
+  }
   co_await cut_all(*text);
   co_return text->end.value_or(Score());
 }
--- a/src/jobs/scorer.hpp
+++ b/src/jobs/scorer.hpp
@@ -8,12 +8,14 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
 #include "ingress/forwarder.hpp"
 #include "jobs/call_times.hpp"
 #include "jobs/job.hpp"
+#include "jobs/rating_share.hpp"
 #include "routing/retry_budget.hpp"
 
 namespace stoneport::jobs {
@@ -26,6 +28,9 @@
   /// more than late lookups.
   double share_under_pressure = 1.0;
   std::uint32_t fewest_at_once = 2;
+  /// While clients crowd the service, the share follows from the work that is due instead.
+  bool shares_by_due_time = true;
+  RatingShareSettings rating_share;
   CallTimeSettings call_times;
   /// Second calls, and the third for those that get no answer: a tenth of the first ones, so that a
   /// service that turned slow as a whole is not loaded with twice the calls, and about as many as
@@ -33,6 +38,8 @@
   routing::RetryBudgetOptions second_calls{
       .ratio = 0.1, .minimum = 6, .window = std::chrono::seconds(10)};
   core::Duration retry_pause = std::chrono::milliseconds(60);
+  /// Between two looks at what is due. Each text that waits asks about as often.
+  core::Duration share_interval = std::chrono::milliseconds(15);
   /// Between two looks whether a call that is out is still wanted.
   core::Duration look_interval = std::chrono::milliseconds(50);
 };
@@ -57,7 +64,9 @@
 
   /// Repeats the call until it is answered or no longer wanted. None of its calls is out
   /// any more when it returns.
-  boost::asio::awaitable<Score> score(ScoringCall call, std::function<bool()> is_wanted);
+  /// \param due when the step of the text is due; none when that is not known
+  boost::asio::awaitable<Score> score(ScoringCall call, std::function<bool()> is_wanted,
+                                      std::optional<core::MonotonicTime> due = std::nullopt);
 
  private:
   struct Meters;
@@ -81,6 +90,9 @@
   struct KnownRoute {
     CallTimes times;
     routing::RetryBudget second_calls;
+    std::multiset<core::MonotonicTime> due;  ///< of the texts that are to be rated, where known
+    std::optional<std::uint32_t> share{};    ///< places for what is due; none without a crowd
+    core::MonotonicTime share_until{};       ///< it is made anew then
   };
   /// The route of a call in the table in force.
   struct RouteInForce {
@@ -91,14 +103,20 @@
   KnownRoute& known(const ingress::Route& route);
   /// \return whether \p replica has places for rating calls: it works, in a zone that is open.
   bool takes_calls(const ingress::ReplicaState& replica) const;
-  std::uint32_t most_at_once(const ScoringCall& call) const;
+  std::uint32_t most_at_once(const ScoringCall& call);
+  /// \return whether clients' requests crowd the service of \p route, as seen from here.
+  bool is_crowded_at(const ingress::Route& route) const;
+  /// \return the places that the texts of \p route need to be in time; none while clients do not
+  /// crowd its service, or when it is not known when any is due.
+  std::optional<std::uint32_t> places_for_due(const ingress::Route& route, std::uint32_t places,
+                                              std::uint32_t usual);
   /// What the replicas that a text has no call at could do for it.
   struct Elsewhere {
     bool is_sound = false;      ///< one takes work and is not suspect
     bool has_place = false;     ///< one has a place, and rating calls may take it
     bool has_answered = false;  ///< one has answered a call since the text's newest was sent
   };
-  Elsewhere look_elsewhere(const Text& text, const ingress::Route& route) const;
+  Elsewhere look_elsewhere(const Text& text, const ingress::Route& route);
   /// \return whether the replica has answered nothing since \p attempt was sent there.
   bool is_silent(const Attempt& attempt) const;
 
--- a/src/jobs/tenure_parts.cpp
+++ b/src/jobs/tenure_parts.cpp
@@ -120,7 +120,7 @@
   make_loader();
   make_duties();
   scorer_ = std::make_unique<Scorer>(inputs_.forwarder, inputs_.routes, inputs_.directory,
-                                     inputs_.time, inputs_.metrics);
+                                     inputs_.time, inputs_.metrics, settings_.scorer);
   sweeper_ = std::make_unique<RecordSweeper>(inputs_.store, inputs_.jobs, term_, inputs_.metrics);
   const std::weak_ptr<Tenure> weak = weak_from_this();
   index_ = std::make_unique<records::TableMirror>(
--- a/tests/unit/jobs/scorer_test.cpp
+++ b/tests/unit/jobs/scorer_test.cpp
@@ -16,6 +16,7 @@
 class ScorerTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ScorerTest);
   CPPUNIT_TEST(places_are_left_to_clients);
+  CPPUNIT_TEST(in_a_crowd_the_share_follows_from_the_due_time);
   CPPUNIT_TEST(failures_are_counted_one_by_one);
   CPPUNIT_TEST(places_in_an_evacuated_zone_are_none);
   CPPUNIT_TEST(a_call_that_takes_long_each_time_is_scored);
@@ -31,7 +32,9 @@
   CPPUNIT_TEST_SUITE_END();
 
   struct World {
-    explicit World(std::uint32_t replica_count, std::uint32_t most_attempts = 3) {
+    explicit World(std::uint32_t replica_count, std::uint32_t most_attempts = 3,
+                   ScorerSettings scorer_settings = {})
+        : settings(scorer_settings) {
       std::vector<ingress::ReplicaRecord> records;
       for (std::uint32_t index = 0; index < replica_count; ++index) {
         ingress::ReplicaRecord record;
@@ -76,14 +79,17 @@
     core::Metrics metrics;
     ingress::Forwarder forwarder{directory, replicas, ingress::ForwarderSettings(),
                                  1,         time,     metrics};
-    Scorer scorer{forwarder, routes, directory, time, metrics};
+    ScorerSettings settings;
+    Scorer scorer{forwarder, routes, directory, time, metrics, settings};
     std::vector<Score> scores;
 
     bool is_wanted = true;
 
-    void score(const std::string& id) {
+    void score(const std::string& id, std::optional<core::MonotonicTime> due = std::nullopt) {
       boost::asio::co_spawn(
-          context, scorer.score({id, "host", "/score/x", "body"}, [this] { return is_wanted; }),
+          context,
+          scorer.score(
+              {id, "host", "/score/x", "body"}, [this] { return is_wanted; }, due),
           [this](std::exception_ptr, Score score) { scores.push_back(std::move(score)); });
     }
     /// Runs until \p count texts have their end, for \p longest at most.
@@ -151,6 +157,48 @@
     }
   }
 
+  /// 40 texts wait for 20 places, of which 8 are the usual share.
+  void in_a_crowd_the_share_follows_from_the_due_time() {
+    struct Case {
+      std::string name;
+      int refusals;  ///< of the calls before: others take the places
+      std::optional<core::Duration> due_in;
+      bool is_switched_on;
+      std::uint32_t allowed;
+    };
+    const Case cases[] = {
+        {"there is time", 10, std::chrono::seconds(60), true, 8},
+        {"it is due and cannot be in time", 10, milliseconds(0), true, 18},
+        {"no crowd", 0, std::chrono::seconds(60), true, 20},
+        {"no due time is known", 10, std::nullopt, true, 20},
+        {"switched off", 10, std::chrono::seconds(60), false, 20},
+    };
+    for (const Case& one : cases) {
+      ScorerSettings settings;
+      settings.shares_by_due_time = one.is_switched_on;
+      World world(4, 3, settings);
+      world.replicas.replicas["r0"].refuse = one.refusals;
+      world.learn_usual_time(milliseconds(20));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, 0, world.replicas.replicas["r0"].refuse);
+      std::optional<core::MonotonicTime> due;
+      if (one.due_in) {
+        due = world.time.now() + *one.due_in;
+      }
+      for (int call = 0; call < 40; ++call) {
+        world.score("s" + std::to_string(call), due);
+      }
+      std::uint32_t most = 0;
+      const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+      while (world.scores.size() < 40 && std::chrono::steady_clock::now() < give_up_at) {
+        world.context.restart();
+        world.context.run_one_for(milliseconds(20));
+        most = std::max(most, world.in_flight());
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::size_t{40}, world.scores.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.allowed, most);
+    }
+  }
+
   /// Rating calls took the places of clients that were left in the other zone.
   void places_in_an_evacuated_zone_are_none() {
     World world(4);
