Clients' requests of overloaded services are refused at once, and sent on once at most

Cause: a refusal by a full replica sent a request to the next one, up to six times, and the client's retry did so again.

Ruled out: giving up requests that may have run (they go on as before; none is called refused); throttling the coordinator's rating calls; streams, which go on as before.

Change: ingress/load_admission holds a throttle for each service; Forwarder::run asks it before the first send of a client's request. A replica that refused for load gets nothing for 50 ms while others may have room. RouteTable::rank_of, moved from jobs/open_job. Switched by load_control.admission; off, the old path.

KeptResponse of ForwarderColdTest moved to tests/support; its tests are unchanged.

--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -54,7 +54,11 @@
       time_(time),
       observer_(observer),
       meters_(std::make_unique<Meters>(metrics)),
-      guard_(directory, client, time, metrics, {.suspicion = settings_.suspicion}) {}
+      guard_(directory, client, time, metrics, {.suspicion = settings_.suspicion}) {
+  if (settings_.admission) {
+    admission_.emplace(*settings_.admission, seed, metrics);
+  }
+}
 
 Forwarder::~Forwarder() = default;
 
@@ -72,7 +76,8 @@
 }
 
 bool Forwarder::may_try_again(const ForwardedRequest& request, const Progress& progress) const {
-  if (time_.now() >= progress.give_up_at || progress.refusals > settings_.most_refusals) {
+  if (time_.now() >= progress.give_up_at || progress.load_return ||
+      progress.refusals > settings_.most_refusals) {
     return false;
   }
   if (progress.runs == 0) {
@@ -106,6 +111,7 @@
   if (failure.unreachable) {
     replica->suspect(time_.now(), settings_.suspicion);
   }
+  note_load(request, *replica, failure, progress);
   core::log_decision(core::DecisionEvent::kAttemptFailed,
                      {{"request", request.request_id},
                       {"content", request.fingerprint().value()},
@@ -126,6 +132,10 @@
   if (progress.held_back) {
     failure.return_after = settings_.held_back_return;
   }
+  if (progress.load_return) {
+    failure.return_after = progress.load_return;
+    failure.for_load = true;
+  }
   return failure;
 }
 
@@ -196,6 +206,9 @@
       std::max(settings_.shortest_patience,
                core::from_seconds(core::to_seconds(request.route->target_latency) *
                                   settings_.patience_in_target_latencies));
+  if (is_refused_for_load(request, progress)) {
+    co_return end_of(request, progress);
+  }
   while (may_try_again(request, progress)) {
     const ReplicaPointer replica = co_await choose(request, progress);
     if (!replica) {
@@ -231,6 +244,7 @@
       if (!was_cold) {  // it is slow for a while, which says nothing of it when warm
         replica->note_latency(time_.now() - sent_at);
       }
+      note_admitted_end(request, progress, &*answer, sent_at);
       co_return std::move(*answer);
     }
     if (verdict == Verdict::kGiveUp) {
@@ -238,6 +252,7 @@
     }
     progress.preference.excluded.insert(replica->record.id);
   }
+  note_admitted_end(request, progress, nullptr, {});
   if (progress.last_answer) {
     co_return std::move(*progress.last_answer);
   }
@@ -256,15 +271,17 @@
                                                 ForwardFailure failure,
                                                 http::ResponseWriter& response) {
   (failure.may_have_run ? meters_->failed : meters_->refused).Increment();
-  core::log_decision(core::DecisionEvent::kRequestRefused,
-                     {{"request", request.request_id},
-                      {"content", request.fingerprint().value()},
-                      {"tenant", request.tenant.value()},
-                      {"route", request.route->name},
-                      {"configuration", request.table->version()},
-                      {"may_have_run", failure.may_have_run},
-                      {"held_ms", core::to_seconds(time_.now() - request.received) * 1000},
-                      {"reason", failure.reason}});
+  core::log_decision(
+      core::DecisionEvent::kRequestRefused,
+      {{"request", request.request_id},
+       {"content", request.fingerprint().value()},
+       {"tenant", request.tenant.value()},
+       {"route", request.route->name},
+       {"configuration", request.table->version()},
+       {"may_have_run", failure.may_have_run},
+       {"held_ms", core::to_seconds(time_.now() - request.received) * 1000},
+       {"reason", failure.reason}},
+      failure.for_load ? core::DecisionWeight::kRoutine : core::DecisionWeight::kImportant);
   co_await response.send(failure_response(failure));
 }
 
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -13,6 +13,7 @@
 #include "core/metrics.hpp"
 #include "http/server.hpp"
 #include "ingress/crash_guard.hpp"
+#include "ingress/load_admission.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
 #include "ingress/run_observer.hpp"
@@ -49,6 +50,7 @@
   std::string reason;
   /// When to come back, where more is known than usual.
   std::optional<core::Duration> return_after = std::nullopt;
+  bool for_load = false;  ///< its service has no room for it
 };
 
 [[noreturn]] inline void throw_exception_from_error(const ForwardFailure& failure,
@@ -93,6 +95,11 @@
   core::Duration held_back_return = std::chrono::seconds(30);
   /// Refusals, beyond the attempts of the route, after which a request is given up.
   std::uint32_t most_refusals = 6;
+  /// With these, clients' requests are refused at once while their service is overloaded.
+  std::optional<routing::AdaptiveThrottleSettings> admission = std::nullopt;
+  /// How long a replica that refused for load gets nothing while others may have room: about as
+  /// long as one place takes to come free.
+  core::Duration full_memory = std::chrono::milliseconds(50);
 };
 
 class Forwarder {
@@ -110,6 +117,8 @@
   void note_silent(ReplicaState& replica);
   /// \return what keeps requests that crash replicas away from them, for every other sender too.
   CrashGuard& guard() { return guard_; }
+  /// \return what keeps requests off overloaded services; null when that is switched off.
+  const LoadAdmission* admission() const { return admission_ ? &*admission_ : nullptr; }
   /// Answers a client; stops working for one that leaves.
   boost::asio::awaitable<void> serve(ForwardedRequest request, http::ResponseWriter& response);
 
@@ -118,6 +127,17 @@
   struct Meters;
   enum class Verdict { kAnswer, kRetry, kGiveUp };
 
+  routing::ThrottleRequest throttle_request(const ForwardedRequest& request) const;
+  /// Asks before the first send whether the service of \p request has room for it.
+  /// \return whether it is refused.
+  bool is_refused_for_load(const ForwardedRequest& request, Progress& progress);
+  /// \p replica may have refused \p request as it is full.
+  void note_load(const ForwardedRequest& request, ReplicaState& replica,
+                 const ports::CallFailure& failure, Progress& progress);
+  /// \param answer a replica's that is passed on; null when there is none
+  void note_admitted_end(const ForwardedRequest& request, const Progress& progress,
+                         const ports::ReplicaAnswer* answer, core::MonotonicTime sent_at);
+
   boost::asio::awaitable<ForwardResult> run(ForwardedRequest request);
   /// \return null when no replica accepted work until the request had to be given up.
   boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
@@ -194,6 +214,7 @@
   RunObserver* observer_;
   std::unique_ptr<Meters> meters_;
   CrashGuard guard_;
+  std::optional<LoadAdmission> admission_;
 
  public:
   ~Forwarder();
--- /dev/null
+++ b/src/ingress/forwarder_admission.cpp
@@ -0,0 +1,67 @@
+// The part of Forwarder that keeps clients' requests off overloaded services.
+#include "ingress/forwarder_parts.hpp"
+
+namespace stoneport::ingress {
+namespace {
+
+constexpr unsigned kServerError = 500;
+
+/// A replica that is known to leave refuses for that, and another one takes the request.
+bool is_refusal_for_load(const ReplicaState& replica, const ports::CallFailure& failure) {
+  const bool is_refusal = failure.kind == ports::CallFailureKind::kNotRun && !failure.unreachable;
+  return is_refusal && replica.accepts_work();
+}
+
+}  // namespace
+
+routing::ThrottleRequest Forwarder::throttle_request(const ForwardedRequest& request) const {
+  routing::ThrottleRequest asked;
+  asked.route = request.route->name;
+  asked.tenant = request.tenant;
+  asked.rank = request.table != nullptr ? request.table->rank_of(*request.route, request.tenant)
+                                        : request.route->priority;
+  asked.time_left = request.deadline - time_.now();
+  return asked;
+}
+
+bool Forwarder::is_refused_for_load(const ForwardedRequest& request, Progress& progress) {
+  if (!admission_ || request.sender != eligibility::Sender::kFrontEnd) {
+    return false;
+  }
+  draw_service(request, progress);
+  progress.load_return =
+      admission_->refusal(*progress.service, throttle_request(request), time_.now());
+  progress.is_admitted = !progress.load_return;
+  if (progress.load_return) {
+    progress.reason = "its service is overloaded";
+  }
+  return !progress.is_admitted;
+}
+
+void Forwarder::note_load(const ForwardedRequest& request, ReplicaState& replica,
+                          const ports::CallFailure& failure, Progress& progress) {
+  if (!admission_ || !is_refusal_for_load(replica, failure)) {
+    return;
+  }
+  replica.full_until = time_.now() + settings_.full_memory;
+  if (!progress.is_admitted || progress.runs > 0) {
+    return;  // one that may have run cannot be refused any more
+  }
+  progress.load_return = admission_->refusal_by_replica(
+      *progress.service, throttle_request(request), ++progress.load_refusals, time_.now());
+}
+
+void Forwarder::note_admitted_end(const ForwardedRequest& request, const Progress& progress,
+                                  const ports::ReplicaAnswer* answer, core::MonotonicTime sent_at) {
+  if (!progress.is_admitted) {
+    return;
+  }
+  std::optional<core::Duration> took;
+  if (answer != nullptr && answer->response.head.status < kServerError) {
+    took = time_.now() - sent_at;
+  }
+  admission_->note_end(*progress.service, throttle_request(request), took,
+                       request.route->target_latency, time_.now());
+}
+
+}  // namespace stoneport::ingress
--- a/src/ingress/forwarder_choice.cpp
+++ b/src/ingress/forwarder_choice.cpp
@@ -114,7 +114,7 @@
   };
   const auto has_room = [&](const ReplicaState& replica) {
     const bool is_sound = !replica.is_suspect(now) && !replica.outliers.is_ejected(now);
-    return is_sound && replica.in_flight < replica.record.slots;
+    return is_sound && !replica.is_full(now) && replica.in_flight < replica.record.slots;
   };
   std::vector<ReplicaPointer> found =
       replicas_in_window(replicas, window_start(settings_.process, replicas.size()),
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -329,7 +329,8 @@
   const double usual = least_latency(usable);
   const bool avoids_ejected = should_avoid_ejected(usable, now);
   const auto is_avoided = [&](const ReplicaState& replica) {
-    return replica.is_suspect(now) || (avoids_ejected && replica.outliers.is_ejected(now));
+    return replica.is_suspect(now) || replica.is_full(now) ||
+           (avoids_ejected && replica.outliers.is_ejected(now));
   };
   const auto is_connected = [&](const ReplicaState& replica) {
     const bool is_slow = preference.usual_latency > core::Duration(0) &&
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -51,6 +51,7 @@
   bool listed = true;           ///< false once the store no longer lists it
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
+  core::MonotonicTime full_until{};           ///< it refused a request for load
   double latency_seconds = 0;                 ///< moving average of answered calls; zero when none
   core::MonotonicTime last_answer{};          ///< to a whole call, failed or not
   core::MonotonicTime presumed_cold_until{};  ///< its zone was evacuated until lately
@@ -67,6 +68,8 @@
     return {record.id, record.service, record.zone, record.cold_until};
   }
   bool is_suspect(core::MonotonicTime now) const { return now < suspect_until; }
+  /// \return whether it refused a request for load just now: others may have room.
+  bool is_full(core::MonotonicTime now) const { return now < full_until; }
   void note_latency(core::Duration latency);
   /// A call that the replica ran, or may have run, failed.
   /// \return whether it is ejected for that.
--- a/src/ingress/route_table.cpp
+++ b/src/ingress/route_table.cpp
@@ -65,6 +65,11 @@
   });
 }
 
+std::uint32_t RouteTable::rank_of(const Route& route, const core::TenantName& tenant) const {
+  const tenants::Tenant* known = tenants_.find(tenant);
+  return known != nullptr ? known->priority.value_or(route.priority) : route.priority;
+}
+
 bool RouteTable::uses(const core::ServiceName& service) const {
   return std::any_of(routes_.begin(), routes_.end(), [&](const Route& route) {
     return std::any_of(route.targets.begin(), route.targets.end(),
--- a/src/ingress/route_table.hpp
+++ b/src/ingress/route_table.hpp
@@ -77,6 +77,9 @@
   const Route* find(std::string_view host, std::string_view path) const;
   /// \return whether \p host has a public route of \p kind.
   bool has_public_route(std::string_view host, RouteKind kind) const;
+  /// \return when a request of \p tenant on \p route is served, 0 first: the tenant's priority goes
+  /// before the route's.
+  std::uint32_t rank_of(const Route& route, const core::TenantName& tenant) const;
   /// \return whether any route may send requests to \p service.
   bool uses(const core::ServiceName& service) const;
 
--- a/src/jobs/open_job.cpp
+++ b/src/jobs/open_job.cpp
@@ -10,9 +10,8 @@
   if (job.route == nullptr) {
     return std::numeric_limits<std::uint32_t>::max();
   }
-  const tenants::Tenant* tenant =
-      job.table != nullptr ? job.table->tenants().find(job.entry.tenant) : nullptr;
-  return tenant != nullptr ? tenant->priority.value_or(job.route->priority) : job.route->priority;
+  return job.table != nullptr ? job.table->rank_of(*job.route, job.entry.tenant)
+                              : job.route->priority;
 }
 
 LengthEvidence OpenJob::evidence_of(std::size_t item) const {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,6 +50,9 @@
   forwarder.zone = settings.zone;
   forwarder.region = settings.region;
   forwarder.process = settings.name.value();
+  if (settings.load_control.admission) {
+    forwarder.admission.emplace();
+  }
   return forwarder;
 }
 
--- a/tests/unit/ingress/forwarder_cold_test.cpp
+++ b/tests/unit/ingress/forwarder_cold_test.cpp
@@ -8,34 +8,14 @@
 
 #include "ingress/forwarder.hpp"
 #include "support/fake_replica_client.hpp"
+#include "support/kept_response.hpp"
 #include "support/run_task.hpp"
 
 namespace stoneport::ingress {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-namespace {
-
-/// Keeps the head of the answer.
-class KeptResponse : public http::ResponseWriter {
- public:
-  boost::asio::awaitable<core::Result<void>> start(http::ResponseHead head,
-                                                   std::optional<std::uint64_t>) override {
-    kept = std::move(head);
-    co_return core::Result<void>();
-  }
-  boost::asio::awaitable<core::Result<void>> write(std::string_view) override {
-    co_return core::Result<void>();
-  }
-  boost::asio::awaitable<core::Result<void>> finish() override { co_return core::Result<void>(); }
-  bool started() const override { return kept.status != 0; }
-  bool client_gone() const override { return false; }
-
-  http::ResponseHead kept;
-};
-
-}  // namespace
+using support::KeptResponse;
 
 class ForwarderColdTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ForwarderColdTest);
