--- a/src/ingress/forwarder_parts.hpp
+++ b/src/ingress/forwarder_parts.hpp
@@ -38,10 +38,14 @@
   LoadLedger::Request load;     ///< how it is counted for operators
   bool was_looked_for = false;  ///< a replica, at least once
   bool was_held_for_cold = false;
-  bool fell_silent = false;          ///< the last stream got no event in time
-  bool started = false;              ///< the head of a stream has gone to the client
-  bool evacuated = false;            ///< ended because all replicas lie in evacuated zones
-  bool held_back = false;            ///< ended because replicas end under it
+  bool fell_silent = false;         ///< the last stream got no event in time
+  bool started = false;             ///< the head of a stream has gone to the client
+  bool evacuated = false;           ///< ended because all replicas lie in evacuated zones
+  bool held_back = false;           ///< ended because replicas end under it
+  bool is_admitted = false;         ///< asked for room in its service, and got it
+  std::uint32_t load_refusals = 0;  ///< by replicas that are full
+  /// Refused for load: when to come back.
+  std::optional<core::Duration> load_return = std::nullopt;
   bool outside_regions = false;      ///< ended because no replica is where it may be served
   core::RequestFingerprint content;  ///< empty until it was asked for
   Admission admission;               ///< of the next attempt
