In a crowd texts are rated by the rank and due time of their step

Cause: texts that wait for a rating take places as their polls fall, so that a step with a minute to spare may go before one that is due, and the share that was made for the due times is spent on others.

Ruled out: an order at all times (without a crowd as before); a wake-up for the first text in place of its poll (changes what is shared with the second calls; a poll comes each 15 ms beside calls of 150 ms or more).

Change: Scorer::score takes rank and due time of the step. While the share follows from the due times, a text begins only when none of a higher rank or an earlier due time waits. What is due is looked at each 15 ms and no more at each poll. rating_share in the log says when a crowd begins and ends, stoneport_score_share_places how many places ratings may take.

--- a/src/jobs/rating_share.cpp
+++ b/src/jobs/rating_share.cpp
@@ -29,6 +29,13 @@
 
 }  // namespace
 
+bool is_turn_of(const RatingClaim& claim, const RatingClaim& first, core::Duration same_step) {
+  if (claim.rank != first.rank) {
+    return claim.rank < first.rank;
+  }
+  return claim.due <= first.due + same_step;
+}
+
 bool is_crowded(const ingress::LoadCounts& recent, const RatingShareSettings& settings) {
   const std::uint64_t unsent = recent.refused_for(ingress::RefusalReason::kOverload);
   const std::uint64_t requests = recent.sends + unsent;
--- a/src/jobs/rating_share.hpp
+++ b/src/jobs/rating_share.hpp
@@ -4,6 +4,7 @@
 /// shorter limits; with a fixed share one of the two starves. Plain code.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <vector>
 
@@ -26,6 +27,19 @@
   std::uint64_t fewest_requests = 20;
 };
 
+/// Whose step a text belongs to, and when that is due.
+struct RatingClaim {
+  std::uint32_t rank = 0;  ///< 0 first
+  core::MonotonicTime due{};
+
+  auto operator<=>(const RatingClaim&) const = default;
+};
+
+/// \param first the first of those that wait
+/// \param same_step due times that are no further apart count as one
+/// \return whether a text may begin while \p first waits: by rank, then by due time.
+bool is_turn_of(const RatingClaim& claim, const RatingClaim& first, core::Duration same_step);
+
 /// A service that rates, and what rating calls take there.
 struct RatingService {
   std::uint32_t places = 0;
--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "core/decision_log.hpp"
 #include "ingress/route_regions.hpp"
 #include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
@@ -32,12 +33,16 @@
                                          "Second rating calls that were answered first")),
         cut(metrics.counter("stoneport_score_calls_cut_total",
                             "Rating calls that were cut because nobody needed their answer "
-                            "or their replica was silent")) {}
+                            "or their replica was silent")),
+        share(metrics.gauge("stoneport_score_share_places",
+                            "Places that rating calls may take by what is due; 0 while clients "
+                            "do not crowd their service")) {}
   prometheus::Counter& scored;
   prometheus::Counter& failed_answers;
   prometheus::Counter& second_calls;
   prometheus::Counter& second_calls_won;
   prometheus::Counter& cut;
+  prometheus::Gauge& share;
 };
 
 struct Scorer::Attempt {
@@ -55,6 +60,7 @@
       : call(std::move(scoring_call)), changed(std::move(executor)) {}
 
   ScoringCall call;
+  std::optional<RatingClaim> claim;    ///< of its step, where known
   std::list<AttemptPointer> attempts;  ///< that are out, in the order of their beginning
   asio::steady_timer changed;          ///< cancelled when one of them ends
   core::MonotonicTime not_before{};    ///< the next one begins then at the earliest
@@ -90,8 +96,7 @@
   if (found != known_.end()) {
     return found->second;
   }
-  KnownRoute fresh{
-      CallTimes(settings_.call_times), routing::RetryBudget(settings_.second_calls), {}};
+  KnownRoute fresh{CallTimes(settings_.call_times), routing::RetryBudget(settings_.second_calls)};
   return known_.emplace(route.name, std::move(fresh)).first->second;
 }
 
@@ -108,57 +113,89 @@
       });
 }
 
-std::optional<std::uint32_t> Scorer::places_for_due(const ingress::Route& route,
-                                                    std::uint32_t places, std::uint32_t usual) {
+std::optional<std::uint32_t> Scorer::share_of(const ingress::Route& route) const {
+  const auto demand = demands_.find(route.name);
+  return demand == demands_.end() ? std::nullopt : demand->second.share;
+}
+
+std::uint32_t Scorer::places_of(const ingress::Route& route) const {
+  std::uint32_t places = 0;
+  for (const ingress::RouteTarget& target : route.targets) {
+    for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
+      places += takes_calls(*replica) ? replica->record.slots : 0;
+    }
+  }
+  return places;
+}
+
+void Scorer::refresh_share(const ScoringCall& call) {
+  const RouteInForce in_force = route_of(call);
   const core::MonotonicTime now = time_.now();
-  KnownRoute& of_route = known(route);
-  if (now < of_route.share_until) {
-    return of_route.share;
+  if (!settings_.shares_by_due_time || in_force.route == nullptr) {
+    return;
   }
-  of_route.share_until = now + settings_.share_interval;
-  of_route.share.reset();
-  if (of_route.due.empty() || !is_crowded_at(route)) {
-    return std::nullopt;
+  const ingress::Route& route = *in_force.route;
+  const auto found = demands_.find(route.name);
+  if (found == demands_.end() || now < found->second.share_until) {
+    return;
   }
+  Demand& demand = found->second;
+  demand.share_until = now + settings_.share_interval;
+  const bool was_crowded = demand.share.has_value();
+  const bool is_crowded = !demand.due.empty() && is_crowded_at(route);
+  demand.share = is_crowded ? std::optional(share_for(route, demand)) : std::nullopt;
+  meters_->share.Set(demand.share.value_or(0));
+  if (is_crowded != was_crowded) {
+    core::log_decision(core::DecisionEvent::kRatingShare, {{"route", route.name},
+                                                           {"crowded", is_crowded},
+                                                           {"places", places_of(route)},
+                                                           {"share", demand.share.value_or(0)},
+                                                           {"texts", demand.due.size()}});
+  }
+}
+
+std::uint32_t Scorer::share_for(const ingress::Route& route, const Demand& demand) {
+  const core::MonotonicTime now = time_.now();
   std::vector<core::Duration> time_left;
-  time_left.reserve(of_route.due.size());
-  for (const core::MonotonicTime due : of_route.due) {
+  time_left.reserve(demand.due.size());
+  for (const core::MonotonicTime due : demand.due) {
     time_left.push_back(due - now);
   }
   const CallBounds bounds{route.timeout, route.target_latency};
-  const RatingService service{places, usual, of_route.times.usual(bounds)};
-  of_route.share = places_for_ratings(service, time_left, settings_.rating_share);
-  return of_route.share;
+  const std::uint32_t places = places_of(route);
+  const RatingService service{places, usual_share(places), known(route).times.usual(bounds)};
+  return places_for_ratings(service, time_left, settings_.rating_share);
 }
 
-std::uint32_t Scorer::most_at_once(const ScoringCall& call) {
-  const RouteInForce in_force = route_of(call);
-  std::uint32_t places = 0;
-  if (in_force.route != nullptr) {
-    for (const ingress::RouteTarget& target : in_force.route->targets) {
-      for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
-        places += takes_calls(*replica) ? replica->record.slots : 0;
-      }
-    }
+bool Scorer::is_its_turn(const Text& text) const {
+  const RouteInForce in_force = route_of(text.call);
+  if (!text.claim || in_force.route == nullptr || !share_of(*in_force.route)) {
+    return true;
   }
+  const std::multiset<RatingClaim>& waiting = demands_.at(in_force.route->name).waiting;
+  return waiting.empty() || is_turn_of(*text.claim, *waiting.begin(), settings_.same_step);
+}
+
+std::uint32_t Scorer::usual_share(std::uint32_t places) const {
+  return static_cast<std::uint32_t>(places * settings_.share_of_places);
+}
+
+std::uint32_t Scorer::most_at_once(const ScoringCall& call) const {
+  const RouteInForce in_force = route_of(call);
+  const std::uint32_t places = in_force.route == nullptr ? 0 : places_of(*in_force.route);
   if (places == 0) {
     return 0;  // a call that waited for a replica would have less time for its answer
   }
-  const auto usual = static_cast<std::uint32_t>(places * settings_.share_of_places);
-  if (in_flight_ < usual) {
-    return usual;  // whatever is due
-  }
-  if (settings_.shares_by_due_time) {
-    const auto for_due = places_for_due(*in_force.route, places, usual);
-    if (for_due) {
-      return std::clamp(*for_due, std::min(settings_.fewest_at_once, places), places);
-    }
+  const std::optional<std::uint32_t> share = share_of(*in_force.route);
+  if (share) {
+    return std::clamp(*share, std::min(settings_.fewest_at_once, places), places);
   }
+  const std::uint32_t usual = usual_share(places);
   const auto most = static_cast<std::uint32_t>(places * settings_.share_under_pressure);
   return std::max(waiting_ > usual ? most : usual, settings_.fewest_at_once);
 }
 
-Scorer::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) {
+Scorer::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) const {
   const core::MonotonicTime now = time_.now();
   const core::MonotonicTime sent_at = text.attempts.back()->sent_at;
   const auto has_call = [&text](const ingress::ReplicaPointer& replica) {
@@ -405,8 +442,16 @@
     co_await runtime::sleep_for(left);
   }
   ++waiting_;
-  while (is_wanted() && in_flight_ >= most_at_once(text->call)) {
+  Demand* const demand = demand_of(*text);
+  if (demand != nullptr) {
+    demand->waiting.insert(*text->claim);
+  }
+  while (is_wanted() && (in_flight_ >= most_at_once(text->call) || !is_its_turn(*text))) {
     co_await runtime::sleep_for(settings_.retry_pause / 4);
+    refresh_share(text->call);
+  }
+  if (demand != nullptr) {
+    demand->waiting.erase(demand->waiting.find(*text->claim));
   }
   --waiting_;
   if (!is_wanted()) {
@@ -419,15 +464,21 @@
   begin(text, false);
 }
 
+Scorer::Demand* Scorer::demand_of(const Text& text) {
+  const RouteInForce in_force = route_of(text.call);
+  return text.claim && in_force.route != nullptr ? &demands_[in_force.route->name] : nullptr;
+}
+
 asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted,
-                                     std::optional<core::MonotonicTime> due) {
+                                     std::optional<RatingClaim> claim) {
   const auto text = std::make_shared<Text>(co_await asio::this_coro::executor, std::move(call));
-  const RouteInForce in_force = route_of(text->call);
-  KnownRoute* counted_at = due && in_force.route != nullptr ? &known(*in_force.route) : nullptr;
-  if (counted_at != nullptr) {
-    counted_at->due.insert(*due);
+  text->claim = claim;
+  Demand* const demand = demand_of(*text);
+  if (demand != nullptr) {
+    demand->due.insert(claim->due);
   }
   while (!text->end && is_wanted()) {
+    refresh_share(text->call);
     if (text->attempts.empty()) {
       co_await begin_when_free(text, is_wanted);
     } else {
@@ -435,8 +486,8 @@
     }
     co_await wait_for_change(*text);
   }
-  if (counted_at != nullptr) {
-    counted_at->due.erase(counted_at->due.find(*due));
+  if (demand != nullptr) {
+    demand->due.erase(demand->due.find(claim->due));
   }
   co_await cut_all(*text);
   co_return text->end.value_or(Score());
--- a/src/jobs/scorer.hpp
+++ b/src/jobs/scorer.hpp
@@ -40,6 +40,8 @@
   core::Duration retry_pause = std::chrono::milliseconds(60);
   /// Between two looks at what is due. Each text that waits asks about as often.
   core::Duration share_interval = std::chrono::milliseconds(15);
+  /// Texts of one step come with due times that the readings of two clocks let differ.
+  core::Duration same_step = std::chrono::milliseconds(50);
   /// Between two looks whether a call that is out is still wanted.
   core::Duration look_interval = std::chrono::milliseconds(50);
 };
@@ -64,9 +66,9 @@
 
   /// Repeats the call until it is answered or no longer wanted. None of its calls is out
   /// any more when it returns.
-  /// \param due when the step of the text is due; none when that is not known
+  /// \param claim of the text's step; none when it is not known when that is due
   boost::asio::awaitable<Score> score(ScoringCall call, std::function<bool()> is_wanted,
-                                      std::optional<core::MonotonicTime> due = std::nullopt);
+                                      std::optional<RatingClaim> claim = std::nullopt);
 
  private:
   struct Meters;
@@ -90,8 +92,12 @@
   struct KnownRoute {
     CallTimes times;
     routing::RetryBudget second_calls;
-    std::multiset<core::MonotonicTime> due;  ///< of the texts that are to be rated, where known
-    std::optional<std::uint32_t> share{};    ///< places for what is due; none without a crowd
+  };
+  /// What is due of the texts of one route.
+  struct Demand {
+    std::multiset<core::MonotonicTime> due;  ///< of all that are to be rated
+    std::multiset<RatingClaim> waiting;      ///< of those that have no call out
+    std::optional<std::uint32_t> share;      ///< places for them; none without a crowd
     core::MonotonicTime share_until{};       ///< it is made anew then
   };
   /// The route of a call in the table in force.
@@ -103,20 +109,29 @@
   KnownRoute& known(const ingress::Route& route);
   /// \return whether \p replica has places for rating calls: it works, in a zone that is open.
   bool takes_calls(const ingress::ReplicaState& replica) const;
-  std::uint32_t most_at_once(const ScoringCall& call);
+  std::uint32_t most_at_once(const ScoringCall& call) const;
   /// \return whether clients' requests crowd the service of \p route, as seen from here.
   bool is_crowded_at(const ingress::Route& route) const;
-  /// \return the places that the texts of \p route need to be in time; none while clients do not
-  /// crowd its service, or when it is not known when any is due.
-  std::optional<std::uint32_t> places_for_due(const ingress::Route& route, std::uint32_t places,
-                                              std::uint32_t usual);
+  /// Looks anew at what is due of the route of \p call, once in a while.
+  void refresh_share(const ScoringCall& call);
+  /// \return the places that the texts of \p demand need to be in time.
+  std::uint32_t share_for(const ingress::Route& route, const Demand& demand);
+  /// \return the places of \p route's service that what is due there may take; none where that does
+  /// not count.
+  std::optional<std::uint32_t> share_of(const ingress::Route& route) const;
+  std::uint32_t places_of(const ingress::Route& route) const;
+  std::uint32_t usual_share(std::uint32_t places) const;
+  /// \return where \p text counts by its step; null when nothing is known of that. Stays valid.
+  Demand* demand_of(const Text& text);
+  /// \return whether no text that waits goes before \p text.
+  bool is_its_turn(const Text& text) const;
   /// What the replicas that a text has no call at could do for it.
   struct Elsewhere {
     bool is_sound = false;      ///< one takes work and is not suspect
     bool has_place = false;     ///< one has a place, and rating calls may take it
     bool has_answered = false;  ///< one has answered a call since the text's newest was sent
   };
-  Elsewhere look_elsewhere(const Text& text, const ingress::Route& route);
+  Elsewhere look_elsewhere(const Text& text, const ingress::Route& route) const;
   /// \return whether the replica has answered nothing since \p attempt was sent there.
   bool is_silent(const Attempt& attempt) const;
 
@@ -146,6 +161,7 @@
   std::unique_ptr<Meters> meters_;
   std::uint32_t in_flight_ = 0;
   std::uint32_t waiting_ = 0;
+  std::map<std::string, Demand> demands_;    ///< by the route's name
   std::map<std::string, KnownRoute> known_;  ///< by the route's name
 };
 
--- a/src/jobs/tenure.cpp
+++ b/src/jobs/tenure.cpp
@@ -307,13 +307,14 @@
   meters_->dispatch_seconds.Observe(core::to_seconds(ended - began));
 }
 
-std::optional<core::MonotonicTime> Tenure::due_at(const OpenJob& job) const {
+std::optional<RatingClaim> Tenure::claim_of(const OpenJob& job) const {
   const std::optional<ports::StoreTime> now = inputs_.store.now();
   const bool is_timed = job.entry.accepted_at != ports::StoreTime(0);
   if (!now || !is_timed || job.route == nullptr || job.route->run_deadline <= core::Duration(0)) {
     return std::nullopt;
   }
-  return inputs_.time.now() + (job.entry.accepted_at + job.route->run_deadline - *now);
+  const core::Duration left = job.entry.accepted_at + job.route->run_deadline - *now;
+  return RatingClaim{rank_of(job), inputs_.time.now() + left};
 }
 
 asio::awaitable<void> Tenure::score(std::shared_ptr<Tenure> self, OpenJobPointer job,
@@ -326,7 +327,7 @@
   std::function<bool()> is_wanted = [tenure = self.get(), open = job.get(), item] {
     return !tenure->over_ && !open->over && open->items[item].state == ItemState::kScoring;
   };
-  const Score score = co_await self->scorer_->score(*call, is_wanted, self->due_at(*job));
+  const Score score = co_await self->scorer_->score(*call, is_wanted, self->claim_of(*job));
   if (!is_wanted()) {
     co_return;
   }
--- a/src/jobs/tenure.hpp
+++ b/src/jobs/tenure.hpp
@@ -63,9 +63,9 @@
   bool knows_ends() const;
   void dispatch();
 
-  /// \return when the results of \p job are due, by this process's clock; none while the store's
-  /// clock is not known, or when its route states no time.
-  std::optional<core::MonotonicTime> due_at(const OpenJob& job) const;
+  /// \return the rank of \p job and when its results are due, by this process's clock; none while
+  /// the store's clock is not known, or when its route states no time.
+  std::optional<RatingClaim> claim_of(const OpenJob& job) const;
   static boost::asio::awaitable<void> score(std::shared_ptr<Tenure> self, OpenJobPointer job,
                                             std::size_t item);
   void list(const OpenJobPointer& job, std::size_t item, ResultState state, std::string score);
--- a/tests/unit/jobs/rating_share_test.cpp
+++ b/tests/unit/jobs/rating_share_test.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(a_step_is_rated_in_time_and_clients_get_the_rest);
   CPPUNIT_TEST(a_step_is_rated_in_time_though_half_of_the_replicas_fall_silent);
   CPPUNIT_TEST(steps_that_cannot_be_met_leave_places_to_clients);
+  CPPUNIT_TEST(texts_go_by_rank_then_by_due_time);
   CPPUNIT_TEST(a_service_is_crowded_by_what_it_refuses);
   CPPUNIT_TEST_SUITE_END();
 
@@ -135,6 +136,17 @@
     CPPUNIT_ASSERT(played.fewest_for_clients >= kPlaces / 10);
   }
 
+  void texts_go_by_rank_then_by_due_time() {
+    const core::MonotonicTime due{milliseconds(10'000)};
+    const RatingClaim first{1, due};
+    const core::Duration same = milliseconds(50);
+    CPPUNIT_ASSERT(is_turn_of(first, first, same));
+    CPPUNIT_ASSERT(is_turn_of({1, due + milliseconds(50)}, first, same));
+    CPPUNIT_ASSERT(!is_turn_of({1, due + milliseconds(51)}, first, same));
+    CPPUNIT_ASSERT(is_turn_of({0, due + milliseconds(5000)}, first, same));
+    CPPUNIT_ASSERT(!is_turn_of({2, due - milliseconds(5000)}, first, same));
+  }
+
   void a_service_is_crowded_by_what_it_refuses() {
     ingress::LoadCounts counts;
     CPPUNIT_ASSERT(!is_crowded(counts));
--- a/tests/unit/jobs/scorer_test.cpp
+++ b/tests/unit/jobs/scorer_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(ScorerTest);
   CPPUNIT_TEST(places_are_left_to_clients);
   CPPUNIT_TEST(in_a_crowd_the_share_follows_from_the_due_time);
+  CPPUNIT_TEST(in_a_crowd_texts_go_by_rank_and_due_time);
   CPPUNIT_TEST(failures_are_counted_one_by_one);
   CPPUNIT_TEST(places_in_an_evacuated_zone_are_none);
   CPPUNIT_TEST(a_call_that_takes_long_each_time_is_scored);
@@ -85,11 +86,11 @@
 
     bool is_wanted = true;
 
-    void score(const std::string& id, std::optional<core::MonotonicTime> due = std::nullopt) {
+    void score(const std::string& id, std::optional<RatingClaim> claim = std::nullopt) {
       boost::asio::co_spawn(
           context,
           scorer.score(
-              {id, "host", "/score/x", "body"}, [this] { return is_wanted; }, due),
+              {id, "host", "/score/x", "body"}, [this] { return is_wanted; }, claim),
           [this](std::exception_ptr, Score score) { scores.push_back(std::move(score)); });
     }
     /// Runs until \p count texts have their end, for \p longest at most.
@@ -180,12 +181,12 @@
       world.replicas.replicas["r0"].refuse = one.refusals;
       world.learn_usual_time(milliseconds(20));
       CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, 0, world.replicas.replicas["r0"].refuse);
-      std::optional<core::MonotonicTime> due;
+      std::optional<RatingClaim> claim;
       if (one.due_in) {
-        due = world.time.now() + *one.due_in;
+        claim = RatingClaim{0, world.time.now() + *one.due_in};
       }
       for (int call = 0; call < 40; ++call) {
-        world.score("s" + std::to_string(call), due);
+        world.score("s" + std::to_string(call), claim);
       }
       std::uint32_t most = 0;
       const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds(5);
@@ -199,6 +200,44 @@
     }
   }
 
+  /// 30 texts of a step that has time, then 10 of a step due earlier, then 10 of a higher rank:
+  /// while they wait for 8 places, the later ones overtake.
+  void in_a_crowd_texts_go_by_rank_and_due_time() {
+    World world(4);
+    world.replicas.replicas["r0"].refuse = 10;
+    world.learn_usual_time(milliseconds(20));
+    world.set_answer_time(milliseconds(60));
+    const core::MonotonicTime now = world.time.now();
+    std::vector<std::string> rated;
+    const auto submit = [&](const std::string& step, int texts, const RatingClaim& claim) {
+      for (int text = 0; text < texts; ++text) {
+        boost::asio::co_spawn(world.context,
+                              world.scorer.score(
+                                  {step + std::to_string(text), "host", "/score/x", "body"},
+                                  [&world] { return world.is_wanted; }, claim),
+                              [&rated, step](std::exception_ptr, Score) { rated.push_back(step); });
+      }
+    };
+    submit("slack", 30, {1, now + std::chrono::seconds(60)});
+    world.run_for(milliseconds(5));
+    submit("near", 10, {1, now + std::chrono::seconds(30)});
+    submit("first", 10, {0, now + std::chrono::seconds(90)});
+    const auto give_up_at = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (rated.size() < 50 && std::chrono::steady_clock::now() < give_up_at) {
+      world.context.restart();
+      world.context.run_one_until(give_up_at);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50}, rated.size());
+    const auto last = [&rated](const std::string& step) {
+      return rated.rend() - std::find(rated.rbegin(), rated.rend(), step);
+    };
+    // Eight of the step with time were out before the others came.
+    CPPUNIT_ASSERT(last("first") <= 8 + 10 + 8);
+    CPPUNIT_ASSERT(last("near") <= 8 + 20 + 8);
+    CPPUNIT_ASSERT(last("first") < last("near"));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{50}, last("slack"));
+  }
+
   /// Rating calls took the places of clients that were left in the other zone.
   void places_in_an_evacuated_zone_are_none() {
     World world(4);
