Metrics of load are named by service; the service of a request is drawn once

Cause: stoneport_load_refusals_total{reason} is also the name of a counter of admission, which is built beside this; a request that is looked at before its first send would draw its service, and be counted, twice.

Change: stoneport_service_{requests,refusals,sends}_total, ..._waiting, ..._longest_wait_seconds. draw_service() does nothing the second time.

--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -127,7 +127,7 @@
   /// \return null when no replica accepted work until the request had to be given up.
   boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
                                                 Progress& progress);
-  /// Draws the service of \p request by the weights of its route.
+  /// Draws the service of \p request by the weights of its route, once; it is counted from then on.
   void draw_service(const ForwardedRequest& request, Progress& progress);
   struct Choice {
     std::vector<ReplicaPointer> usable;
--- a/src/ingress/forwarder_choice.cpp
+++ b/src/ingress/forwarder_choice.cpp
@@ -133,6 +133,9 @@
 }
 
 void Forwarder::draw_service(const ForwardedRequest& request, Progress& progress) {
+  if (progress.service) {
+    return;
+  }
   double total = 0;
   for (const RouteTarget& target : request.route->targets) {
     total += target.weight;
--- a/src/node/load_metrics.cpp
+++ b/src/node/load_metrics.cpp
@@ -18,18 +18,18 @@
 };
 
 CounterKind by_end(const std::string& end, std::uint64_t LoadCounts::*count) {
-  return {"stoneport_load_requests_total", "Requests by service and end; refusals apart", "end",
+  return {"stoneport_service_requests_total", "Requests by service and end; refusals apart", "end",
           end, count};
 }
 
 CounterKind by_send(const std::string& kind, std::uint64_t LoadCounts::*count) {
-  return {"stoneport_load_sends_total",
+  return {"stoneport_service_sends_total",
           "Calls to replicas by service; refused, second and second_won are among sent", "kind",
           kind, count};
 }
 
 CounterKind by_reason(ingress::RefusalReason reason) {
-  return {"stoneport_load_refusals_total", "Requests refused as not run, by service and reason",
+  return {"stoneport_service_refusals_total", "Requests refused as not run, by service and reason",
           "reason", std::string(to_string(reason)),
           [reason](const LoadCounts& counts) { return counts.refused_for(reason); }};
 }
@@ -60,10 +60,10 @@
   if (series.waiting == nullptr) {
     const core::Labels labels = {{"service", service.value()}};
     series.counters.resize(kinds().size());
-    series.waiting = &metrics_.gauge("stoneport_load_waiting",
+    series.waiting = &metrics_.gauge("stoneport_service_waiting",
                                      "Requests that wait for a replica, by service", labels);
     series.longest_wait =
-        &metrics_.gauge("stoneport_load_longest_wait_seconds",
+        &metrics_.gauge("stoneport_service_longest_wait_seconds",
                         "Longest wait for a replica of the last 10 s, by service", labels);
   }
   return series;
--- a/tests/platform/load_page_test.cpp
+++ b/tests/platform/load_page_test.cpp
@@ -43,7 +43,8 @@
     CPPUNIT_ASSERT_EQUAL(1, plain["recent"]["refused"]["regions"].get<int>());
     CPPUNIT_ASSERT(!plain["zones"].empty());
     CPPUNIT_ASSERT(plain["zones"][0]["places"].get<int>() > 0);
-    const std::string line = R"(stoneport_load_refusals_total{reason="regions",service="plain"} 1)";
+    const std::string line =
+        R"(stoneport_service_refusals_total{reason="regions",service="plain"} 1)";
     wait_until("the metrics show it", [&] {
       const std::string text = platform.http().get(platform.metrics_page(0), "/metrics").body;
       return text.find(line) != std::string::npos;
--- a/tests/unit/node/load_view_test.cpp
+++ b/tests/unit/node/load_view_test.cpp
@@ -124,11 +124,11 @@
     waits.wait(kNow + seconds(3));
     published.publish(*world.ledger, kNow + seconds(5));
     CPPUNIT_ASSERT(
-        has(metrics, R"(stoneport_load_refusals_total{reason="overload",service="desk"} 3)"));
+        has(metrics, R"(stoneport_service_refusals_total{reason="overload",service="desk"} 3)"));
     CPPUNIT_ASSERT(
-        has(metrics, R"(stoneport_load_requests_total{end="answered",service="desk"} 3)"));
-    CPPUNIT_ASSERT(has(metrics, R"(stoneport_load_waiting{service="desk"} 1)"));
-    CPPUNIT_ASSERT(has(metrics, R"(stoneport_load_longest_wait_seconds{service="desk"} 2)"));
+        has(metrics, R"(stoneport_service_requests_total{end="answered",service="desk"} 3)"));
+    CPPUNIT_ASSERT(has(metrics, R"(stoneport_service_waiting{service="desk"} 1)"));
+    CPPUNIT_ASSERT(has(metrics, R"(stoneport_service_longest_wait_seconds{service="desk"} 2)"));
     CPPUNIT_ASSERT(metrics.to_text().find("too_late") == std::string::npos);
     CPPUNIT_ASSERT(metrics.to_text().find("ann") == std::string::npos);
   }
@@ -143,7 +143,7 @@
     }
     const std::string text = metrics.to_text();
     std::size_t series = 0;
-    const std::string gauge = "stoneport_load_waiting{";
+    const std::string gauge = "stoneport_service_waiting{";
     for (std::size_t at = text.find(gauge); at != std::string::npos;
          at = text.find(gauge, at + 1)) {
       ++series;
