Gossip message that tells of silent and failing replicas

Cause: processes have no way to tell each other what they found of a replica. Ruled out: a list beside each packet as for zone notices; findings are rare and urgent, and a process of the version before would refuse pings that carried one. Change: HealthReport with its codec and sizes. A process of the version before drops the packet as malformed and goes on. The malformed table's unknown kind 7 had become the kind of SuspectReport; it stays as 'news in place of suspects', and 9 is the unknown kind now.

--- a/src/wire/gossip_codec.cpp
+++ b/src/wire/gossip_codec.cpp
@@ -27,6 +27,7 @@
   kDigestSubscription,
   kDigestPush,
   kSuspectReport,
+  kHealthReport,
 };
 
 /// Reads the elements of one array in order. After the first error every
@@ -278,6 +279,20 @@
   return reader.ok();
 }
 
+Json write_finding(const HealthFinding& finding) {
+  return Json::array(
+      {finding.replica.value(), static_cast<std::uint64_t>(finding.kind), finding.age_ms});
+}
+
+bool read_finding(const Json& json, HealthFinding& finding) {
+  ArrayReader reader(json, 3);
+  finding.replica = reader.next_name<core::ReplicaId>();
+  finding.kind = static_cast<HealthFindingKind>(
+      reader.next_unsigned(static_cast<std::uint64_t>(HealthFindingKind::kAnswered)));
+  finding.age_ms = reader.next_unsigned32();
+  return reader.ok();
+}
+
 template <class Item, class WriteItem>
 Json write_list(const std::vector<Item>& items, WriteItem write_item) {
   Json list = Json::array();
@@ -327,6 +342,10 @@
                         write_list(report.suspects, write_suspect),
                         write_list(report.runs, write_suspect_run)});
   }
+  Json operator()(const HealthReport& report) const {
+    return Json::array(
+        {kind_number(MessageKind::kHealthReport), write_list(report.findings, write_finding)});
+  }
 };
 
 bool read_ping(const Json& json, GossipMessage& message) {
@@ -398,12 +417,21 @@
   return reader.ok();
 }
 
+bool read_health_report(const Json& json, GossipMessage& message) {
+  ArrayReader reader(json, 2);
+  reader.next();
+  HealthReport report;
+  report.findings = reader.next_list<HealthFinding>(read_finding);
+  message = std::move(report);
+  return reader.ok();
+}
+
 bool read_message(const Json& json, GossipMessage& message) {
   if (!json.is_array() || json.empty() || !json.front().is_number_unsigned()) {
     return false;
   }
   const auto kind = json.front().get<std::uint64_t>();
-  if (kind > kind_number(MessageKind::kSuspectReport)) {
+  if (kind > kind_number(MessageKind::kHealthReport)) {
     return false;
   }
   switch (static_cast<MessageKind>(kind)) {
@@ -424,6 +452,8 @@
       return read_digest_push(json, message);
     case MessageKind::kSuspectReport:
       return read_suspect_report(json, message);
+    case MessageKind::kHealthReport:
+      return read_health_report(json, message);
   }
   return false;
 }
--- a/src/wire/gossip_codec.hpp
+++ b/src/wire/gossip_codec.hpp
@@ -40,6 +40,7 @@
 std::size_t encoded_size(const ReplicaReport& report);
 std::size_t encoded_size(const SuspectNotice& notice);
 std::size_t encoded_size(const SuspectRunNotice& notice);
+std::size_t encoded_size(const HealthFinding& finding);
 /// \return the bytes of \p packet with its sender and message, its lists being empty.
 std::size_t size_without_records(const GossipPacket& packet);
 
--- a/src/wire/gossip_messages.hpp
+++ b/src/wire/gossip_messages.hpp
@@ -113,8 +113,28 @@
   bool operator==(const SuspectReport&) const = default;
 };
 
+enum class HealthFindingKind : std::uint8_t {
+  kSilent,    ///< unreachable, or it did not answer in time
+  kFailing,   ///< it failed too large a share of what it ran
+  kAnswered,  ///< it served a request as it should, after it had been found otherwise
+};
+
+/// What the sender saw of one life of a replica.
+struct HealthFinding {
+  core::ReplicaId replica;
+  HealthFindingKind kind = HealthFindingKind::kSilent;
+  std::uint32_t age_ms = 0;  ///< when sent
+  bool operator==(const HealthFinding&) const = default;
+};
+
+/// Tells of replicas that other processes had better avoid, or may use again.
+struct HealthReport {
+  std::vector<HealthFinding> findings;
+  bool operator==(const HealthReport&) const = default;
+};
+
 using GossipMessage = std::variant<News, Ping, Acknowledgement, IndirectPing, SyncRequest,
-                                   DigestSubscription, DigestPush, SuspectReport>;
+                                   DigestSubscription, DigestPush, SuspectReport, HealthReport>;
 
 /// The newest published version of a policy; the highest wins.
 struct PolicyVersion {
--- a/src/wire/gossip_sizes.cpp
+++ b/src/wire/gossip_sizes.cpp
@@ -95,6 +95,13 @@
     }
     return size;
   }
+  std::size_t operator()(const HealthReport& report) const {
+    std::size_t size = kShortArray + kOneByte + head_bytes(report.findings.size());
+    for (const HealthFinding& finding : report.findings) {
+      size += encoded_size(finding);
+    }
+    return size;
+  }
 };
 
 }  // namespace
@@ -142,6 +149,11 @@
          kOneByte + kOneByte;
 }
 
+std::size_t encoded_size(const HealthFinding& finding) {
+  return kShortArray + size_of(finding.replica.value()) + kOneByte +
+         size_of(std::uint64_t{finding.age_ms});
+}
+
 std::size_t size_without_records(const GossipPacket& packet) {
   return kShortArray + size_of(kGossipProtocolVersion) + encoded_size(packet.sender) +
          std::visit(MessageSizer{}, packet.message) + kLists * kEmptyList;
--- a/tests/unit/wire/gossip_codec_test.cpp
+++ b/tests/unit/wire/gossip_codec_test.cpp
@@ -59,24 +59,33 @@
   return packet;
 }
 
+SuspectReport suspect_report() {
+  return {{{core::RequestFingerprint("00ff"),
+            3,
+            {core::ReplicaId("desk-2"), core::replica_life("desk-3", 1'785'831'306'770)},
+            600'000},
+           {core::RequestFingerprint("00fe"), 0, {}, 1}},
+          {{core::RequestFingerprint("00ff"), core::ReplicaId("desk-3"), true,
+            SuspectRunPhase::kRunning}}};
+}
+
+HealthReport health_report() {
+  return {{{core::replica_life("desk-3", 1'785'831'306'770), HealthFindingKind::kFailing, 1'300},
+           {core::ReplicaId("desk-2"), HealthFindingKind::kAnswered, 0}}};
+}
+
 std::vector<GossipMessage> all_messages() {
   ReplicaReport without_prefixes = full_report();
   without_prefixes.cached_prefixes = std::nullopt;
-  return {
-      News{},
-      Ping{1, core::NodeId("node-2")},
-      Acknowledgement{1, core::NodeId("node-2")},
-      IndirectPing{2, core::NodeId("node-3"), {"10.0.0.3", 7000}},
-      SyncRequest{{1, 2, 3}, true},
-      DigestSubscription{{core::ReplicaId("engine-1"), core::ReplicaId("desk-2")}},
-      DigestPush{{full_report(), without_prefixes}},
-      SuspectReport{{{core::RequestFingerprint("00ff"),
-                      3,
-                      {core::ReplicaId("desk-2"), core::replica_life("desk-3", 1'785'831'306'770)},
-                      600'000},
-                     {core::RequestFingerprint("00fe"), 0, {}, 1}},
-                    {{core::RequestFingerprint("00ff"), core::ReplicaId("desk-3"), true,
-                      SuspectRunPhase::kRunning}}}};
+  return {News{},
+          Ping{1, core::NodeId("node-2")},
+          Acknowledgement{1, core::NodeId("node-2")},
+          IndirectPing{2, core::NodeId("node-3"), {"10.0.0.3", 7000}},
+          SyncRequest{{1, 2, 3}, true},
+          DigestSubscription{{core::ReplicaId("engine-1"), core::ReplicaId("desk-2")}},
+          DigestPush{{full_report(), without_prefixes}},
+          suspect_report(),
+          health_report()};
 }
 
 std::string to_cbor(const Json& json) {
@@ -187,7 +196,11 @@
         {"a port out of range", damaged([](Json& packet) { packet[1][7] = 65536; })},
         {"a null address", damaged([](Json& packet) { packet[1][6] = nullptr; })},
         {"a message of no kind", damaged([](Json& packet) { packet[2] = Json::array(); })},
-        {"a message of unknown kind", damaged([](Json& packet) { packet[2][0] = 7; })},
+        {"a message of unknown kind", damaged([](Json& packet) { packet[2][0] = 9; })},
+        {"news in place of suspects", damaged([](Json& packet) { packet[2][0] = 7; })},
+        {"news in place of findings", damaged([](Json& packet) { packet[2][0] = 8; })},
+        {"a message of a later version",
+         damaged([](Json& packet) { packet[2][0] = 9; }, health_report())},
         {"news with more", damaged([](Json& packet) { packet[2].push_back(1); })},
         {"members that are no list", damaged([](Json& packet) { packet[3] = 1; })},
         {"a broken member", damaged([](Json& packet) { packet[3][1].erase(0); })},
@@ -208,9 +221,20 @@
         {"a ratio above one",
          damaged([](Json& packet) { packet[2][1][0][8] = 1001; }, DigestPush{{full_report()}})},
         {"suspect with replicas that are no list",
-         damaged([](Json& packet) { packet[2][1][0][2] = "desk-2"; }, all_messages().back())},
+         damaged([](Json& packet) { packet[2][1][0][2] = "desk-2"; }, suspect_report())},
         {"run of a suspect in no phase",
-         damaged([](Json& packet) { packet[2][2][0][3] = 3; }, all_messages().back())},
+         damaged([](Json& packet) { packet[2][2][0][3] = 3; }, suspect_report())},
+        {"a finding of no kind",
+         damaged([](Json& packet) { packet[2][1][0][1] = 3; }, health_report())},
+        {"a finding about no replica",
+         damaged([](Json& packet) { packet[2][1][1][0] = ""; }, health_report())},
+        {"a finding with a wide age",
+         damaged([](Json& packet) { packet[2][1][0][2] = std::uint64_t{1} << 32; },
+                 health_report())},
+        {"a finding with more",
+         damaged([](Json& packet) { packet[2][1][0].push_back(1); }, health_report())},
+        {"findings that are no list",
+         damaged([](Json& packet) { packet[2][1] = "desk-2"; }, health_report())},
         {"prefixes that are text",
          damaged([](Json& packet) { packet[2][1][0][11] = "none"; }, DigestPush{{full_report()}})},
     };
