Processes avoid replicas that others found silent or failing

Cause: suspicion and outlier ejection are each process's own; with a request every few seconds a process learns nothing of six replicas, and each of 82 finds a dark one anew at a caller's cost. Ruled out: rows in the store, news beside pings, the coordinator, active probes, heard failures in the own outlier average (docs/design/shared-health.md). Change: SharedHealth decides (two reporters, places, cut reporters, trials by few), HealthExchange tells and hears, ReplicaState tells an observer of its findings. Switch load_control.shared_health.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -54,6 +54,7 @@
     EventName{DecisionEvent::kSuspectRuns, "suspect_runs"},
     EventName{DecisionEvent::kSuspectHeld, "suspect_held"},
     EventName{DecisionEvent::kSuspectCleared, "suspect_cleared"},
+    EventName{DecisionEvent::kReplicaAvoided, "replica_avoided"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -51,7 +51,8 @@
   kSuspectRuns,
   kSuspectHeld,
   kSuspectCleared,
-  kLast = kSuspectCleared,
+  kReplicaAvoided,
+  kLast = kReplicaAvoided,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -136,7 +136,7 @@
   const bool is_success = status < 400;
   const bool retry_may_help = status >= kServerError || is_promise(status);
   if (is_success || !retry_may_help) {
-    replica.outliers.note_success();
+    replica.note_success(time_.now());
     guard_.note_served(progress.content_of(request));
     return Verdict::kAnswer;
   }
--- a/src/ingress/replica_directory.cpp
+++ b/src/ingress/replica_directory.cpp
@@ -24,6 +24,9 @@
 constexpr double kColdCost = 2;
 /// Replicas of the own region that are drawn besides, where there are others.
 constexpr int kNearDraws = 2;
+/// In calls: one other process found it silent or failing, and may be wrong. As long as others have
+/// two calls less it gets none.
+constexpr double kDoubtedCost = 2;
 constexpr double kAvoidedCost = 1000;
 /// Of a service's replicas; with more of them ejected, ejection is ignored.
 constexpr double kMostEjectedShare = 0.5;
@@ -89,6 +92,14 @@
                         : latency_seconds + kLatencyWeight * (seconds - latency_seconds);
 }
 
+void ReplicaState::note_success(core::MonotonicTime now) {
+  outliers.note_success();
+  last_success = now;
+  if (observer != nullptr) {
+    observer->on_success(*this, now);
+  }
+}
+
 bool ReplicaState::note_failed_run(core::MonotonicTime now) {
   if (!outliers.note_failure(now)) {
     return false;
@@ -97,11 +108,17 @@
                      {{"replica", record.id.value()},
                       {"service", record.service.value()},
                       {"for_ms", core::to_seconds(outliers.ejected_until() - now) * 1000}});
+  if (observer != nullptr) {
+    observer->on_ejected(*this, now);
+  }
   return true;
 }
 
 void ReplicaState::suspect(core::MonotonicTime now, core::Duration length) {
   suspect_until = std::max(suspect_until, now + length);
+  if (observer != nullptr) {
+    observer->on_silent(*this, now);
+  }
 }
 
 bool should_avoid_ejected(const std::vector<ReplicaPointer>& replicas, core::MonotonicTime now) {
@@ -116,6 +133,13 @@
   std::move(later.removed.begin(), later.removed.end(), std::back_inserter(removed));
 }
 
+void ReplicaDirectory::set_observer(ReplicaObserver* observer) {
+  observer_ = observer;
+  for (const auto& [id, replica] : replicas_) {
+    replica->observer = observer;
+  }
+}
+
 std::vector<core::Address> ReplicaDirectory::update(std::vector<ReplicaRecord> records) {
   ReplicaChanges changes;
   std::set<core::ReplicaId> listed;
@@ -153,6 +177,7 @@
   const bool is_new = replica == nullptr;
   if (is_new) {
     replica = std::make_shared<ReplicaState>();
+    replica->observer = observer_;
   }
   const bool starts_draining = record.draining && !replica->record.draining;
   const bool has_moved = !is_new && replica->record.service != record.service;
@@ -185,6 +210,7 @@
   }
   const ReplicaPointer replica = known->second;
   replica->listed = false;
+  replica->observer = nullptr;
   remove_from_service(*replica);
   remove_from_versions(*replica);
   replicas_.erase(known);
@@ -339,7 +365,8 @@
   const auto cost_of = [&](const ReplicaPointer& replica) {
     const double connecting = is_connected(*replica) ? 0 : kNewConnectionCost;
     const double warming = now < replica->record.cold_until ? kColdCost : 0;
-    return cost(*replica, preference, usual, is_avoided(*replica)) + connecting + warming;
+    const double doubt = replica->is_doubted(now) ? kDoubtedCost : 0;
+    return cost(*replica, preference, usual, is_avoided(*replica)) + connecting + warming + doubt;
   };
   const ReplicaPointer& first = usable[random.uniform(0, usable.size() - 1)];
   const ReplicaPointer& second = usable[random.uniform(0, usable.size() - 1)];
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -44,6 +44,20 @@
   bool operator==(const ReplicaRecord&) const = default;
 };
 
+struct ReplicaState;
+
+/// Learns what this process sees of replicas.
+class ReplicaObserver {
+ public:
+  virtual ~ReplicaObserver() = default;
+  /// It was unreachable or silent.
+  virtual void on_silent(ReplicaState& replica, core::MonotonicTime now) = 0;
+  /// It was ejected for what it failed.
+  virtual void on_ejected(ReplicaState& replica, core::MonotonicTime now) = 0;
+  /// It served a request as it should.
+  virtual void on_success(ReplicaState& replica, core::MonotonicTime now) = 0;
+};
+
 /// A replica with this process's own view. Shared with the calls that use it, so
 /// it may outlive its listing.
 struct ReplicaState {
@@ -55,6 +69,10 @@
   core::MonotonicTime last_answer{};          ///< to a whole call, failed or not
   core::MonotonicTime presumed_cold_until{};  ///< its zone was evacuated until lately
   OutlierDetector outliers;
+  core::MonotonicTime last_success{};   ///< it served a request as it should
+  core::MonotonicTime avoided_until{};  ///< by what several processes found
+  core::MonotonicTime doubted_until{};  ///< by what one other process found
+  ReplicaObserver* observer = nullptr;  ///< may be null
 
   std::optional<core::MonotonicTime> ended_at;  ///< it was found to have ended
 
@@ -66,8 +84,14 @@
   eligibility::Destination destination() const {
     return {record.id, record.service, record.zone, record.cold_until};
   }
-  bool is_suspect(core::MonotonicTime now) const { return now < suspect_until; }
+  bool is_suspect(core::MonotonicTime now) const {
+    return now < suspect_until || now < avoided_until;
+  }
+  /// \return whether it is to be used only where others are busier.
+  bool is_doubted(core::MonotonicTime now) const { return now < doubted_until; }
   void note_latency(core::Duration latency);
+  /// It served a request as it should.
+  void note_success(core::MonotonicTime now);
   /// A call that the replica ran, or may have run, failed.
   /// \return whether it is ejected for that.
   bool note_failed_run(core::MonotonicTime now);
@@ -109,6 +133,8 @@
  public:
   /// \param regions the region of each zone
   explicit ReplicaDirectory(eligibility::ZoneRegions regions = {}) : gate_(std::move(regions)) {}
+  /// Tells \p observer, which outlives the directory or is taken back by null, of all replicas.
+  void set_observer(ReplicaObserver* observer);
   /// Replaces the listing. \return addresses whose replica ended or is leaving.
   std::vector<core::Address> update(std::vector<ReplicaRecord> records);
   /// Changes the listing, which counts as loaded from then on.
@@ -162,6 +188,7 @@
   /// Listed replicas whose record said that they are cold, not long ago.
   std::set<core::ReplicaId> said_cold_;
   eligibility::SendGate gate_;
+  ReplicaObserver* observer_ = nullptr;
   bool loaded_ = false;
 };
 
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -374,7 +374,7 @@
   }
   if (end.kind == AttemptEndKind::kWhole) {
     meters_->whole.Increment();
-    run->replica->outliers.note_success();
+    run->replica->note_success(inputs_.time.now());
     note_whole(*run);
     listener_.on_whole(run->job, run->item);
   } else {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -107,6 +107,11 @@
                         inputs_.metrics),
       suspect_rows_(inputs_.executor, inputs_.store, forwarder_.guard(), inputs_.time,
                     inputs_.metrics),
+      shared_health_(directory_, {settings_.name, settings_.zone},
+                     seed_for(settings_, life_number_, "shared health")),
+      health_exchange_(inputs_.executor, gossip_, shared_health_, settings_.name,
+                       seed_for(settings_, life_number_, "health exchange"), inputs_.time,
+                       inputs_.metrics),
       coordinator_(coordinator_inputs(), coordinator_settings(settings_, life_),
                    seed_for(settings_, life_number_, "term")),
       store_watch_(inputs_.executor, inputs_.store, inputs_.time, inputs_.metrics),
@@ -198,9 +203,14 @@
 void Node::start() {
   gossip_.set_seeds(settings_.gossip_seeds);
   gossip_.on_zone_change([this] { hear_evacuations(); });
-  gossip_.on_message(
-      [this](const controllers::ReceivedMessage& message) { suspect_exchange_.hear(message); });
+  gossip_.on_message([this](const controllers::ReceivedMessage& message) {
+    suspect_exchange_.hear(message);
+    health_exchange_.hear(message);
+  });
   suspect_exchange_.start();
+  if (settings_.load_control.shared_health) {
+    health_exchange_.start();
+  }
   suspect_rows_.start();
   coordinator_.start();
   store_watch_.start();
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -17,6 +17,7 @@
 #include "jobs/coordinator.hpp"
 #include "jobs/job_store.hpp"
 #include "node/caller_directory.hpp"
+#include "node/health_exchange.hpp"
 #include "node/load_control_settings.hpp"
 #include "node/suspect_exchange.hpp"
 #include "node/suspect_rows.hpp"
@@ -169,6 +170,8 @@
   controllers::GossipController gossip_;
   SuspectExchange suspect_exchange_;
   SuspectRows suspect_rows_;
+  ingress::SharedHealth shared_health_;
+  HealthExchange health_exchange_;
   jobs::Coordinator coordinator_;
   records::StoreWatch store_watch_;
   usage::UsagePublisher usage_publisher_;
--- a/src/node/suspect_exchange.cpp
+++ b/src/node/suspect_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "node/member_addresses.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::node {
@@ -134,18 +135,8 @@
   return reports;
 }
 
-std::vector<core::Address> SuspectExchange::other_members() const {
-  std::vector<core::Address> addresses;
-  for (const auto& [node, member] : gossip_.members_by_node()) {
-    if (node != self_ && member.state != wire::MemberState::kDead) {
-      addresses.push_back(member.gossip_address);
-    }
-  }
-  return addresses;
-}
-
 void SuspectExchange::tell_all(const Reports& reports) {
-  const std::vector<core::Address> members = other_members();
+  const std::vector<core::Address> members = addresses_of_others(gossip_.members_by_node(), self_);
   for (const wire::SuspectReport& report : reports) {
     if (!broadcasts_.try_take(time_.now(), 0)) {
       left_to_refresh_.Increment();
@@ -159,7 +150,7 @@
 }
 
 void SuspectExchange::tell_one() {
-  const std::vector<core::Address> members = other_members();
+  const std::vector<core::Address> members = addresses_of_others(gossip_.members_by_node(), self_);
   if (!guard_.has_suspects() || members.empty()) {
     return;
   }
--- a/src/node/suspect_exchange.hpp
+++ b/src/node/suspect_exchange.hpp
@@ -52,7 +52,6 @@
                  const std::vector<wire::SuspectRunNotice>& runs) const;
   void tell_one();
   void tell_all(const Reports& reports);
-  std::vector<core::Address> other_members() const;
 
   boost::asio::any_io_executor executor_;
   controllers::GossipController& gossip_;
--- /dev/null
+++ b/tests/unit/node/health_exchange_test.cpp
@@ -0,0 +1,315 @@
+/// \file
+/// How findings about replicas pass among processes: how soon all avoid a dark replica, how many
+/// packets that takes at n and 4n processes, and what a cut, an end or an older process changes.
+#include "node/health_exchange.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/io_context.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "node/gossip_pace.hpp"
+
+namespace stoneport::node {
+namespace {
+
+using std::chrono::milliseconds;
+using Json = nlohmann::json;
+
+const core::ServiceName kService("small");
+
+core::NodeId node_id(std::size_t index) {
+  return core::NodeId("node-" + std::to_string(index));
+}
+
+wire::Member member(std::size_t index) {
+  wire::Member made;
+  made.node = node_id(index);
+  made.incarnation = wire::first_incarnation(1);
+  made.zone = core::ZoneName("zone-" + std::to_string(index % 3));
+  made.region = core::RegionName("region");
+  made.gossip_address = {
+      "10.0." + std::to_string(index / 250) + "." + std::to_string(1 + index % 250), 7000};
+  made.peer_address = made.gossip_address;
+  return made;
+}
+
+class Fleet;
+
+/// Hands packets to the others of the fleet, where they are not cut off, and counts.
+class Link : public controllers::GossipTransport {
+ public:
+  Link(Fleet& fleet, std::size_t index) : fleet_(fleet), index_(index) {}
+  void send(const controllers::OutgoingPacket& packet) override;
+  void set_receiver(Receiver receiver) override { receive = std::move(receiver); }
+
+  Receiver receive;
+
+ private:
+  Fleet& fleet_;
+  std::size_t index_;
+};
+
+struct Process {
+  Process(Fleet& fleet, boost::asio::io_context& context, const core::TimeSource& time,
+          std::size_t index)
+      : link(fleet, index),
+        gossip(context.get_executor(), link, member(index), gossip_pace(), index, time, metrics),
+        health(directory, {node_id(index), member(index).zone}, index),
+        exchange(context.get_executor(), gossip, health, node_id(index), index, time, metrics) {
+    std::vector<ingress::ReplicaRecord> records;
+    for (std::size_t replica = 0; replica < 6; ++replica) {
+      ingress::ReplicaRecord record;
+      record.id = core::ReplicaId("r" + std::to_string(replica));
+      record.service = kService;
+      record.zone = core::ZoneName("zone-" + std::to_string(replica % 3));
+      records.push_back(std::move(record));
+    }
+    directory.update(std::move(records));
+  }
+  ingress::ReplicaState& replica(std::size_t index) {
+    return *directory.find(core::ReplicaId("r" + std::to_string(index)));
+  }
+
+  core::Metrics metrics;
+  Link link;
+  controllers::GossipController gossip;
+  ingress::ReplicaDirectory directory;
+  ingress::SharedHealth health;
+  HealthExchange exchange;
+};
+
+/// Processes in memory, which all know one another.
+class Fleet {
+ public:
+  explicit Fleet(std::size_t count, std::size_t switched_on = 1'000'000) {
+    for (std::size_t index = 0; index < count; ++index) {
+      processes.push_back(std::make_unique<Process>(*this, context, time, index));
+    }
+    for (std::size_t index = 0; index < count; ++index) {
+      Process& process = *processes[index];
+      process.gossip.on_message([&process](const controllers::ReceivedMessage& message) {
+        process.exchange.hear(message);
+      });
+      process.gossip.start();
+      if (index < switched_on) {
+        process.exchange.start();
+      }
+    }
+    introduce_all();
+    run_for(milliseconds(20));
+  }
+  void run_for(milliseconds length) {
+    context.restart();
+    context.run_for(length);
+  }
+  void deliver(std::size_t from, const core::Address& to, const std::string& bytes) {
+    const core::Result<wire::GossipPacket> packet = wire::decode_packet(bytes);
+    CPPUNIT_ASSERT(packet.has_value());
+    if (!std::holds_alternative<wire::HealthReport>(packet->message)) {
+      return;  // membership is as introduced
+    }
+    ++packets;
+    total_bytes += bytes.size();
+    for (std::size_t index = 0; index < processes.size(); ++index) {
+      const bool passes = !is_cut || !is_cut(from, index);
+      if (member(index).gossip_address == to && passes && !ended.contains(index)) {
+        boost::asio::post(context, [this, index, from, bytes] {
+          processes[index]->link.receive(member(from).gossip_address, bytes);
+        });
+      }
+    }
+  }
+  void find_silent(std::size_t process, std::size_t replica) {
+    processes[process]->replica(replica).suspect(time.now(), milliseconds(2000));
+  }
+  std::size_t avoiding(std::size_t replica) {
+    std::size_t count = 0;
+    for (const auto& process : processes) {
+      count += process->replica(replica).is_suspect(time.now()) ? 1 : 0;
+    }
+    return count;
+  }
+  std::size_t doubting(std::size_t replica) {
+    std::size_t count = 0;
+    for (const auto& process : processes) {
+      count += process->replica(replica).is_doubted(time.now()) ? 1 : 0;
+    }
+    return count;
+  }
+
+  boost::asio::io_context context;
+  core::SystemTimeSource time;
+  std::vector<std::unique_ptr<Process>> processes;
+  std::function<bool(std::size_t, std::size_t)> is_cut;
+  std::set<std::size_t> ended;
+  std::size_t packets = 0;
+  std::size_t total_bytes = 0;
+
+ private:
+  void introduce_all() {
+    for (std::size_t index = 0; index < processes.size(); ++index) {
+      for (std::size_t other = 0; other < processes.size(); ++other) {
+        if (other != index) {
+          wire::GossipPacket packet;
+          packet.sender = member(other);
+          processes[index]->link.receive(packet.sender.gossip_address, wire::encode_packet(packet));
+        }
+      }
+    }
+  }
+};
+
+void Link::send(const controllers::OutgoingPacket& packet) {
+  fleet_.deliver(index_, packet.to, packet.bytes);
+}
+
+}  // namespace
+
+class HealthExchangeTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(HealthExchangeTest);
+  CPPUNIT_TEST(nothing_is_sent_while_replicas_answer);
+  CPPUNIT_TEST(a_dark_replica_is_avoided_by_all_within_a_second);
+  CPPUNIT_TEST(packets_do_not_grow_with_processes_squared);
+  CPPUNIT_TEST(a_process_that_finds_again_and_again_is_bounded);
+  CPPUNIT_TEST(a_process_that_ends_midway_leaves_it_to_the_next);
+  CPPUNIT_TEST(a_cut_between_processes_ejects_nothing_beyond_it);
+  CPPUNIT_TEST(switched_off_it_neither_tells_nor_believes);
+  CPPUNIT_TEST(a_message_of_a_later_version_is_passed_over);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void nothing_is_sent_while_replicas_answer() {
+    Fleet fleet(12);
+    for (const auto& process : fleet.processes) {
+      process->replica(1).note_success(fleet.time.now());
+      process->replica(2).note_failed_run(fleet.time.now());
+    }
+    fleet.run_for(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.packets);
+  }
+
+  void a_dark_replica_is_avoided_by_all_within_a_second() {
+    constexpr std::size_t kProcesses = 40;
+    Fleet fleet(kProcesses);
+    const core::MonotonicTime first = fleet.time.now();
+    fleet.find_silent(0, 2);
+    fleet.run_for(milliseconds(150));
+    // One word alone: the others prefer another replica.
+    CPPUNIT_ASSERT_EQUAL(kProcesses - 1, fleet.doubting(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.avoiding(2));
+    fleet.find_silent(7, 2);
+    fleet.run_for(milliseconds(150));
+    CPPUNIT_ASSERT_EQUAL(kProcesses, fleet.avoiding(2));
+    CPPUNIT_ASSERT(fleet.time.now() - first < std::chrono::seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.avoiding(1));
+    // One that hears it answer tells the others.
+    fleet.processes[20]->replica(2).note_success(fleet.time.now());
+    fleet.run_for(milliseconds(150));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.avoiding(2));  // those that found it themselves
+  }
+
+  /// All find the same replica dark at the same moment.
+  static std::size_t packets_when_all_find(std::size_t processes) {
+    Fleet fleet(processes);
+    for (std::size_t index = 0; index < processes; ++index) {
+      fleet.find_silent(index, 2);
+    }
+    fleet.run_for(milliseconds(900));
+    std::cout << "guarantee: findings do not grow with processes squared | " << processes
+              << " find one replica dark at once | " << fleet.packets << " packets, "
+              << fleet.total_bytes / processes << " bytes a process" << std::endl;
+    return fleet.packets;
+  }
+
+  void packets_do_not_grow_with_processes_squared() {
+    const std::size_t few = packets_when_all_find(30);
+    const std::size_t many = packets_when_all_find(120);
+    // Three tell all the others, and those that begin while these are under way.
+    CPPUNIT_ASSERT(few >= 3 * 29);
+    CPPUNIT_ASSERT(few <= 10 * 29);
+    CPPUNIT_ASSERT(many <= 10 * 119);
+  }
+
+  void a_process_that_finds_again_and_again_is_bounded() {
+    for (const std::size_t processes : {std::size_t{20}, std::size_t{80}}) {
+      Fleet fleet(processes);
+      for (int round = 0; round < 100; ++round) {
+        fleet.find_silent(0, 1);
+        fleet.find_silent(0, 2);
+        fleet.run_for(milliseconds(10));
+      }
+      // The burst and a second's worth, however many processes there are.
+      const HealthExchangeSettings settings;
+      const double most = settings.packets.burst + 2 * settings.packets.tokens_per_second;
+      CPPUNIT_ASSERT(static_cast<double>(fleet.packets) <= most);
+    }
+  }
+
+  void a_process_that_ends_midway_leaves_it_to_the_next() {
+    constexpr std::size_t kProcesses = 12;
+    Fleet fleet(kProcesses);
+    // It reaches two of them, then it is gone.
+    fleet.is_cut = [](std::size_t from, std::size_t to) { return from == 0 && to > 2; };
+    fleet.find_silent(0, 2);
+    fleet.run_for(milliseconds(50));
+    fleet.ended.insert(0);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.doubting(2));
+    fleet.find_silent(3, 2);
+    fleet.find_silent(4, 2);
+    fleet.run_for(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(kProcesses, fleet.avoiding(2));
+  }
+
+  /// Processes of zone 1 no longer reach the replicas of zone 2, which all others do.
+  void a_cut_between_processes_ejects_nothing_beyond_it() {
+    Fleet fleet(12);
+    for (std::size_t index = 1; index < 12; index += 3) {
+      fleet.find_silent(index, 2);
+      fleet.find_silent(index, 5);
+    }
+    fleet.run_for(milliseconds(100));
+    // The four of that zone, and none of the others.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.avoiding(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, fleet.avoiding(5));
+  }
+
+  void switched_off_it_neither_tells_nor_believes() {
+    Fleet fleet(6, 3);
+    fleet.find_silent(3, 1);
+    fleet.find_silent(4, 1);
+    fleet.find_silent(0, 2);
+    fleet.find_silent(1, 2);
+    fleet.run_for(milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fleet.avoiding(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.avoiding(2));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.doubting(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2 * 5}, fleet.packets);
+  }
+
+  void a_message_of_a_later_version_is_passed_over() {
+    Fleet fleet(3);
+    wire::GossipPacket packet;
+    packet.sender = member(1);
+    packet.message = wire::HealthReport{{{core::ReplicaId("r1")}}};
+    Json json = Json::from_cbor(wire::encode_packet(packet));
+    constexpr int kUnknownKind = 9;
+    json[2][0] = kUnknownKind;
+    std::string bytes;
+    Json::to_cbor(json, bytes);
+    Process& process = *fleet.processes[0];
+    process.link.receive(packet.sender.gossip_address, bytes);
+    fleet.run_for(milliseconds(60));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, process.gossip.counts().malformed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, process.gossip.members_by_node().size());
+    CPPUNIT_ASSERT(!process.replica(1).is_doubted(fleet.time.now()));
+    fleet.find_silent(1, 1);
+    fleet.run_for(milliseconds(60));
+    CPPUNIT_ASSERT(process.replica(1).is_doubted(fleet.time.now()));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HealthExchangeTest);
+
+}  // namespace stoneport::node
