--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -56,6 +56,7 @@
     EventName{DecisionEvent::kSuspectHeld, "suspect_held"},
     EventName{DecisionEvent::kSuspectCleared, "suspect_cleared"},
     EventName{DecisionEvent::kServiceOverloaded, "service_overloaded"},
+    EventName{DecisionEvent::kReplicaAvoided, "replica_avoided"},
 };
 static_assert(kEventNames.size() == static_cast<std::size_t>(DecisionEvent::kLast) + 1);
 
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -53,7 +53,8 @@
   kSuspectHeld,
   kSuspectCleared,
   kServiceOverloaded,
-  kLast = kServiceOverloaded,
+  kReplicaAvoided,
+  kLast = kReplicaAvoided,
 };
 /// \return the name that stands in the line, such as "job_accepted".
 std::string_view to_string(DecisionEvent event);
