Plain decision of second calls, shared by all senders; call times move to routing

Cause: the scorer alone sends a second call beside one that takes long; clients' requests wait three target latencies instead. Both are to decide by the same code.

Change: jobs/call_times moves to routing/ and gets two settings (the share of the target that stands in while few answers are known, and a bound in targets), whose defaults leave the scorer as it was. routing/second_call_policy holds the decision to wait, to send one more call beside, or to replace the newest, taken out of Scorer::look_after; what is special to texts (patience with a suspect) stays in the scorer. routing/service_pressure tells whether a service as a whole is slow or refuses for load.

Ruled out: sharing CallTimes and RetryBudget alone. The decision moved without a change to the scorer's tests.

--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -90,7 +90,8 @@
   if (found != known_.end()) {
     return found->second;
   }
-  KnownRoute fresh{CallTimes(settings_.call_times), routing::RetryBudget(settings_.second_calls)};
+  KnownRoute fresh{routing::CallTimes(settings_.call_times),
+                   routing::RetryBudget(settings_.second_calls)};
   return known_.emplace(route.name, std::move(fresh)).first->second;
 }
 
@@ -116,14 +117,14 @@
   return std::max(waiting_ > usual ? most : usual, settings_.fewest_at_once);
 }
 
-Scorer::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) const {
+routing::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) const {
   const core::MonotonicTime now = time_.now();
   const core::MonotonicTime sent_at = text.attempts.back()->sent_at;
   const auto has_call = [&text](const ingress::ReplicaPointer& replica) {
     return std::any_of(text.attempts.begin(), text.attempts.end(),
                        [&](const AttemptPointer& attempt) { return attempt->replica == replica; });
   };
-  Elsewhere found;
+  routing::Elsewhere found;
   for (const ingress::RouteTarget& target : route.targets) {
     for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
       if (!takes_calls(*replica) || replica->is_suspect(now) || has_call(replica)) {
@@ -235,7 +236,7 @@
   }
   const core::MonotonicTime now = time_.now();
   const RouteInForce in_force = route_of(text.call);
-  CallTimes* times = in_force.route == nullptr ? nullptr : &known(*in_force.route).times;
+  routing::CallTimes* times = in_force.route == nullptr ? nullptr : &known(*in_force.route).times;
   if (times != nullptr) {
     times->note(now - winner.sent_at);
   }
@@ -300,7 +301,7 @@
 
 /// A call at a suspect replica is free to go elsewhere, as others have shown that it is silent;
 /// without that the service as a whole may be slow, and another call loads it more.
-bool Scorer::should_cut(const Text& text, const Attempt& attempt, const CallBounds& bounds,
+bool Scorer::should_cut(const Text& text, const Attempt& attempt, const routing::CallBounds& bounds,
                         KnownRoute& route) {
   if (!attempt.replica || attempt.is_cut || !is_silent(attempt)) {
     return false;
@@ -321,12 +322,18 @@
     return;
   }
   const core::MonotonicTime now = time_.now();
-  const CallBounds bounds{in_force.route->timeout, in_force.route->target_latency};
+  const routing::CallBounds bounds{in_force.route->timeout, in_force.route->target_latency};
   KnownRoute& route = known(*in_force.route);
-  if (now - newest->sent_at < route.times.usual(bounds)) {
+  routing::CallsOut calls;
+  calls.newest_taken = now - newest->sent_at;
+  calls.usual = route.times.usual(bounds);
+  calls.newest_is_silent = is_silent(*newest);
+  calls.out = text->attempts.size();
+  calls.most = kMostCallsOfText;
+  if (!routing::is_overdue(calls)) {
     return;
   }
-  const Elsewhere elsewhere = look_elsewhere(*text, *in_force.route);
+  const routing::Elsewhere elsewhere = look_elsewhere(*text, *in_force.route);
   if (!elsewhere.is_sound) {
     return;
   }
@@ -336,15 +343,15 @@
       return;
     }
   }
-  if (text->attempts.size() == kMostCallsOfText || now < text->not_before) {
+  const routing::NextCall next = routing::next_call(calls, elsewhere);
+  const bool is_due = next != routing::NextCall::kWait && now >= text->not_before;
+  if (!is_due || !route.second_calls.try_retry(now)) {
     return;
   }
-  // Without a place for a second call the first one makes room, where only its replica is silent.
-  const bool may_replace = elsewhere.has_answered && is_silent(*newest);
-  if (elsewhere.has_place && route.second_calls.try_retry(now)) {
+  if (next == routing::NextCall::kBeside) {
     meters_->second_calls.Increment();
     begin(text, true);
-  } else if (!elsewhere.has_place && may_replace && route.second_calls.try_retry(now)) {
+  } else {
     forwarder_.note_silent(*newest->replica);
     give_up(*text, *newest);
   }
--- a/src/jobs/scorer.hpp
+++ b/src/jobs/scorer.hpp
@@ -12,9 +12,10 @@
 #include <string>
 
 #include "ingress/forwarder.hpp"
-#include "jobs/call_times.hpp"
 #include "jobs/job.hpp"
+#include "routing/call_times.hpp"
 #include "routing/retry_budget.hpp"
+#include "routing/second_call_policy.hpp"
 
 namespace stoneport::jobs {
 
@@ -26,7 +27,7 @@
   /// more than late lookups.
   double share_under_pressure = 1.0;
   std::uint32_t fewest_at_once = 2;
-  CallTimeSettings call_times;
+  routing::CallTimeSettings call_times;
   /// Second calls, and the third for those that get no answer: a tenth of the first ones, so that a
   /// service that turned slow as a whole is not loaded with twice the calls, and about as many as
   /// one replica has places.
@@ -79,7 +80,7 @@
   };
   /// What is known of a route's calls.
   struct KnownRoute {
-    CallTimes times;
+    routing::CallTimes times;
     routing::RetryBudget second_calls;
   };
   /// The route of a call in the table in force.
@@ -92,13 +93,9 @@
   /// \return whether \p replica has places for rating calls: it works, in a zone that is open.
   bool takes_calls(const ingress::ReplicaState& replica) const;
   std::uint32_t most_at_once(const ScoringCall& call) const;
-  /// What the replicas that a text has no call at could do for it.
-  struct Elsewhere {
-    bool is_sound = false;      ///< one takes work and is not suspect
-    bool has_place = false;     ///< one has a place, and rating calls may take it
-    bool has_answered = false;  ///< one has answered a call since the text's newest was sent
-  };
-  Elsewhere look_elsewhere(const Text& text, const ingress::Route& route) const;
+  /// \return what replicas that \p text has no call at could do for it, with the places that rating
+  /// calls may take.
+  routing::Elsewhere look_elsewhere(const Text& text, const ingress::Route& route) const;
   /// \return whether the replica has answered nothing since \p attempt was sent there.
   bool is_silent(const Attempt& attempt) const;
 
@@ -113,7 +110,7 @@
   /// Cuts a call that waits for a silent replica, or sends a second one where it is due.
   void look_after(const TextPointer& text);
   /// \return whether to end \p attempt, which may be lost, and to send another one.
-  bool should_cut(const Text& text, const Attempt& attempt, const CallBounds& bounds,
+  bool should_cut(const Text& text, const Attempt& attempt, const routing::CallBounds& bounds,
                   KnownRoute& route);
   void give_up(Text& text, Attempt& attempt);
   void cut(Attempt& attempt);
--- a/src/jobs/call_times.cpp
+++ b/src/routing/call_times.cpp
@@ -1,8 +1,8 @@
-#include "jobs/call_times.hpp"
+#include "routing/call_times.hpp"
 
 #include <algorithm>
 
-namespace stoneport::jobs {
+namespace stoneport::routing {
 namespace {
 constexpr double kLargestUsualShare = 0.5;
 constexpr std::uint32_t kMostDoublings = 8;
@@ -26,7 +26,7 @@
 }
 
 core::Duration CallTimes::usual(const CallBounds& bounds) const {
-  core::Duration usual = bounds.target;
+  core::Duration usual = times(bounds.target, settings_.usual_share_of_target);
   if (newest_.size() >= settings_.fewest) {
     std::vector<core::Duration> sorted = newest_;
     const auto place =
@@ -38,8 +38,11 @@
   } else if (usual <= core::Duration(0)) {
     usual = times(bounds.timeout, settings_.usual_share_of_timeout);
   }
-  return std::min(std::max(usual, settings_.shortest_usual),
-                  times(bounds.timeout, kLargestUsualShare));
+  core::Duration longest = times(bounds.timeout, kLargestUsualShare);
+  if (bounds.target > core::Duration(0) && settings_.longest_usual_in_targets > 0) {
+    longest = std::min(longest, times(bounds.target, settings_.longest_usual_in_targets));
+  }
+  return std::min(std::max(usual, settings_.shortest_usual), longest);
 }
 
 core::Duration CallTimes::patience_with_suspect(const CallBounds& bounds,
@@ -52,4 +55,4 @@
   return std::min(times(usual(bounds), usual_times), bounds.timeout);
 }
 
-}  // namespace stoneport::jobs
+}  // namespace stoneport::routing
--- a/src/jobs/call_times.hpp
+++ b/src/routing/call_times.hpp
@@ -9,17 +9,20 @@
 
 #include "core/time.hpp"
 
-namespace stoneport::jobs {
+namespace stoneport::routing {
 
 struct CallTimeSettings {
   /// Newest successes that count. Enough for the quantile to stand on several calls, few
   /// enough to follow a service that turns slow within a minute.
   std::size_t remembered = 128;
-  /// With fewer successes the route's target stands in.
+  /// With fewer successes a share of the route's target stands in.
   std::size_t fewest = 16;
+  double usual_share_of_target = 1;
   /// A call that takes longer than this share of the successes is unusually long: one in
   /// twenty, which a budget of a tenth for second calls carries with some to spare.
   double usual_quantile = 0.95;
+  /// What is usual is at most this many targets; zero where only the timeout bounds it.
+  double longest_usual_in_targets = 0;
   /// Below this the time between sending and being woken tells more than the replica.
   core::Duration shortest_usual = std::chrono::milliseconds(150);
   /// Stands in, as a share of the route's timeout, where it states no target either.
@@ -44,7 +47,7 @@
   /// answer of another replica made it needless.
   void note(core::Duration taken);
   /// \return the time after which a call is unusually long, at most half of the timeout so
-  /// that a second one can still be answered.
+  /// that a second one can still be answered, and within the settings' share of the target.
   core::Duration usual(const CallBounds& bounds) const;
   /// \param given_up calls for the same text that got no answer in their time: the next one
   /// gets twice as much, so that a text which takes long each time is answered in the end
@@ -61,4 +64,4 @@
   std::size_t next_ = 0;                ///< where the next one goes
 };
 
-}  // namespace stoneport::jobs
+}  // namespace stoneport::routing
--- a/tests/unit/jobs/call_times_test.cpp
+++ b/tests/unit/routing/call_times_test.cpp
@@ -1,12 +1,12 @@
 /// \file
 /// How long a call is waited for, from the calls before it and from what its route states.
-#include "jobs/call_times.hpp"
+#include "routing/call_times.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
 
-namespace stoneport::jobs {
+namespace stoneport::routing {
 
 using std::chrono::milliseconds;
 
@@ -70,4 +70,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CallTimesTest);
 
-}  // namespace stoneport::jobs
+}  // namespace stoneport::routing
--- /dev/null
+++ b/tests/unit/routing/second_call_policy_test.cpp
@@ -0,0 +1,129 @@
+/// \file
+/// When a request gets a second call, when it does not, and what is learnt of a replica that was
+/// overtaken: under silent replicas, slow ones, full ones.
+#include "routing/second_call_policy.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "routing/call_times.hpp"
+#include "routing/service_pressure.hpp"
+
+namespace stoneport::routing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class SecondCallPolicyTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SecondCallPolicyTest);
+  CPPUNIT_TEST(a_call_that_takes_unusually_long_gets_another_one);
+  CPPUNIT_TEST(what_is_usual_stays_within_the_target);
+  CPPUNIT_TEST(silence_tells_when_it_is_long_or_comes_twice);
+  CPPUNIT_TEST(a_service_of_which_most_replicas_are_slow_is_slow);
+  CPPUNIT_TEST(a_refusal_counts_for_a_second);
+  CPPUNIT_TEST_SUITE_END();
+
+  void a_call_that_takes_unusually_long_gets_another_one() {
+    struct Case {
+      std::string name;
+      CallsOut calls;
+      Elsewhere elsewhere;
+      NextCall expected;
+    };
+    const Elsewhere room{true, true, true};
+    const Elsewhere full{true, false, true};
+    const auto calls = [](int taken_ms, bool is_silent, std::size_t out, std::size_t most) {
+      return CallsOut{milliseconds(taken_ms), milliseconds(60), is_silent, out, most};
+    };
+    const Case cases[] = {
+        {"not yet", calls(59, true, 1, 3), room, NextCall::kWait},
+        {"unusually long", calls(60, true, 1, 3), room, NextCall::kBeside},
+        {"a slow replica", calls(60, false, 1, 3), room, NextCall::kBeside},
+        {"the third", calls(60, true, 2, 3), room, NextCall::kBeside},
+        {"as many as it may", calls(500, true, 3, 3), room, NextCall::kWait},
+        {"one attempt only", calls(500, true, 1, 1), room, NextCall::kWait},
+        {"none left", calls(500, true, 1, 0), room, NextCall::kWait},
+        {"nothing is out", calls(500, true, 0, 3), room, NextCall::kWait},
+        {"no sound replica", calls(500, true, 1, 3), {false, true, true}, NextCall::kWait},
+        {"others are full", calls(60, true, 1, 3), full, NextCall::kReplace},
+        {"others are full, its own works", calls(60, false, 1, 3), full, NextCall::kWait},
+        {"others are silent too", calls(60, true, 1, 3), {true, false, false}, NextCall::kWait},
+    };
+    for (const Case& one : cases) {
+      CPPUNIT_ASSERT_MESSAGE(one.name, one.expected == next_call(one.calls, one.elsewhere));
+    }
+  }
+
+  void what_is_usual_stays_within_the_target() {
+    CallTimeSettings settings;
+    settings.shortest_usual = milliseconds(30);
+    settings.usual_share_of_target = 0.4;
+    settings.longest_usual_in_targets = 1;
+    const CallBounds bounds{milliseconds(800), milliseconds(150)};
+    struct Case {
+      std::string name;
+      int calls;
+      int taken_ms;
+      int expected_ms;
+    };
+    const Case cases[] = {
+        {"too few known", 15, 25, 60},
+        {"quick ones", 40, 5, 30},
+        {"ordinary ones", 40, 45, 45},
+        {"a service that is slow as a whole", 40, 400, 150},
+    };
+    for (const Case& one : cases) {
+      CallTimes times(settings);
+      for (int call = 0; call < one.calls; ++call) {
+        times.note(milliseconds(one.taken_ms));
+      }
+      CPPUNIT_ASSERT_MESSAGE(one.name, milliseconds(one.expected_ms) == times.usual(bounds));
+    }
+  }
+
+  void silence_tells_when_it_is_long_or_comes_twice() {
+    const SilenceSettings settings;
+    const auto silent = [](int taken_ms, std::size_t in_a_row) {
+      return SilentCall{milliseconds(taken_ms), milliseconds(60), milliseconds(150), in_a_row};
+    };
+    CPPUNIT_ASSERT(!is_telling(silent(90, 1), settings));
+    CPPUNIT_ASSERT(is_telling(silent(90, 2), settings));
+    CPPUNIT_ASSERT(is_telling(silent(120, 1), settings));
+    SilentCall late{milliseconds(150), milliseconds(140), milliseconds(150), 1};
+    CPPUNIT_ASSERT(is_telling(late, settings));
+    late.target = core::Duration(0);
+    CPPUNIT_ASSERT(!is_telling(late, settings));
+  }
+
+  void a_service_of_which_most_replicas_are_slow_is_slow() {
+    ServicePressure pressure;
+    core::MonotonicTime now{seconds(100)};
+    CPPUNIT_ASSERT(!pressure.is_slow(now));
+    pressure.note_answer(core::ReplicaId("a"), true, now);
+    CPPUNIT_ASSERT(!pressure.is_slow(now));  // one replica alone
+    pressure.note_answer(core::ReplicaId("b"), false, now);
+    CPPUNIT_ASSERT(!pressure.is_slow(now));
+    pressure.note_answer(core::ReplicaId("c"), true, now);
+    CPPUNIT_ASSERT(pressure.is_slow(now));
+    // Its newest answer counts for each.
+    pressure.note_answer(core::ReplicaId("c"), false, now);
+    CPPUNIT_ASSERT(!pressure.is_slow(now));
+    pressure.note_answer(core::ReplicaId("c"), true, now);
+    now += seconds(2);
+    CPPUNIT_ASSERT(!pressure.is_slow(now));  // long ago
+  }
+
+  void a_refusal_counts_for_a_second() {
+    ServicePressure pressure;
+    const core::MonotonicTime now{seconds(100)};
+    CPPUNIT_ASSERT(!pressure.is_full(now));
+    pressure.note_refusal(now);
+    CPPUNIT_ASSERT(pressure.is_full(now + milliseconds(999)));
+    CPPUNIT_ASSERT(!pressure.is_full(now + milliseconds(1000)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SecondCallPolicyTest);
+
+}  // namespace stoneport::routing
