Second calls for clients' requests, beside those that take unusually long

Cause: a repeatable request waited three target latencies (450 of its 800 ms) for a silent replica, was late always and failed when the next one was silent too.

Ruled out: a shorter patience without a call beside (it leaves slow replicas that are about to answer); two calls from the start; suspicion after the first overtaken call, as one call in twenty of sound replicas is unusually long by definition; a budget of a share plus a minimum: with all replicas slow it gave more than a tenth more sends (the test failed in 2 of 12 runs side by side), so the larger of the two is allowed now. Looking for an end of a replica before an answer of the other call is taken: it may last a connection attempt (600 ms), so it goes on beside.

Change: run() sends one by one as before where the switch secondCalls is off, and for what may not repeat, streams, one attempt, and the coordinator's calls. Otherwise the calls of a request are a CallRace on its coroutine's frame: one more after the usual time of the route, in another zone if there is one, within the attempts of the route and a tenth of first calls, none while the service refuses for load or most of its replicas are slow, none for content under suspicion. The first answer counts, the others are cut; usage counts one run, by the call that was answered.

KeptResponse moves from ForwarderColdTest to tests/support, its assertions unchanged.

--- /dev/null
+++ b/src/ingress/call_race.cpp
@@ -0,0 +1,100 @@
+#include "ingress/call_race.hpp"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "runtime/cancellable.hpp"
+#include "runtime/tasks.hpp"
+
+namespace stoneport::ingress {
+namespace asio = boost::asio;
+
+bool CallAttempt::is_broken() const {
+  if (!result || result->has_value()) {
+    return false;
+  }
+  const ports::CallFailure& failure = result->error();
+  return failure.kind == ports::CallFailureKind::kMayHaveRun && !failure.unreachable;
+}
+
+CallRace::CallRace(const asio::any_io_executor& executor)
+    : ended_(std::make_shared<asio::steady_timer>(executor)) {}
+
+asio::awaitable<void> CallRace::run(CallAttemptPointer attempt,
+                                    asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> call,
+                                    Look look, Timer ended) {
+  if (!attempt->is_cut) {
+    attempt->result = co_await runtime::run_cancellable(std::move(call), attempt->cut);
+  }
+  if (!attempt->is_cut && attempt->is_broken()) {
+    attempt->replica_has_ended = co_await look();
+  }
+  attempt->has_ended = true;
+  ended->cancel();
+}
+
+void CallRace::begin(CallAttemptPointer attempt,
+                     asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> call, Look look) {
+  calls_.push_back(attempt);
+  runtime::start(ended_->get_executor(), "call to a replica",
+                 run(std::move(attempt), std::move(call), std::move(look), ended_));
+}
+
+asio::awaitable<void> CallRace::wait(core::Duration longest) {
+  const bool has_ended =
+      std::any_of(calls_.begin(), calls_.end(),
+                  [](const CallAttemptPointer& attempt) { return attempt->has_ended; });
+  if (has_ended) {
+    co_return;
+  }
+  ended_->expires_after(longest);
+  co_await ended_->async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+CallAttemptPointer CallRace::take_ended() {
+  const auto was_answered = [](const CallAttemptPointer& attempt) {
+    return attempt->has_ended && attempt->result && attempt->result->has_value();
+  };
+  auto found = std::find_if(calls_.begin(), calls_.end(), was_answered);
+  if (found == calls_.end()) {
+    found = std::find_if(calls_.begin(), calls_.end(),
+                         [](const CallAttemptPointer& attempt) { return attempt->has_ended; });
+  }
+  if (found == calls_.end()) {
+    return nullptr;
+  }
+  CallAttemptPointer ended = *found;
+  calls_.erase(found);
+  return ended;
+}
+
+void CallRace::cut_all() {
+  for (const CallAttemptPointer& attempt : calls_) {
+    attempt->is_cut = true;
+    if (!attempt->result) {
+      attempt->cut.emit(asio::cancellation_type::terminal);
+    }
+  }
+  calls_.clear();
+}
+
+bool CallRace::looks_at_replica() const {
+  return std::any_of(calls_.begin(), calls_.end(), [](const CallAttemptPointer& attempt) {
+    return !attempt->has_ended && attempt->is_broken();
+  });
+}
+
+bool CallRace::has_call_at(const ReplicaState& replica) const {
+  return std::any_of(calls_.begin(), calls_.end(), [&](const CallAttemptPointer& attempt) {
+    return attempt->replica.get() == &replica;
+  });
+}
+
+bool CallRace::has_call_in(const core::ZoneName& zone) const {
+  return std::any_of(calls_.begin(), calls_.end(), [&](const CallAttemptPointer& attempt) {
+    return attempt->replica->record.zone == zone;
+  });
+}
+
+}  // namespace stoneport::ingress
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -71,6 +71,29 @@
   return call;
 }
 
+ports::ReplicaCall Forwarder::whole_call(const ForwardedRequest& request, const Progress& progress,
+                                         std::size_t calls_out) const {
+  const Route& route = *request.route;
+  const core::Duration patience = std::max(
+      settings_.shortest_patience, core::from_seconds(core::to_seconds(route.target_latency) *
+                                                      settings_.patience_in_target_latencies));
+  ports::ReplicaCall call = replica_call(request, progress);
+  const bool is_last = progress.counted_runs() + calls_out + 1 >= route.most_attempts;
+  if (is_repeatable(route) && !is_last) {
+    call.time_left = std::min(call.time_left, patience);
+  }
+  return call;
+}
+
+void Forwarder::note_going_out(const ForwardedRequest& request, const ReplicaPointer& replica,
+                               core::MonotonicTime now, ObservedRun& observed) {
+  observed.sent(now);
+  note_sent(*replica, request);
+  if (request.on_sent) {
+    request.on_sent(replica);
+  }
+}
+
 bool Forwarder::may_try_again(const ForwardedRequest& request, const Progress& progress) const {
   if (time_.now() >= progress.give_up_at || progress.refusals > settings_.most_refusals) {
     return false;
@@ -129,9 +152,17 @@
   return failure;
 }
 
+ForwardResult Forwarder::end_unserved(const ForwardedRequest& request, Progress& progress) const {
+  if (progress.last_answer) {
+    return std::move(*progress.last_answer);
+  }
+  return end_of(request, progress);
+}
+
 Forwarder::Verdict Forwarder::judge(const ForwardedRequest& request, ReplicaState& replica,
                                     ports::ReplicaAnswer& answer, Progress& progress) {
   replica.last_answer = time_.now();
+  replica.overtaken_calls = 0;
   const unsigned status = answer.response.head.status;
   const bool is_success = status < 400;
   const bool retry_may_help = status >= kServerError || is_promise(status);
@@ -192,10 +223,14 @@
   progress.give_up_at = std::min(request.deadline, request.received + request.route->timeout);
   progress.preference = preference_for(*request.route);
   progress.preference.excluded = request.avoided;
-  const core::Duration patience =
-      std::max(settings_.shortest_patience,
-               core::from_seconds(core::to_seconds(request.route->target_latency) *
-                                  settings_.patience_in_target_latencies));
+  if (takes_second_calls(request)) {
+    co_return co_await run_with_second_calls(request, progress, observed);
+  }
+  co_return co_await run_in_turn(request, progress, observed);
+}
+
+asio::awaitable<ForwardResult> Forwarder::run_in_turn(const ForwardedRequest& request,
+                                                      Progress& progress, ObservedRun& observed) {
   while (may_try_again(request, progress)) {
     const ReplicaPointer replica = co_await choose(request, progress);
     if (!replica) {
@@ -205,19 +240,10 @@
     const std::optional<CrashGuard::Run> suspect_run = begin_if_suspect(*replica, progress);
     const core::MonotonicTime sent_at = time_.now();
     const bool was_cold = is_cold(*replica);
-    observed.sent(sent_at);
-    note_sent(*replica, request);
-    if (request.on_sent) {
-      request.on_sent(replica);
-    }
-    ports::ReplicaCall call = replica_call(request, progress);
-    const bool is_last = progress.counted_runs() + 1 >= request.route->most_attempts;
-    if (is_repeatable(*request.route) && !is_last) {
-      call.time_left = std::min(call.time_left, patience);
-    }
+    note_going_out(request, replica, sent_at, observed);
     ports::ReplicaTarget target{replica->record.id, replica->record.address};
     ports::CallResult<ports::ReplicaAnswer> answer =
-        co_await client_.call(std::move(target), std::move(call));
+        co_await client_.call(std::move(target), whole_call(request, progress, 0));
     if (!answer) {
       note_attempt(answer.error(), observed);
       co_await runtime::end_if_cut();  // the replica is not to blame for a call that was cut
@@ -238,10 +264,7 @@
     }
     progress.preference.excluded.insert(replica->record.id);
   }
-  if (progress.last_answer) {
-    co_return std::move(*progress.last_answer);
-  }
-  co_return end_of(request, progress);
+  co_return end_unserved(request, progress);
 }
 
 asio::awaitable<void> Forwarder::serve(ForwardedRequest request, http::ResponseWriter& response) {
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -12,11 +13,16 @@
 
 #include "core/metrics.hpp"
 #include "http/server.hpp"
+#include "ingress/call_race.hpp"
 #include "ingress/crash_guard.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
 #include "ingress/run_observer.hpp"
 #include "ports/replica_client.hpp"
+#include "routing/call_times.hpp"
+#include "routing/retry_budget.hpp"
+#include "routing/second_call_policy.hpp"
+#include "routing/service_pressure.hpp"
 
 namespace stoneport::ingress {
 
@@ -61,6 +67,23 @@
 /// has not run and never will.
 http::Response failure_response(const ForwardFailure& failure);
 
+/// When a client's request gets a second call beside one that takes unusually long.
+struct SecondCallSettings {
+  /// With few answers known, 0.4 of the target leaves the second one the larger part of it. Below
+  /// 30 ms the connection tells more than the replica. After the target the answer is late anyway.
+  routing::CallTimeSettings times{.usual_share_of_target = 0.4,
+                                  .longest_usual_in_targets = 1,
+                                  .shortest_usual = std::chrono::milliseconds(30)};
+  /// A tenth of the first calls of a route. However few these are, enough to find three silent
+  /// replicas of a small service, by two calls each, and once more when suspicion of them ends.
+  routing::RetryBudgetOptions budget{
+      .ratio = 0.1, .minimum = 9, .window = std::chrono::seconds(10), .adds_minimum = false};
+  routing::ServicePressureSettings pressure;
+  routing::SilenceSettings silence;
+  /// Between two looks for a replica for a second call that is due.
+  core::Duration look_interval = std::chrono::milliseconds(10);
+};
+
 struct ForwarderSettings {
   core::ZoneName zone;
   core::RegionName region = {};
@@ -93,6 +116,10 @@
   core::Duration held_back_return = std::chrono::seconds(30);
   /// Refusals, beyond the attempts of the route, after which a request is given up.
   std::uint32_t most_refusals = 6;
+  /// Whether repeatable requests of clients get second calls; without, a call is repeated only
+  /// after the patience above.
+  bool second_calls = true;
+  SecondCallSettings second_call_settings = {};
 };
 
 class Forwarder {
@@ -119,6 +146,47 @@
   enum class Verdict { kAnswer, kRetry, kGiveUp };
 
   boost::asio::awaitable<ForwardResult> run(ForwardedRequest request);
+  /// Sends the request to one replica after the other.
+  boost::asio::awaitable<ForwardResult> run_in_turn(const ForwardedRequest& request,
+                                                    Progress& progress, ObservedRun& observed);
+  /// The same with second calls beside those that take unusually long.
+  boost::asio::awaitable<ForwardResult> run_with_second_calls(const ForwardedRequest& request,
+                                                              Progress& progress,
+                                                              ObservedRun& observed);
+  /// \return whether \p request may ever have two calls out.
+  bool takes_second_calls(const ForwardedRequest& request) const;
+  /// \return whether one more call may go out now beside those of \p request: it ends no
+  /// replicas, and its service is neither full nor slow as a whole.
+  bool may_send_second(const ForwardedRequest& request, Progress& progress) const;
+  void send(const ForwardedRequest& request, const CallAttemptPointer& attempt, CallRace& race,
+            Progress& progress, ObservedRun& observed);
+  void send_first(const ForwardedRequest& request, const ReplicaPointer& replica, CallRace& race,
+                  Progress& progress, ObservedRun& observed);
+  void send_second_if_due(const ForwardedRequest& request, CallRace& race, Progress& progress,
+                          ObservedRun& observed);
+  /// \return a sound replica with a free place for one more call of \p request, if possible in a
+  /// zone where it has none; null when there is none.
+  ReplicaPointer choose_beside(const ForwardedRequest& request, const CallRace& race,
+                               const Progress& progress);
+  /// \return when to look at the calls of \p race again, from now.
+  core::Duration next_look(const Route& route, const CallRace& race);
+  /// Takes in how a call ended.
+  /// \return the end of the request; nothing while it goes on.
+  std::optional<ForwardResult> settle(const ForwardedRequest& request, CallAttempt& attempt,
+                                      CallRace& race, Progress& progress, ObservedRun& observed);
+  void settle_without_answer(const ForwardedRequest& request, const CallAttempt& attempt,
+                             const ports::CallFailure& failure, const CallRace& race,
+                             Progress& progress, ObservedRun& observed);
+  void on_won(const Route& route, const CallAttempt& winner, CallRace& race);
+  void on_overtaken(const Route& route, CallAttempt& attempt);
+  /// What is known of a route's requests that may get second calls.
+  struct RouteHistory {
+    routing::CallTimes times;
+    routing::RetryBudget second_calls;
+  };
+  RouteHistory& history_of(const Route& route);
+  core::Duration usual_time(const Route& route);
+  routing::ServicePressure& pressure_of(const core::ServiceName& service);
   /// \return null when no replica accepted work until the request had to be given up.
   boost::asio::awaitable<ReplicaPointer> choose(const ForwardedRequest& request,
                                                 Progress& progress);
@@ -157,6 +225,12 @@
   core::Duration evacuated_return(const Route& route, core::Duration left) const;
   ReplicaPreference preference_for(const Route& route) const;
   ports::ReplicaCall replica_call(const ForwardedRequest& request, const Progress& progress) const;
+  /// \return the call for one more attempt at a whole answer, which another one may follow.
+  /// \param calls_out that the request has out already
+  ports::ReplicaCall whole_call(const ForwardedRequest& request, const Progress& progress,
+                                std::size_t calls_out) const;
+  void note_going_out(const ForwardedRequest& request, const ReplicaPointer& replica,
+                      core::MonotonicTime now, ObservedRun& observed);
   void note_failure(const ForwardedRequest& request, const ReplicaPointer& replica,
                     const ports::CallFailure& failure, Progress& progress);
   /// A call that the replica ran, or may have run, failed.
@@ -174,6 +248,8 @@
                 ports::ReplicaAnswer& answer, Progress& progress);
   bool may_try_again(const ForwardedRequest& request, const Progress& progress) const;
   ForwardFailure end_of(const ForwardedRequest& request, const Progress& progress) const;
+  /// \return the end of a request that no replica served.
+  ForwardResult end_unserved(const ForwardedRequest& request, Progress& progress) const;
 
   boost::asio::awaitable<void> serve_whole(ForwardedRequest request,
                                            http::ResponseWriter& response);
@@ -194,6 +270,8 @@
   RunObserver* observer_;
   std::unique_ptr<Meters> meters_;
   CrashGuard guard_;
+  std::map<std::string, RouteHistory> histories_;  ///< by the route's name
+  std::map<core::ServiceName, routing::ServicePressure> pressures_;
 
  public:
   ~Forwarder();
--- a/src/ingress/forwarder_parts.hpp
+++ b/src/ingress/forwarder_parts.hpp
@@ -40,6 +40,7 @@
   bool started = false;              ///< the head of a stream has gone to the client
   bool evacuated = false;            ///< ended because all replicas lie in evacuated zones
   bool held_back = false;            ///< ended because replicas end under it
+  bool was_over_budget = false;      ///< a second call was not sent for want of budget
   core::RequestFingerprint content;  ///< empty until it was asked for
   Admission admission;               ///< of the next attempt
 
@@ -75,12 +76,23 @@
                             "Requests that no replica may get because of their regions")),
         sent_to_other_region(metrics.counter("stoneport_sent_to_other_region_total",
                                              "Attempts at replicas of another region")),
+        second_calls_sent(second_calls(metrics, "sent")),
+        second_calls_won(second_calls(metrics, "won")),
+        second_calls_cut(second_calls(metrics, "cut")),
+        second_calls_over_budget(second_calls(metrics, "over_budget")),
         seconds(metrics.seconds_histogram("stoneport_forward_seconds",
                                           "From a request's arrival to its answer")) {}
   static prometheus::Counter& outcome(core::Metrics& metrics, const std::string& name) {
     return metrics.counter("stoneport_forwarded_requests_total", "Requests by end",
                            {{"outcome", name}});
   }
+  static prometheus::Counter& second_calls(core::Metrics& metrics, const std::string& event) {
+    return metrics.counter(
+        "stoneport_forward_second_calls_total",
+        "Second calls of clients' requests: sent, answered first (won), not sent "
+        "for want of budget; and calls cut as another one was answered",
+        {{"event", event}});
+  }
   prometheus::Counter& answered;
   prometheus::Counter& refused;
   prometheus::Counter& failed;
@@ -91,6 +103,10 @@
   prometheus::Counter& ejections;
   prometheus::Counter& refused_for_regions;
   prometheus::Counter& sent_to_other_region;
+  prometheus::Counter& second_calls_sent;
+  prometheus::Counter& second_calls_won;
+  prometheus::Counter& second_calls_cut;
+  prometheus::Counter& second_calls_over_budget;
   prometheus::Histogram& seconds;
 };
 
--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -48,7 +48,9 @@
 /// it may outlive its listing.
 struct ReplicaState {
   ReplicaRecord record;
-  bool listed = true;           ///< false once the store no longer lists it
+  bool listed = true;  ///< false once the store no longer lists it
+  /// Calls since its last answer that other replicas answered first.
+  std::uint8_t overtaken_calls = 0;
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
   double latency_seconds = 0;                 ///< moving average of answered calls; zero when none
--- a/src/ingress/run_observer.hpp
+++ b/src/ingress/run_observer.hpp
@@ -49,6 +49,13 @@
   }
   /// The attempt that was sent ran.
   void ran() { settle(true); }
+  /// The same for one of several that were out, which was sent at \p sent_at: the request counts
+  /// by this one.
+  void ran_since(core::MonotonicTime sent_at) {
+    not_run();
+    sent(sent_at);
+    ran();
+  }
 
  private:
   void settle(bool has_run) {
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -50,6 +50,7 @@
   forwarder.zone = settings.zone;
   forwarder.region = settings.region;
   forwarder.process = settings.name.value();
+  forwarder.second_calls = settings.load_control.second_calls;
   return forwarder;
 }
 
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -1,5 +1,7 @@
 #include "routing/retry_budget.hpp"
 
+#include <algorithm>
+
 namespace stoneport::routing {
 
 std::int64_t RetryBudget::period_of(core::MonotonicTime now) const {
@@ -30,7 +32,9 @@
       retries += bucket.retries;
     }
   }
-  const double allowed = options_.minimum + options_.ratio * static_cast<double>(first_attempts);
+  const double minimum = options_.minimum;
+  const double share = options_.ratio * static_cast<double>(first_attempts);
+  const double allowed = options_.adds_minimum ? minimum + share : std::max(minimum, share);
   if (static_cast<double>(retries + 1) > allowed) {
     return false;
   }
--- a/src/routing/retry_budget.hpp
+++ b/src/routing/retry_budget.hpp
@@ -16,6 +16,9 @@
   /// Retries allowed within the window however few first attempts there are.
   std::uint32_t minimum = 3;
   core::Duration window = std::chrono::seconds(10);
+  /// Whether the minimum comes on top of the share; else the larger of the two is allowed, so that
+  /// many first attempts get no more than the share.
+  bool adds_minimum = true;
 };
 
 class RetryBudget {
--- a/tests/unit/ingress/forwarder_cold_test.cpp
+++ b/tests/unit/ingress/forwarder_cold_test.cpp
@@ -8,6 +8,7 @@
 
 #include "ingress/forwarder.hpp"
 #include "support/fake_replica_client.hpp"
+#include "support/kept_response.hpp"
 #include "support/run_task.hpp"
 
 namespace stoneport::ingress {
@@ -15,28 +16,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-/// Keeps the head of the answer.
-class KeptResponse : public http::ResponseWriter {
- public:
-  boost::asio::awaitable<core::Result<void>> start(http::ResponseHead head,
-                                                   std::optional<std::uint64_t>) override {
-    kept = std::move(head);
-    co_return core::Result<void>();
-  }
-  boost::asio::awaitable<core::Result<void>> write(std::string_view) override {
-    co_return core::Result<void>();
-  }
-  boost::asio::awaitable<core::Result<void>> finish() override { co_return core::Result<void>(); }
-  bool started() const override { return kept.status != 0; }
-  bool client_gone() const override { return false; }
-
-  http::ResponseHead kept;
-};
-
-}  // namespace
-
 class ForwarderColdTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ForwarderColdTest);
   CPPUNIT_TEST(a_process_that_is_not_chosen_uses_warm_replicas);
@@ -89,11 +68,11 @@
       return made;
     }
     http::ResponseHead serve() {
-      KeptResponse response;
+      support::KeptResponse response;
       support::run_task(context, answer(response));
       return response.kept;
     }
-    boost::asio::awaitable<bool> answer(KeptResponse& response) {
+    boost::asio::awaitable<bool> answer(support::KeptResponse& response) {
       co_await forwarder.serve(request(), response);
       co_return true;
     }
--- /dev/null
+++ b/tests/unit/ingress/forwarder_second_call_test.cpp
@@ -0,0 +1,512 @@
+/// \file
+/// Second calls of clients' requests: under silent, slow, failing and full replicas, within the
+/// attempts of the route and its budget, counted once. Over replicas in memory.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <list>
+
+#include "ingress/forwarder.hpp"
+#include "support/fake_replica_client.hpp"
+#include "support/kept_response.hpp"
+#include "support/run_task.hpp"
+
+namespace stoneport::ingress {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Tells of each call before it goes on.
+class WatchedClient : public support::FakeReplicaClient {
+ public:
+  boost::asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> call(
+      ports::ReplicaTarget target, ports::ReplicaCall call) override {
+    times_left.push_back(call.time_left);
+    if (on_call) {
+      on_call(calls.size() + 1);
+    }
+    const bool breaks = broken_by == target.id.value();
+    ports::CallResult<ports::ReplicaAnswer> answer =
+        co_await FakeReplicaClient::call(std::move(target), std::move(call));
+    if (breaks && answer) {
+      co_return ports::CallFailure{.reason = "the connection broke"};
+    }
+    co_return answer;
+  }
+  boost::asio::awaitable<bool> refuses_connections(ports::ReplicaTarget target) override {
+    co_await runtime::sleep_for(look_time);
+    co_return co_await FakeReplicaClient::refuses_connections(std::move(target));
+  }
+
+  std::function<void(std::size_t number)> on_call;  ///< numbered from one
+  std::string broken_by = {};              ///< this replica runs calls and breaks their connections
+  core::Duration look_time{};              ///< until it is found out whether a replica has ended
+  std::vector<core::Duration> times_left;  ///< by call
+};
+
+/// Counts settled runs.
+class CountingObserver : public RunObserver {
+ public:
+  Span on_sent(core::MonotonicTime sent_at) override {
+    ++open;
+    last_sent_at = sent_at;
+    return 0;
+  }
+  void on_settled(const core::TenantName& tenant, Span span, bool has_run) override {
+    (void)tenant;
+    (void)span;
+    --open;
+    runs += has_run ? 1 : 0;
+  }
+
+  int open = 0;
+  int runs = 0;
+  core::MonotonicTime last_sent_at{};
+};
+
+}  // namespace
+
+class ForwarderSecondCallTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ForwarderSecondCallTest);
+  CPPUNIT_TEST(a_silent_replica_costs_less_than_the_target);
+  CPPUNIT_TEST(a_replica_that_is_overtaken_twice_is_suspect);
+  CPPUNIT_TEST(the_first_answer_counts_and_the_other_call_is_cut);
+  CPPUNIT_TEST(a_slow_replica_that_works_is_not_suspect);
+  CPPUNIT_TEST(two_silent_replicas_are_passed_by_a_third_call);
+  CPPUNIT_TEST(the_attempts_of_the_route_are_kept);
+  CPPUNIT_TEST(what_may_not_repeat_is_sent_once);
+  CPPUNIT_TEST(a_failure_does_not_end_a_request_that_another_replica_works_on);
+  CPPUNIT_TEST(a_replica_that_ends_under_a_request_is_noted_though_another_one_answers);
+  CPPUNIT_TEST(no_call_goes_out_until_it_is_known_whether_a_replica_has_ended);
+  CPPUNIT_TEST(second_calls_stay_few_when_all_are_slow);
+  CPPUNIT_TEST(a_service_that_refuses_for_load_gets_no_second_calls);
+  CPPUNIT_TEST(no_second_call_without_a_free_place);
+  CPPUNIT_TEST(what_may_end_replicas_gets_no_second_call);
+  CPPUNIT_TEST(a_request_counts_once);
+  CPPUNIT_TEST(a_client_that_leaves_ends_both_calls);
+  CPPUNIT_TEST(switched_off_a_call_is_repeated_after_its_patience);
+  CPPUNIT_TEST(calls_of_the_coordinator_get_none);
+  CPPUNIT_TEST_SUITE_END();
+
+  static ForwarderSettings settings_with(bool second_calls) {
+    ForwarderSettings settings;
+    settings.zone = core::ZoneName("a");
+    settings.second_calls = second_calls;
+    return settings;
+  }
+
+  struct World {
+    explicit World(std::uint32_t most_attempts = 3, bool second_calls = true)
+        : forwarder(directory, replicas, settings_with(second_calls), 1, time, metrics, &observer) {
+      route.name = "desk";
+      route.host = "host";
+      route.path_prefix = "/";
+      route.kind = RouteKind::kRepeatable;
+      route.timeout = seconds(2);
+      route.target_latency = milliseconds(400);
+      route.most_attempts = most_attempts;
+      route.targets = {{core::ServiceName("desk"), 1}};
+    }
+    void add(const std::string& id, const std::string& zone, std::uint32_t slots = 6) {
+      ReplicaRecord record;
+      record.id = core::ReplicaId(id);
+      record.service = core::ServiceName("desk");
+      record.zone = core::ZoneName(zone);
+      record.slots = slots;
+      directory.apply({{record}, {}});
+      replicas.replicas[id] = {};
+    }
+    /// The calls before \p number go to replicas of \p ids in turn; the others take work from then
+    /// on.
+    void send_in_turn(std::vector<std::string> ids) {
+      replicas.on_call = [this, ids](std::size_t number) {
+        for (const auto& [id, replica] : directory.replicas()) {
+          replica->record.draining = number < ids.size() && id.value() != ids[number];
+        }
+      };
+      replicas.calls.clear();
+      replicas.on_call(0);
+    }
+    ReplicaPointer replica(const std::string& id) const {
+      return directory.find(core::ReplicaId(id));
+    }
+    bool is_suspect(const std::string& id) const { return replica(id)->is_suspect(time.now()); }
+    ForwardedRequest request() {
+      ForwardedRequest made;
+      made.table = std::make_shared<RouteTable>(1, std::vector<Route>{route}, ClientLimits());
+      made.route = &made.table->routes().front();
+      made.request_id = "q" + std::to_string(++made_requests);
+      made.head.method = "GET";
+      made.head.target = "/x";
+      made.tenant = core::TenantName("tenant");
+      made.received = time.now();
+      made.deadline = made.received + seconds(3);
+      return made;
+    }
+    boost::asio::awaitable<bool> answer(ForwardedRequest request, support::KeptResponse& response) {
+      co_await forwarder.serve(std::move(request), response);
+      co_return true;
+    }
+    /// \return the status of the answer to one request; none of its calls is out any more then.
+    unsigned serve() {
+      support::KeptResponse response;
+      const core::MonotonicTime began = time.now();
+      support::run_task(context, answer(request(), response));
+      held = time.now() - began;
+      run_for(milliseconds(20));
+      CPPUNIT_ASSERT_EQUAL(1, response.answers);
+      return response.kept.status;
+    }
+    void run_for(core::Duration length) {
+      context.restart();
+      context.run_for(length);
+    }
+    double counted(const std::string& event) {
+      return metrics.counter("stoneport_forward_second_calls_total", "", {{"event", event}})
+          .Value();
+    }
+    int running_calls() {
+      int running = 0;
+      for (const auto& [id, replica] : replicas.replicas) {
+        running += replica.running_calls;
+      }
+      return running;
+    }
+
+    WatchedClient replicas;
+    ReplicaDirectory directory;
+    Route route;
+    core::SystemTimeSource time;
+    core::Metrics metrics;
+    CountingObserver observer;
+    Forwarder forwarder;
+    core::Duration held{};  ///< how long the last request took
+    int made_requests = 0;
+    boost::asio::io_context context;  ///< goes first, with the calls that are out
+  };
+  using Names = std::vector<std::string>;
+
+  static void add_three(World& world) {
+    world.add("r0", "a");
+    world.add("r1", "a");
+    world.add("r2", "b");
+  }
+
+  void a_silent_replica_costs_less_than_the_target() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].silent = true;
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.held < world.route.target_latency);
+    // In another zone, though one of the own has places too.
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2"}));
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("sent"));
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("won"));
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("cut"));
+  }
+
+  void a_replica_that_is_overtaken_twice_is_suspect() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].silent = true;
+    world.send_in_turn({"r0"});
+    world.serve();
+    CPPUNIT_ASSERT(!world.is_suspect("r0"));  // one call in twenty takes as long by chance
+    world.send_in_turn({"r0"});
+    world.serve();
+    CPPUNIT_ASSERT(world.is_suspect("r0"));
+    CPPUNIT_ASSERT(!world.is_suspect("r2"));
+    // An answer ends the row.
+    world.replicas.replicas["r0"].silent = false;
+    world.send_in_turn({"r0"});
+    world.serve();
+    CPPUNIT_ASSERT_EQUAL(0, int{world.replica("r0")->overtaken_calls});
+  }
+
+  void the_first_answer_counts_and_the_other_call_is_cut() {
+    World world(2);
+    add_three(world);
+    world.replicas.replicas["r0"].answer_time = milliseconds(280);
+    world.replicas.replicas["r2"].answer_time = milliseconds(600);
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2"}));
+    CPPUNIT_ASSERT_EQUAL(1, world.replicas.replicas["r0"].answered_calls);
+    CPPUNIT_ASSERT_EQUAL(0, world.replicas.replicas["r2"].answered_calls);
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    // The call that was cut says nothing of its replica.
+    CPPUNIT_ASSERT_EQUAL(0.0, world.replica("r2")->latency_seconds);
+    CPPUNIT_ASSERT_EQUAL(0u, world.replica("r2")->in_flight);
+    CPPUNIT_ASSERT(!world.is_suspect("r2"));
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("won"));
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("cut"));
+    CPPUNIT_ASSERT_EQUAL(
+        0.0, world.metrics.counter("stoneport_forward_attempt_failures_total", "").Value());
+  }
+
+  void a_slow_replica_that_works_is_not_suspect() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].answer_time = milliseconds(1000);
+    world.replicas.replicas["r2"].answer_time = milliseconds(100);
+    world.send_in_turn({"r0"});
+    // It answers somebody while the call is out.
+    world.replicas.on_call = [&world, set = world.replicas.on_call](std::size_t number) {
+      set(number);
+      if (number == 2) {
+        world.replica("r0")->last_answer = world.time.now();
+      }
+    };
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT_EQUAL(1.0, world.counted("won"));
+    CPPUNIT_ASSERT(!world.is_suspect("r0"));
+    CPPUNIT_ASSERT(world.replica("r0")->latency_seconds > 0.25);  // as long as it took at least
+  }
+
+  void two_silent_replicas_are_passed_by_a_third_call() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].silent = true;
+    world.replicas.replicas["r2"].silent = true;
+    world.send_in_turn({"r0", "r2"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2", "r1"}));
+    CPPUNIT_ASSERT(world.held < seconds(1));
+    CPPUNIT_ASSERT(world.is_suspect("r0"));  // silent for twice the usual time
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    // The last one may take all that is left, and no more.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.replicas.times_left.size());
+    CPPUNIT_ASSERT(world.replicas.times_left[2] <= world.route.timeout - milliseconds(320));
+    CPPUNIT_ASSERT(world.replicas.times_left[2] > world.replicas.times_left[1]);
+    CPPUNIT_ASSERT_EQUAL(2.0, world.counted("sent"));
+    CPPUNIT_ASSERT_EQUAL(2.0, world.counted("cut"));
+  }
+
+  void the_attempts_of_the_route_are_kept() {
+    for (std::uint32_t most_attempts = 1; most_attempts <= 3; ++most_attempts) {
+      World world(most_attempts);
+      world.route.timeout = milliseconds(800);
+      for (int index = 0; index < 5; ++index) {
+        world.add("r" + std::to_string(index), index % 2 == 0 ? "a" : "b");
+        world.replicas.replicas["r" + std::to_string(index)].silent = true;
+      }
+      CPPUNIT_ASSERT_EQUAL(504u, world.serve());
+      CPPUNIT_ASSERT_EQUAL(std::size_t{most_attempts}, world.replicas.calls.size());
+      CPPUNIT_ASSERT(world.held >= milliseconds(780));  // not given up while one may still answer
+      CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    }
+  }
+
+  void what_may_not_repeat_is_sent_once() {
+    World world;
+    add_three(world);
+    world.route.kind = RouteKind::kOnce;
+    world.route.timeout = milliseconds(800);
+    world.replicas.replicas["r0"].silent = true;
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(504u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0"}));
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+  }
+
+  void a_failure_does_not_end_a_request_that_another_replica_works_on() {
+    World world(2);
+    add_three(world);
+    world.replicas.replicas["r0"].answer_time = milliseconds(250);
+    world.replicas.replicas["r0"].fail = 1;
+    world.replicas.replicas["r2"].answer_time = milliseconds(300);
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2"}));
+    CPPUNIT_ASSERT_EQUAL(1, world.observer.runs);
+    CPPUNIT_ASSERT_EQUAL(0, world.observer.open);
+  }
+
+  void a_replica_that_ends_under_a_request_is_noted_though_another_one_answers() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].answer_time = milliseconds(200);
+    world.replicas.replicas["r0"].ended = true;
+    world.replicas.replicas["r2"].answer_time = milliseconds(100);
+    world.replicas.broken_by = "r0";
+    world.replicas.look_time = milliseconds(600);
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2"}));
+    CPPUNIT_ASSERT(world.held < milliseconds(600));
+    CPPUNIT_ASSERT(!world.replica("r0")->has_ended());
+    world.run_for(milliseconds(700));
+    CPPUNIT_ASSERT(world.replica("r0")->has_ended());
+    CPPUNIT_ASSERT(world.forwarder.guard().has_suspects());
+    CPPUNIT_ASSERT_EQUAL(1, world.observer.runs);
+  }
+
+  void no_call_goes_out_until_it_is_known_whether_a_replica_has_ended() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].answer_time = milliseconds(10);
+    world.replicas.replicas["r0"].ended = true;
+    world.replicas.broken_by = "r0";
+    world.replicas.look_time = milliseconds(400);
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.held >= milliseconds(400));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, world.replicas.calls.size());
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+  }
+
+  void second_calls_stay_few_when_all_are_slow() {
+    World world;
+    for (int index = 0; index < 6; ++index) {
+      world.add("r" + std::to_string(index), index % 2 == 0 ? "a" : "b");
+    }
+    constexpr int kQuick = 40;
+    for (int request = 0; request < kQuick; ++request) {
+      world.serve();
+    }
+    for (auto& [id, replica] : world.replicas.replicas) {
+      replica.answer_time = milliseconds(200);
+    }
+    constexpr int kWaves = 20;
+    constexpr int kAtOnce = 10;
+    std::list<support::KeptResponse> responses;
+    for (int wave = 0; wave < kWaves; ++wave) {
+      for (int request = 0; request < kAtOnce; ++request) {
+        boost::asio::co_spawn(world.context,
+                              world.answer(world.request(), responses.emplace_back()),
+                              boost::asio::detached);
+      }
+      world.run_for(milliseconds(120));
+    }
+    world.run_for(milliseconds(600));
+    for (const support::KeptResponse& response : responses) {
+      CPPUNIT_ASSERT_EQUAL(200u, response.kept.status);
+    }
+    const std::size_t asked = kQuick + responses.size();  // within the window of the budget
+    CPPUNIT_ASSERT(world.replicas.calls.size() >= asked);
+    CPPUNIT_ASSERT(world.replicas.calls.size() <= asked + asked / 10);
+  }
+
+  void a_service_that_refuses_for_load_gets_no_second_calls() {
+    World world;
+    add_three(world);
+    world.route.target_latency = milliseconds(100);
+    world.replicas.replicas["r0"].refuse = 1;
+    world.replicas.replicas["r1"].silent = true;
+    world.send_in_turn({"r0", "r1"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+    CPPUNIT_ASSERT(world.held >= milliseconds(300));  // its patience
+    CPPUNIT_ASSERT_EQUAL(std::string("r1"), world.replicas.calls[1]);
+  }
+
+  void no_second_call_without_a_free_place() {
+    World world(2);
+    world.add("r0", "a");
+    world.add("r1", "b", 1);
+    world.replicas.replicas["r0"].answer_time = milliseconds(400);
+    const InFlight other(world.replica("r1"));
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0"}));
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("over_budget"));
+  }
+
+  void what_may_end_replicas_gets_no_second_call() {
+    World world(2);
+    add_three(world);
+    quarantine::Suspect suspect;
+    suspect.content = world.request().fingerprint();
+    suspect.ended = {core::ReplicaId("before")};
+    suspect.forget_at = world.time.now() + seconds(60);
+    world.forwarder.guard().hear(suspect);
+    CPPUNIT_ASSERT(world.forwarder.guard().is_suspect(suspect.content));
+    for (auto& [id, replica] : world.replicas.replicas) {
+      replica.answer_time = milliseconds(400);
+    }
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.replicas.calls.size());
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+  }
+
+  void a_request_counts_once() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].silent = true;
+    world.send_in_turn({"r0"});
+    const core::MonotonicTime began = world.time.now();
+    world.serve();
+    CPPUNIT_ASSERT_EQUAL(1, world.observer.runs);
+    CPPUNIT_ASSERT_EQUAL(0, world.observer.open);
+    // It counts by the call that was answered.
+    CPPUNIT_ASSERT(world.observer.last_sent_at >= began + milliseconds(160));
+    // The second one is refused, and the first one is answered after all.
+    world.replicas.replicas["r0"].silent = false;
+    world.replicas.replicas["r0"].answer_time = milliseconds(300);
+    world.replicas.replicas["r2"].refuse = 1;
+    world.send_in_turn({"r0", "r2"});
+    const core::MonotonicTime again = world.time.now();
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2"}));
+    CPPUNIT_ASSERT_EQUAL(2, world.observer.runs);
+    CPPUNIT_ASSERT_EQUAL(0, world.observer.open);
+    CPPUNIT_ASSERT(world.observer.last_sent_at < again + milliseconds(160));
+  }
+
+  void a_client_that_leaves_ends_both_calls() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].silent = true;
+    world.replicas.replicas["r2"].silent = true;
+    world.send_in_turn({"r0", "r2"});
+    support::KeptResponse response;
+    bool is_done = false;
+    boost::asio::co_spawn(world.context, world.answer(world.request(), response),
+                          [&is_done](const std::exception_ptr&, bool) { is_done = true; });
+    while (world.running_calls() < 2 && world.context.run_one() > 0) {
+    }
+    CPPUNIT_ASSERT_EQUAL(2, world.running_calls());
+    response.leave();
+    world.run_for(milliseconds(20));
+    CPPUNIT_ASSERT(is_done);
+    CPPUNIT_ASSERT_EQUAL(0, response.answers);
+    CPPUNIT_ASSERT_EQUAL(0, world.running_calls());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0", "r2"}));
+    CPPUNIT_ASSERT(!world.is_suspect("r0"));
+    CPPUNIT_ASSERT_EQUAL(0u, world.replica("r0")->in_flight);
+    CPPUNIT_ASSERT_EQUAL(0, world.observer.open);
+  }
+
+  void switched_off_a_call_is_repeated_after_its_patience() {
+    World world(3, false);
+    add_three(world);
+    world.route.target_latency = milliseconds(100);
+    world.replicas.replicas["r0"].silent = true;
+    world.send_in_turn({"r0"});
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT(world.held >= milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+  }
+
+  void calls_of_the_coordinator_get_none() {
+    World world;
+    add_three(world);
+    world.replicas.replicas["r0"].answer_time = milliseconds(400);
+    world.send_in_turn({"r0"});
+    const ForwardResult result =
+        support::run_task(world.context, world.forwarder.call(world.request()));
+    CPPUNIT_ASSERT(result.has_value());
+    CPPUNIT_ASSERT(world.replicas.calls == (Names{"r0"}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ForwarderSecondCallTest);
+
+}  // namespace stoneport::ingress
--- a/tests/unit/routing/second_call_policy_test.cpp
+++ b/tests/unit/routing/second_call_policy_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "routing/call_times.hpp"
+#include "routing/retry_budget.hpp"
 #include "routing/service_pressure.hpp"
 
 namespace stoneport::routing {
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(silence_tells_when_it_is_long_or_comes_twice);
   CPPUNIT_TEST(a_service_of_which_most_replicas_are_slow_is_slow);
   CPPUNIT_TEST(a_refusal_counts_for_a_second);
+  CPPUNIT_TEST(many_first_calls_get_no_more_than_the_share);
   CPPUNIT_TEST_SUITE_END();
 
   void a_call_that_takes_unusually_long_gets_another_one() {
@@ -122,6 +124,27 @@
     CPPUNIT_ASSERT(pressure.is_full(now + milliseconds(999)));
     CPPUNIT_ASSERT(!pressure.is_full(now + milliseconds(1000)));
   }
+
+  void many_first_calls_get_no_more_than_the_share() {
+    RetryBudgetOptions options{.ratio = 0.1, .minimum = 9, .window = seconds(10)};
+    const auto allowed = [&options](int first_calls) {
+      const core::MonotonicTime now{seconds(100)};
+      RetryBudget budget(options);
+      for (int call = 0; call < first_calls; ++call) {
+        budget.first_attempt(now);
+      }
+      int retries = 0;
+      while (budget.try_retry(now)) {
+        ++retries;
+      }
+      return retries;
+    };
+    CPPUNIT_ASSERT_EQUAL(29, allowed(200));
+    options.adds_minimum = false;
+    CPPUNIT_ASSERT_EQUAL(20, allowed(200));
+    CPPUNIT_ASSERT_EQUAL(9, allowed(90));
+    CPPUNIT_ASSERT_EQUAL(9, allowed(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SecondCallPolicyTest);
