--- a/src/ingress/replica_directory.hpp
+++ b/src/ingress/replica_directory.hpp
@@ -62,7 +62,9 @@
 /// it may outlive its listing.
 struct ReplicaState {
   ReplicaRecord record;
-  bool listed = true;           ///< false once the store no longer lists it
+  bool listed = true;  ///< false once the store no longer lists it
+  /// Calls since its last answer that other replicas answered first.
+  std::uint8_t overtaken_calls = 0;
   std::uint32_t in_flight = 0;  ///< calls of this process
   core::MonotonicTime suspect_until{};
   core::MonotonicTime full_until{};           ///< it refused a request for load
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -56,6 +56,7 @@
   if (settings.load_control.admission) {
     forwarder.admission.emplace();
   }
+  forwarder.second_calls = settings.load_control.second_calls;
   return forwarder;
 }
 
--- a/tests/unit/ingress/forwarder_cold_test.cpp
+++ b/tests/unit/ingress/forwarder_cold_test.cpp
@@ -69,11 +69,11 @@
       return made;
     }
     http::ResponseHead serve() {
-      KeptResponse response;
+      support::KeptResponse response;
       support::run_task(context, answer(response));
       return response.kept;
     }
-    boost::asio::awaitable<bool> answer(KeptResponse& response) {
+    boost::asio::awaitable<bool> answer(support::KeptResponse& response) {
       co_await forwarder.serve(request(), response);
       co_return true;
     }
