--- a/src/node/load_view.cpp
+++ b/src/node/load_view.cpp
@@ -20,7 +20,9 @@
     ++zone.avoided_unnamed;
     return;
   }
-  avoided.left = std::max(replica.suspect_until, replica.outliers.ejected_until()) - now;
+  avoided.left =
+      std::max({replica.suspect_until, replica.avoided_until, replica.outliers.ejected_until()}) -
+      now;
   zone.avoided.push_back(std::move(avoided));
 }
 
