Steps of trainers are met whole, by turns, where there is too little room for all

Cause: all jobs of one rank are one queue by latest start. Where not all fit, each is late by a little, and the trainer with the longest texts always loses. Change: StepShares decides by whole steps and trainers' turns; ItemDispatcher places by its positions, and groups that are not waited for begin last. Behind load_control.fair_steps.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -39,6 +39,7 @@
     EventName{DecisionEvent::kItemMoved, "item_moved"},
     EventName{DecisionEvent::kItemFailed, "item_failed"},
     EventName{DecisionEvent::kItemListed, "item_listed"},
+    EventName{DecisionEvent::kStepPutBehind, "step_put_behind"},
     EventName{DecisionEvent::kTermBegan, "term_began"},
     EventName{DecisionEvent::kTermEnded, "term_ended"},
     EventName{DecisionEvent::kVersionWanted, "version_wanted"},
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -36,6 +36,7 @@
   kItemMoved,
   kItemFailed,
   kItemListed,
+  kStepPutBehind,
   kTermBegan,
   kTermEnded,
   kVersionWanted,
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -18,6 +18,8 @@
 #include "jobs/open_job.hpp"
 #include "jobs/placement.hpp"
 #include "jobs/replica_speeds.hpp"
+#include "jobs/step_room.hpp"
+#include "jobs/step_shares.hpp"
 #include "jobs/text_attempt.hpp"
 
 namespace stoneport::jobs {
@@ -44,6 +46,11 @@
   /// shortest_silence, so that a silent text is seen in time.
   core::WorkPacerSettings move_checks{
       .share = 0.1, .shortest_interval = {}, .longest_interval = std::chrono::milliseconds(400)};
+  /// Jobs of one rank are met whole, by turns, where there is too little room for all.
+  bool fair_steps = false;
+  /// How often it is decided anew while the same jobs are open: short against the seconds within
+  /// which a job is due.
+  core::Duration step_decision_interval = std::chrono::milliseconds(100);
 };
 
 /// What the dispatcher works with; all outlive it.
@@ -73,7 +80,8 @@
   ~ItemDispatcher();
 
   /// Places what is queued, in order of the routes' priorities; all jobs of one priority
-  /// are one queue, in order of the latest time at which their texts should begin.
+  /// are one queue, in order of the latest time at which their texts should begin. With fair
+  /// steps those go first that can be whole in time, where not all can.
   void dispatch(std::vector<OpenJobPointer> jobs);
   /// To be called every 100 ms or so; does nothing where the last call was too short a time
   /// ago for what it cost.
@@ -120,6 +128,7 @@
     core::Duration median{};         ///< of the loads' gaps
     std::size_t next = 0;            ///< into the job's start order
     core::Duration latest_start{};   ///< of the item at next
+    std::uint32_t position = 0;      ///< of the job among its equals; goes before latest_start
   };
   /// A text that would be whole sooner elsewhere.
   struct Move {
@@ -129,6 +138,12 @@
     core::Duration there{};
   };
 
+  /// Finds out which of \p jobs can be whole in time, where that is due.
+  void decide_steps(const std::vector<OpenJobPointer>& jobs, core::MonotonicTime now);
+  bool is_decision_due(const std::vector<OpenJobPointer>& jobs, core::MonotonicTime now) const;
+  OpenStep step_of(const JobView& view);
+  std::vector<ReplicaRate> rates_of(const JobView& view, core::MonotonicTime now) const;
+  void note_decision(const StepDecision& decision);
   static bool has_work(const OpenJob& job, core::MonotonicTime now);
   /// \return why the gate lets no text of \p job go to \p replica now; nothing when it may.
   std::optional<eligibility::Objection> objection(const OpenJob& job,
@@ -201,6 +216,9 @@
   core::WorkPacer move_pacer_;
   std::map<core::ModelName, LengthLaw> laws_;
   std::list<RunPointer> runs_;
+  StepShares step_shares_;
+  std::map<std::string, StepPlace> step_places_;  ///< by job, as last decided
+  core::MonotonicTime steps_decided_at_{};
 };
 
 }  // namespace stoneport::jobs
--- a/src/jobs/length_law.cpp
+++ b/src/jobs/length_law.cpp
@@ -19,6 +19,11 @@
 constexpr double kLeastRestShare = 0.1;
 /// Above this share of the law a text is longer than the law can tell.
 constexpr double kLargestShare = 0.9995;
+constexpr double kMedian = 0.5;
+/// In spreads: all texts are longer than none.
+constexpr double kFarAbove = 10;
+/// A group that is waited for may be replaced by one of the tenth of groups that are not.
+constexpr double kLongShare = 0.9;
 
 double guess_of(std::uint64_t guess) {
   return static_cast<double>(std::max(guess, std::uint64_t{1}));
@@ -42,13 +47,19 @@
   return count_ >= kFewestTexts;
 }
 
-/// \return the median length of the texts of that guess that have \p at_least events.
-double LengthLaw::median_total(const LengthEvidence& evidence, double at_least) const {
+/// \return the length that \p share of the texts of that guess have at most, of those that have
+/// \p at_least events.
+double LengthLaw::quantile_of_total(const LengthEvidence& evidence, double at_least,
+                                    double share) const {
   const double spread = std::max(std::sqrt(variance_), kLeastSpread);
   const boost::math::normal law(std::log(guess_of(evidence.guess)) + mean_, spread);
   const double below = at_least > 0 ? boost::math::cdf(law, std::log(at_least)) : 0;
-  const double share = std::min(below + (1 - below) / 2, kLargestShare);
-  return std::max(std::exp(boost::math::quantile(law, share)), at_least);
+  const double share_of_all = std::min(below + (1 - below) * share, kLargestShare);
+  return std::max(std::exp(boost::math::quantile(law, share_of_all)), at_least);
+}
+
+double LengthLaw::median_total(const LengthEvidence& evidence, double at_least) const {
+  return quantile_of_total(evidence, at_least, kMedian);
 }
 
 double LengthLaw::expected_rest(const LengthEvidence& evidence) const {
@@ -64,4 +75,35 @@
   return std::max({expected, made * kLeastRestShare, kLeastRest});
 }
 
+double LengthLaw::mean_rest(const LengthEvidence& evidence) const {
+  const double median = expected_rest(evidence);
+  const bool is_told = evidence.seen_whole && evidence.seen > evidence.made;
+  if (is_told || !is_known()) {
+    return median;
+  }
+  const double spread = std::max(std::sqrt(variance_), kLeastSpread);
+  const double mean = std::log(guess_of(evidence.guess)) + mean_;
+  const auto at_least = static_cast<double>(std::max(evidence.made, evidence.seen));
+  const double shift = at_least > 0 ? (mean - std::log(at_least)) / spread : kFarAbove;
+  const boost::math::normal unit;
+  const double longer = boost::math::cdf(unit, shift);
+  if (longer < 1 - kLargestShare) {
+    return median;
+  }
+  const double whole = std::exp(mean + spread * spread / 2);
+  const double total = whole * boost::math::cdf(unit, shift + spread) / longer;
+  return std::max(total - static_cast<double>(evidence.made), median);
+}
+
+double LengthLaw::long_rest(const LengthEvidence& evidence) const {
+  const double median = expected_rest(evidence);
+  const bool is_told = evidence.seen_whole && evidence.seen > evidence.made;
+  if (is_told || !is_known()) {
+    return median;
+  }
+  const auto at_least = static_cast<double>(std::max(evidence.made, evidence.seen));
+  const double total = quantile_of_total(evidence, at_least, kLongShare);
+  return std::max(total - static_cast<double>(evidence.made), median);
+}
+
 }  // namespace stoneport::jobs
--- a/src/jobs/length_law.hpp
+++ b/src/jobs/length_law.hpp
@@ -28,8 +28,13 @@
   /// \return the events that are still to come, in the median of such texts; without a
   /// known law the guess itself, which only ranks texts.
   double expected_rest(const LengthEvidence& evidence) const;
+  /// \return the same in the mean, which is what many texts add up to; long texts weigh more in it.
+  double mean_rest(const LengthEvidence& evidence) const;
+  /// \return the events within which nine of ten such texts end.
+  double long_rest(const LengthEvidence& evidence) const;
 
  private:
+  double quantile_of_total(const LengthEvidence& evidence, double at_least, double share) const;
   double median_total(const LengthEvidence& evidence, double at_least) const;
 
   std::uint64_t count_ = 0;
--- a/src/jobs/open_job.hpp
+++ b/src/jobs/open_job.hpp
@@ -16,6 +16,7 @@
 #include "jobs/job_records.hpp"
 #include "jobs/known_lengths.hpp"
 #include "jobs/length_law.hpp"
+#include "jobs/step_shares.hpp"
 
 namespace stoneport::jobs {
 
@@ -47,6 +48,13 @@
   std::optional<MadeAt> made_at;         ///< the run that made the text whole
 };
 
+/// In which order the items of a job begin.
+enum class StartOrder {
+  kLongestFirst,  ///< its last texts are to end early
+  kWantedFirst,   ///< the same of the groups that are waited for; then the others
+  kByGroup,       ///< group by group, the one that lacks least first: fewest groups stay unfinished
+};
+
 struct OpenJob {
   Job job;
   JobIndexEntry entry;
@@ -56,19 +64,26 @@
   std::vector<ItemProgress> items;                   ///< as in job.items
   std::vector<std::size_t> start_order;              ///< indexes into items, longest rest first
   bool order_is_stale = false;                       ///< an item was queued again
-  std::map<std::string, core::ReplicaId> homes;      ///< by group: where its prompt was read
-  std::uint64_t listed = 0;                          ///< results in the store
-  bool over = false;                                 ///< ended, whole or left to another process
+  StartOrder order_kind = StartOrder::kLongestFirst;
+  std::map<std::string, core::ReplicaId> homes;  ///< by group: where its prompt was read
+  std::uint64_t listed = 0;                      ///< results in the store
+  bool over = false;                             ///< ended, whole or left to another process
 
   /// \return what is known of the length of \p item.
   LengthEvidence evidence_of(std::size_t item) const;
   /// Puts the items that are queued in order by what \p law expects of them.
   void make_start_order(const LengthLaw& law);
+  /// Has the items begin in another order from the next make_start_order() on.
+  void set_order(StartOrder kind);
+  /// \return what is to come until the wanted groups are whole: those that lack least.
+  StepWork work_left(const LengthLaw& law) const;
   /// \return the time by which the text of \p item should have begun, by the store's clock:
   /// what is expected of it takes until its job is due.
   core::Duration latest_start(std::size_t item, const LengthLaw& law,
                               core::Duration event_gap) const;
 };
+/// \return the order in which a job's items begin that has \p plan.
+StartOrder start_order_of(StepPlan plan);
 using OpenJobPointer = std::shared_ptr<OpenJob>;
 
 /// \return the rank of the job's tenant, or of its route where the tenant has none; 0 first, the
--- /dev/null
+++ b/src/jobs/step_shares.cpp
@@ -0,0 +1,304 @@
+#include "jobs/step_shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <tuple>
+
+namespace stoneport::jobs {
+namespace {
+
+/// A step counts as met when this share of its wanted groups was whole in time; all of them, but
+/// for rounding.
+constexpr double kMetShare = 0.999;
+
+/// What is left of the replicas' rates while steps take their work from them, first one first.
+class Room {
+ public:
+  Room(const std::vector<double>& rates, double usable)
+      : rates_(rates), taken_(rates.size(), 0.0), usable_(usable) {}
+
+  /// Takes the work of \p step from its pools, in proportion to what they have left.
+  /// \param seconds until it has to be made
+  /// \return whether they had room for it in that time.
+  bool take(const OpenStep& step, double seconds) {
+    std::vector<double> left;
+    for (const std::size_t pool : step.pools) {
+      left.push_back(std::max(rates_[pool] * usable_ * seconds - taken_[pool], 0.0));
+    }
+    const double in_all = std::accumulate(left.begin(), left.end(), 0.0);
+    const bool fits = step.work.rest <= in_all;
+    for (std::size_t index = 0; index < left.size(); ++index) {
+      const double share = fits && in_all > 0 ? left[index] / in_all : rate_share(step, index);
+      taken_[step.pools[index]] += share * step.work.rest;
+    }
+    return fits;
+  }
+
+  /// \return seconds until the pools of \p step have made all that was taken from them.
+  double busy_seconds(const OpenStep& step) const {
+    double taken = 0;
+    for (const std::size_t pool : step.pools) {
+      taken += taken_[pool];
+    }
+    const double rate = rate_of(step) * usable_;
+    return rate > 0 ? taken / rate : 0;
+  }
+
+ private:
+  double rate_of(const OpenStep& step) const {
+    double rate = 0;
+    for (const std::size_t pool : step.pools) {
+      rate += rates_[pool];
+    }
+    return rate;
+  }
+  double rate_share(const OpenStep& step, std::size_t index) const {
+    const double rate = rate_of(step);
+    return rate > 0 ? rates_[step.pools[index]] / rate : 0;
+  }
+
+  const std::vector<double>& rates_;
+  std::vector<double> taken_;
+  double usable_;
+};
+
+bool share_pool(const OpenStep& left, const OpenStep& right) {
+  return std::find_first_of(left.pools.begin(), left.pools.end(), right.pools.begin(),
+                            right.pools.end()) != left.pools.end();
+}
+
+bool is_due_before(const OpenStep* left, const OpenStep* right) {
+  return std::tie(left->due, left->job) < std::tie(right->due, right->job);
+}
+
+}  // namespace
+
+double StepShares::earned(const std::string& trainer) const {
+  const auto found = trainers_.find(trainer);
+  return found == trainers_.end() ? 0 : found->second.earned;
+}
+
+bool StepShares::is_begun(const OpenStep& step) const {
+  const auto known = known_.find(step.job);
+  return known != known_.end() && known->second.plan == StepPlan::kMeet;
+}
+
+bool StepShares::can_be_met(const OpenStep& step, core::Duration now) const {
+  const core::Duration end = is_begun(step) ? step.last_end : step.late_end;
+  return step.work.rest <= 0 || now + end + settings_.finish <= step.due;
+}
+
+void StepShares::note_ended(const Known& step, StepDecision& decision) {
+  const bool is_met = step.share_in_time >= kMetShare;
+  ++(is_met ? decision.met : decision.missed);
+  Trainer& own = trainers_[step.trainer];
+  own.earned += step.share_in_time;
+  if (!is_met) {
+    return;
+  }
+  own.passed_by = 0;
+  std::set<std::string> waiting;
+  for (const auto& [job, other] : known_) {
+    const bool waits = other.plan == StepPlan::kBehind || other.plan == StepPlan::kLost;
+    if (waits && other.rank == step.rank && other.trainer != step.trainer) {
+      waiting.insert(other.trainer);
+    }
+  }
+  for (const std::string& trainer : waiting) {
+    ++trainers_[trainer].passed_by;
+  }
+}
+
+void StepShares::learn(const std::vector<OpenStep>& steps, core::Duration now,
+                       StepDecision& decision) {
+  std::set<std::string> open;
+  for (const OpenStep& step : steps) {
+    note_trainer(step, now);
+    open.insert(step.job);
+    Known& known = known_[step.job];
+    known.trainer = step.trainer;
+    known.rank = step.rank;
+    known.due = step.due;
+    if (now <= step.due) {
+      known.share_in_time = step.work.whole_share;
+    }
+  }
+  for (auto known = known_.begin(); known != known_.end();) {
+    if (open.contains(known->first)) {
+      ++known;
+      continue;
+    }
+    const Known ended = known->second;
+    known = known_.erase(known);
+    note_ended(ended, decision);
+  }
+}
+
+void StepShares::fade(core::Duration now) {
+  std::erase_if(trainers_,
+                [&](const auto& entry) { return now - entry.second.last_seen > settings_.memory; });
+  const double passed = std::max(core::to_seconds(now - faded_at_), 0.0);
+  const double kept = std::exp(-passed / core::to_seconds(settings_.memory));
+  for (auto& [name, trainer] : trainers_) {
+    trainer.earned *= kept;
+  }
+  faded_at_ = now;
+}
+
+/// One that comes new has as much as the least of the others: nothing is owed for the time before.
+void StepShares::note_trainer(const OpenStep& step, core::Duration now) {
+  const auto found = trainers_.find(step.trainer);
+  if (found != trainers_.end()) {
+    found->second.last_seen = now;
+    return;
+  }
+  Trainer trainer;
+  trainer.last_seen = now;
+  const auto least = std::min_element(
+      trainers_.begin(), trainers_.end(),
+      [](const auto& left, const auto& right) { return left.second.earned < right.second.earned; });
+  trainer.earned = least == trainers_.end() ? 0 : least->second.earned;
+  trainers_.emplace(step.trainer, trainer);
+}
+
+void StepShares::sort_by_claim(Steps& steps) const {
+  std::set<std::string> trainers;
+  for (const OpenStep* step : steps) {
+    trainers.insert(step->trainer);
+  }
+  // Whoever has seen a step of each of its equals met goes before all that wait less.
+  const auto claim = [&](const OpenStep* step) {
+    const Trainer& trainer = trainers_.at(step->trainer);
+    const bool waits_less = trainer.passed_by + 1 < trainers.size() || trainers.size() < 2;
+    return std::make_tuple(!is_begun(*step), waits_less, trainer.earned, step->due, step->job);
+  };
+  std::sort(steps.begin(), steps.end(), [&](const OpenStep* left, const OpenStep* right) {
+    return claim(left) < claim(right);
+  });
+}
+
+namespace {
+
+/// \return whether all of \p steps that can be met are met, taken in order after \p ahead.
+template <class CanBeMet, class Seconds>
+bool all_fit(const std::vector<const OpenStep*>& ahead, std::vector<const OpenStep*> steps,
+             Room room, const CanBeMet& can_be_met, const Seconds& seconds) {
+  std::sort(steps.begin(), steps.end(), is_due_before);
+  for (const OpenStep* step : ahead) {
+    room.take(*step, seconds(*step));
+  }
+  bool fit = true;
+  for (const OpenStep* step : steps) {
+    const bool fits = room.take(*step, seconds(*step));
+    fit &= fits || step->pools.empty() || !can_be_met(*step);
+  }
+  return fit;
+}
+
+}  // namespace
+
+bool StepShares::is_far_ahead(const OpenStep& step, const Steps& equals,
+                              const Steps& chosen) const {
+  const double bound = trainers_.at(step.trainer).earned - settings_.most_ahead;
+  return std::any_of(equals.begin(), equals.end(), [&](const OpenStep* other) {
+    const bool waits = std::find(chosen.begin(), chosen.end(), other) == chosen.end();
+    return waits && share_pool(step, *other) && trainers_.at(other->trainer).earned < bound;
+  });
+}
+
+std::set<const OpenStep*> StepShares::choose(const Steps& ahead, const Steps& by_claim,
+                                             const std::vector<double>& rates,
+                                             core::Duration now) const {
+  const auto can_be_met = [&](const OpenStep& step) { return this->can_be_met(step, now); };
+  const auto seconds = [&](const OpenStep& step) {
+    return core::to_seconds(step.due - settings_.finish - now);
+  };
+  Steps chosen;
+  for (const OpenStep* step : by_claim) {
+    const bool has_turn = is_begun(*step) || !is_far_ahead(*step, by_claim, chosen);
+    if (!can_be_met(*step) || !has_turn) {
+      continue;
+    }
+    Steps with = chosen;
+    with.push_back(step);
+    const double usable = is_begun(*step) ? settings_.usable_of_begun : settings_.usable;
+    if (all_fit(ahead, with, Room(rates, usable), can_be_met, seconds)) {
+      chosen = std::move(with);
+    }
+  }
+  return {chosen.begin(), chosen.end()};
+}
+
+void StepShares::decide_rank(const Steps& ahead, Steps equals, const std::vector<double>& rates,
+                             core::Duration now, StepDecision& decision) {
+  const std::uint32_t rank = equals.front()->rank;
+  const auto can_be_met = [&](const OpenStep& step) { return this->can_be_met(step, now); };
+  const auto seconds = [&](const OpenStep& step) {
+    return core::to_seconds(step.due - settings_.finish - now);
+  };
+  const bool was_short = short_ranks_.contains(rank);
+  const double usable = was_short ? settings_.usable_at_end : settings_.usable;
+  if (all_fit(ahead, equals, Room(rates, usable), can_be_met, seconds)) {
+    short_ranks_.erase(rank);
+    for (const OpenStep* step : equals) {
+      known_[step->job].plan = StepPlan::kUsual;
+      decision.places[step->job] = {};
+    }
+    return;
+  }
+  short_ranks_.insert(rank);
+  sort_by_claim(equals);
+  const std::set<const OpenStep*> chosen = choose(ahead, equals, rates, now);
+  Room room(rates, 1);
+  for (const OpenStep* step : ahead) {
+    room.take(*step, seconds(*step));
+  }
+  // Steps to be met are one queue; then those behind, then those that are lost, one by one.
+  std::stable_sort(equals.begin(), equals.end(), [&](const OpenStep* left, const OpenStep* right) {
+    const auto group = [&](const OpenStep* step) {
+      return chosen.contains(step) || step->pools.empty() ? 0 : can_be_met(*step) ? 1 : 2;
+    };
+    return group(left) < group(right);
+  });
+  std::uint32_t position = 0;
+  for (const OpenStep* step : equals) {
+    room.take(*step, seconds(*step));
+    Known& known = known_[step->job];
+    if (chosen.contains(step) || step->pools.empty()) {
+      known.plan = StepPlan::kMeet;
+      decision.places[step->job] = {StepPlan::kMeet, 0};
+      continue;
+    }
+    const bool is_lost = !can_be_met(*step);
+    const StepPlan plan = is_lost ? StepPlan::kLost : StepPlan::kBehind;
+    decision.places[step->job] = {plan, ++position};
+    const bool was_behind = known.plan == StepPlan::kBehind || known.plan == StepPlan::kLost;
+    known.plan = plan;
+    if (!was_behind) {
+      const double late = room.busy_seconds(*step) - seconds(*step);
+      decision.put_behind.push_back(
+          {step->job, step->trainer, core::from_seconds(std::max(late, 0.0)), is_lost});
+    }
+  }
+}
+
+StepDecision StepShares::decide(const std::vector<OpenStep>& steps,
+                                const std::vector<double>& rates, core::Duration now) {
+  StepDecision decision;
+  fade(now);
+  learn(steps, now, decision);
+  std::map<std::uint32_t, Steps> by_rank;
+  for (const OpenStep& step : steps) {
+    by_rank[step.rank].push_back(&step);
+  }
+  std::erase_if(short_ranks_, [&](std::uint32_t rank) { return !by_rank.contains(rank); });
+  Steps ahead;
+  for (auto& [rank, equals] : by_rank) {
+    decide_rank(ahead, equals, rates, now, decision);
+    ahead.insert(ahead.end(), equals.begin(), equals.end());
+  }
+  return decision;
+}
+
+}  // namespace stoneport::jobs
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -59,6 +59,7 @@
   coordinator.term.holder = life;
   coordinator.region = settings.region;
   coordinator.term.bid_delay = jobs::bid_delay_of(settings.processor_share);
+  coordinator.dispatcher.fair_steps = settings.load_control.fair_steps;
   return coordinator;
 }
 
--- a/tests/unit/jobs/open_job_test.cpp
+++ b/tests/unit/jobs/open_job_test.cpp
@@ -14,6 +14,9 @@
   CPPUNIT_TEST(a_tenants_priority_goes_before_its_routes);
   CPPUNIT_TEST(the_longest_rest_begins_first);
   CPPUNIT_TEST(what_is_due_sooner_or_takes_longer_begins_first);
+  CPPUNIT_TEST(groups_that_are_not_waited_for_begin_last);
+  CPPUNIT_TEST(of_a_step_behind_the_group_that_lacks_least_begins_first);
+  CPPUNIT_TEST(work_left_is_that_of_the_groups_that_lack_least);
   CPPUNIT_TEST_SUITE_END();
 
   static OpenJob job(const ingress::Route* route, int accepted_s,
@@ -86,6 +89,52 @@
     CPPUNIT_ASSERT(younger.latest_start(1, law, {}) > older.latest_start(0, law, {}));
     CPPUNIT_ASSERT(older.latest_start(0, law, gap) == milliseconds(1000 + 7500 - 400));
   }
+
+  /// Three groups of two: of 30, 100 and 50 events; two are wanted.
+  static OpenJob three_groups() {
+    OpenJob made = job(nullptr, 0, {10, 20, 40, 60, 30, 20});
+    const std::vector<std::string> groups = {"a", "a", "b", "b", "c", "c"};
+    for (std::size_t item = 0; item < groups.size(); ++item) {
+      made.job.items[item].group = groups[item];
+    }
+    made.job.wanted_groups = 2;
+    return made;
+  }
+
+  void groups_that_are_not_waited_for_begin_last() {
+    OpenJob made = three_groups();
+    made.set_order(StartOrder::kWantedFirst);
+    CPPUNIT_ASSERT(made.order_is_stale);
+    made.make_start_order(LengthLaw());
+    CPPUNIT_ASSERT((made.start_order == std::vector<std::size_t>{4, 1, 5, 0, 3, 2}));
+  }
+
+  void of_a_step_behind_the_group_that_lacks_least_begins_first() {
+    OpenJob made = three_groups();
+    made.set_order(StartOrder::kByGroup);
+    made.make_start_order(LengthLaw());
+    CPPUNIT_ASSERT((made.start_order == std::vector<std::size_t>{1, 0, 4, 5, 3, 2}));
+    made.items[3].state = ItemState::kListed;
+    made.items[2].state = ItemState::kScoring;
+    made.make_start_order(LengthLaw());
+    CPPUNIT_ASSERT((made.start_order == std::vector<std::size_t>{3, 2, 1, 0, 4, 5}));
+  }
+
+  void work_left_is_that_of_the_groups_that_lack_least() {
+    OpenJob made = three_groups();
+    const LengthLaw law;
+    StepWork work = made.work_left(law);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(80, work.rest, 0.01);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(30, work.longest, 0.01);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0, work.whole_share, 0.01);
+    made.items[2].state = ItemState::kListed;
+    made.items[3].state = ItemState::kReady;
+    work = made.work_left(law);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(30, work.rest, 0.01);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, work.whole_share, 0.01);
+    made.job.wanted_groups = 0;  // all
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(80, made.work_left(law).rest, 0.01);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OpenJobTest);
