--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -35,7 +35,8 @@
       settings_(settings),
       meters_(std::make_unique<Meters>(inputs_.metrics)),
       speeds_(settings.speeds),
-      move_pacer_(settings.move_checks) {}
+      move_pacer_(settings.move_checks),
+      step_pacer_(settings.step_decisions) {}
 
 ItemDispatcher::~ItemDispatcher() = default;
 
--- a/src/jobs/item_dispatcher.hpp
+++ b/src/jobs/item_dispatcher.hpp
@@ -48,9 +48,11 @@
       .share = 0.1, .shortest_interval = {}, .longest_interval = std::chrono::milliseconds(400)};
   /// Jobs of one rank are met whole, by turns, where there is too little room for all.
   bool fair_steps = false;
-  /// How often it is decided anew while the same jobs are open: short against the seconds within
-  /// which a job is due.
-  core::Duration step_decision_interval = std::chrono::milliseconds(100);
+  /// Deciding anew while the same jobs are open: often against the seconds within which a job is
+  /// due. It looks at each item, so that large jobs are looked at less often.
+  core::WorkPacerSettings step_decisions{.share = 0.05,
+                                         .shortest_interval = std::chrono::milliseconds(100),
+                                         .longest_interval = std::chrono::milliseconds(500)};
 };
 
 /// What the dispatcher works with; all outlive it.
@@ -218,7 +220,7 @@
   std::list<RunPointer> runs_;
   StepShares step_shares_;
   std::map<std::string, StepPlace> step_places_;  ///< by job, as last decided
-  core::MonotonicTime steps_decided_at_{};
+  core::WorkPacer step_pacer_;
 };
 
 }  // namespace stoneport::jobs
--- a/src/jobs/item_dispatcher_steps.cpp
+++ b/src/jobs/item_dispatcher_steps.cpp
@@ -58,7 +58,7 @@
                         std::all_of(jobs.begin(), jobs.end(), [this](const OpenJobPointer& job) {
                           return step_places_.contains(job->job.id);
                         });
-  return !are_same || now - steps_decided_at_ >= settings_.step_decision_interval;
+  return !are_same || step_pacer_.is_due(now);
 }
 
 void ItemDispatcher::decide_steps(const std::vector<OpenJobPointer>& all, core::MonotonicTime now) {
@@ -68,7 +68,6 @@
   if (!store_now || !is_decision_due(jobs, now)) {
     return;
   }
-  steps_decided_at_ = now;
   std::vector<OpenStep> steps;
   std::vector<std::vector<ReplicaRate>> usable;
   for (const OpenJobPointer& job : jobs) {
@@ -89,6 +88,7 @@
   }
   note_decision(decision);
   step_places_ = std::move(decision.places);
+  step_pacer_.note(now, inputs_.time.now());
 }
 
 void ItemDispatcher::note_decision(const StepDecision& decision) {
--- a/tests/unit/jobs/coordinator_world.hpp
+++ b/tests/unit/jobs/coordinator_world.hpp
@@ -77,6 +77,7 @@
       settings.dispatcher.shortest_silence = milliseconds(60);
       settings.order_pause = world.order_pause;
       settings.dispatcher.suspicion = milliseconds(200);
+      settings.dispatcher.fair_steps = world.fair_steps;
       routes.offer(world.table);
       directory.update(world.records);
       ingress::ForwarderSettings forwarding;
@@ -212,6 +213,7 @@
   std::vector<ingress::ReplicaRecord> records;
   std::map<core::ModelName, core::WeightVersion> named;
   core::Duration order_pause = milliseconds(20);
+  bool fair_steps = false;                ///< of processes that start from now on
   eligibility::ZoneRegions zone_regions;  ///< for processes that start from now on
   core::RegionName region;                ///< of processes that start from now on
   /// Destroyed first: streams that are still open touch what stands above.
--- /dev/null
+++ b/tests/unit/jobs/fair_steps_test.cpp
@@ -0,0 +1,66 @@
+/// \file
+/// Jobs that can't all be whole in time, on a whole coordinator: none is left unfinished.
+#include "unit/jobs/coordinator_world.hpp"
+
+namespace stoneport::jobs {
+
+class FairStepsTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(FairStepsTest);
+  CPPUNIT_TEST(jobs_that_are_late_are_made_whole_all_the_same);
+  CPPUNIT_TEST(jobs_that_go_on_after_a_take_over_are_made_whole);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr int kItems = 24;
+
+  static void set_deadline(World& world, core::Duration deadline) {
+    std::vector<ingress::Route> routes = world.table->routes();
+    routes[0].run_deadline = deadline;
+    world.table = std::make_shared<ingress::RouteTable>(world.table->version() + 1,
+                                                        std::move(routes), ingress::ClientLimits());
+  }
+
+  static bool all_whole(World& world, World::Process& process, const std::set<std::string>& jobs) {
+    return std::all_of(jobs.begin(), jobs.end(), [&](const std::string& job) {
+      return world.is_whole(process, job, kItems);
+    });
+  }
+
+  void jobs_that_are_late_are_made_whole_all_the_same() {
+    World world;
+    world.fair_steps = true;
+    set_deadline(world, milliseconds(1));
+    World::Process process(world, "a");
+    const std::set<std::string> jobs = {"one", "two", "three"};
+    for (const std::string& job : jobs) {
+      world.submit(process, job, kItems);
+    }
+    CPPUNIT_ASSERT(world.run_until([&] { return all_whole(world, process, jobs); }));
+    for (const std::string& job : jobs) {
+      world.check(job, world.results(process, job));
+    }
+    CPPUNIT_ASSERT(process.metrics.to_text().find(
+                       "stoneport_steps_ended_total{result=\"missed\"}") != std::string::npos);
+  }
+
+  void jobs_that_go_on_after_a_take_over_are_made_whole() {
+    World world;
+    world.fair_steps = true;
+    set_deadline(world, milliseconds(200));
+    World::Process first(world, "a");
+    const std::set<std::string> jobs = {"one", "two"};
+    for (const std::string& job : jobs) {
+      world.submit(first, job, kItems);
+    }
+    CPPUNIT_ASSERT(world.run_until([&] { return !world.results(first, "one").empty(); }));
+    World::Process second(world, "b");
+    first.store.cut = true;
+    CPPUNIT_ASSERT(world.run_until([&] { return all_whole(world, second, jobs); }));
+    for (const std::string& job : jobs) {
+      world.check(job, world.results(second, job));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FairStepsTest);
+
+}  // namespace stoneport::jobs
--- a/tests/unit/jobs/length_law_test.cpp
+++ b/tests/unit/jobs/length_law_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(without_whole_texts_guesses_rank);
   CPPUNIT_TEST(guesses_are_corrected_by_whole_texts);
   CPPUNIT_TEST(a_text_that_outlasts_its_guess_has_more_to_come);
+  CPPUNIT_TEST(the_mean_lies_above_the_median_and_below_long_texts);
   CPPUNIT_TEST(earlier_attempts_tell);
   CPPUNIT_TEST(known_lengths_keep_what_tells_more);
   CPPUNIT_TEST(known_lengths_are_bounded);
@@ -48,6 +49,20 @@
     CPPUNIT_ASSERT(!unchanged.is_known());
   }
 
+  void the_mean_lies_above_the_median_and_below_long_texts() {
+    for (const std::uint64_t made : {0u, 10u, 20u, 30u, 150u}) {
+      const LengthEvidence evidence{.guess = 1000, .made = made};
+      const std::string about = std::to_string(made);
+      CPPUNIT_ASSERT_MESSAGE(about, law().mean_rest(evidence) >= law().expected_rest(evidence));
+      CPPUNIT_ASSERT_MESSAGE(about, law().long_rest(evidence) >= law().mean_rest(evidence));
+    }
+    CPPUNIT_ASSERT(law().mean_rest({.guess = 1000}) > law().expected_rest({.guess = 1000}));
+    // A length that is known is the same in all.
+    const LengthEvidence told{.guess = 1000, .made = 10, .seen = 25, .seen_whole = true};
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(15, law().mean_rest(told), 0.01);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(15, law().long_rest(told), 0.01);
+  }
+
   void a_text_that_outlasts_its_guess_has_more_to_come() {
     struct Case {
       std::string name;
--- a/tests/unit/jobs/step_shares_test.cpp
+++ b/tests/unit/jobs/step_shares_test.cpp
@@ -6,7 +6,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
-#include <iostream>
 #include <memory>
 #include <random>
 #include <tuple>
@@ -99,6 +98,8 @@
     std::vector<double> made;
     std::vector<core::Duration> group_whole_at;
     StepPlace place;
+    std::optional<std::size_t> head;  ///< the next item, and its latest start
+    core::Duration head_start{};
     core::Duration next_at{};
   };
   struct Place {
@@ -144,6 +145,7 @@
       trainer.made.assign(open.items.size(), 0);
       trainer.group_whole_at.assign(kGroups, core::Duration::max());
       trainer.place = {};
+      trainer.head.reset();
       open.order_is_stale = true;
       trainer.next_at = now_ + kStepInterval;
     }
@@ -225,13 +227,18 @@
       }
       if (trainer.job->order_is_stale) {
         trainer.job->make_start_order(law_);
+        trainer.head.reset();
       }
       for (const std::size_t item : trainer.job->start_order) {
         if (trainer.job->items[item].state != ItemState::kQueued) {
           continue;
         }
-        const std::tuple<std::uint32_t, core::Duration> key{
-            trainer.place.position, trainer.job->latest_start(item, law_, gap)};
+        if (trainer.head != item) {
+          trainer.head = item;
+          trainer.head_start = trainer.job->latest_start(item, law_, gap);
+        }
+        const std::tuple<std::uint32_t, core::Duration> key{trainer.place.position,
+                                                            trainer.head_start};
         if (!best || key < best_key) {
           best = {index, item};
           best_key = key;
