--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -37,6 +37,7 @@
   kItemFailed,
   kItemListed,
   kRatingShare,
+  kStepPutBehind,
   kTermBegan,
   kTermEnded,
   kVersionWanted,
