Review of the parts: what it found and could be mended now; fair steps are off unless asked for

By reading (two reviewers who wrote none of it): - Shared health: reporters that go on telling kept a replica avoided for ever. After 8 s it is tried; test a_replica_is_tried_whatever_others_go_on_telling. A finding is not told once the replica has answered its finder. - Admission: one request without a deadline made all others look as if they had come back; the time left is bounded by the route's timeout, and the probe goes first. A refused second call took the retry of the call that was still out. Answer times count from admission, not from the last send. A replica that drains does not make the last working one of two. - Fair steps: steps that were met may count as missed, a step without a due time goes last, and a trainer whose ratings fail keeps the first claim. Not mended: the switch fairSteps is off by default. The ratings' share goes with the switch of admission.

--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -168,7 +168,7 @@
 }
 
 ForwardResult Forwarder::end_unserved(const ForwardedRequest& request, Progress& progress) {
-  note_admitted_end(request, progress, nullptr, {});
+  note_admitted_end(request, progress, nullptr);
   if (progress.last_answer) {
     progress.load.answered(time_.now());
     return std::move(*progress.last_answer);
@@ -280,7 +280,7 @@
         replica->note_latency(time_.now() - sent_at);
       }
       progress.load.answered(time_.now());
-      note_admitted_end(request, progress, &*answer, sent_at);
+      note_admitted_end(request, progress, &*answer);
       co_return std::move(*answer);
     }
     if (verdict == Verdict::kGiveUp) {
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -168,7 +168,7 @@
                  const ports::CallFailure& failure, Progress& progress);
   /// \param answer a replica's that is passed on; null when there is none
   void note_admitted_end(const ForwardedRequest& request, const Progress& progress,
-                         const ports::ReplicaAnswer* answer, core::MonotonicTime sent_at);
+                         const ports::ReplicaAnswer* answer);
 
   boost::asio::awaitable<ForwardResult> run(ForwardedRequest request);
   /// Sends the request to one replica after the other.
--- a/src/ingress/forwarder_admission.cpp
+++ b/src/ingress/forwarder_admission.cpp
@@ -1,4 +1,6 @@
 // The part of Forwarder that keeps clients' requests off overloaded services.
+#include <algorithm>
+
 #include "ingress/forwarder_parts.hpp"
 
 namespace stoneport::ingress {
@@ -6,12 +8,6 @@
 
 constexpr unsigned kServerError = 500;
 
-/// A replica that is known to leave refuses for that, and another one takes the request.
-bool is_refusal_for_load(const ReplicaState& replica, const ports::CallFailure& failure) {
-  const bool is_refusal = failure.kind == ports::CallFailureKind::kNotRun && !failure.unreachable;
-  return is_refusal && replica.accepts_work();
-}
-
 }  // namespace
 
 routing::ThrottleRequest Forwarder::throttle_request(const ForwardedRequest& request) const {
@@ -20,7 +16,9 @@
   asked.tenant = request.tenant;
   asked.rank = request.table != nullptr ? request.table->rank_of(*request.route, request.tenant)
                                         : request.route->priority;
-  asked.time_left = request.deadline - time_.now();
+  // A caller that states no deadline, or one beyond the route's timeout, waits for that.
+  asked.time_left =
+      std::min(request.deadline, request.received + request.route->timeout) - time_.now();
   return asked;
 }
 
@@ -45,12 +43,15 @@
     return;
   }
   replica.full_until = time_.now() + settings_.full_memory;
-  if (!progress.is_admitted || progress.runs > 0) {
-    return;  // one that may have run cannot be refused any more
+  if (!progress.is_admitted || progress.runs > 0 || progress.calls_out > 0) {
+    return;  // one that may have run, or may be answered yet, cannot be refused any more
   }
   routing::ReplicaRefusal refusal;
   refusal.replica = replica.record.id;
-  refusal.is_only = directory_.of_service(*progress.service).size() == 1;
+  const std::vector<ReplicaPointer>& replicas = directory_.of_service(*progress.service);
+  refusal.is_only = std::count_if(replicas.begin(), replicas.end(), [](const ReplicaPointer& one) {
+                      return one->accepts_work();
+                    }) == 1;
   refusal.refusals = ++progress.load_refusals;
   refusal.admitted_at = progress.admitted_at;
   progress.load_return = admission_->refusal_by_replica(
@@ -58,13 +59,13 @@
 }
 
 void Forwarder::note_admitted_end(const ForwardedRequest& request, const Progress& progress,
-                                  const ports::ReplicaAnswer* answer, core::MonotonicTime sent_at) {
+                                  const ports::ReplicaAnswer* answer) {
   if (!progress.is_admitted) {
     return;
   }
   std::optional<core::Duration> took;
   if (answer != nullptr && answer->response.head.status < kServerError) {
-    took = time_.now() - sent_at;
+    took = time_.now() - progress.admitted_at;
   }
   admission_->note_end(*progress.service, throttle_request(request), took,
                        request.route->target_latency, time_.now());
--- a/src/ingress/forwarder_parts.hpp
+++ b/src/ingress/forwarder_parts.hpp
@@ -24,6 +24,12 @@
   }
 }
 
+/// A replica that is known to leave refuses for that, and another one takes the request.
+inline bool is_refusal_for_load(const ReplicaState& replica, const ports::CallFailure& failure) {
+  const bool is_refusal = failure.kind == ports::CallFailureKind::kNotRun && !failure.unreachable;
+  return is_refusal && replica.accepts_work();
+}
+
 /// What one request has been through.
 struct Forwarder::Progress {
   core::MonotonicTime give_up_at;
@@ -32,6 +38,7 @@
   std::uint32_t runs = 0;                    ///< attempts that may have run
   std::uint32_t ended_runs = 0;              ///< of these, on replicas that ended meanwhile
   std::uint32_t refusals = 0;                ///< attempts that have not
+  std::size_t calls_out = 0;                 ///< beside the one that has just ended
   std::optional<std::uint64_t> last_event;
   std::optional<ports::ReplicaAnswer> last_answer;  ///< a failure that may be passed on
   std::string reason = "no replica accepts work";
--- a/src/ingress/forwarder_second.cpp
+++ b/src/ingress/forwarder_second.cpp
@@ -194,6 +194,7 @@
     pressure_of(attempt.replica->record.service).note_refusal(time_.now());
   }
   progress.ended_runs += attempt.replica_has_ended ? 1 : 0;
+  progress.calls_out = race.calls().size();
   note_failure(request, attempt.replica, failure, progress);
 }
 
@@ -217,7 +218,7 @@
     progress.load.second_call_won(time_.now());
   }
   progress.load.answered(time_.now());
-  note_admitted_end(request, progress, &answer.value(), attempt.sent_at);
+  note_admitted_end(request, progress, &answer.value());
   on_won(*request.route, attempt, race);
   return ForwardResult(std::move(answer.value()));
 }
--- a/src/ingress/shared_health.cpp
+++ b/src/ingress/shared_health.cpp
@@ -176,7 +176,10 @@
   }
   // One failed trial is enough to go on with what several had found.
   const bool is_avoided = now < replica.avoided_until;
-  if (evidence.is_confirmed || is_avoided) {
+  const auto since = avoided_since_.find(replica.record.id);
+  const bool is_to_be_tried =
+      since != avoided_since_.end() && now - since->second >= settings_.longest_avoidance;
+  if ((evidence.is_confirmed || is_avoided) && !is_to_be_tried) {
     if (is_avoided || may_avoid_more(replica.record.service, now)) {
       return avoid(replica, evidence, now);
     }
@@ -194,6 +197,7 @@
   const bool was_avoided = now < replica.avoided_until;
   replica.avoided_until = evidence.latest + settings_.validity + draw_trial_wait();
   avoided_.insert(replica.record.id);
+  avoided_since_.try_emplace(replica.record.id, now);
   if (!was_avoided) {
     core::log_decision(core::DecisionEvent::kReplicaAvoided,
                        {{"replica", replica.record.id.value()},
@@ -233,6 +237,7 @@
 void SharedHealth::clear(ReplicaState& replica, core::MonotonicTime until) {
   replica.avoided_until = {};
   replica.doubted_until = {};
+  avoided_since_.erase(replica.record.id);
   for (auto& [node, reporter] : reporters_) {
     const auto found = reporter.seen.find(replica.record.id);
     if (found != reporter.seen.end() && found->second.at <= until) {
@@ -255,6 +260,9 @@
     return false;
   }
   const bool is_answer = finding.kind == FindingKind::kAnswered;
+  if (!is_answer && finding.at <= replica->last_success) {
+    return false;
+  }
   if (!is_answer && is_cut(self_.node, replica->record.service, now)) {
     return false;
   }
@@ -278,6 +286,11 @@
   }
   std::erase_if(reporters_, [](const auto& entry) { return entry.second.seen.empty(); });
   std::erase_if(avoided_, [&](const core::ReplicaId& id) { return !is_avoided(id, now); });
+  // Remembered for a finding's validity after its end, so that a trial comes first.
+  std::erase_if(avoided_since_, [&](const auto& entry) {
+    const ReplicaPointer replica = directory_.find(entry.first);
+    return !replica || now >= replica->avoided_until + settings_.validity;
+  });
 }
 
 std::size_t SharedHealth::size() const {
--- a/src/ingress/shared_health.hpp
+++ b/src/ingress/shared_health.hpp
@@ -65,6 +65,9 @@
   /// silent replica (ForwarderSettings::shortest_patience and three target latencies of 150 ms),
   /// so that a trial of one round spares the next.
   core::Duration trial_round = std::chrono::milliseconds(500);
+  /// A replica that was avoided for so long is tried, whatever others go on telling: longer than
+  /// all rounds of trials among 100 processes.
+  core::Duration longest_avoidance = std::chrono::seconds(8);
   /// Bounds on memory: reporters that are kept, and replicas of each.
   std::size_t most_reporters = 256;
   std::size_t most_of_reporter = 64;
@@ -150,6 +153,8 @@
   Listener listener_;
   std::map<core::NodeId, Reporter> reporters_;  ///< this process among them
   std::set<core::ReplicaId> avoided_;
+  /// When the avoidance of a replica began; kept until it has been tried.
+  std::map<core::ReplicaId, core::MonotonicTime> avoided_since_;
 };
 
 }  // namespace stoneport::ingress
--- a/src/node/load_control_settings.hpp
+++ b/src/node/load_control_settings.hpp
@@ -12,8 +12,9 @@
   bool shared_health = true;
   /// A request that may be repeated gets a second call beside one that takes unusually long.
   bool second_calls = true;
-  /// Steps of trainers are met whole where there is too little room for all.
-  bool fair_steps = true;
+  /// Steps of trainers are met whole where there is too little room for all. Off unless it is asked
+  /// for: docs/design/fair-steps.md names what is missing.
+  bool fair_steps = false;
 
   bool operator==(const LoadControlSettings&) const = default;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -65,7 +65,7 @@
   jobs::CoordinatorSettings coordinator = settings.coordinator;
   coordinator.term.holder = life;
   coordinator.region = settings.region;
-  coordinator.scorer.shares_by_due_time = settings.load_control.fair_steps;
+  coordinator.scorer.shares_by_due_time = settings.load_control.admission;
   coordinator.term.bid_delay = jobs::bid_delay_of(settings.processor_share);
   coordinator.dispatcher.fair_steps = settings.load_control.fair_steps;
   return coordinator;
--- a/src/routing/adaptive_throttle.cpp
+++ b/src/routing/adaptive_throttle.cpp
@@ -250,12 +250,12 @@
     return admit(now);
   }
   const Window window = window_at(now);
-  if (returned && hold_left(request.rank, now) > core::Duration(0)) {
+  const bool is_probe = now - last_admitted_ > settings_.probe_interval;
+  if (!is_probe && returned && hold_left(request.rank, now) > core::Duration(0)) {
     // Not counted as asked: it takes nothing from the share of those who come first.
     ++counts_.returned;
     return {ThrottleVerdict::kReturned, retry_after(window, request, now)};
   }
-  const bool is_probe = now - last_admitted_ > settings_.probe_interval;
   if (is_probe || !random_.chance(chance_of_refusal(window, request, now))) {
     return admit(now);
   }
--- a/tests/unit/ingress/shared_health_test.cpp
+++ b/tests/unit/ingress/shared_health_test.cpp
@@ -78,6 +78,7 @@
 class SharedHealthTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(SharedHealthTest);
   CPPUNIT_TEST(two_reporters_make_all_avoid_a_replica);
+  CPPUNIT_TEST(a_replica_is_tried_whatever_others_go_on_telling);
   CPPUNIT_TEST(an_own_finding_acts_at_once_and_confirms_another);
   CPPUNIT_TEST(a_wrong_reporter_ejects_nothing);
   CPPUNIT_TEST(a_lone_report_prefers_others_for_a_while);
@@ -110,6 +111,19 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, process.health.avoided());
   }
 
+  /// Two processes that are cut off alike tell of a sound replica for as long as they live.
+  void a_replica_is_tried_whatever_others_go_on_telling() {
+    Process process;
+    bool was_tried = false;
+    for (int now_ms = 0; now_ms < 20'000; now_ms += 100) {
+      process.hear(reporter(1), 2, now_ms, now_ms);
+      process.hear(reporter(2), 2, now_ms, now_ms);
+      process.health.forget_old(at(now_ms));
+      was_tried |= now_ms > 1000 && !process.is_avoided(2, now_ms);
+    }
+    CPPUNIT_ASSERT(was_tried);
+  }
+
   void an_own_finding_acts_at_once_and_confirms_another() {
     Process process;
     process.replica(2).suspect(at(0), milliseconds(2000));
