Two private functions of load admission say what they do; a comment without history

Cause: `tell` and `note_overload` did not say that they publish a metric and a log line, and that an overload begins; a comment of the throttle told of an earlier rate. Found by a reader of the change.

Ruled out: joining the throttle with routing/admission here, which would change behaviour.

Change: names and a comment; no behaviour, no test.

--- a/src/ingress/load_admission.cpp
+++ b/src/ingress/load_admission.cpp
@@ -28,7 +28,7 @@
   return throttles_.try_emplace(service, settings_, seed_).first->second;
 }
 
-void LoadAdmission::tell(const core::ServiceName& service, bool overloaded) {
+void LoadAdmission::publish_overload(const core::ServiceName& service, bool overloaded) {
   metrics_
       .gauge("stoneport_service_overloaded", "1 while replicas of the service refuse for load",
              {{"service", service.value()}})
@@ -41,9 +41,9 @@
                                                                {"returned", counts.returned}});
 }
 
-void LoadAdmission::note_overload(const core::ServiceName& service) {
+void LoadAdmission::begin_overload(const core::ServiceName& service) {
   if (overloaded_.insert(service).second) {
-    tell(service, true);
+    publish_overload(service, true);
   }
 }
 
@@ -53,7 +53,7 @@
       ++service;
       continue;
     }
-    tell(*service, false);
+    publish_overload(*service, false);
     service = overloaded_.erase(service);
   }
 }
@@ -83,7 +83,7 @@
   routing::AdaptiveThrottle& throttle = throttle_of(service);
   const bool may_go_on = throttle.note_refusal(request, refusal, now);
   if (throttle.is_armed(now)) {
-    note_overload(service);
+    begin_overload(service);
   }
   if (may_go_on) {
     return std::nullopt;
--- a/src/ingress/load_admission.hpp
+++ b/src/ingress/load_admission.hpp
@@ -47,10 +47,10 @@
   };
 
   routing::AdaptiveThrottle& throttle_of(const core::ServiceName& service);
-  void note_overload(const core::ServiceName& service);
+  void begin_overload(const core::ServiceName& service);
   /// Takes out the services whose replicas refused nothing lately.
   void end_overloads(core::MonotonicTime now);
-  void tell(const core::ServiceName& service, bool overloaded);
+  void publish_overload(const core::ServiceName& service, bool overloaded);
 
   routing::AdaptiveThrottleSettings settings_;
   std::uint64_t seed_;
--- a/src/routing/adaptive_throttle.hpp
+++ b/src/routing/adaptive_throttle.hpp
@@ -26,7 +26,7 @@
   /// free; callers bear at most a tenth more sends than requests.
   double growth = 1.1;
   /// The same while there is room: the newest answer was quick, and no replica refused lately.
-  /// Those who come after a crowd are served at once; with the rate above it took three seconds.
+  /// So those who come after a crowd are served at once, not at the pace of the rate above.
   double growth_with_room = 10;
   /// An answer within this share of its route's target latency was quick: it met no long queue.
   double quick_in_target_latencies = 0.35;
