--- a/src/jobs/scorer.cpp
+++ b/src/jobs/scorer.cpp
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/cancellation_signal.hpp>
-#include <boost/asio/steady_timer.hpp>
 
-#include "core/decision_log.hpp"
 #include "ingress/route_regions.hpp"
+#include "jobs/scorer_parts.hpp"
 #include "runtime/cancellable.hpp"
 #include "runtime/tasks.hpp"
 
@@ -22,54 +20,6 @@
 constexpr std::uint32_t kMostRoundsOfFailures = 2;
 }  // namespace
 
-struct Scorer::Meters {
-  explicit Meters(core::Metrics& metrics)
-      : scored(metrics.counter("stoneport_scores_total", "Texts that were rated")),
-        failed_answers(metrics.counter("stoneport_score_failures_total",
-                                       "Rating calls that a replica ran and failed")),
-        second_calls(metrics.counter("stoneport_score_hedges_total",
-                                     "Second rating calls beside one that took long")),
-        second_calls_won(metrics.counter("stoneport_score_hedges_won_total",
-                                         "Second rating calls that were answered first")),
-        cut(metrics.counter("stoneport_score_calls_cut_total",
-                            "Rating calls that were cut because nobody needed their answer "
-                            "or their replica was silent")),
-        share(metrics.gauge("stoneport_score_share_places",
-                            "Places that rating calls may take by what is due; 0 while clients "
-                            "do not crowd their service")) {}
-  prometheus::Counter& scored;
-  prometheus::Counter& failed_answers;
-  prometheus::Counter& second_calls;
-  prometheus::Counter& second_calls_won;
-  prometheus::Counter& cut;
-  prometheus::Gauge& share;
-};
-
-struct Scorer::Attempt {
-  ingress::ReplicaPointer replica;  ///< null until it was sent
-  core::MonotonicTime sent_at{};
-  bool is_second = false;
-  /// False once another call of the text, which was out at the same time, has failed.
-  bool counts_failure = true;
-  bool is_cut = false;
-  asio::cancellation_signal cut;
-};
-
-struct Scorer::Text {
-  Text(asio::any_io_executor executor, ScoringCall scoring_call)
-      : call(std::move(scoring_call)), changed(std::move(executor)) {}
-
-  ScoringCall call;
-  std::optional<RatingClaim> claim;    ///< of its step, where known
-  std::list<AttemptPointer> attempts;  ///< that are out, in the order of their beginning
-  asio::steady_timer changed;          ///< cancelled when one of them ends
-  core::MonotonicTime not_before{};    ///< the next one begins then at the earliest
-  std::uint32_t failures = 0;
-  std::uint32_t given_up = 0;      ///< calls that got no answer in their time
-  std::set<core::ReplicaId> left;  ///< replicas that did not answer it, or failed it
-  std::optional<Score> end;
-};
-
 Scorer::Scorer(ingress::Forwarder& forwarder, const ingress::RouteTableHolder& routes,
                const ingress::ReplicaDirectory& directory, const core::TimeSource& time,
                core::Metrics& metrics, ScorerSettings settings)
@@ -101,101 +51,6 @@
   return known_.emplace(route.name, std::move(fresh)).first->second;
 }
 
-bool Scorer::takes_calls(const ingress::ReplicaState& replica) const {
-  return replica.accepts_work() && directory_.gate().is_open(replica.record.zone);
-}
-
-bool Scorer::is_crowded_at(const ingress::Route& route) const {
-  const core::MonotonicTime now = time_.now();
-  return std::any_of(
-      route.targets.begin(), route.targets.end(), [&](const ingress::RouteTarget& target) {
-        const ingress::LoadLedger& ledger = forwarder_.ledger();
-        return is_crowded(ledger.recent_of(target.service, now), settings_.rating_share);
-      });
-}
-
-std::optional<std::uint32_t> Scorer::share_of(const ingress::Route& route) const {
-  const auto demand = demands_.find(route.name);
-  return demand == demands_.end() ? std::nullopt : demand->second.share;
-}
-
-std::uint32_t Scorer::places_of(const ingress::Route& route) const {
-  std::uint32_t places = 0;
-  for (const ingress::RouteTarget& target : route.targets) {
-    for (const ingress::ReplicaPointer& replica : directory_.of_service(target.service)) {
-      places += takes_calls(*replica) ? replica->record.slots : 0;
-    }
-  }
-  return places;
-}
-
-void Scorer::refresh_share(const ScoringCall& call) {
-  const RouteInForce in_force = route_of(call);
-  const core::MonotonicTime now = time_.now();
-  if (!settings_.shares_by_due_time || in_force.route == nullptr) {
-    return;
-  }
-  const ingress::Route& route = *in_force.route;
-  const auto found = demands_.find(route.name);
-  if (found == demands_.end() || now < found->second.share_until) {
-    return;
-  }
-  Demand& demand = found->second;
-  demand.share_until = now + settings_.share_interval;
-  const bool was_crowded = demand.share.has_value();
-  const bool is_crowded = !demand.due.empty() && is_crowded_at(route);
-  demand.share = is_crowded ? std::optional(share_for(route, demand)) : std::nullopt;
-  meters_->share.Set(demand.share.value_or(0));
-  if (is_crowded != was_crowded) {
-    core::log_decision(core::DecisionEvent::kRatingShare, {{"route", route.name},
-                                                           {"crowded", is_crowded},
-                                                           {"places", places_of(route)},
-                                                           {"share", demand.share.value_or(0)},
-                                                           {"texts", demand.due.size()}});
-  }
-}
-
-std::uint32_t Scorer::share_for(const ingress::Route& route, const Demand& demand) {
-  const core::MonotonicTime now = time_.now();
-  std::vector<core::Duration> time_left;
-  time_left.reserve(demand.due.size());
-  for (const core::MonotonicTime due : demand.due) {
-    time_left.push_back(due - now);
-  }
-  const routing::CallBounds bounds{route.timeout, route.target_latency};
-  const std::uint32_t places = places_of(route);
-  const RatingService service{places, usual_share(places), known(route).times.usual(bounds)};
-  return places_for_ratings(service, time_left, settings_.rating_share);
-}
-
-bool Scorer::is_its_turn(const Text& text) const {
-  const RouteInForce in_force = route_of(text.call);
-  if (!text.claim || in_force.route == nullptr || !share_of(*in_force.route)) {
-    return true;
-  }
-  const std::multiset<RatingClaim>& waiting = demands_.at(in_force.route->name).waiting;
-  return waiting.empty() || is_turn_of(*text.claim, *waiting.begin(), settings_.same_step);
-}
-
-std::uint32_t Scorer::usual_share(std::uint32_t places) const {
-  return static_cast<std::uint32_t>(places * settings_.share_of_places);
-}
-
-std::uint32_t Scorer::most_at_once(const ScoringCall& call) const {
-  const RouteInForce in_force = route_of(call);
-  const std::uint32_t places = in_force.route == nullptr ? 0 : places_of(*in_force.route);
-  if (places == 0) {
-    return 0;  // a call that waited for a replica would have less time for its answer
-  }
-  const std::optional<std::uint32_t> share = share_of(*in_force.route);
-  if (share) {
-    return std::clamp(*share, std::min(settings_.fewest_at_once, places), places);
-  }
-  const std::uint32_t usual = usual_share(places);
-  const auto most = static_cast<std::uint32_t>(places * settings_.share_under_pressure);
-  return std::max(waiting_ > usual ? most : usual, settings_.fewest_at_once);
-}
-
 routing::Elsewhere Scorer::look_elsewhere(const Text& text, const ingress::Route& route) const {
   const core::MonotonicTime now = time_.now();
   const core::MonotonicTime sent_at = text.attempts.back()->sent_at;
@@ -471,11 +326,6 @@
   begin(text, false);
 }
 
-Scorer::Demand* Scorer::demand_of(const Text& text) {
-  const RouteInForce in_force = route_of(text.call);
-  return text.claim && in_force.route != nullptr ? &demands_[in_force.route->name] : nullptr;
-}
-
 asio::awaitable<Score> Scorer::score(ScoringCall call, std::function<bool()> is_wanted,
                                      std::optional<RatingClaim> claim) {
   const auto text = std::make_shared<Text>(co_await asio::this_coro::executor, std::move(call));
