Answers read whole wait for memory: a sum over all exchanges is bounded

What callers saw: with 120 MB of memory, eighty answers of 2 MB that come from replicas at once took 180 MB, so that the machine's limit would end the process and all its requests. Forty clients that read answers of 4 MB at once got 8; the other 32 connections were reset, as the limit on unsent bytes resets whoever has most unsent.

Cause: platform/replica_http_client read each answer to its end before it was passed on, each up to 32 MB, and nothing bounded their sum. The limit on unsent bytes comes later: whatever is over it has been read already, and it can only reset clients, also those that read.

Ruled out: the kernel's buffers and the allocator.

Change: a whole answer reserves its bytes before it is read (http/body_memory, decisions in http/body_budget) and gives them back once its client has taken it. - Known length: reserved once, in order of arrival, so that nothing waits while it holds memory. Above the limit: read alone. Unknown length: grows; one body may exceed the limit, so that partial ones do not wait for each other forever. - Answers up to 64 KB have a quarter of the limit to themselves. - The wait does not count against the attempt's timeout, the replica's latency or its health, and gets no second call. It ends at the request's deadline: 504, as the request has run. - While something waits, connections whose clients took nothing for 500 ms are reset, by the kernel's send queue and not only by what the kernel accepts. Clients that read are spared. The limit on unsent bytes is an eighth of the memory above that of answers now, which therefore do not reach it. - A failure response above 16 KB is not kept during a retry: it would be held while the request waits for the next one. Answers of replicas that did not run a request are skipped up to 64 KB, where up to 32 MB were read. - Without a statement of memory in the settings there is no limit, as before.

--- /dev/null
+++ b/src/http/body_memory.cpp
@@ -0,0 +1,232 @@
+#include "http/body_memory.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+
+#include "http/beast_conversion.hpp"
+#include "http/deadline_timer.hpp"
+
+namespace stoneport::http {
+namespace asio = boost::asio;
+namespace {
+
+/// Short against the time after which a client that reads nothing counts as stalled.
+constexpr core::Duration kReclaimInterval = std::chrono::milliseconds(100);
+/// Reserved at first for a body whose length is not known.
+constexpr std::uint64_t kFirstBytes = 64 * 1024;
+
+std::string metric_name(std::string_view suffix) {
+  return "stoneport_http_bodies_" + std::string(suffix);
+}
+
+core::Error too_large(std::size_t max_bytes) {
+  return core::make_error(core::ErrorCode::kTooLarge,
+                          "body exceeds " + std::to_string(max_bytes) + " bytes");
+}
+
+}  // namespace
+
+struct BodyMemory::State {
+  State(asio::any_io_executor on, const std::string& name, BodyBudgetLimits limits,
+        core::Metrics& metrics)
+      : executor(std::move(on)),
+        budget(limits),
+        held(metrics.gauge(metric_name("held_bytes"), "Bytes reserved for bodies read whole",
+                           {{"memory", name}})),
+        waiting(metrics.gauge(metric_name("waiting"), "Bodies that wait for memory",
+                              {{"memory", name}})),
+        waits(metrics.counter(metric_name("waits_total"), "Bodies that had to wait for memory",
+                              {{"memory", name}})),
+        dropped(metrics.counter(metric_name("without_memory_total"),
+                                "Bodies dropped as there was no memory by their deadline",
+                                {{"memory", name}})) {}
+
+  void update_gauges() {
+    held.Set(static_cast<double>(budget.held_bytes()));
+    waiting.Set(static_cast<double>(budget.waiting()));
+  }
+
+  void wake(const std::vector<BodyBudget::Ticket>& granted) {
+    for (const BodyBudget::Ticket ticket : granted) {
+      const auto timer = timers.find(ticket);
+      if (timer != timers.end()) {
+        timer->second->cancel();
+      }
+    }
+    update_gauges();
+  }
+
+  /// Asks for memory to be freed, at most once per interval for all that wait.
+  void reclaim_if_due(core::MonotonicTime now) {
+    if (now < next_reclaim || !reclaim) {
+      return;
+    }
+    next_reclaim = now + kReclaimInterval;
+    reclaim(budget.waiting_bytes());
+  }
+
+  asio::any_io_executor executor;
+  BodyBudget budget;
+  Reclaim reclaim;
+  core::MonotonicTime next_reclaim{};
+  std::unordered_map<BodyBudget::Ticket, asio::steady_timer*> timers;  ///< of those that wait
+  prometheus::Gauge& held;
+  prometheus::Gauge& waiting;
+  prometheus::Counter& waits;
+  prometheus::Counter& dropped;
+};
+
+namespace {
+
+/// Keeps a timer where the grant of its ticket finds it, however the wait ends.
+template <class Timers>
+class RegisteredTimer {
+ public:
+  RegisteredTimer(Timers& timers, BodyBudget::Ticket ticket, asio::steady_timer& timer)
+      : timers_(timers), ticket_(ticket) {
+    timers_[ticket_] = &timer;
+  }
+  ~RegisteredTimer() { timers_.erase(ticket_); }
+  RegisteredTimer(const RegisteredTimer&) = delete;
+  RegisteredTimer& operator=(const RegisteredTimer&) = delete;
+
+ private:
+  Timers& timers_;
+  BodyBudget::Ticket ticket_;
+};
+
+/// Collects a body into one text, reserving its capacity before each allocation.
+class BodyCollector {
+ public:
+  BodyCollector(BodyMemory& memory, const ReservedReadOptions& options)
+      : options_(options), reservation_(std::make_shared<BodyReservation>(memory)) {}
+
+  /// Makes room for \p size bytes in all.
+  asio::awaitable<core::Result<void>> make_room(std::uint64_t size) {
+    if (size <= capacity_) {
+      co_return core::Result<void>();
+    }
+    const std::uint64_t target =
+        options_.length.value_or(std::max({2 * capacity_, size, kFirstBytes}));
+    // While the text moves into the larger allocation, both are in memory.
+    core::Result<void> granted =
+        co_await reservation_->enlarge(capacity_ + target, options_.deadline, options_.listener);
+    if (!granted) {
+      co_return granted;
+    }
+    text_.reserve(target);
+    if (capacity_ > 0) {
+      reservation_->shrink(target);
+    }
+    capacity_ = target;
+    co_return core::Result<void>();
+  }
+
+  void append(const std::string& piece) { text_ += piece; }
+  std::uint64_t size() const { return text_.size(); }
+
+  ReservedBody take() {
+    if (capacity_ == 0) {
+      return {};
+    }
+    return {std::move(text_), std::move(reservation_)};
+  }
+
+ private:
+  const ReservedReadOptions& options_;
+  std::shared_ptr<BodyReservation> reservation_;
+  std::string text_;
+  std::uint64_t capacity_ = 0;
+};
+
+}  // namespace
+
+BodyMemory::BodyMemory(asio::any_io_executor executor, const std::string& name,
+                       BodyBudgetLimits limits, core::Metrics& metrics)
+    : state_(std::make_shared<State>(std::move(executor), name, limits, metrics)) {}
+
+void BodyMemory::set_reclaim(Reclaim reclaim) {
+  state_->reclaim = std::move(reclaim);
+}
+
+bool BodyMemory::is_short() const {
+  return state_->budget.waiting() > 0;
+}
+
+BodyReservation::~BodyReservation() {
+  if (ticket_ != 0) {
+    state_->wake(state_->budget.release(ticket_));
+  }
+}
+
+void BodyReservation::shrink(std::uint64_t bytes) {
+  state_->wake(state_->budget.shrink(ticket_, bytes));
+}
+
+asio::awaitable<core::Result<void>> BodyReservation::enlarge(std::uint64_t bytes,
+                                                             core::MonotonicTime deadline,
+                                                             const MemoryWaitListener& listener) {
+  if (ticket_ == 0) {
+    ticket_ = state_->budget.request(bytes);
+  } else {
+    state_->budget.grow(ticket_, bytes);
+  }
+  state_->update_gauges();
+  if (state_->budget.is_granted(ticket_)) {
+    co_return core::Result<void>();
+  }
+  state_->waits.Increment();
+  if (listener.on_begin) {
+    listener.on_begin();
+  }
+  const core::MonotonicTime began = monotonic_now();
+  asio::steady_timer timer(state_->executor);
+  const RegisteredTimer registered(state_->timers, ticket_, timer);
+  while (!state_->budget.is_granted(ticket_)) {
+    const core::MonotonicTime now = monotonic_now();
+    if (now >= deadline) {
+      state_->dropped.Increment();
+      state_->wake(state_->budget.release(std::exchange(ticket_, 0)));
+      co_return core::make_error(
+          core::ErrorCode::kOverloaded,
+          "no memory for a body of " + std::to_string(bytes) + " bytes by its deadline");
+    }
+    state_->reclaim_if_due(now);
+    timer.expires_after(std::min(deadline - now, kReclaimInterval));
+    co_await timer.async_wait(kAwaitTuple);
+  }
+  if (listener.on_end) {
+    listener.on_end(monotonic_now() - began);
+  }
+  co_return core::Result<void>();
+}
+
+asio::awaitable<core::Result<ReservedBody>> read_reserved(BodySource& body, BodyMemory& memory,
+                                                          ReservedReadOptions options) {
+  if (options.length.value_or(0) > options.max_bytes) {
+    co_return too_large(options.max_bytes);
+  }
+  BodyCollector collector(memory, options);
+  core::Result<void> has_room = co_await collector.make_room(options.length.value_or(0));
+  while (has_room) {
+    core::Result<std::optional<std::string>> piece = co_await body.next();
+    if (!piece) {
+      co_return std::move(piece).error();
+    }
+    if (!piece->has_value()) {
+      co_return collector.take();
+    }
+    const std::uint64_t size = collector.size() + (*piece)->size();
+    if (size > options.max_bytes) {
+      co_return too_large(options.max_bytes);
+    }
+    has_room = co_await collector.make_room(size);
+    if (has_room) {
+      collector.append(**piece);
+    }
+  }
+  co_return has_room.error();
+}
+
+}  // namespace stoneport::http
--- /dev/null
+++ b/src/http/body_memory.hpp
@@ -0,0 +1,87 @@
+/// \file
+/// Memory for message bodies that are read whole before they are passed on. Whoever reads one
+/// reserves its bytes first and waits while too many are held; the deadline of the caller goes on
+/// meanwhile. Used from the thread of its executor only.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/error.hpp"
+#include "core/metrics.hpp"
+#include "core/time.hpp"
+#include "http/body.hpp"
+#include "http/body_budget.hpp"
+
+namespace stoneport::http {
+
+/// Called around a wait for memory; not called when there is room at once.
+struct MemoryWaitListener {
+  std::function<void()> on_begin = {};
+  std::function<void(core::Duration waited)> on_end = {};
+};
+
+class BodyMemory {
+ public:
+  /// Asks whoever keeps bodies for clients that do not read them to free about \p bytes.
+  using Reclaim = std::function<void(std::uint64_t bytes)>;
+
+  /// \param name label of the metrics, such as "answers"
+  BodyMemory(boost::asio::any_io_executor executor, const std::string& name,
+             BodyBudgetLimits limits, core::Metrics& metrics);
+  /// \param reclaim called every 100 ms while a body waits
+  void set_reclaim(Reclaim reclaim);
+  /// \return whether a body waits for memory.
+  bool is_short() const;
+
+ private:
+  friend class BodyReservation;
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+/// The bytes that one body holds; they are given back when this is destroyed.
+class BodyReservation {
+ public:
+  explicit BodyReservation(BodyMemory& memory) : state_(memory.state_) {}
+  ~BodyReservation();
+  BodyReservation(const BodyReservation&) = delete;
+  BodyReservation& operator=(const BodyReservation&) = delete;
+
+  /// Waits until \p bytes in all may be held, more than before.
+  /// \return kOverloaded if that was not so by \p deadline; nothing more is held then.
+  boost::asio::awaitable<core::Result<void>> enlarge(std::uint64_t bytes,
+                                                     core::MonotonicTime deadline,
+                                                     const MemoryWaitListener& listener);
+  /// Gives back what is held beyond \p bytes.
+  void shrink(std::uint64_t bytes);
+
+ private:
+  std::shared_ptr<BodyMemory::State> state_;
+  BodyBudget::Ticket ticket_ = 0;  ///< zero until the first bytes are asked for
+};
+
+/// A whole body with the memory that it takes.
+struct ReservedBody {
+  std::string text;
+  std::shared_ptr<BodyReservation> reservation;  ///< null for an empty body
+};
+
+struct ReservedReadOptions {
+  std::optional<std::uint64_t> length = std::nullopt;  ///< of the body; nullopt if not known
+  std::size_t max_bytes = 0;
+  core::MonotonicTime deadline;  ///< end of waits for memory
+  MemoryWaitListener listener = {};
+};
+
+/// Reads \p body to its end, within \p memory.
+/// \return kTooLarge beyond the maximum, kOverloaded if there was no memory by the deadline, or the
+/// source's error.
+boost::asio::awaitable<core::Result<ReservedBody>> read_reserved(BodySource& body,
+                                                                 BodyMemory& memory,
+                                                                 ReservedReadOptions options);
+
+}  // namespace stoneport::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -40,6 +40,10 @@
 
   const ResponseHead& head() const override { return exchange_->head(); }
   BodySource& body() override { return *exchange_; }
+  std::optional<std::uint64_t> body_bytes_left() const override {
+    return exchange_->body_bytes_left();
+  }
+  void set_deadline(core::MonotonicTime deadline) override { exchange_->set_deadline(deadline); }
   void cancel() override { exchange_->cancel(); }
 
  private:
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -46,6 +46,10 @@
   virtual ~ClientResponse() = default;
   virtual const ResponseHead& head() const = 0;
   virtual BodySource& body() = 0;
+  /// \return the bytes of the body that were not read yet; nullopt if its length is not known.
+  virtual std::optional<std::uint64_t> body_bytes_left() const = 0;
+  /// Moves the deadline of the exchange.
+  virtual void set_deadline(core::MonotonicTime deadline) = 0;
   /// Closes the connection; a pending body read ends with kCancelled.
   virtual void cancel() = 0;
 };
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -186,6 +186,20 @@
   }
 }
 
+std::optional<std::uint64_t> ClientExchange::body_bytes_left() const {
+  if (parser_->is_done()) {
+    return 0;
+  }
+  const boost::optional<std::uint64_t> left = parser_->content_length_remaining();
+  return left ? std::optional(*left) : std::nullopt;
+}
+
+void ClientExchange::set_deadline(core::MonotonicTime deadline) {
+  if (connection_) {
+    connection_->timer().arm(deadline);
+  }
+}
+
 void ClientExchange::cancel() {
   cancelled_ = true;
   abandon();
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -32,6 +32,9 @@
   /// unfinished request is sent while the response's body is read.
   boost::asio::awaitable<std::optional<ClientError>> run();
   const ResponseHead& head() const { return head_; }
+  /// \return the bytes of the body that were not read yet; nullopt if its length is not known.
+  std::optional<std::uint64_t> body_bytes_left() const;
+  void set_deadline(core::MonotonicTime deadline);
   boost::asio::awaitable<core::Result<std::optional<std::string>>> next() override;
   void cancel();
   /// Closes the connection unless the exchange is complete.
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -2,6 +2,7 @@
 /// HTTP/1.1 messages as plain values. No Beast type leaves src/http.
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +11,8 @@
 
 namespace stoneport::http {
 
+class BodyReservation;
+
 /// Header fields in order of arrival; names compare without regard to case.
 class HeaderMap {
  public:
@@ -53,6 +56,8 @@
 struct Response {
   ResponseHead head;
   std::string body;
+  /// Memory that \a body takes, if it is accounted for.
+  std::shared_ptr<const BodyReservation> reservation = nullptr;
 };
 
 /// \return \p target up to, not including, its query.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -183,6 +183,7 @@
   }
 
   std::size_t requests_in_flight() const { return state_->requests_in_flight; }
+  void reset_stalled(std::uint64_t bytes) { state_->reset_stalled(bytes); }
 
  private:
   void open_listener(const asio::ip::tcp::endpoint& endpoint, AddressUse use,
@@ -300,5 +301,8 @@
 std::size_t Server::requests_in_flight() const {
   return implementation_->requests_in_flight();
 }
+void Server::reset_stalled(std::uint64_t bytes) {
+  implementation_->reset_stalled(bytes);
+}
 
 }  // namespace stoneport::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -119,6 +119,9 @@
   /// Resets every connection and closes the listener at once.
   void abort();
   std::size_t requests_in_flight() const;
+  /// Resets connections whose clients have taken nothing of their response for a while, until about
+  /// \p bytes less are kept for them. Clients that read are spared.
+  void reset_stalled(std::uint64_t bytes);
 
  private:
   class Implementation;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -1,6 +1,8 @@
 #include "http/server_connection.hpp"
 
+#include <linux/sockios.h>
 #include <spdlog/spdlog.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
@@ -97,23 +99,48 @@
   socket.close(ignored);
 }
 
+std::uint64_t ServerSocket::send_queue_bytes() {
+  int bytes = 0;
+  const bool is_known = socket.is_open() && ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return is_known && bytes > 0 ? static_cast<std::uint64_t>(bytes) : 0;
+}
+
 void ServerState::begin_unsent(ServerSocket& io, std::uint64_t bytes) {
   const core::MonotonicTime now = monotonic_now();
   unsent.begin(io.id, io.caller, bytes, now);
   writing[io.id] = &io;
   while (const auto chosen = unsent.connection_to_cut(now)) {
-    ServerSocket& slow = *writing.at(*chosen);
-    spdlog::warn(
-        "http server: reset the connection of {}, which does not read: {} bytes are kept for all "
-        "clients, more than {}",
-        slow.caller, unsent.total(), limits.unsent.most_bytes);
-    counters.slow_readers_cut.Increment();
-    slow.reset();
-    end_unsent(slow);
+    cut_slow_reader(*writing.at(*chosen), "more is kept for all clients than the limit of " +
+                                              std::to_string(limits.unsent.most_bytes) + " bytes");
   }
   counters.unsent_bytes.Set(static_cast<double>(unsent.total()));
 }
 
+void ServerState::cut_slow_reader(ServerSocket& slow, const std::string& reason) {
+  spdlog::warn(
+      "http server: reset the connection of {}, which does not read {} bytes of its response: {}",
+      slow.caller, unsent.kept_bytes(slow.id), reason);
+  counters.slow_readers_cut.Increment();
+  slow.reset();
+  end_unsent(slow);
+}
+
+void ServerState::reset_stalled(std::uint64_t bytes) {
+  const core::MonotonicTime now = monotonic_now();
+  for (const auto& [connection, io] : writing) {
+    unsent.note_send_queue(connection, io->send_queue_bytes(), now);
+  }
+  std::uint64_t freed = 0;
+  while (freed < bytes) {
+    const std::optional<UnsentBytes::ConnectionId> chosen = unsent.stalled_connection(now);
+    if (!chosen) {
+      return;
+    }
+    freed += unsent.kept_bytes(*chosen);
+    cut_slow_reader(*writing.at(*chosen), "other responses wait for its memory");
+  }
+}
+
 void ServerState::note_taken(const ServerSocket& io, std::uint64_t bytes) {
   unsent.taken(io.id, bytes, monotonic_now());
 }
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -55,7 +55,10 @@
   /// A response of \p bytes begins to go out on \p io; cuts slow readers where too much is kept.
   void begin_unsent(ServerSocket& io, std::uint64_t bytes);
   void note_taken(const ServerSocket& io, std::uint64_t bytes);
+  /// Resets stalled connections until about \p bytes less are kept for them.
+  void reset_stalled(std::uint64_t bytes);
   void end_unsent(const ServerSocket& io);
+  void cut_slow_reader(ServerSocket& slow, const std::string& reason);
 
   ServerLimits limits;
   RequestHandler& handler;
@@ -76,6 +79,8 @@
                UnsentBytes::ConnectionId connection);
   /// Closes it with a reset.
   void reset();
+  /// \return the bytes in the kernel's send queue that the other side has not acknowledged.
+  std::uint64_t send_queue_bytes();
 
   UnsentBytes::ConnectionId id;  ///< within the server
   std::string caller;            ///< the IP number of the other side
--- a/src/http/unsent_bytes.cpp
+++ b/src/http/unsent_bytes.cpp
@@ -23,6 +23,23 @@
   total_ -= taken;
 }
 
+void UnsentBytes::note_send_queue(ConnectionId connection, std::uint64_t bytes,
+                                  core::MonotonicTime now) {
+  const auto found = responses_.find(connection);
+  if (found == responses_.end()) {
+    return;
+  }
+  if (bytes < found->second.send_queue) {
+    found->second.last_progress = now;
+  }
+  found->second.send_queue = bytes;
+}
+
+std::uint64_t UnsentBytes::kept_bytes(ConnectionId connection) const {
+  const auto found = responses_.find(connection);
+  return found == responses_.end() ? 0 : found->second.left;
+}
+
 void UnsentBytes::end(ConnectionId connection) {
   const auto found = responses_.find(connection);
   if (found == responses_.end()) {
@@ -41,12 +58,17 @@
   if (limits_.most_bytes == 0 || total_ <= limits_.most_bytes) {
     return std::nullopt;
   }
-  const bool any_is_stalled = std::any_of(
-      responses_.begin(), responses_.end(),
-      [&](const auto& entry) { return entry.second.left > 0 && is_stalled(entry.second, now); });
-  const auto counts = [&](const Response& response) {
-    return response.left > 0 && (!any_is_stalled || is_stalled(response, now));
-  };
+  const std::optional<ConnectionId> stalled = stalled_connection(now);
+  return stalled ? stalled : largest([](const Response& response) { return response.left > 0; });
+}
+
+std::optional<UnsentBytes::ConnectionId> UnsentBytes::stalled_connection(
+    core::MonotonicTime now) const {
+  return largest(
+      [&](const Response& response) { return response.left > 0 && is_stalled(response, now); });
+}
+
+std::optional<UnsentBytes::ConnectionId> UnsentBytes::largest(const Filter& counts) const {
   std::unordered_map<std::string, std::uint64_t> of_caller;
   for (const auto& [connection, response] : responses_) {
     of_caller[response.caller] += counts(response) ? response.left : 0;
--- a/src/http/unsent_bytes.hpp
+++ b/src/http/unsent_bytes.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -34,6 +35,9 @@
              core::MonotonicTime now);
   /// The client of \p connection took \p bytes more.
   void taken(ConnectionId connection, std::uint64_t bytes, core::MonotonicTime now);
+  /// Of what \p connection took, \p bytes are still in the kernel's send queue. A client that reads
+  /// slowly makes progress there long before the kernel takes more.
+  void note_send_queue(ConnectionId connection, std::uint64_t bytes, core::MonotonicTime now);
   /// Nothing is kept for \p connection any more.
   void end(ConnectionId connection);
 
@@ -41,13 +45,21 @@
   /// \return what to cut so that the total falls below its limit: the largest connection of the
   /// caller for which most is kept, stalled ones first; nothing while the total is within it.
   std::optional<ConnectionId> connection_to_cut(core::MonotonicTime now) const;
+  /// \return the largest stalled connection of the caller for which most is kept, if any.
+  std::optional<ConnectionId> stalled_connection(core::MonotonicTime now) const;
+  /// \return the bytes kept for \p connection.
+  std::uint64_t kept_bytes(ConnectionId connection) const;
 
  private:
   struct Response {
     std::string caller;
     std::uint64_t left = 0;
     core::MonotonicTime last_progress{};
+    std::uint64_t send_queue = 0;  ///< as noted last
   };
+  using Filter = std::function<bool(const Response&)>;
+  /// \return the largest connection that \p counts of the caller for which most is kept.
+  std::optional<ConnectionId> largest(const Filter& counts) const;
   bool is_stalled(const Response& response, core::MonotonicTime now) const;
 
   UnsentLimits limits_;
--- a/src/ingress/call_race.cpp
+++ b/src/ingress/call_race.cpp
@@ -11,11 +11,7 @@
 namespace asio = boost::asio;
 
 bool CallAttempt::is_broken() const {
-  if (!result || result->has_value()) {
-    return false;
-  }
-  const ports::CallFailure& failure = result->error();
-  return failure.kind == ports::CallFailureKind::kMayHaveRun && !failure.unreachable;
+  return result && !result->has_value() && ports::is_broken_connection(result->error());
 }
 
 CallRace::CallRace(const asio::any_io_executor& executor)
@@ -86,6 +82,11 @@
   });
 }
 
+bool CallRace::has_begun_answer() const {
+  return std::any_of(calls_.begin(), calls_.end(),
+                     [](const CallAttemptPointer& attempt) { return attempt->has_begun_answer; });
+}
+
 bool CallRace::has_call_at(const ReplicaState& replica) const {
   return std::any_of(calls_.begin(), calls_.end(), [&](const CallAttemptPointer& attempt) {
     return attempt->replica.get() == &replica;
--- a/src/ingress/call_race.hpp
+++ b/src/ingress/call_race.hpp
@@ -29,6 +29,8 @@
   bool was_cold = false;   ///< whether the replica was cold when the call was sent
   std::optional<CrashGuard::Run> suspect_run = std::nullopt;
 
+  /// Whether the replica has answered and the answer waits for memory of this process.
+  bool has_begun_answer = false;
   bool has_ended = false;
   bool is_cancelled = false;
   boost::asio::cancellation_signal cancellation = {};
@@ -72,6 +74,9 @@
   const std::list<CallAttemptPointer>& calls() const { return calls_; }
   /// \return whether a check for a crashed replica is running.
   bool is_checking_replica() const;
+  /// \return whether a replica has answered and its answer waits for memory of this process, so
+  /// that another call could not be answered earlier.
+  bool has_begun_answer() const;
   bool has_call_at(const ReplicaState& replica) const;
   bool has_call_in(const core::ZoneName& zone) const;
 
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -70,6 +70,7 @@
   call.body = request.body;
   call.time_left = progress.give_up_at - time_.now();
   call.resume_after = progress.last_event;
+  call.longest_wait = call.time_left;
   call.tenant = request.tenant;
   call.fresh_connection = !is_repeatable(*request.route);
   return call;
@@ -130,7 +131,7 @@
     progress.load.refused_by_replica(time_.now());
   }
   const bool is_just_slow = failure.unreachable && is_cold(*replica);
-  if (has_run && !failure.stale_connection && !is_just_slow) {
+  if (has_run && !failure.stale_connection && !failure.answer_dropped && !is_just_slow) {
     note_failed_run(*replica);
   }
   progress.preference.excluded.insert(replica->record.id);
@@ -199,7 +200,7 @@
       {{"request", request.request_id}, {"may_have_run", true}, {"reason", progress.reason}},
       core::DecisionWeight::kRoutine);
   if (is_repeatable(*request.route) && may_try_again(request, progress)) {
-    progress.last_answer = std::move(answer);
+    keep_failure(std::move(answer), progress);
     return Verdict::kRetry;
   }
   // Passing the status on would tell the client that the request has not run.
@@ -207,6 +208,16 @@
   return would_mislead_client ? Verdict::kGiveUp : Verdict::kAnswer;
 }
 
+void Forwarder::keep_failure(ports::ReplicaAnswer answer, Progress& progress) const {
+  progress.last_answer.reset();
+  // A request that kept a large answer while it waits for memory for the next one could block
+  // others that do the same.
+  if (answer.response.body.size() <= settings_.max_kept_failure_bytes) {
+    answer.response.reservation.reset();
+    progress.last_answer = std::move(answer);
+  }
+}
+
 std::optional<CrashGuard::Run> Forwarder::begin_if_suspect(const ReplicaState& replica,
                                                            const Progress& progress) {
   return guard_.begin(progress.content, replica, progress.admission);
@@ -216,8 +227,7 @@
                                                  const ReplicaPointer& replica,
                                                  const ports::CallFailure& failure,
                                                  Progress& progress) {
-  const bool may_have_run = failure.kind == ports::CallFailureKind::kMayHaveRun;
-  if (may_have_run && !failure.unreachable) {
+  if (ports::is_broken_connection(failure)) {
     co_await check_broken_run(request, replica, progress);
   }
 }
@@ -280,7 +290,7 @@
     if (verdict == Verdict::kAnswer) {
       // a cold replica is slow for a while, which does not predict its speed when warm
       if (!was_cold) {
-        replica->note_latency(time_.now() - sent_at);
+        replica->note_latency(time_.now() - sent_at - answer->waited_for_memory);
       }
       progress.load.answered(time_.now());
       note_admitted_end(request, progress, &*answer);
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -119,6 +119,8 @@
   /// Retry-After for a request that is held back because replicas crash on it. This lasts for
   /// minutes, or until an operator releases the request.
   core::Duration held_back_retry_after = std::chrono::seconds(30);
+  /// Size above which a replica's failure response is not kept while the request is retried.
+  std::size_t max_kept_failure_bytes = 16 * 1024;
   /// Number of refusals, beyond the route's attempts, after which a request fails.
   std::uint32_t max_refusals = 6;
   /// If set, clients' requests are refused immediately while their service is overloaded.
@@ -276,6 +278,8 @@
                                                Progress& progress);
   boost::asio::awaitable<void> check_broken_run(const ForwardedRequest& request,
                                                 const ReplicaPointer& replica, Progress& progress);
+  /// Keeps the failure response of a request that is retried, in case no other one arrives.
+  void keep_failure(ports::ReplicaAnswer answer, Progress& progress) const;
   Verdict assess_answer(const ForwardedRequest& request, ReplicaState& replica,
                         ports::ReplicaAnswer& answer, Progress& progress);
   bool may_try_again(const ForwardedRequest& request, const Progress& progress) const;
--- a/src/ingress/forwarder_second.cpp
+++ b/src/ingress/forwarder_second.cpp
@@ -59,6 +59,7 @@
   const auto check = [this, &request, &progress, replica = attempt->replica] {
     return guard_.resolve_broken_call(progress.content_of(request), request.request_id, replica);
   };
+  call.on_memory_wait = [attempt] { attempt->has_begun_answer = true; };
   race.begin(attempt, client_.call(std::move(target), std::move(call)), check);
 }
 
@@ -103,7 +104,8 @@
   calls.usual = usual_time(route);
   calls.out = race.calls().size();
   calls.max_calls = route.max_attempts - std::min(route.max_attempts, progress.runs);
-  if (!routing::is_overdue(calls) || !may_send_second(request, progress)) {
+  if (race.has_begun_answer() || !routing::is_overdue(calls) ||
+      !may_send_second(request, progress)) {
     return;
   }
   const ReplicaPointer replica = choose_for_second_call(request, race, progress);
@@ -162,7 +164,7 @@
   const core::MonotonicTime now = time_.now();
   ReplicaState& replica = *winner.replica;
   if (!winner.was_cold) {
-    const core::Duration taken = now - winner.sent_at;
+    const core::Duration taken = now - winner.sent_at - winner.result->value().waited_for_memory;
     replica.note_latency(taken);
     pressure_of(replica.record.service)
         .note_answer(replica.record.id, taken > usual_time(route), now);
@@ -183,7 +185,7 @@
 void Forwarder::finish_failed_call(const ForwardedRequest& request, const CallAttempt& attempt,
                                    const ports::CallFailure& failure, const CallRace& race,
                                    Progress& progress, ObservedRun& observed) {
-  if (attempt.is_broken()) {
+  if (attempt.is_broken() || failure.answer_dropped) {
     observed.ran_since(attempt.sent_at);
   } else {
     observed.not_run();
--- a/src/ports/replica_client.hpp
+++ b/src/ports/replica_client.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,6 +35,11 @@
   /// request was written.
   bool fresh_connection = false;
   core::TenantName tenant = {};  ///< tenant of the request; empty if none
+  /// Longest time until the answer is complete, if this process has no memory for it at first.
+  /// Waiting for memory does not count against \a time_left; it is no sign of a slow replica.
+  core::Duration longest_wait{};
+  /// Called when the answer has begun and waits for memory of this process.
+  std::function<void()> on_memory_wait = {};
 };
 
 /// Kind of failure of a call without a usable answer.
@@ -49,8 +55,17 @@
   bool unreachable = false;  ///< no connection, or no answer in time
   /// Whether a pooled connection was closed before an answer; no evidence of bad health.
   bool stale_connection = false;
+  /// The replica answered, but this process had no memory for the answer; says nothing about the
+  /// replica.
+  bool answer_dropped = false;
 };
 
+/// \return whether the connection broke while the replica may have been running the call.
+inline bool is_broken_connection(const CallFailure& failure) {
+  return failure.kind == CallFailureKind::kMayHaveRun && !failure.unreachable &&
+         !failure.answer_dropped;
+}
+
 [[noreturn]] inline void throw_exception_from_error(const CallFailure& failure,
                                                     const boost::source_location&) {
   throw std::logic_error("value() called on a failed call: " + failure.reason);
@@ -61,7 +76,8 @@
 /// Complete answer of a replica that ran the request.
 struct ReplicaAnswer {
   http::Response response;
-  std::string signature;  ///< proof by the replica that it ran the request
+  std::string signature;               ///< proof by the replica that it ran the request
+  core::Duration waited_for_memory{};  ///< after its first byte, for memory of this process
 };
 
 /// One event of a token stream.
--- a/tests/platform/replica_cold_answer_test.cpp
+++ b/tests/platform/replica_cold_answer_test.cpp
@@ -59,7 +59,8 @@
     Replica replica;
     http::Server server{context.get_executor(), "replica", {}, replica, metrics};
     http::Client http{context.get_executor(), "test", metrics};
-    ReplicaHttpClient client{http, time};
+    http::BodyMemory answers{context.get_executor(), "answers", {}, metrics};
+    ReplicaHttpClient client{http, answers, time};
     std::vector<std::pair<std::string, core::Duration>> heard;
   };
 
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -239,7 +239,12 @@
   if (answer.body.size() < faults.answer_bytes) {
     answer.body.resize(faults.answer_bytes, '.');
   }
-  co_await response.send(std::move(answer));
+  if (!faults.chunked) {
+    co_await response.send(std::move(answer));
+  } else if (co_await response.start(std::move(answer.head), std::nullopt)) {
+    co_await response.write(answer.body);
+    co_await response.finish();
+  }
 }
 
 asio::awaitable<void> StandInReplica::answer_stream(const std::string& request_id,
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -55,6 +55,7 @@
   core::Duration work = std::chrono::milliseconds(5);
   int lost_orders = 0;           ///< orders carried out, whose answer is lost
   std::size_t answer_bytes = 0;  ///< whole answers are at least so long
+  bool chunked = false;          ///< whole answers do not tell their length beforehand
 };
 
 class StandInReplica : public http::RequestHandler {
--- a/tests/unit/http/unsent_bytes_test.cpp
+++ b/tests/unit/http/unsent_bytes_test.cpp
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(a_client_that_reads_is_spared_while_another_is_stalled);
   CPPUNIT_TEST(what_was_taken_or_ended_counts_no_more);
   CPPUNIT_TEST(eighty_slow_readers_leave_room_for_the_others);
+  CPPUNIT_TEST(a_client_that_reads_from_a_full_send_queue_is_not_stalled);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr core::MonotonicTime kStart{std::chrono::seconds(100)};
@@ -76,6 +77,25 @@
     unsent.begin(1000, "ordinary", 800, later);
     CPPUNIT_ASSERT(unsent.connection_to_cut(later) != UnsentBytes::ConnectionId{1000});
   }
+
+  /// The kernel takes more only when a third of its queue is free, which takes a slow client longer
+  /// than the time after which it counts as stalled.
+  void a_client_that_reads_from_a_full_send_queue_is_not_stalled() {
+    UnsentBytes unsent({});
+    unsent.begin(1, "reads", 4'000'000, kStart);
+    unsent.begin(2, "stalled", 1'000'000, kStart);
+    std::uint64_t queued = 4'000'000;
+    for (int step = 1; step <= 20; ++step) {
+      queued -= 50'000;
+      unsent.note_send_queue(1, queued, kStart + milliseconds(100 * step));
+      unsent.note_send_queue(2, 900'000, kStart + milliseconds(100 * step));
+    }
+    const core::MonotonicTime now = kStart + milliseconds(2000);
+    CPPUNIT_ASSERT(unsent.stalled_connection(now) == UnsentBytes::ConnectionId{2});
+    unsent.end(2);
+    CPPUNIT_ASSERT(!unsent.stalled_connection(now));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4'000'000}, unsent.kept_bytes(1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnsentBytesTest);
--- a/tests/unit/ingress/forwarder_second_call_test.cpp
+++ b/tests/unit/ingress/forwarder_second_call_test.cpp
@@ -29,6 +29,9 @@
     if (on_call) {
       on_call(calls.size() + 1);
     }
+    if (memory_wait > core::Duration(0)) {
+      co_return co_await wait_for_memory(std::move(target), std::move(call));
+    }
     const bool breaks = broken_by == target.id.value();
     ports::CallResult<ports::ReplicaAnswer> answer =
         co_await FakeReplicaClient::call(std::move(target), std::move(call));
@@ -37,14 +40,32 @@
     }
     co_return answer;
   }
+  /// Answers every call after \a memory_wait, or drops the answer.
+  boost::asio::awaitable<ports::CallResult<ports::ReplicaAnswer>> wait_for_memory(
+      ports::ReplicaTarget target, ports::ReplicaCall call) {
+    if (call.on_memory_wait) {
+      call.on_memory_wait();
+    }
+    co_await runtime::sleep_for(memory_wait);
+    if (drops_answers) {
+      calls.push_back(target.id.value());
+      co_return ports::CallFailure{.reason = "no memory", .answer_dropped = true};
+    }
+    ports::CallResult<ports::ReplicaAnswer> answer =
+        co_await FakeReplicaClient::call(std::move(target), std::move(call));
+    answer->waited_for_memory = memory_wait;
+    co_return answer;
+  }
   boost::asio::awaitable<bool> refuses_connections(ports::ReplicaTarget target) override {
     co_await runtime::sleep_for(check_time);
     co_return co_await FakeReplicaClient::refuses_connections(std::move(target));
   }
 
   std::function<void(std::size_t number)> on_call;  ///< numbered from one
-  std::string broken_by = {};   ///< id of a replica that runs calls and breaks their connections
-  core::Duration check_time{};  ///< duration of the check whether a replica has crashed
+  std::string broken_by = {};    ///< id of a replica that runs calls and breaks their connections
+  core::Duration memory_wait{};  ///< how long each answer waits for memory of this process
+  bool drops_answers = false;    ///< none is held after that wait
+  core::Duration check_time{};   ///< duration of the check whether a replica has crashed
   std::vector<core::Duration> times_left;  ///< by call
 };
 
@@ -86,6 +107,8 @@
   CPPUNIT_TEST(a_service_that_refuses_for_load_gets_no_second_calls);
   CPPUNIT_TEST(no_second_call_without_a_free_place);
   CPPUNIT_TEST(a_crash_suspect_gets_no_second_call);
+  CPPUNIT_TEST(an_answer_that_waits_for_memory_gets_no_second_call);
+  CPPUNIT_TEST(a_replica_is_not_blamed_for_an_answer_without_memory);
   CPPUNIT_TEST(a_request_counts_once);
   CPPUNIT_TEST(a_disconnecting_client_cancels_both_calls);
   CPPUNIT_TEST(without_second_calls_a_call_is_repeated_after_its_timeout);
@@ -437,6 +460,33 @@
     CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
   }
 
+  /// Its replica has answered: another call would only add an answer that waits.
+  void an_answer_that_waits_for_memory_gets_no_second_call() {
+    World world;
+    add_three(world);
+    world.replicas.memory_wait = milliseconds(700);
+    CPPUNIT_ASSERT_EQUAL(200u, world.serve());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.replicas.calls.size());
+    CPPUNIT_ASSERT_EQUAL(0.0, world.counted("sent"));
+    CPPUNIT_ASSERT(world.replica(world.replicas.calls.front())->latency_seconds < 0.3);
+  }
+
+  void a_replica_is_not_blamed_for_an_answer_without_memory() {
+    World world(1);
+    add_three(world);
+    world.replicas.memory_wait = milliseconds(100);
+    world.replicas.drops_answers = true;
+    for (int request = 0; request < 10; ++request) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("it has run", 502u, world.serve());
+    }
+    for (const auto& [id, replica] : world.directory.replicas()) {
+      CPPUNIT_ASSERT(!replica->is_suspect(world.time.now()));
+      CPPUNIT_ASSERT(!replica->outliers.is_ejected(world.time.now()));
+    }
+    CPPUNIT_ASSERT(!world.forwarder.guard().has_suspects());
+    CPPUNIT_ASSERT_EQUAL(10, world.observer.runs);
+  }
+
   void a_request_counts_once() {
     World world;
     add_three(world);
