Bodies of requests wait for memory, and are in memory once

What callers saw: nothing, until the machine's limit ends the process with all its requests.

Cause: the body of each request was read whole without a limit on the sum, kept by the forwarder, copied for each call and copied again for sending: 80 requests of 2 MB with 200 ms of work took 512 MB of a machine of 120.

They reserve what has arrived and not what is announced, so that clients that announce much and send little hold little; those that stopped sending for 500 ms are reset while others wait. The time of that wait counts against its deadline. Calls share one text (http::SharedText) and send it piece by piece. A body of unknown length reserves 4 KB first, not 64, and grows within the share of small bodies.

The stand-in's replicas took bodies up to 1 MB; they take 32 MB now.

Left: a job's body is counted once, while parsing it takes a multiple of that.

--- a/src/http/body.cpp
+++ b/src/http/body.cpp
@@ -11,6 +11,13 @@
   co_return std::optional<std::string>(std::move(text_));
 }
 
+asio::awaitable<core::Result<std::optional<std::string>>> SharedTextBody::next() {
+  constexpr std::size_t kMostBytes = 64 * 1024;
+  std::string piece = text_.text().substr(passed_, kMostBytes);
+  passed_ += piece.size();
+  co_return piece.empty() ? std::nullopt : std::optional(std::move(piece));
+}
+
 asio::awaitable<core::Result<std::string>> read_whole(BodySource& body, std::size_t limit_bytes) {
   std::string whole;
   while (true) {
--- a/src/http/body.hpp
+++ b/src/http/body.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/awaitable.hpp>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -31,6 +32,31 @@
   bool read_ = false;
 };
 
+/// A text that several calls send at the same time, in memory once.
+class SharedText {
+ public:
+  SharedText() = default;
+  SharedText(std::string text) : text_(std::make_shared<const std::string>(std::move(text))) {}
+  SharedText(const char* text) : SharedText(std::string(text)) {}
+
+  const std::string& text() const { return *text_; }
+  std::size_t size() const { return text_->size(); }
+
+ private:
+  std::shared_ptr<const std::string> text_ = std::make_shared<const std::string>();
+};
+
+/// Passes on a shared text piece by piece, so that it is not copied whole.
+class SharedTextBody : public BodySource {
+ public:
+  explicit SharedTextBody(SharedText text) : text_(std::move(text)) {}
+  boost::asio::awaitable<core::Result<std::optional<std::string>>> next() override;
+
+ private:
+  SharedText text_;
+  std::size_t passed_ = 0;  ///< in bytes
+};
+
 /// Reads \p body to its end.
 /// \return kTooLarge beyond \p limit_bytes, or the source's error.
 boost::asio::awaitable<core::Result<std::string>> read_whole(BodySource& body,
--- a/src/http/body_budget.cpp
+++ b/src/http/body_budget.cpp
@@ -1,5 +1,6 @@
 #include "http/body_budget.hpp"
 
+#include <algorithm>
 #include <limits>
 
 namespace stoneport::http {
@@ -65,8 +66,9 @@
 
 bool BodyBudget::try_grow(Ticket ticket) {
   Body& body = bodies_.at(ticket);
-  const std::uint64_t freed = body.is_small ? 0 : body.held;
-  const bool fits = large_.held - freed + body.wanted <= large_.limit;
+  const bool stays_in_pool = body.is_small == is_small(body.wanted);
+  const std::uint64_t added = body.wanted - (stays_in_pool ? body.held : 0);
+  const bool fits = pool_of(is_small(body.wanted)).has_room(added);
   if (!fits && over_limit_.value_or(ticket) != ticket) {
     return false;
   }
@@ -105,14 +107,20 @@
 std::vector<BodyBudget::Ticket> BodyBudget::grant_waiting() {
   std::vector<Ticket> granted;
   grant_growing(granted);
-  grant_new(small_, granted);
   // What becomes free belongs to the bodies that have begun, which then end and free all of theirs.
-  if (growing_.empty()) {
-    grant_new(large_, granted);
+  for (const bool small : {true, false}) {
+    if (!has_growing(small)) {
+      grant_new(pool_of(small), granted);
+    }
   }
   return granted;
 }
 
+bool BodyBudget::has_growing(bool small) const {
+  return std::any_of(growing_.begin(), growing_.end(),
+                     [&](Ticket ticket) { return is_small(bodies_.at(ticket).wanted) == small; });
+}
+
 bool BodyBudget::is_granted(Ticket ticket) const {
   const auto found = bodies_.find(ticket);
   if (found == bodies_.end()) {
--- a/src/http/body_budget.hpp
+++ b/src/http/body_budget.hpp
@@ -65,6 +65,8 @@
   void grant(Body& body);
   bool try_grow(Ticket ticket);
   void grant_growing(std::vector<Ticket>& granted);
+  /// \return whether a body waits to grow within the pool of small bodies, or within the other one.
+  bool has_growing(bool small) const;
   void grant_new(Pool& pool, std::vector<Ticket>& granted);
   std::vector<Ticket> grant_waiting();
 
--- a/src/http/body_memory.cpp
+++ b/src/http/body_memory.cpp
@@ -13,8 +13,8 @@
 
 /// Short against the time after which a client that reads nothing counts as stalled.
 constexpr core::Duration kReclaimInterval = std::chrono::milliseconds(100);
-/// Reserved at first for a body whose length is not known.
-constexpr std::uint64_t kFirstBytes = 64 * 1024;
+/// Reserved at first for a body whose length is not known; most are shorter.
+constexpr std::uint64_t kFirstBytes = 4 * 1024;
 
 std::string metric_name(std::string_view suffix) {
   return "stoneport_http_bodies_" + std::string(suffix);
@@ -107,8 +107,7 @@
     if (size <= capacity_) {
       co_return core::Result<void>();
     }
-    const std::uint64_t target =
-        options_.length.value_or(std::max({2 * capacity_, size, kFirstBytes}));
+    const std::uint64_t target = next_capacity(size);
     // While the text moves into the larger allocation, both are in memory.
     core::Result<void> granted =
         co_await reservation_->enlarge(capacity_ + target, options_.deadline, options_.listener);
@@ -123,6 +122,14 @@
     co_return core::Result<void>();
   }
 
+  std::uint64_t next_capacity(std::uint64_t size) const {
+    const std::uint64_t doubled = std::max({2 * capacity_, size, kFirstBytes});
+    if (!options_.length) {
+      return doubled;
+    }
+    return options_.reserves_arrived ? std::min(doubled, *options_.length) : *options_.length;
+  }
+
   void append(const std::string& piece) { text_ += piece; }
   std::uint64_t size() const { return text_.size(); }
 
@@ -196,8 +203,10 @@
     timer.expires_after(std::min(deadline - now, kReclaimInterval));
     co_await timer.async_wait(kAwaitTuple);
   }
+  const core::Duration waited = monotonic_now() - began;
+  waited_ += waited;
   if (listener.on_end) {
-    listener.on_end(monotonic_now() - began);
+    listener.on_end(waited);
   }
   co_return core::Result<void>();
 }
@@ -208,7 +217,8 @@
     co_return too_large(options.max_bytes);
   }
   BodyCollector collector(memory, options);
-  core::Result<void> has_room = co_await collector.make_room(options.length.value_or(0));
+  core::Result<void> has_room =
+      co_await collector.make_room(options.reserves_arrived ? 0 : options.length.value_or(0));
   while (has_room) {
     core::Result<std::optional<std::string>> piece = co_await body.next();
     if (!piece) {
--- a/src/http/body_memory.hpp
+++ b/src/http/body_memory.hpp
@@ -58,20 +58,28 @@
                                                      const MemoryWaitListener& listener);
   /// Gives back what is held beyond \p bytes.
   void shrink(std::uint64_t bytes);
+  /// \return the time spent in waits that ended with memory.
+  core::Duration waited() const { return waited_; }
 
  private:
   std::shared_ptr<BodyMemory::State> state_;
+  core::Duration waited_{};
   BodyBudget::Ticket ticket_ = 0;  ///< zero until the first bytes are asked for
 };
 
 /// A whole body with the memory that it takes.
 struct ReservedBody {
   std::string text;
-  std::shared_ptr<BodyReservation> reservation;  ///< null for an empty body
+  std::shared_ptr<const BodyReservation> reservation;  ///< null for an empty body
+
+  core::Duration waited() const { return reservation ? reservation->waited() : core::Duration(0); }
 };
 
 struct ReservedReadOptions {
   std::optional<std::uint64_t> length = std::nullopt;  ///< of the body; nullopt if not known
+  /// Whether to reserve only what has arrived, although the length is known: for senders that may
+  /// announce much and send little.
+  bool reserves_arrived = false;
   std::size_t max_bytes = 0;
   core::MonotonicTime deadline;  ///< end of waits for memory
   MemoryWaitListener listener = {};
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -104,6 +104,10 @@
                                        "Connections reset as too much was kept for clients that "
                                        "do not read",
                                        {{"server", server}})),
+      slow_senders_cut(metrics.counter(metric_name("slow_senders_cut_total"),
+                                       "Connections reset as their clients stopped sending a body "
+                                       "while others waited for memory",
+                                       {{"server", server}})),
       unsent_bytes(metrics.gauge(metric_name("unsent_bytes"),
                                  "Bytes of responses that clients have not taken yet",
                                  {{"server", server}})) {}
@@ -184,6 +188,7 @@
 
   std::size_t requests_in_flight() const { return state_->requests_in_flight; }
   void reset_stalled(std::uint64_t bytes) { state_->reset_stalled(bytes); }
+  void reset_stalled_uploads() { state_->reset_stalled_uploads(); }
 
  private:
   void open_listener(const asio::ip::tcp::endpoint& endpoint, AddressUse use,
@@ -304,5 +309,8 @@
 void Server::reset_stalled(std::uint64_t bytes) {
   implementation_->reset_stalled(bytes);
 }
+void Server::reset_stalled_uploads() {
+  implementation_->reset_stalled_uploads();
+}
 
 }  // namespace stoneport::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -122,6 +122,9 @@
   /// Resets connections whose clients have taken nothing of their response for a while, until about
   /// \p bytes less are kept for them. Clients that read are spared.
   void reset_stalled(std::uint64_t bytes);
+  /// Resets connections whose clients have begun the body of a request and sent nothing for a
+  /// while.
+  void reset_stalled_uploads();
 
  private:
   class Implementation;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -151,6 +151,21 @@
   counters.unsent_bytes.Set(static_cast<double>(unsent.total()));
 }
 
+void ServerState::reset_stalled_uploads() {
+  const core::MonotonicTime now = monotonic_now();
+  for (const auto& [io, since] : reading) {
+    const bool is_stalled = now - since >= limits.unsent.stalled_after;
+    if (is_stalled && io->socket.is_open()) {
+      spdlog::warn(
+          "http server: reset the connection of {}, which stopped sending the body of its request: "
+          "other requests wait for its memory",
+          io->caller);
+      counters.slow_senders_cut.Increment();
+      io->reset();
+    }
+  }
+}
+
 ServerConnection::ServerConnection(std::shared_ptr<ServerState> state, asio::ip::tcp::socket socket)
     : state_(std::move(state)),
       io_(std::make_shared<ServerSocket>(std::move(socket),
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -38,6 +38,7 @@
   prometheus::Counter& truncated_requests;
   prometheus::Counter& accept_errors;
   prometheus::Counter& slow_readers_cut;
+  prometheus::Counter& slow_senders_cut;
   prometheus::Gauge& unsent_bytes;
 };
 
@@ -57,6 +58,8 @@
   void note_taken(const ServerSocket& io, std::uint64_t bytes);
   /// Resets stalled connections until about \p bytes less are kept for them.
   void reset_stalled(std::uint64_t bytes);
+  /// Resets connections that wait for more of a request's body and got nothing for a while.
+  void reset_stalled_uploads();
   void end_unsent(const ServerSocket& io);
   void cut_slow_reader(ServerSocket& slow, const std::string& reason);
 
@@ -66,6 +69,8 @@
   std::unordered_set<ServerConnection*> connections;
   UnsentBytes unsent;
   std::unordered_map<UnsentBytes::ConnectionId, ServerSocket*> writing;  ///< those in \a unsent
+  /// Connections that wait for more of a request's body, and since when.
+  std::unordered_map<ServerSocket*, core::MonotonicTime> reading;
   UnsentBytes::ConnectionId last_connection = 0;
   std::size_t requests_in_flight = 0;
   bool stopping = false;
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -41,6 +41,21 @@
   ServerSocket& io_;
 };
 
+/// Registers a connection that waits for more of a request's body while it lives.
+class PendingUpload {
+ public:
+  PendingUpload(ServerState& state, ServerSocket& io) : state_(state), io_(io) {
+    state_.reading[&io_] = monotonic_now();
+  }
+  ~PendingUpload() { state_.reading.erase(&io_); }
+  PendingUpload(const PendingUpload&) = delete;
+  PendingUpload& operator=(const PendingUpload&) = delete;
+
+ private:
+  ServerState& state_;
+  ServerSocket& io_;
+};
+
 core::Error client_gone_error() {
   return core::make_error(core::ErrorCode::kUnavailable, "the client closed its connection");
 }
@@ -80,6 +95,7 @@
     window.data = piece.data();
     window.size = piece.size();
     io_.read_timer.arm(state_.limits.transfer_timeout);
+    const PendingUpload upload(state_, io_);
     auto [error, size] =
         co_await beast::http::async_read_some(io_.socket, io_.buffer, parser_, kAwaitTuple);
     io_.read_timer.disarm();
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -28,8 +28,9 @@
 }  // namespace
 
 core::RequestFingerprint ForwardedRequest::fingerprint() const {
-  return quarantine::fingerprint_of(
-      {tenant.value(), head.method, head.headers.find("Host").value_or(""), head.target, body});
+  return quarantine::fingerprint_of({tenant.value(), head.method,
+                                     head.headers.find("Host").value_or(""), head.target,
+                                     body.text()});
 }
 
 http::Response failure_response(const ForwardFailure& failure) {
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -32,7 +32,9 @@
   const Route* route = nullptr;
   std::string request_id;
   http::RequestHead head;  ///< without the hop-by-hop fields of the client's connection
-  std::string body;
+  http::SharedText body;
+  /// Memory that \a body takes, if it is accounted for.
+  std::shared_ptr<const http::BodyReservation> body_memory = nullptr;
   core::MonotonicTime received;
   core::MonotonicTime deadline;  ///< time after which the client no longer waits
   std::optional<std::uint64_t> resume_after = std::nullopt;
--- a/src/ports/replica_client.hpp
+++ b/src/ports/replica_client.hpp
@@ -14,6 +14,7 @@
 #include "core/error.hpp"
 #include "core/identifiers.hpp"
 #include "core/time.hpp"
+#include "http/body.hpp"
 #include "http/message.hpp"
 
 namespace stoneport::ports {
@@ -27,7 +28,7 @@
 struct ReplicaCall {
   std::string request_id;
   http::RequestHead head;  ///< as the client sent it, without connection fields and credentials
-  std::string body;
+  http::SharedText body;
   core::Duration time_left{};  ///< timeout after which the replica stops working on the call
   /// Number of the last event that the client received, if it resumes a stream.
   std::optional<std::uint64_t> resume_after = std::nullopt;
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -167,7 +167,7 @@
 asio::awaitable<void> StandInReplica::handle(const http::RequestHead& request,
                                              http::BodySource& body,
                                              http::ResponseWriter& response) {
-  const core::Result<std::string> whole = co_await http::read_whole(body, 1u << 20);
+  const core::Result<std::string> whole = co_await http::read_whole(body, 32u << 20);
   if (!whole || faults.down || ended_) {
     co_return;
   }
--- a/tests/support/fake_replica_client.hpp
+++ b/tests/support/fake_replica_client.hpp
@@ -264,7 +264,7 @@
   /// What a call meets before a replica works on it.
   boost::asio::awaitable<std::optional<ports::CallFailure>> meet(ports::ReplicaTarget target,
                                                                  ports::ReplicaCall call) {
-    bodies[call.request_id] = call.body;
+    bodies[call.request_id] = call.body.text();
     co_await runtime::sleep_for(std::chrono::milliseconds(1));
     Replica& replica = replicas[target.id.value()];
     ports::CallFailure failure;
--- a/tests/unit/http/body_budget_test.cpp
+++ b/tests/unit/http/body_budget_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(a_body_above_the_limit_is_read_alone);
   CPPUNIT_TEST(growing_bodies_do_not_wait_for_each_other_forever);
   CPPUNIT_TEST(a_new_body_does_not_take_what_a_growing_one_waits_for);
+  CPPUNIT_TEST(a_small_body_grows_beside_large_ones);
   CPPUNIT_TEST(a_body_that_leaves_the_queue_lets_the_next_one_in);
   CPPUNIT_TEST(random_loads_stay_within_the_limit_and_end);
   CPPUNIT_TEST_SUITE_END();
@@ -113,6 +114,19 @@
     CPPUNIT_ASSERT(budget.release(over) == both);
   }
 
+  void a_small_body_grows_beside_large_ones() {
+    BodyBudget budget(kLimits);
+    for (int body = 0; body < 80; ++body) {
+      budget.request(2 * kMegabyte);
+    }
+    const BodyBudget::Ticket first = budget.request(4'000);
+    budget.grow(first, 12'000);
+    const BodyBudget::Ticket second = budget.request(4'000);
+    budget.grow(second, 12'000);
+    CPPUNIT_ASSERT(budget.is_granted(first));
+    CPPUNIT_ASSERT(budget.is_granted(second));
+  }
+
   void a_body_that_leaves_the_queue_lets_the_next_one_in() {
     BodyBudget budget(kLimits);
     budget.request(20 * kMegabyte);
