A quarantine that begins by merging reports is stored

What callers saw: after a restart of all processes a request that had been held back ran again. Its client got 502 in place of 503, and two more replicas ended with everybody's requests on them.

Cause: SuspectRows wrote the row when the process that records a crash found the request held by its own record. Where one process records two crashes and another one the third, neither does; the quarantine begins where the reports are merged, and CrashGuard::apply_remote_suspect told no listener. The row was never written.

Ruled out: a row that is written and lost, or read too late after the start (the row was missing before the kill); load (runs failed at load average 3.6 and 6.4, none needed).

Change: CrashGuard compares the set of held requests after each change, of its own or of others, and reports each that is new (on_held). That covers a request that is held only once another one, which explained its crashes, is cleared. - Who writes: of several processes that merge at the same time, the first three by a hash of request and name, 400 ms apart; each reads the row first, so that as a rule one writes. When they end, others move up. A process whose own record completes the quarantine writes at once, as before. - The store away or throttling: reads are repeated after a doubling delay up to 5 s; a write that was given up is checked again while the request is held. - Released meanwhile: a process that hears of it drops its pending write and removes what it wrote; of a row that all have read, the first by rank removes it. A row older than what is known is removed and not restored. A request that was served whole loses its row too.

Same fault elsewhere, by reading: evacuations act on notices and on listings alike; ends of replicas are noted in the merge itself; shared findings are logged where they are merged. Not read: the claims of stoneportd.

--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -225,9 +225,6 @@
                       {"service", replica->record.service.value()},
                       {"ended", suspect.ended.size()},
                       {"terms", to_string(suspects_.restriction_of(content))}});
-  if (suspects_.restriction_of(content) == quarantine::RunRestriction::kHeld) {
-    log_held(suspect);
-  }
   announce(content);
 }
 
@@ -261,10 +258,12 @@
 
 void CrashGuard::apply_remote_suspect(const quarantine::Suspect& suspect) {
   const core::MonotonicTime now = time_.now();
-  const quarantine::RunRestriction before = suspects_.restriction_of(suspect.content);
   if (!suspects_.merge(suspect, now)) {
     return;
   }
+  if (suspect.is_cleared()) {
+    announce_cleared_elsewhere(suspect.content);
+  }
   for (const core::ReplicaId& id : suspect.ended) {
     const ReplicaPointer replica = directory_.find(id);
     if (replica && !replica->has_ended()) {
@@ -272,15 +271,19 @@
       replica->suspect(now, settings_.suspicion);
     }
   }
-  const quarantine::RunRestriction after = suspects_.restriction_of(suspect.content);
-  if (after != before && after == quarantine::RunRestriction::kHeld) {
-    log_held(*suspects_.find(suspect.content));
+  refresh_held();
+}
+
+void CrashGuard::announce_cleared_elsewhere(const core::RequestFingerprint& content) {
+  for (const Listener& listener : listeners_) {
+    if (listener.on_cleared_elsewhere) {
+      listener.on_cleared_elsewhere(content);
+    }
   }
-  update_gauges();
 }
 
 void CrashGuard::announce(const core::RequestFingerprint& content) {
-  update_gauges();
+  refresh_held();
   for (const Listener& listener : listeners_) {
     if (listener.on_suspect) {
       listener.on_suspect(*suspects_.find(content));
@@ -299,21 +302,36 @@
 void CrashGuard::forget_old() {
   suspects_.forget_old(time_.now());
   runs_.forget_old();
-  update_gauges();
+  refresh_held();
 }
 
-void CrashGuard::update_gauges() {
+void CrashGuard::refresh_held() {
   std::size_t suspects = 0;
-  std::size_t held = 0;
+  std::set<core::RequestFingerprint> held;
   for (const auto& [content, suspect] : suspects_.all()) {
     suspects += suspect.is_cleared() ? 0 : 1;
     const bool may_be_held = suspect.ended.size() >= settings_.suspects.crashes_before_held;
-    const bool is_held =
-        may_be_held && suspects_.restriction_of(content) == quarantine::RunRestriction::kHeld;
-    held += is_held ? 1 : 0;
+    if (may_be_held && suspects_.restriction_of(content) == quarantine::RunRestriction::kHeld) {
+      held.insert(content);
+    }
   }
   meters_->suspects.Set(static_cast<double>(suspects));
-  meters_->held_back.Set(static_cast<double>(held));
+  meters_->held_back.Set(static_cast<double>(held.size()));
+  const std::set<core::RequestFingerprint> before = std::exchange(held_, held);
+  for (const core::RequestFingerprint& content : held) {
+    if (!before.contains(content)) {
+      announce_held(*suspects_.find(content));
+    }
+  }
+}
+
+void CrashGuard::announce_held(const quarantine::Suspect& suspect) {
+  log_held(suspect);
+  for (const Listener& listener : listeners_) {
+    if (listener.on_held) {
+      listener.on_held(suspect);
+    }
+  }
 }
 
 }  // namespace stoneport::ingress
--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -55,11 +56,16 @@
 
 class CrashGuard {
  public:
-  /// Callbacks for what this process observed itself; updates received from other processes are not
-  /// reported.
   struct Listener {
+    /// This process observed a crash under the request, or that a replica served it. Not called for
+    /// updates received from other processes.
     std::function<void(const quarantine::Suspect&)> on_suspect = {};
+    /// An operator released the request at this process.
     std::function<void(const core::RequestFingerprint&)> on_released = {};
+    /// The request is held back from now on, whoever observed the crashes.
+    std::function<void(const quarantine::Suspect&)> on_held = {};
+    /// Another process reported that the request was served or released.
+    std::function<void(const core::RequestFingerprint&)> on_cleared_elsewhere = {};
     /// A run or reservation of this process started or finished.
     std::function<void(const SuspectRun&, bool is_over)> on_run = {};
   };
@@ -150,7 +156,11 @@
                                        ReplicaPointer replica);
   void announce(const core::RequestFingerprint& content);
   void announce_run(const SuspectRun& run, bool is_over);
-  void update_gauges();
+  void announce_held(const quarantine::Suspect& suspect);
+  void announce_cleared_elsewhere(const core::RequestFingerprint& content);
+  /// Updates the set of held requests and the gauges. A change to one request can affect others: a
+  /// request is held once no other one explains its crashes.
+  void refresh_held();
 
   ReplicaDirectory& directory_;
   ports::ReplicaClient& client_;
@@ -159,6 +169,7 @@
   std::unique_ptr<Meters> meters_;
   std::vector<Listener> listeners_;
   quarantine::CrashSuspects suspects_;
+  std::set<core::RequestFingerprint> held_;  ///< as of the last change
   quarantine::ServedContents served_;
   SuspectRuns runs_;
   /// Time since which a service has had at most one healthy replica.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,7 @@
 #include "node/isolation.hpp"
 #include "node/node_gossip_settings.hpp"
 #include "node/term_region.hpp"
+#include "node/writer_rank.hpp"
 #include "records/feed_pace.hpp"
 #include "runtime/tasks.hpp"
 
@@ -131,6 +132,9 @@
       evacuated_zones_(inputs_.metrics.gauge(
           "stoneport_evacuated_zones", "Evacuated zones, to whose replicas nothing is sent")) {
   directory_.gate().cold_rate_limiter().replace_bound(settings_.cold_bound);
+  suspect_rows_.set_rank([this](const core::RequestFingerprint& content) {
+    return writer_rank(content.value(), settings_.name, gossip_.members_by_node());
+  });
 }
 
 Node::~Node() = default;
--- a/src/node/suspect_rows.cpp
+++ b/src/node/suspect_rows.cpp
@@ -8,6 +8,12 @@
 
 namespace stoneport::node {
 namespace asio = boost::asio;
+namespace {
+
+/// Interval at which due checks of missing rows are looked for.
+constexpr core::Duration kCheckInterval = std::chrono::milliseconds(50);
+
+}  // namespace
 
 std::string encode_suspect_row(const SuspectRow& row) {
   nlohmann::json ended = nlohmann::json::array();
@@ -61,6 +67,10 @@
   listener.on_released = [this](const core::RequestFingerprint& content) {
     write(content, std::nullopt);
   };
+  listener.on_held = [this](const quarantine::Suspect& suspect) { on_held(suspect); };
+  listener.on_cleared_elsewhere = [this](const core::RequestFingerprint& content) {
+    on_cleared(content);
+  };
   guard_.add_listener(std::move(listener));
   runtime::start(executor_, "held requests", load());
 }
@@ -79,8 +89,15 @@
   suspect.generation = row->generation;
   suspect.ended = row->ended;
   suspect.forget_at = time_.now() + guard_.retention();
+  note_row(suspect.content, RowOrigin::kSeen);
   guard_.apply_remote_suspect(suspect);
-  return true;
+  // A late write may have brought back the row of a request that was cleared since.
+  const quarantine::Suspect* known = guard_.suspects().find(suspect.content);
+  const bool is_stale = known != nullptr && known->generation > suspect.generation;
+  if (is_stale) {
+    rows_.erase(suspect.content);
+  }
+  return !is_stale;
 }
 
 asio::awaitable<void> SuspectRows::load() {
@@ -105,10 +122,122 @@
   }
 }
 
+bool SuspectRows::is_held(const core::RequestFingerprint& content) const {
+  return guard_.suspects().restriction_of(content) == quarantine::RunRestriction::kHeld;
+}
+
 void SuspectRows::on_suspect(const quarantine::Suspect& suspect) {
-  if (guard_.suspects().restriction_of(suspect.content) == quarantine::RunRestriction::kHeld) {
-    const ports::StoreTime now = store_.now().value_or(ports::StoreTime(0));
-    write(suspect.content, SuspectRow{suspect.generation, suspect.ended, now});
+  if (suspect.is_cleared()) {
+    on_cleared(suspect.content);
+  } else if (is_held(suspect.content)) {
+    write_held(suspect);
+  }
+}
+
+void SuspectRows::on_held(const quarantine::Suspect& suspect) {
+  if (rows_.contains(suspect.content)) {
+    return;
+  }
+  const core::MonotonicTime now = time_.now();
+  unstored_.try_emplace(suspect.content, Unstored{now, now, settings_.retry_delay});
+  if (!is_storing_) {
+    is_storing_ = true;
+    runtime::start(executor_, "held requests", store_held());
+  }
+}
+
+void SuspectRows::on_cleared(const core::RequestFingerprint& content) {
+  unstored_.erase(content);
+  const auto row = rows_.find(content);
+  if (row == rows_.end()) {
+    return;
+  }
+  // Of a row that all processes have read, one removes it.
+  if (row->second == RowOrigin::kWrittenHere || rank_(content) == 0) {
+    write(content, std::nullopt);
+  }
+  rows_.erase(row);
+}
+
+void SuspectRows::note_row(const core::RequestFingerprint& content, RowOrigin origin) {
+  std::erase_if(
+      rows_, [this](const auto& entry) { return guard_.suspects().find(entry.first) == nullptr; });
+  rows_[content] = origin;
+}
+
+void SuspectRows::write_held(const quarantine::Suspect& suspect) {
+  const ports::StoreTime now = store_.now().value_or(ports::StoreTime(0));
+  unstored_.erase(suspect.content);
+  note_row(suspect.content, RowOrigin::kWrittenHere);
+  write(suspect.content, SuspectRow{suspect.generation, suspect.ended, now});
+}
+
+bool SuspectRows::is_due(const core::RequestFingerprint& content, Unstored& unstored) const {
+  const core::MonotonicTime now = time_.now();
+  if (now < unstored.next_check) {
+    return false;
+  }
+  const std::size_t rank = rank_(content);
+  if (rank >= settings_.writers) {
+    unstored.next_check = now + settings_.recheck_interval;
+    return false;
+  }
+  unstored.next_check = unstored.held_since + rank * settings_.writer_delay;
+  return now >= unstored.next_check;
+}
+
+std::optional<core::RequestFingerprint> SuspectRows::take_due() {
+  for (auto& [content, unstored] : unstored_) {
+    if (is_due(content, unstored)) {
+      return content;
+    }
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<void> SuspectRows::store_held() {
+  while (!unstored_.empty()) {
+    const std::optional<core::RequestFingerprint> due = take_due();
+    if (due) {
+      co_await store_if_missing(*due);
+    } else {
+      co_await runtime::sleep_for(kCheckInterval);
+    }
+  }
+  is_storing_ = false;
+}
+
+bool SuspectRows::covers(const ports::Record& record, ports::StoreTime now,
+                         const quarantine::Suspect& suspect) {
+  const std::optional<SuspectRow> row = decode_suspect_row(record.value);
+  const bool is_current = row && now - row->written_at < settings_.retention;
+  return is_current && row->generation >= suspect.generation && restore(record, now);
+}
+
+asio::awaitable<void> SuspectRows::store_if_missing(core::RequestFingerprint content) {
+  ports::RecordRange range{kSuspectTable, "", content.value(), ports::key_after(content.value()),
+                           1};
+  const core::Result<ports::RecordPage> page =
+      co_await store_.read(std::move(range), settings_.timeout);
+  const auto unstored = unstored_.find(content);
+  if (unstored == unstored_.end()) {
+    co_return;  // cleared meanwhile
+  }
+  if (!page) {
+    unstored->second.next_check = time_.now() + unstored->second.retry_delay;
+    unstored->second.retry_delay =
+        std::min(2 * unstored->second.retry_delay, settings_.recheck_interval);
+    co_return;
+  }
+  unstored_.erase(unstored);
+  const quarantine::Suspect* suspect = guard_.suspects().find(content);
+  if (suspect == nullptr || !is_held(content)) {
+    co_return;
+  }
+  const ports::StoreTime now = page->answered_at.value_or(ports::StoreTime(0));
+  const bool is_stored = !page->records.empty() && covers(page->records.front(), now, *suspect);
+  if (!is_stored) {
+    write_held(*suspect);
   }
 }
 
@@ -120,6 +249,16 @@
   }
 }
 
+void SuspectRows::on_write_lost(const std::string& key, const core::Error& error) {
+  lost_.Increment();
+  core::log_decision(core::DecisionEvent::kCommitFailed, {{"row", key}, {"reason", error.message}});
+  const core::RequestFingerprint content(key);
+  rows_.erase(content);
+  if (is_held(content)) {
+    on_held(*guard_.suspects().find(content));
+  }
+}
+
 asio::awaitable<void> SuspectRows::write_all() {
   std::uint32_t attempts = 0;
   while (!pending_.empty()) {
@@ -136,9 +275,7 @@
       co_await runtime::sleep_for(settings_.retry_delay);
       continue;
     } else {
-      lost_.Increment();
-      core::log_decision(core::DecisionEvent::kCommitFailed,
-                         {{"row", next.first}, {"reason", done.error().message}});
+      on_write_lost(next.first, done.error());
     }
     attempts = 0;
     const auto current = pending_.find(next.first);
--- a/src/node/suspect_rows.hpp
+++ b/src/node/suspect_rows.hpp
@@ -1,11 +1,14 @@
 /// \file
 /// Persists quarantined requests in the store, so that they survive a restart of all processes. A
-/// row is written when the crash that leads to the quarantine is recorded, removed when an operator
-/// releases the request, and read once at process start; SuspectExchange distributes the state
-/// between running processes. Use it on the node's thread only.
+/// row is written when the quarantine begins, removed when the request is cleared, and read once at
+/// process start; SuspectExchange distributes the state between running processes. Often no process
+/// observes all crashes that lead to a quarantine, and several merge them at the same time: a few
+/// of them, in an order that all compute alike, check that the row exists and write it otherwise.
+/// Use it on the node's thread only.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +30,13 @@
   std::uint32_t max_write_attempts = 100;
   /// Maximum number of rows restored at the start; the rest is deleted.
   std::size_t max_rows = 256;
+  /// Number of processes that check whether a row is missing; the others only do when these end.
+  std::size_t writers = 3;
+  /// Delay of each of them behind the one before, which needs a read and a write meanwhile.
+  core::Duration writer_delay = std::chrono::milliseconds(400);
+  /// Interval at which the other processes check whether they have become one of the writers, and
+  /// longest interval between two attempts while the store fails.
+  core::Duration recheck_interval = std::chrono::seconds(5);
 };
 
 /// Content of one row.
@@ -47,14 +57,47 @@
   SuspectRows(boost::asio::any_io_executor executor, ports::RecordStore& store,
               ingress::CrashGuard& guard, const core::TimeSource& time, core::Metrics& metrics,
               SuspectRowSettings settings = {});
+  /// Number of live processes that write the row of a request before this one.
+  using Rank = std::function<std::size_t(const core::RequestFingerprint&)>;
+  /// \param rank used from now on; without it this process is the first one
+  void set_rank(Rank rank) { rank_ = std::move(rank); }
   void start();
 
  private:
+  enum class RowOrigin {
+    kSeen,         ///< read from the store
+    kWrittenHere,  ///< this process has begun to write it
+  };
+  /// A held request whose row is not known to be in the store.
+  struct Unstored {
+    core::MonotonicTime held_since{};
+    core::MonotonicTime next_check{};
+    core::Duration retry_delay{};
+  };
+
   boost::asio::awaitable<void> load();
+  boost::asio::awaitable<void> store_held();
+  /// Reads the row of \p content and writes it if it is missing.
+  boost::asio::awaitable<void> store_if_missing(core::RequestFingerprint content);
+  /// \return a held request whose row this process should check now.
+  std::optional<core::RequestFingerprint> take_due();
+  /// \return whether it is this process's turn to check \p content; sets the next check otherwise.
+  bool is_due(const core::RequestFingerprint& content, Unstored& unstored) const;
+  bool is_held(const core::RequestFingerprint& content) const;
+  /// \return whether \p record makes another write for \p suspect unnecessary.
+  bool covers(const ports::Record& record, ports::StoreTime now,
+              const quarantine::Suspect& suspect);
+  void note_row(const core::RequestFingerprint& content, RowOrigin origin);
+  void write_held(const quarantine::Suspect& suspect);
   boost::asio::awaitable<void> write_all();
   /// Writes \p row for \p content in the background, or removes the row if it is nullopt.
   void write(const core::RequestFingerprint& content, std::optional<SuspectRow> row);
   void on_suspect(const quarantine::Suspect& suspect);
+  void on_held(const quarantine::Suspect& suspect);
+  /// Removes the row of a request that is not held any more, if this process is to.
+  void on_cleared(const core::RequestFingerprint& content);
+  /// Gives up a write; the row of a request that is still held is checked again later.
+  void on_write_lost(const std::string& key, const core::Error& error);
   /// \return whether the row was applied; otherwise it is to be deleted.
   bool restore(const ports::Record& record, ports::StoreTime now);
 
@@ -68,6 +111,10 @@
   /// Pending writes by key; nullopt deletes the row.
   std::map<std::string, std::optional<SuspectRow>> pending_;
   bool is_writing_ = false;
+  Rank rank_ = [](const core::RequestFingerprint&) { return std::size_t{0}; };
+  std::map<core::RequestFingerprint, Unstored> unstored_;
+  bool is_storing_ = false;
+  std::map<core::RequestFingerprint, RowOrigin> rows_;  ///< rows that may be in the store
 };
 
 }  // namespace stoneport::node
