Body budget: growth wakes whoever it lets in; small bodies never among the large

Two faults of the new code, found by reading. A body that outgrew the share of small ones freed room there, and the one that got it was woken 100 ms later only. A small body of unknown length counted the copy of its own growth, passed 64 KB by that and waited behind large ones; test `small_bodies_of_unknown_length_do_not_wait_for_large_ones`.

The wait is a function of its own.

--- a/src/http/body_budget.cpp
+++ b/src/http/body_budget.cpp
@@ -6,6 +6,7 @@
 namespace stoneport::http {
 namespace {
 
+/// One part in so many of the limit is for small bodies.
 constexpr std::uint64_t kSmallBodiesShare = 4;
 
 }  // namespace
@@ -34,10 +35,10 @@
   return ticket;
 }
 
-void BodyBudget::grow(Ticket ticket, std::uint64_t bytes) {
+std::vector<BodyBudget::Ticket> BodyBudget::grow(Ticket ticket, std::uint64_t bytes) {
   bodies_.at(ticket).wanted = bytes;
   growing_.insert(ticket);
-  grant_waiting();
+  return grant_waiting();
 }
 
 std::vector<BodyBudget::Ticket> BodyBudget::shrink(Ticket ticket, std::uint64_t bytes) {
--- a/src/http/body_budget.hpp
+++ b/src/http/body_budget.hpp
@@ -14,13 +14,16 @@
 
 namespace stoneport::http {
 
+/// Most of what requests send and answer is far below this size.
+inline constexpr std::uint64_t kSmallBodyBytes = 64 * 1024;
+
 struct BodyBudgetLimits {
   /// Of all bodies together, in bytes; zero for no limit. Exceeded by at most one body, and by none
   /// whose length is known and below the limit.
   std::uint64_t max_bytes = 0;
   /// Bodies up to this size have a quarter of the limit to themselves and do not wait for larger
-  /// ones: what most requests answer with is far below it.
-  std::uint64_t small_body_bytes = 64 * 1024;
+  /// ones.
+  std::uint64_t small_body_bytes = kSmallBodyBytes;
 };
 
 class BodyBudget {
@@ -32,8 +35,9 @@
 
   /// Asks for \p bytes for a new body. The ticket is to be released, also if it was never granted.
   Ticket request(std::uint64_t bytes);
-  /// Asks for \p bytes in all for a body that has been granted fewer.
-  void grow(Ticket ticket, std::uint64_t bytes);
+  /// Asks for \p bytes in all for a body that has been granted fewer. \return the tickets that are
+  /// granted by this.
+  std::vector<Ticket> grow(Ticket ticket, std::uint64_t bytes);
   /// Gives back what a body holds beyond \p bytes. \return the tickets that are granted by this.
   std::vector<Ticket> shrink(Ticket ticket, std::uint64_t bytes);
   /// Gives back all that a body holds, or ends its wait. \return the tickets granted by this.
--- a/src/http/body_memory.cpp
+++ b/src/http/body_memory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
+#include <utility>
 
 #include "http/beast_conversion.hpp"
 #include "http/deadline_timer.hpp"
@@ -16,6 +17,24 @@
 /// Reserved at first for a body whose length is not known; most are shorter.
 constexpr std::uint64_t kFirstBytes = 4 * 1024;
 
+using WaitTimers = std::unordered_map<BodyBudget::Ticket, asio::steady_timer*>;
+
+/// Keeps a timer where the grant of its ticket finds it, however the wait ends.
+class RegisteredTimer {
+ public:
+  RegisteredTimer(WaitTimers& timers, BodyBudget::Ticket ticket, asio::steady_timer& timer)
+      : timers_(timers), ticket_(ticket) {
+    timers_[ticket_] = &timer;
+  }
+  ~RegisteredTimer() { timers_.erase(ticket_); }
+  RegisteredTimer(const RegisteredTimer&) = delete;
+  RegisteredTimer& operator=(const RegisteredTimer&) = delete;
+
+ private:
+  WaitTimers& timers_;
+  BodyBudget::Ticket ticket_;
+};
+
 std::string metric_name(std::string_view suffix) {
   return "stoneport_http_bodies_" + std::string(suffix);
 }
@@ -70,7 +89,7 @@
   BodyBudget budget;
   Reclaim reclaim;
   core::MonotonicTime next_reclaim{};
-  std::unordered_map<BodyBudget::Ticket, asio::steady_timer*> timers;  ///< of those that wait
+  WaitTimers timers;  ///< of those that wait
   prometheus::Gauge& held;
   prometheus::Gauge& waiting;
   prometheus::Counter& waits;
@@ -79,23 +98,6 @@
 
 namespace {
 
-/// Keeps a timer where the grant of its ticket finds it, however the wait ends.
-template <class Timers>
-class RegisteredTimer {
- public:
-  RegisteredTimer(Timers& timers, BodyBudget::Ticket ticket, asio::steady_timer& timer)
-      : timers_(timers), ticket_(ticket) {
-    timers_[ticket_] = &timer;
-  }
-  ~RegisteredTimer() { timers_.erase(ticket_); }
-  RegisteredTimer(const RegisteredTimer&) = delete;
-  RegisteredTimer& operator=(const RegisteredTimer&) = delete;
-
- private:
-  Timers& timers_;
-  BodyBudget::Ticket ticket_;
-};
-
 /// Collects a body into one text, reserving its capacity before each allocation.
 class BodyCollector {
  public:
@@ -108,14 +110,16 @@
       co_return core::Result<void>();
     }
     const std::uint64_t target = next_capacity(size);
-    // While the text moves into the larger allocation, both are in memory.
+    // While a text moves into the larger allocation, both are in memory. That of a small one is
+    // not worth a place among the large bodies.
+    const std::uint64_t moved = capacity_ >= kSmallBodyBytes ? capacity_ : 0;
     core::Result<void> granted =
-        co_await reservation_->enlarge(capacity_ + target, options_.deadline, options_.listener);
+        co_await reservation_->enlarge(moved + target, options_.deadline, options_.listener);
     if (!granted) {
       co_return granted;
     }
     text_.reserve(target);
-    if (capacity_ > 0) {
+    if (moved > 0) {
       reservation_->shrink(target);
     }
     capacity_ = target;
@@ -171,38 +175,50 @@
   state_->wake(state_->budget.shrink(ticket_, bytes));
 }
 
-asio::awaitable<core::Result<void>> BodyReservation::enlarge(std::uint64_t bytes,
-                                                             core::MonotonicTime deadline,
-                                                             const MemoryWaitListener& listener) {
+bool BodyReservation::ask(std::uint64_t bytes) {
   if (ticket_ == 0) {
     ticket_ = state_->budget.request(bytes);
+    state_->update_gauges();
   } else {
-    state_->budget.grow(ticket_, bytes);
-  }
-  state_->update_gauges();
-  if (state_->budget.is_granted(ticket_)) {
-    co_return core::Result<void>();
+    state_->wake(state_->budget.grow(ticket_, bytes));
   }
-  state_->waits.Increment();
-  if (listener.on_begin) {
-    listener.on_begin();
-  }
-  const core::MonotonicTime began = monotonic_now();
+  return state_->budget.is_granted(ticket_);
+}
+
+asio::awaitable<bool> BodyReservation::wait_for_grant(core::MonotonicTime deadline) {
   asio::steady_timer timer(state_->executor);
   const RegisteredTimer registered(state_->timers, ticket_, timer);
   while (!state_->budget.is_granted(ticket_)) {
     const core::MonotonicTime now = monotonic_now();
     if (now >= deadline) {
-      state_->dropped.Increment();
-      state_->wake(state_->budget.release(std::exchange(ticket_, 0)));
-      co_return core::make_error(
-          core::ErrorCode::kOverloaded,
-          "no memory for a body of " + std::to_string(bytes) + " bytes by its deadline");
+      co_return false;
     }
     state_->reclaim_if_due(now);
     timer.expires_after(std::min(deadline - now, kReclaimInterval));
     co_await timer.async_wait(kAwaitTuple);
   }
+  co_return true;
+}
+
+asio::awaitable<core::Result<void>> BodyReservation::enlarge(std::uint64_t bytes,
+                                                             core::MonotonicTime deadline,
+                                                             const MemoryWaitListener& listener) {
+  if (ask(bytes)) {
+    co_return core::Result<void>();
+  }
+  state_->waits.Increment();
+  if (listener.on_begin) {
+    listener.on_begin();
+  }
+  const core::MonotonicTime began = monotonic_now();
+  const bool is_granted = co_await wait_for_grant(deadline);
+  if (!is_granted) {
+    state_->dropped.Increment();
+    state_->wake(state_->budget.release(std::exchange(ticket_, 0)));
+    co_return core::make_error(
+        core::ErrorCode::kOverloaded,
+        "no memory for a body of " + std::to_string(bytes) + " bytes by its deadline");
+  }
   const core::Duration waited = monotonic_now() - began;
   waited_ += waited;
   if (listener.on_end) {
--- a/src/http/body_memory.hpp
+++ b/src/http/body_memory.hpp
@@ -18,7 +18,8 @@
 
 namespace stoneport::http {
 
-/// Called around a wait for memory; not called when there is room at once.
+/// Told of a wait for memory; of its end only if it ended with memory. Not called when there is
+/// room at once.
 struct MemoryWaitListener {
   std::function<void()> on_begin = {};
   std::function<void(core::Duration waited)> on_end = {};
@@ -30,6 +31,7 @@
   using Reclaim = std::function<void(std::uint64_t bytes)>;
 
   /// \param name label of the metrics, such as "answers"
+  /// \param metrics must outlive the execution context of \p executor
   BodyMemory(boost::asio::any_io_executor executor, const std::string& name,
              BodyBudgetLimits limits, core::Metrics& metrics);
   /// \param reclaim called every 100 ms while a body waits
@@ -52,7 +54,7 @@
   BodyReservation& operator=(const BodyReservation&) = delete;
 
   /// Waits until \p bytes in all may be held, more than before.
-  /// \return kOverloaded if that was not so by \p deadline; nothing more is held then.
+  /// \return kOverloaded if that was not so by \p deadline; nothing is held then.
   boost::asio::awaitable<core::Result<void>> enlarge(std::uint64_t bytes,
                                                      core::MonotonicTime deadline,
                                                      const MemoryWaitListener& listener);
@@ -62,6 +64,11 @@
   core::Duration waited() const { return waited_; }
 
  private:
+  /// Asks for \p bytes in all. \return whether they may be held at once.
+  bool ask(std::uint64_t bytes);
+  /// \return whether the bytes asked for last were granted by \p deadline.
+  boost::asio::awaitable<bool> wait_for_grant(core::MonotonicTime deadline);
+
   std::shared_ptr<BodyMemory::State> state_;
   core::Duration waited_{};
   BodyBudget::Ticket ticket_ = 0;  ///< zero until the first bytes are asked for
--- a/tests/unit/http/body_memory_test.cpp
+++ b/tests/unit/http/body_memory_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <list>
 
 #include "http/deadline_timer.hpp"
 #include "http/task_start.hpp"
@@ -24,6 +25,7 @@
   CPPUNIT_TEST(a_wait_ends_at_its_deadline);
   CPPUNIT_TEST(a_cancelled_reader_leaves_the_queue);
   CPPUNIT_TEST(bodies_of_unknown_length_are_read_whole);
+  CPPUNIT_TEST(small_bodies_of_unknown_length_do_not_wait_for_large_ones);
   CPPUNIT_TEST(a_body_that_is_too_long_is_not_read);
   CPPUNIT_TEST(memory_is_reclaimed_while_a_body_waits);
   CPPUNIT_TEST_SUITE_END();
@@ -64,7 +66,7 @@
     asio::awaitable<void> run(std::size_t length, ReservedReadOptions options, Outcome& outcome) {
       Pieces pieces(length);
       outcome = co_await runtime::run_cancellable(read_reserved(pieces, memory, std::move(options)),
-                                                  cancel);
+                                                  cancels.emplace_back());
       reads += pieces.reads;
     }
     void play(milliseconds length) {
@@ -72,10 +74,10 @@
       context.run_for(length);
     }
 
-    asio::io_context context;
     core::Metrics metrics;
+    std::list<asio::cancellation_signal> cancels;  ///< one a read, as a signal has one receiver
+    asio::io_context context;  ///< destroyed first of these, with the reads that still wait
     BodyMemory memory{context.get_executor(), "test", {.max_bytes = kLimit}, metrics};
-    asio::cancellation_signal cancel;
     int waits = 0;
     int reads = 0;
   };
@@ -125,7 +127,7 @@
     world.read(2'000'000, true, second);
     world.play(milliseconds(20));
     CPPUNIT_ASSERT(world.memory.is_short());
-    world.cancel.emit(asio::cancellation_type::terminal);
+    world.cancels.back().emit(asio::cancellation_type::terminal);
     world.play(milliseconds(20));
     CPPUNIT_ASSERT(!second.has_value());
     CPPUNIT_ASSERT(!world.memory.is_short());
@@ -154,6 +156,22 @@
     CPPUNIT_ASSERT(world.waits > 0);
   }
 
+  void small_bodies_of_unknown_length_do_not_wait_for_large_ones() {
+    World world;
+    std::vector<World::Outcome> large(3);
+    for (World::Outcome& outcome : large) {
+      world.read(2'000'000, true, outcome);
+    }
+    world.play(milliseconds(50));
+    CPPUNIT_ASSERT(world.memory.is_short());
+    for (const std::size_t length : {100, 5'000, 20'000, 60'000}) {
+      World::Outcome small;
+      world.read(length, false, small);
+      world.play(milliseconds(20));
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(length), is_whole(small, length));
+    }
+  }
+
   void a_body_that_is_too_long_is_not_read() {
     World world;
     World::Outcome outcome;
