Pending uploads are not undone by a destructor

Suspected cause, by reading: what marks a connection that waits for more of a request's body was taken back in a destructor. Where `stoneportd` passes a body on, the client's sender reads it in a coroutine of its own, which the end of the execution context may destroy after the connection and its server's state; the destructor then wrote to freed memory. No other code of this change touches the server's state from a frame that can outlive it.

The mark is set before the read and erased after it: a frame that is destroyed in between does not touch anything, and the map ends with the server.

--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -41,21 +41,6 @@
   ServerSocket& io_;
 };
 
-/// Registers a connection that waits for more of a request's body while it lives.
-class PendingUpload {
- public:
-  PendingUpload(ServerState& state, ServerSocket& io) : state_(state), io_(io) {
-    state_.reading[&io_] = monotonic_now();
-  }
-  ~PendingUpload() { state_.reading.erase(&io_); }
-  PendingUpload(const PendingUpload&) = delete;
-  PendingUpload& operator=(const PendingUpload&) = delete;
-
- private:
-  ServerState& state_;
-  ServerSocket& io_;
-};
-
 core::Error client_gone_error() {
   return core::make_error(core::ErrorCode::kUnavailable, "the client closed its connection");
 }
@@ -95,9 +80,12 @@
     window.data = piece.data();
     window.size = piece.size();
     io_.read_timer.arm(state_.limits.transfer_timeout);
-    const PendingUpload upload(state_, io_);
+    // Not undone by a destructor: a body that another exchange passes on is read by a coroutine
+    // that the end of the execution context may destroy after the connection.
+    state_.reading[&io_] = monotonic_now();
     auto [error, size] =
         co_await beast::http::async_read_some(io_.socket, io_.buffer, parser_, kAwaitTuple);
+    state_.reading.erase(&io_);
     io_.read_timer.disarm();
     if (error == beast::http::error::need_buffer) {
       error = {};
