OperatorCommandsTest closes its connections before its metrics go

Cause: the fixture stopped the loop and destroyed the daemon, with its metrics, before the loop. A connection that was still writing its response then had its frame destroyed with the loop; the count of unsent bytes in that frame set a gauge that was freed. http/server.hpp asks that the metrics outlive the execution context; the daemon's processes keep that, this fixture did not.

Change: tearDown closes the connections while the loop still runs, and checks that none is left. No check was eased.

--- a/tests/contract/operator_commands_test.cpp
+++ b/tests/contract/operator_commands_test.cpp
@@ -4,6 +4,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <stdlib.h>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -46,6 +48,7 @@
   }
 
   void tearDown() override {
+    boost::asio::co_spawn(loop_->executor(), close_connections(), boost::asio::use_future).get();
     loop_->stop();
     daemon_.reset();
     other_.reset();
@@ -224,6 +227,14 @@
     return text.replace(text.find(from), from.size(), to);
   }
 
+  /// A connection that is still writing its response uses the daemon's metrics, which go before the
+  /// loop does.
+  boost::asio::awaitable<void> close_connections() {
+    daemon_->server.abort();
+    const bool is_closed = co_await daemon_->server.wait_until_idle(std::chrono::seconds(10));
+    CPPUNIT_ASSERT(is_closed);
+  }
+
   /// Runs one invocation and checks its result.
   /// \return its output
   std::string check(const Invocation& each) const {
