Two test programs at once no longer share an address range

Cause: a stand-in took its loopback prefix from (process id + 7 * count) % 120, so that two processes whose ids differ by a multiple of 120 got the same one. TestCluster did the same with another formula, and removed the other one's folder besides.

No assertion changes.

--- a/tests/platform_support/platform_stand_in.cpp
+++ b/tests/platform_support/platform_stand_in.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio/post.hpp>
 #include <filesystem>
 #include <fstream>
@@ -184,20 +185,16 @@
 PlatformStandIn::PlatformStandIn() : PlatformStandIn(Options()) {}
 
 PlatformStandIn::PlatformStandIn(Options options) : options_(options) {
-  // Two stand-ins of one machine must not meet: an address range for each.
-  static int count = 0;
-  prefix_ = "127." + std::to_string(64 + (getpid() + 7 * count) % 120) + "." +
-            std::to_string(1 + count % 200) + ".";
-  ++count;
-  folder_ = (std::filesystem::temp_directory_path() /
-             ("stoneport-stand-in-" + std::to_string(getpid()) + "-" + std::to_string(count)))
-                .string();
+  static std::atomic<int> count = 0;
+  const std::string name =
+      "stoneport-stand-in-" + std::to_string(getpid()) + "-" + std::to_string(++count);
+  folder_ = (std::filesystem::temp_directory_path() / name).string();
   std::filesystem::create_directories(folder_);
   loop_.run();
   on_loop([this] {
     store_ = std::make_unique<StandInStore>(loop_.executor(), metrics_);
     cloud_ = std::make_unique<StandInCloud>(loop_.executor(), metrics_);
-    cloud_->listen({prefix_ + "1", kCloudPort}).value();
+    cloud_->listen({range_.prefix() + "1", kCloudPort}).value();
     for (std::size_t index = 0; index < options_.models; ++index) {
       add_replica("model-" + std::to_string(index), "models", true);
     }
@@ -205,12 +202,13 @@
       add_replica("plain-" + std::to_string(index), "plain", false);
     }
     for (std::size_t process = 0; process < options_.processes; ++process) {
-      const core::Address door{prefix_ + "1", static_cast<std::uint16_t>(kFirstDoorPort + process)};
+      const core::Address door{range_.prefix() + "1",
+                               static_cast<std::uint16_t>(kFirstDoorPort + process)};
       doors_.push_back(std::make_unique<StoreDoor>(loop_.executor(), *store_, metrics_));
       doors_.back()->listen(door).value();
       relays_.push_back(emulator::make_tcp_relay(loop_.executor(), door));
       relays_.back()
-          ->listen({prefix_ + "1", static_cast<std::uint16_t>(kStorePort + 1 + process)})
+          ->listen({range_.prefix() + "1", static_cast<std::uint16_t>(kStorePort + 1 + process)})
           .value();
     }
     runtime::start(loop_.executor(), "stand-in beat", beat(this));
@@ -265,12 +263,13 @@
                                                   arrivals_, metrics_);
   replica->zone = zone_name(replicas_.size());
   const auto port = static_cast<std::uint16_t>(kFirstPort - 100 + 50 + replicas_.size());
-  replica->listen({prefix_ + "1", port}).value();
+  replica->listen({range_.prefix() + "1", port}).value();
   replicas_[id] = std::move(replica);
 }
 
 core::Address PlatformStandIn::address(std::size_t process, std::uint16_t offset) const {
-  return {prefix_ + std::to_string(10 + process), static_cast<std::uint16_t>(kFirstPort + offset)};
+  return {range_.prefix() + std::to_string(10 + process),
+          static_cast<std::uint16_t>(kFirstPort + offset)};
 }
 
 core::Address PlatformStandIn::metrics_page(std::size_t process) const {
@@ -287,7 +286,7 @@
       {"zone", zone_name(process)},
       {"region", "region-a"},
       {"zones", {{"zone-a", "region-a"}, {"zone-b", "region-b"}}},
-      {"ipAddress", prefix_ + std::to_string(10 + process)},
+      {"ipAddress", range_.prefix() + std::to_string(10 + process)},
       {"listen",
        {{"front", core::to_string(address(process, 0))},
         {"ready", core::to_string(address(process, 1))},
@@ -305,11 +304,11 @@
         {"evacuationMs", kEvacuation.count()},
         {"usageLateS", 5}}},
       {"cloud",
-       {{"address", prefix_ + "1:" + std::to_string(kCloudPort)},
+       {{"address", range_.prefix() + "1:" + std::to_string(kCloudPort)},
         {"duties", {"usage_reporting", "scaling"}},
         {"dutyPerS", 50}}},
       {"platform",
-       {{"address", prefix_ + "1:" + std::to_string(kStorePort + 1 + process)},
+       {{"address", range_.prefix() + "1:" + std::to_string(kStorePort + 1 + process)},
         {"row_bytes", 65536}}}};
   if (options_.memory_mb > 0) {
     settings["limits"] = {{"memoryMb", options_.memory_mb}};
--- a/tests/platform_support/platform_stand_in.hpp
+++ b/tests/platform_support/platform_stand_in.hpp
@@ -18,6 +18,7 @@
 #include "support/child_process.hpp"
 #include "support/fake_record_store.hpp"
 #include "support/http_caller.hpp"
+#include "support/loopback_range.hpp"
 
 namespace stoneport::tests {
 
@@ -173,7 +174,7 @@
   static boost::asio::awaitable<void> beat(PlatformStandIn* self);
 
   Options options_;
-  std::string prefix_;
+  LoopbackRange range_;  ///< addresses of everything in this stand-in
   std::string folder_;
   core::Metrics metrics_;
   runtime::EventLoopThread loop_{"stand-in"};
--- a/tests/support/test_cluster.cpp
+++ b/tests/support/test_cluster.cpp
@@ -2,7 +2,6 @@
 
 #include <cppunit/TestAssert.h>
 #include <signal.h>
-#include <unistd.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -22,14 +21,6 @@
 const char* const kTrainer = "trainer";
 const std::vector<std::string> kZones = {"bole-hall", "kaliti-hall", "sululta-hall"};
 
-int clusters_started = 0;
-
-/// \return a /24 of the loopback range for this process's next cluster.
-std::string next_prefix() {
-  const int number = static_cast<int>(getpid()) * 8 + clusters_started++;
-  return "127." + std::to_string(64 + number / 200 % 128) + "." + std::to_string(number % 200 + 1);
-}
-
 std::string quoted(const core::Address& address) {
   return "\"" + to_string(address) + "\"";
 }
@@ -52,9 +43,9 @@
             << " | violations: " << violations << std::endl;
 }
 
-TestCluster::TestCluster(ClusterOptions options)
-    : options_(options), prefix_(next_prefix()), daemons_(options.daemons) {
-  folder_ = (std::filesystem::temp_directory_path() / ("stoneport-" + prefix_)).string();
+TestCluster::TestCluster(ClusterOptions options) : options_(options), daemons_(options.daemons) {
+  folder_ =
+      (std::filesystem::temp_directory_path() / ("stoneport-" + range_.prefix() + "x")).string();
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   start_emulator();
@@ -83,7 +74,7 @@
 }
 
 core::Address TestCluster::address_of(std::size_t daemon, std::uint16_t port) const {
-  return {prefix_ + "." + std::to_string(10 + daemon), port};
+  return {range_.prefix() + std::to_string(10 + daemon), port};
 }
 
 std::string TestCluster::write_file(const std::string& name, const std::string& text) {
@@ -94,7 +85,7 @@
 
 std::string TestCluster::emulator_settings() const {
   std::ostringstream out;
-  const std::string ip = "ip = \"" + prefix_ + ".1\"\n";
+  const std::string ip = "ip = \"" + range_.prefix() + "1\"\n";
   out << "time_scale = " << options_.time_scale << ".0\n"
       << "weight_bytes_per_second = 20_000_000_000\n"
       << "[listeners]\n"
--- a/tests/support/test_cluster.hpp
+++ b/tests/support/test_cluster.hpp
@@ -10,6 +10,7 @@
 
 #include "support/child_process.hpp"
 #include "support/http_caller.hpp"
+#include "support/loopback_range.hpp"
 
 namespace stoneport::tests {
 
@@ -83,12 +84,12 @@
 
  private:
   core::Address address_of(std::size_t daemon, std::uint16_t port) const;
-  core::Address platform(std::uint16_t port) const { return {prefix_ + ".1", port}; }
+  core::Address platform(std::uint16_t port) const { return {range_.prefix() + "1", port}; }
   std::string emulator_settings() const;
   void start_emulator();
 
   ClusterOptions options_;
-  std::string prefix_;  ///< first three parts of this cluster's IP numbers
+  LoopbackRange range_;  ///< addresses of everything in this cluster
   std::string folder_;
   HttpCaller http_;
   std::unique_ptr<ChildProcess> emulator_;
