Operators see whether a process knows any other one, and since when

Change: controllers/peer_monitor logs `dependency_lost` and `dependency_regained` of `members`, the latter also after each start, with the time without any live member, and exports stoneport_gossip_live_peers, stoneport_gossip_alone_seconds_total and stoneport_gossip_peers_lost_total.

--- a/src/controllers/gossip_controller.cpp
+++ b/src/controllers/gossip_controller.cpp
@@ -99,7 +99,8 @@
       transport_(transport),
       state_(std::move(self), settings, random_seed),
       time_(time),
-      meters_(std::make_unique<Meters>(metrics)) {}
+      meters_(std::make_unique<Meters>(metrics)),
+      peer_monitor_(metrics) {}
 
 GossipController::~GossipController() {
   if (alive_) {
@@ -109,6 +110,7 @@
 
 void GossipController::start() {
   alive_ = std::make_shared<bool>(true);
+  peer_monitor_.start(time_.now());
   transport_.set_receiver(
       [this](const core::Address& from, std::string_view bytes) { receive(from, bytes); });
   runtime::start(executor_, "gossip ticks", run(alive_));
@@ -125,15 +127,19 @@
 
 asio::awaitable<void> GossipController::run(std::weak_ptr<bool> alive) {
   while (!alive.expired()) {
-    send(state_.on_tick(time_.now()));
+    const core::MonotonicTime now = time_.now();
+    send(state_.on_tick(now));
     meters_->update(state_.counts());
+    peer_monitor_.update(state_.live_peers(), now);
     notify_listeners();
     co_await runtime::sleep_for(kTick);
   }
 }
 
 void GossipController::receive(const core::Address& from, std::string_view bytes) {
-  const GossipOutput output = state_.on_packet(from, bytes, time_.now());
+  const core::MonotonicTime now = time_.now();
+  const GossipOutput output = state_.on_packet(from, bytes, now);
+  peer_monitor_.update(state_.live_peers(), now);
   send(output.packets);
   if (output.received && message_listener_) {
     message_listener_(*output.received);
--- a/src/controllers/gossip_controller.hpp
+++ b/src/controllers/gossip_controller.hpp
@@ -12,6 +12,7 @@
 #include "config/settings.hpp"
 #include "controllers/gossip_transport.hpp"
 #include "controllers/membership.hpp"
+#include "controllers/peer_monitor.hpp"
 #include "core/metrics.hpp"
 
 namespace stoneport::controllers {
@@ -110,6 +111,7 @@
   GossipState state_;
   const core::TimeSource& time_;
   std::unique_ptr<Meters> meters_;
+  PeerMonitor peer_monitor_;
   Topic member_topic_;
   Topic policy_topic_;
   Topic drain_mark_topic_;
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -320,9 +320,10 @@
   return packets;
 }
 
-bool GossipState::has_no_live_peer() const {
+std::size_t GossipState::live_peers() const {
   const std::vector<core::NodeId>& live = records_.live_nodes();
-  return live.empty() || (live.size() == 1 && live.front() == self_);
+  const bool is_listed = std::binary_search(live.begin(), live.end(), self_);
+  return live.size() - (is_listed ? 1 : 0);
 }
 
 std::vector<core::NodeId> GossipState::unsuspected_nodes() const {
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -108,6 +108,8 @@
   /// process, including a pause that no tick has detected yet. True while no other member
   /// is known.
   bool current(core::MonotonicTime now) const;
+  /// \return the number of other members that are not dead
+  std::size_t live_peers() const;
   /// \return the time since another member last acknowledged a ping of this node, whether
   /// direct, relayed, or sent on behalf of another node; counted from the first tick if
   /// none ever has
@@ -173,8 +175,6 @@
   /// Suspects are chosen only if nobody else is live: with two thirds of the members behind
   /// a partition, two thirds of the updates would otherwise be sent there.
   std::vector<core::NodeId> sample_others(std::size_t count, const core::NodeId& excluded = {});
-  /// \return whether no other member is live
-  bool has_no_live_peer() const;
   std::uint32_t transmission_limit() const;
   core::Duration suspicion_timeout() const;
 
--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -321,8 +321,8 @@
   if (now < next_reconnect_) {
     return;
   }
-  next_reconnect_ = now + with_jitter(has_no_live_peer() ? settings_.catch_up_interval
-                                                         : settings_.reconnect_interval,
+  next_reconnect_ = now + with_jitter(live_peers() == 0 ? settings_.catch_up_interval
+                                                        : settings_.reconnect_interval,
                                       random_);
   const std::vector<core::Address> addresses = unreached_addresses();
   if (addresses.empty()) {
