Processes that start together find each other: all seeds asked, soon again

Seen by callers: a request that crashes replicas ends a fourth one, with everybody's requests on it.

Cause: a process that starts asked one seed, drawn at random, and again only after a second. Processes that start within some ms of each other send that packet before the other one receives any. Who asked the one that was not ready, and is asked by nobody, stays alone for a second, takes requests meanwhile, and what it or the others record reaches nobody.

Ruled out: lost datagrams (the process knew no address to send to), slow reports (between processes that know each other 1 to 5 ms), load (it comes without any).

Change: after a start all seeds are asked, up to three an attempt, 100, 200, 400 and 800 ms later again, then each second while alone and each 4 s otherwise, as before. Retries of a process that knows nobody ask three addresses, too. The long-run rate is bounded, the byte budget holds.

--- a/src/controllers/gossip_simulation.cpp
+++ b/src/controllers/gossip_simulation.cpp
@@ -29,6 +29,10 @@
   for (std::size_t index = 0; index < settings.members; ++index) {
     by_address_[address_of(index)] = index;
     nodes_[index].state = make_state(index, nodes_[index].life);
+    if (settings.start_spread > core::Duration::zero()) {
+      const double delay = core::to_seconds(settings.start_spread) * random_.fraction();
+      nodes_[index].starts_at = now_ + core::from_seconds(delay);
+    }
   }
 }
 
@@ -72,7 +76,7 @@
 
 void GossipSimulation::deliver(const Datagram& datagram) {
   Node& node = nodes_[datagram.to];
-  if (!node.running) {
+  if (!running(datagram.to)) {
     return;
   }
   GossipOutput output = node.state->on_packet(address_of(datagram.from), datagram.bytes, now_);
@@ -96,7 +100,7 @@
   }
   now_ = end;
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
-    if (nodes_[index].running && !nodes_[index].frozen) {
+    if (running(index) && !nodes_[index].frozen) {
       post(index, nodes_[index].state->on_tick(now_));
     }
   }
@@ -118,7 +122,7 @@
   const GossipRecords& records = state(observer).records();
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
     const wire::Member* known = records.find(node_name(index));
-    if (!nodes_[index].running) {
+    if (!running(index)) {
       if (known != nullptr && known->state != wire::MemberState::kDead) {
         return false;
       }
@@ -133,7 +137,7 @@
 
 bool GossipSimulation::converged() const {
   for (std::size_t index = 0; index < nodes_.size(); ++index) {
-    if (nodes_[index].running && !has_correct_view(index)) {
+    if (running(index) && !has_correct_view(index)) {
       return false;
     }
   }
--- a/src/controllers/gossip_simulation.hpp
+++ b/src/controllers/gossip_simulation.hpp
@@ -21,6 +21,9 @@
   double loss = 0;        ///< fraction of packets lost
   core::Duration latency = std::chrono::milliseconds(1);
   core::Duration tick = std::chrono::milliseconds(100);
+  /// Range of the processes' random start times; packets to a process that has not started
+  /// yet are lost.
+  core::Duration start_spread{};
   GossipSettings gossip;
 };
 
@@ -40,7 +43,10 @@
   bool frozen(std::size_t index) const { return nodes_[index].frozen; }
   /// Ends the process without leave packets.
   void stop(std::size_t index) { nodes_[index].running = false; }
-  bool running(std::size_t index) const { return nodes_[index].running; }
+  /// \return whether the process has started and not ended
+  bool running(std::size_t index) const {
+    return nodes_[index].running && nodes_[index].starts_at <= now_;
+  }
   /// Starts a new process under the name of a stopped one, with the next run number.
   void restart(std::size_t index) { restart(index, nodes_[index].life + 1); }
   /// Starts a new process with run number \p life, which is lower than the previous one if
@@ -64,6 +70,7 @@
  private:
   struct Node {
     std::unique_ptr<GossipState> state;
+    core::MonotonicTime starts_at{};
     bool running = true;
     bool frozen = false;
     std::uint32_t group = 0;
--- a/src/controllers/gossip_state.cpp
+++ b/src/controllers/gossip_state.cpp
@@ -44,6 +44,9 @@
   if (seeds == seeds_) {
     return;  // a polled list repeats the same addresses
   }
+  if (seeds_.empty()) {
+    reconnect_attempts_ = 0;
+  }
   seeds_ = std::move(seeds);
   next_reconnect_ = {};
 }
--- a/src/controllers/gossip_state.hpp
+++ b/src/controllers/gossip_state.hpp
@@ -31,8 +31,16 @@
   /// Interval of anti-entropy after a sync that found differences, or while no member is
   /// known.
   core::Duration catch_up_interval = std::chrono::seconds(1);
-  /// Interval of attempts to reach dead members and unknown seeds.
+  /// Interval of attempts to reach dead members and unknown seeds; at most
+  /// catch_up_interval while no member is known.
   core::Duration reconnect_interval = std::chrono::seconds(4);
+  /// The same interval after the first attempt; it doubles with each further one. Processes
+  /// that start together miss each other's first attempts, because a socket that is not open
+  /// yet receives nothing.
+  core::Duration first_reconnect_interval = std::chrono::milliseconds(100);
+  /// Number of addresses per attempt while no member is known or the interval still grows;
+  /// later attempts ask one.
+  std::uint32_t reconnect_fanout = 3;
   core::Duration min_suspicion_timeout = std::chrono::seconds(3);
   /// Time for which a dead member is remembered, so that a partition can heal.
   core::Duration dead_retention = std::chrono::hours(2);
@@ -169,6 +177,8 @@
   OutgoingPacket finish_packet(const core::Address& to, const wire::GossipPacket& packet);
   wire::SyncRequest sync_request(bool is_answer) const;
   std::vector<core::Address> unreached_addresses() const;
+  /// \return up to \p count random unreached addresses
+  std::vector<core::Address> sample_unreached(std::size_t count);
   /// \return the live, unsuspected members, including this node
   std::vector<core::NodeId> unsuspected_nodes() const;
   /// \return up to \p count random live members, without this node and \p excluded.
@@ -199,6 +209,7 @@
   core::MonotonicTime next_update_send_{};
   core::MonotonicTime next_sync_{};
   core::MonotonicTime next_reconnect_{};
+  std::uint32_t reconnect_attempts_ = 0;  ///< since the first seed was set
   std::uint64_t members_version_ = 0;
   std::uint64_t policies_version_ = 0;
   std::uint64_t drain_marks_version_ = 0;
--- a/src/controllers/gossip_state_packets.cpp
+++ b/src/controllers/gossip_state_packets.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 
 #include "controllers/gossip_state.hpp"
+#include "core/backoff.hpp"
 
 namespace stoneport::controllers {
 namespace {
@@ -317,19 +318,29 @@
   return addresses;
 }
 
+std::vector<core::Address> GossipState::sample_unreached(std::size_t count) {
+  std::vector<core::Address> addresses = unreached_addresses();
+  shuffle(addresses, random_);
+  addresses.resize(std::min(addresses.size(), count));
+  return addresses;
+}
+
 void GossipState::reconnect(core::MonotonicTime now, std::vector<OutgoingPacket>& packets) {
   if (now < next_reconnect_) {
     return;
   }
-  next_reconnect_ = now + with_jitter(live_peers() == 0 ? settings_.catch_up_interval
-                                                        : settings_.reconnect_interval,
-                                      random_);
-  const std::vector<core::Address> addresses = unreached_addresses();
-  if (addresses.empty()) {
-    return;
+  const bool is_alone = live_peers() == 0;
+  const core::BackoffSettings backoff{
+      settings_.first_reconnect_interval,
+      is_alone ? settings_.catch_up_interval : settings_.reconnect_interval};
+  const core::Duration interval = core::max_backoff_delay(backoff, reconnect_attempts_);
+  const bool has_backed_off = interval == backoff.longest;
+  next_reconnect_ = now + with_jitter(interval, random_);
+  ++reconnect_attempts_;
+  const std::size_t fanout = is_alone || !has_backed_off ? settings_.reconnect_fanout : 1;
+  for (const core::Address& address : sample_unreached(fanout)) {
+    packets.push_back(make_packet(address, sync_request(false)));
   }
-  const core::Address& address = addresses[random_.uniform(0, addresses.size() - 1)];
-  packets.push_back(make_packet(address, sync_request(false)));
 }
 
 std::vector<OutgoingPacket> GossipState::leave_packets() {
