The row of a request that stays held is written again before it is too old

What callers would see: a request that has been held back for over an hour, and is still sent, runs again after a restart of all processes and ends three more replicas.

Cause: a row is dropped when it is read an hour after it was written, and was written once, when the quarantine began.

Change: each minute a process looks whether a row that it wrote or read is half an hour old and its request still held. The three processes that would write it check it, as at the beginning, and write it where it is older than that.

Five processes write at most twice an interval.

--- a/src/node/suspect_rows.cpp
+++ b/src/node/suspect_rows.cpp
@@ -73,6 +73,7 @@
   };
   guard_.add_listener(std::move(listener));
   runtime::start(executor_, "held requests", load());
+  runtime::start(executor_, "held requests", renew_rows());
 }
 
 bool SuspectRows::restore(const ports::Record& record, ports::StoreTime now) {
@@ -89,7 +90,7 @@
   suspect.generation = row->generation;
   suspect.ended = row->ended;
   suspect.forget_at = time_.now() + guard_.retention();
-  note_row(suspect.content, RowOrigin::kSeen);
+  note_row(suspect.content, RowOrigin::kSeen, now - row->written_at);
   guard_.apply_remote_suspect(suspect);
   // A late write may have brought back the row of a request that was cleared since.
   const quarantine::Suspect* known = guard_.suspects().find(suspect.content);
@@ -135,11 +136,14 @@
 }
 
 void SuspectRows::on_held(const quarantine::Suspect& suspect) {
-  if (rows_.contains(suspect.content)) {
-    return;
+  if (!rows_.contains(suspect.content)) {
+    check_row(suspect.content);
   }
+}
+
+void SuspectRows::check_row(const core::RequestFingerprint& content) {
   const core::MonotonicTime now = time_.now();
-  unstored_.try_emplace(suspect.content, Unstored{now, now, settings_.retry_delay});
+  unstored_.try_emplace(content, Unstored{now, now, settings_.retry_delay});
   if (!is_storing_) {
     is_storing_ = true;
     runtime::start(executor_, "held requests", store_held());
@@ -153,22 +157,23 @@
     return;
   }
   // Of a row that all processes have read, one removes it.
-  if (row->second == RowOrigin::kWrittenHere || rank_(content) == 0) {
+  if (row->second.origin == RowOrigin::kWrittenHere || rank_(content) == 0) {
     write(content, std::nullopt);
   }
   rows_.erase(row);
 }
 
-void SuspectRows::note_row(const core::RequestFingerprint& content, RowOrigin origin) {
+void SuspectRows::note_row(const core::RequestFingerprint& content, RowOrigin origin,
+                           std::chrono::milliseconds age) {
   std::erase_if(
       rows_, [this](const auto& entry) { return guard_.suspects().find(entry.first) == nullptr; });
-  rows_[content] = origin;
+  rows_[content] = {origin, time_.now() + settings_.renewal - age};
 }
 
 void SuspectRows::write_held(const quarantine::Suspect& suspect) {
   const ports::StoreTime now = store_.now().value_or(ports::StoreTime(0));
   unstored_.erase(suspect.content);
-  note_row(suspect.content, RowOrigin::kWrittenHere);
+  note_row(suspect.content, RowOrigin::kWrittenHere, std::chrono::milliseconds(0));
   write(suspect.content, SuspectRow{suspect.generation, suspect.ended, now});
 }
 
@@ -195,6 +200,18 @@
   return std::nullopt;
 }
 
+asio::awaitable<void> SuspectRows::renew_rows() {
+  while (true) {
+    co_await runtime::sleep_for(settings_.renewal_check);
+    const core::MonotonicTime now = time_.now();
+    for (const auto& [content, row] : rows_) {
+      if (now >= row.renew_at && is_held(content) && rank_(content) < settings_.writers) {
+        check_row(content);
+      }
+    }
+  }
+}
+
 asio::awaitable<void> SuspectRows::store_held() {
   while (!unstored_.empty()) {
     const std::optional<core::RequestFingerprint> due = take_due();
@@ -210,7 +227,7 @@
 bool SuspectRows::covers(const ports::Record& record, ports::StoreTime now,
                          const quarantine::Suspect& suspect) {
   const std::optional<SuspectRow> row = decode_suspect_row(record.value);
-  const bool is_current = row && now - row->written_at < settings_.retention;
+  const bool is_current = row && now - row->written_at < settings_.renewal;
   return is_current && row->generation >= suspect.generation && restore(record, now);
 }
 
--- a/src/node/suspect_rows.hpp
+++ b/src/node/suspect_rows.hpp
@@ -1,7 +1,8 @@
 /// \file
 /// Persists quarantined requests in the store, so that they survive a restart of all processes. A
 /// row is written when the quarantine begins, removed when the request is cleared, and read once at
-/// process start; SuspectExchange distributes the state between running processes. Often no process
+/// process start; a row of a request that stays held is written again before it is too old to be
+/// read. SuspectExchange distributes the state between running processes. Often no process
 /// observes all crashes that lead to a quarantine, and several merge them at the same time: a few
 /// of them, in an order that all compute alike, check that the row exists and write it otherwise.
 /// Use it on the node's thread only.
@@ -24,6 +25,10 @@
   /// Age above which a row is dropped when it is read. Longer than the in-memory retention (ten
   /// minutes), so that a long outage of all processes loses nothing.
   std::chrono::milliseconds retention = std::chrono::hours(1);
+  /// Age above which the row of a request that is still held is written again.
+  std::chrono::milliseconds renewal = std::chrono::minutes(30);
+  /// Interval at which rows of that age are looked for.
+  core::Duration renewal_check = std::chrono::minutes(1);
   core::Duration timeout = std::chrono::milliseconds(1000);
   core::Duration retry_delay = std::chrono::milliseconds(300);
   /// Maximum number of attempts of one write; after that the row is missing from the store.
@@ -68,7 +73,12 @@
     kSeen,         ///< read from the store
     kWrittenHere,  ///< this process has begun to write it
   };
-  /// A held request whose row is not known to be in the store.
+  /// A row that may be in the store.
+  struct KnownRow {
+    RowOrigin origin = RowOrigin::kSeen;
+    core::MonotonicTime renew_at{};
+  };
+  /// A held request whose row is not known to be in the store, or is to be renewed.
   struct Unstored {
     core::MonotonicTime held_since{};
     core::MonotonicTime next_check{};
@@ -76,6 +86,9 @@
   };
 
   boost::asio::awaitable<void> load();
+  boost::asio::awaitable<void> renew_rows();
+  /// Has the row of a held request checked, and written if it is missing or old.
+  void check_row(const core::RequestFingerprint& content);
   boost::asio::awaitable<void> store_held();
   /// Reads the row of \p content and writes it if it is missing.
   boost::asio::awaitable<void> store_if_missing(core::RequestFingerprint content);
@@ -87,7 +100,9 @@
   /// \return whether \p record makes another write for \p suspect unnecessary.
   bool covers(const ports::Record& record, ports::StoreTime now,
               const quarantine::Suspect& suspect);
-  void note_row(const core::RequestFingerprint& content, RowOrigin origin);
+  /// \param age time since the row was written
+  void note_row(const core::RequestFingerprint& content, RowOrigin origin,
+                std::chrono::milliseconds age);
   void write_held(const quarantine::Suspect& suspect);
   boost::asio::awaitable<void> write_all();
   /// Writes \p row for \p content in the background, or removes the row if it is nullopt.
@@ -114,7 +129,7 @@
   Rank rank_ = [](const core::RequestFingerprint&) { return std::size_t{0}; };
   std::map<core::RequestFingerprint, Unstored> unstored_;
   bool is_storing_ = false;
-  std::map<core::RequestFingerprint, RowOrigin> rows_;  ///< rows that may be in the store
+  std::map<core::RequestFingerprint, KnownRow> rows_;
 };
 
 }  // namespace stoneport::node
--- a/tests/unit/node/suspect_rows_test.cpp
+++ b/tests/unit/node/suspect_rows_test.cpp
@@ -28,13 +28,20 @@
   CPPUNIT_TEST(a_row_and_a_report_that_reach_the_limit_together_are_stored);
   CPPUNIT_TEST(a_release_elsewhere_removes_the_row);
   CPPUNIT_TEST(a_row_that_was_released_meanwhile_is_not_restored);
+  CPPUNIT_TEST(the_row_of_a_request_that_stays_held_does_not_become_too_old);
   CPPUNIT_TEST_SUITE_END();
 
+  static SuspectRowSettings quick_settings() {
+    SuspectRowSettings settings;
+    settings.retry_delay = milliseconds(2);
+    settings.writer_delay = milliseconds(120);
+    return settings;
+  }
+
   struct Process {
     explicit Process(support::FakeRecordStore& store, boost::asio::io_context& context,
-                     std::size_t rank = 0)
-        : rows(context.get_executor(), store, guard, time, metrics,
-               {.retry_delay = milliseconds(2), .writer_delay = milliseconds(120)}) {
+                     std::size_t rank = 0, SuspectRowSettings settings = quick_settings())
+        : rows(context.get_executor(), store, guard, time, metrics, settings) {
       rows.set_rank([this](const core::RequestFingerprint&) { return this->rank; });
       this->rank = rank;
       rows.start();
@@ -277,6 +284,36 @@
     CPPUNIT_ASSERT(store.table(kSuspectTable).empty());
   }
 
+  /// Clients may go on sending a held request for longer than its row is valid.
+  void the_row_of_a_request_that_stays_held_does_not_become_too_old() {
+    SuspectRowSettings settings = quick_settings();
+    settings.retention = milliseconds(400);
+    settings.renewal = milliseconds(200);
+    settings.renewal_check = milliseconds(10);
+    boost::asio::io_context context;
+    support::FakeRecordStore store;
+    std::list<Process> processes;
+    for (std::size_t rank = 0; rank < 5; ++rank) {
+      processes.emplace_back(store, context, rank, settings);
+    }
+    run(context);
+    for (Process& process : processes) {
+      process.hear(culprit_, ids("abc"));
+    }
+    for (int round = 0; round < 20; ++round) {
+      run(context);
+    }
+    Process restarted(store, context, 0, settings);
+    run(context);
+    CPPUNIT_ASSERT(restarted.holds(culprit_));
+    // In 1,260 ms, one write each 200 ms; a second process may write at the same moment.
+    double written = 0;
+    for (Process& process : processes) {
+      written += process.rows_written();
+    }
+    CPPUNIT_ASSERT(written <= 2 * 7);
+  }
+
   const core::RequestFingerprint culprit_{"culprit"};
 };
 
