A replica whose listener outlives its crash counts until a check decides

Seen by callers: a request that crashes replicas ends a fourth one and more, with everybody's requests on them, although all processes know each other: the symptom of CrashingRequestTest::it_is_known_after_all_processes_went_at_once, by a third cause.

Cause: after a broken call the guard asked once whether the replica still accepts connections. If it did, the next attempt went out at once as if nothing had happened, and the replica was looked at only once more, 60 ms later. The order in which a dying process closes its sockets is not defined. With a listener that closes up to 60 ms late, all attempts of all processes ran before the first crash was recorded; with one that closes later, no crash was ever recorded.

Change: such a replica is in doubt. Meanwhile it counts like a crash for where and whether the request runs next, with three the request waits for the verdict, and the other processes are told that the run is not over. Nothing is recorded or reported as a crash before it is certain, and no request is refused for a doubt.

What it costs the innocent, whose connection merely broke: the next attempt waits 10 ms, as long as others need to report the same request. Requests that the process has seen served are not restricted by doubts.

Ruled out: waiting for the verdict before each next attempt (900 ms for a connection that breaks on an idle replica); checking sooner or more often with the next attempt let go (any lag longer than the check is the same fault); telling a doubt as a crash (a merged record cannot lose one replica again).

Left: a port that accepts connections for more than 900 ms after the crash.

--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -67,7 +67,9 @@
       meters_(std::make_unique<Meters>(metrics)),
       suspects_(settings.suspects),
       runs_(directory, time, settings.runs,
-            [this](const SuspectRun& run, bool is_over) { announce_run(run, is_over); }) {}
+            [this](const SuspectRun& run, bool is_over) { announce_run(run, is_over); }),
+      watch_(client, metrics, settings.watch,
+             [this](const BrokenCall& call, CrashVerdict verdict) { on_verdict(call, verdict); }) {}
 
 CrashGuard::~CrashGuard() = default;
 
@@ -76,6 +78,7 @@
   const std::vector<ReplicaPointer>& replicas = directory_.of_service(service);
   const auto is_healthy = [&](const ReplicaPointer& replica) {
     return replica->accepts_work() && !replica->is_suspect(now) && !replica->has_ended() &&
+           !watch_.is_watched(replica->record.id) &&
            directory_.gate().is_open(replica->record.zone);
   };
   return static_cast<std::size_t>(std::count_if(replicas.begin(), replicas.end(), is_healthy));
@@ -102,12 +105,33 @@
 quarantine::RunRestriction CrashGuard::restriction_of(
     const core::RequestFingerprint& content) const {
   const bool was_served = served_.contains(content);
-  const quarantine::RunRestriction restriction = suspects_.restriction_of(content, was_served);
+  // The connections of many replicas may break at once without a crash. A request that everybody
+  // sends must not wait for that.
+  const std::size_t in_doubt = was_served ? 0 : count_in_doubt(content);
+  const quarantine::RunRestriction restriction =
+      suspects_.restriction_of(content, was_served, in_doubt);
   const bool is_trusted =
       was_served && restriction == quarantine::RunRestriction::kNotOnLastReplica;
   return is_trusted ? quarantine::RunRestriction::kFree : restriction;
 }
 
+std::size_t CrashGuard::count_in_doubt(const core::RequestFingerprint& content) const {
+  const std::set<core::ReplicaId> in_doubt = runs_.in_doubt(content);
+  const quarantine::Suspect* suspect = suspects_.find(content);
+  return static_cast<std::size_t>(
+      std::count_if(in_doubt.begin(), in_doubt.end(), [&](const core::ReplicaId& replica) {
+        return suspect == nullptr || !suspect->ended.contains(replica);
+      }));
+}
+
+bool CrashGuard::waits_for_other_process(const core::RequestFingerprint& content) const {
+  return runs_.runs_elsewhere(content) && !served_.contains(content);
+}
+
+bool CrashGuard::is_only_in_doubt(const core::RequestFingerprint& content) const {
+  return suspects_.restriction_of(content) == quarantine::RunRestriction::kFree;
+}
+
 std::vector<ReplicaPointer> CrashGuard::replicas_for_suspects(
     const Route& route, const std::vector<ReplicaPointer>& usable) {
   std::set<core::ServiceName> services;
@@ -128,7 +152,7 @@
                             SuspectSeparation separation) {
   Admission admission;
   const quarantine::RunRestriction restriction = restriction_of(content);
-  if (restriction == quarantine::RunRestriction::kFree) {
+  if (restriction == quarantine::RunRestriction::kFree && !waits_for_other_process(content)) {
     return admission;
   }
   suspects_.note_seen(content, time_.now());
@@ -138,7 +162,16 @@
     return admission;
   }
   admission.kind = AdmissionKind::kWait;
-  if (runs_.runs_somewhere(content)) {
+  if (runs_.runs_somewhere(content) || restriction == quarantine::RunRestriction::kUndecided) {
+    return admission;
+  }
+  if (restriction == quarantine::RunRestriction::kNotOnLastReplica && is_only_in_doubt(content)) {
+    // Most connections that break once do so without a crash: the next attempt must not wait for
+    // the verdict. No two processes run one text, so that there is no report to wait for.
+    if (separation == SuspectSeparation::kTogether || runs_.may_run_despite_doubt(content)) {
+      admission.kind = AdmissionKind::kRun;
+      admission.allowed = runs_.least_shared(content, usable);
+    }
     return admission;
   }
   std::vector<ReplicaPointer> allowed = replicas_for_suspects(route, usable);
@@ -183,9 +216,9 @@
     ports::ReplicaTarget target = target_of(*replica);
     const bool has_ended = co_await client_.refuses_connections(std::move(target));
     if (!has_ended) {
+      runs_.begin_doubt(content, replica->record.id);
       const asio::any_io_executor executor = co_await asio::this_coro::executor;
-      runtime::start(executor, "recheck of a replica",
-                     recheck(content, std::move(request_id), replica));
+      watch_.watch(executor, {content, std::move(request_id), replica, time_.now()});
       co_return false;
     }
   }
@@ -193,19 +226,11 @@
   co_return true;
 }
 
-asio::awaitable<void> CrashGuard::recheck(core::RequestFingerprint content, std::string request_id,
-                                          ReplicaPointer replica) {
-  const core::MonotonicTime broke_at = time_.now();
-  co_await runtime::sleep_for(settings_.recheck_delay);
-  const bool answers = replica->last_answer > broke_at;
-  if (answers || !replica->accepts_work()) {
-    co_return;
-  }
-  ports::ReplicaTarget target = target_of(*replica);
-  const bool refuses = co_await client_.refuses_connections(std::move(target));
-  if (refuses || replica->has_ended()) {
-    note_end(content, request_id, replica);
+void CrashGuard::on_verdict(const BrokenCall& call, CrashVerdict verdict) {
+  if (verdict == CrashVerdict::kCrashed) {
+    note_end(call.content, call.request_id, call.replica);
   }
+  runs_.end_doubt(call.content, call.replica->record.id);
 }
 
 void CrashGuard::note_end(const core::RequestFingerprint& content, const std::string& request_id,
@@ -230,6 +255,7 @@
 
 void CrashGuard::note_served(const core::RequestFingerprint& content) {
   served_.note(content);
+  runs_.withdraw_doubts(content);
   if (!suspects_.clear(content, time_.now())) {
     return;
   }
--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/metrics.hpp"
+#include "ingress/crash_watch.hpp"
 #include "ingress/replica_directory.hpp"
 #include "ingress/route_table.hpp"
 #include "ingress/suspect_runs.hpp"
@@ -30,9 +31,7 @@
   /// 3.7 s measured).
   core::Duration sole_replica_delay = std::chrono::seconds(10);
   SuspectRunSettings runs;
-  /// Delay before a replica is checked again that still accepted a connection right after it broke
-  /// others: its listening socket may close a moment later than its connections.
-  core::Duration recheck_delay = std::chrono::milliseconds(60);
+  CrashWatchSettings watch;
   /// How long a crashed replica gets no work while other replicas can take it.
   core::Duration suspicion = std::chrono::seconds(2);
 };
@@ -100,11 +99,15 @@
   /// time
   void set_self(core::NodeId self) { runs_.set_self(std::move(self)); }
 
-  /// \return whether any request is under suspicion; otherwise every admission is free.
+  /// \return whether any request is under suspicion.
   bool has_suspects() const { return !suspects_.empty(); }
-  /// \return whether \p content is restricted in where it may run, or must not run at all.
+  /// \return whether any request is restricted, or runs on a replica that may have crashed;
+  /// otherwise every admission is free.
+  bool may_restrict() const { return has_suspects() || !runs_.empty(); }
+  /// \return whether \p content is restricted in where or when it may run, or must not run at all.
   bool is_suspect(const core::RequestFingerprint& content) const {
-    return restriction_of(content) != quarantine::RunRestriction::kFree;
+    return restriction_of(content) != quarantine::RunRestriction::kFree ||
+           waits_for_other_process(content);
   }
   /// \return whether \p content, which \p route sends to one of \p usable, may run now and where. A
   /// waiting sender calls this repeatedly, which renews its reservation.
@@ -115,9 +118,10 @@
   std::optional<Run> begin(const core::RequestFingerprint& content, const ReplicaState& replica,
                            const Admission& admission);
   /// Handles a call whose connection broke while \p replica may have been running it: checks
-  /// whether the replica has crashed, and if so records the crash for the request. \p request_id is
-  /// used in the log.
-  /// \return whether the replica has crashed.
+  /// whether the replica has crashed, and if so records the crash for the request. If the replica
+  /// still accepts connections, it counts as a possible crash under the request until a later check
+  /// decides. \p request_id is used in the log.
+  /// \return whether the replica is known to have crashed.
   boost::asio::awaitable<bool> resolve_broken_call(core::RequestFingerprint content,
                                                    std::string request_id, ReplicaPointer replica);
   /// Records that a replica served \p content completely.
@@ -144,6 +148,12 @@
   /// \return the restriction as this process sees it, which includes whether it has seen \p content
   /// served.
   quarantine::RunRestriction restriction_of(const core::RequestFingerprint& content) const;
+  /// \return the number of replicas that may have crashed under \p content, which is not recorded.
+  std::size_t count_in_doubt(const core::RequestFingerprint& content) const;
+  /// \return whether another process runs \p content, of which this one has seen no success.
+  bool waits_for_other_process(const core::RequestFingerprint& content) const;
+  /// \return whether nothing but broken calls without a verdict speaks against \p content.
+  bool is_only_in_doubt(const core::RequestFingerprint& content) const;
   std::size_t healthy_count(const core::ServiceName& service) const;
   /// \return whether suspects may use a replica of \p service because another healthy one remains.
   bool may_risk_replica(const core::ServiceName& service);
@@ -152,8 +162,7 @@
                                                     const std::vector<ReplicaPointer>& usable);
   void note_end(const core::RequestFingerprint& content, const std::string& request_id,
                 const ReplicaPointer& replica);
-  boost::asio::awaitable<void> recheck(core::RequestFingerprint content, std::string request_id,
-                                       ReplicaPointer replica);
+  void on_verdict(const BrokenCall& call, CrashVerdict verdict);
   void announce(const core::RequestFingerprint& content);
   void announce_run(const SuspectRun& run, bool is_over);
   void announce_held(const quarantine::Suspect& suspect);
@@ -172,6 +181,7 @@
   std::set<core::RequestFingerprint> held_;  ///< as of the last change
   quarantine::ServedContents served_;
   SuspectRuns runs_;
+  CrashWatch watch_;
   /// Time since which a service has had at most one healthy replica.
   std::map<core::ServiceName, core::MonotonicTime> at_most_one_healthy_since_;
 };
--- a/src/ingress/forwarder_choice.cpp
+++ b/src/ingress/forwarder_choice.cpp
@@ -154,7 +154,7 @@
 }
 
 Forwarder::Choice Forwarder::choose_now(const ForwardedRequest& request, Progress& progress) {
-  const bool is_suspect = guard_.has_suspects() && guard_.is_suspect(progress.content_of(request));
+  const bool is_suspect = guard_.may_restrict() && guard_.is_suspect(progress.content_of(request));
   Choice choice;
   choice.usable = candidates(request, progress, is_suspect);
   choice.were_all_tried = choice.usable.empty();
--- a/src/ingress/suspect_runs.cpp
+++ b/src/ingress/suspect_runs.cpp
@@ -5,10 +5,81 @@
 
 namespace stoneport::ingress {
 
-bool SuspectRuns::runs_somewhere(const core::RequestFingerprint& content) const {
+namespace {
+
+SuspectRun run_in_doubt(const core::RequestFingerprint& content, const core::ReplicaId& replica) {
+  return {content, replica, false, true};
+}
+
+}  // namespace
+
+bool SuspectRuns::runs_elsewhere(const core::RequestFingerprint& content) const {
   const auto remote = remote_runs_.find(content);
-  const bool runs_elsewhere = remote != remote_runs_.end() && time_.now() < remote->second.until;
-  return running_.contains(content) || runs_elsewhere;
+  return remote != remote_runs_.end() && time_.now() < remote->second.until;
+}
+
+bool SuspectRuns::runs_somewhere(const core::RequestFingerprint& content) const {
+  return running_.contains(content) || runs_elsewhere(content);
+}
+
+bool SuspectRuns::empty() const {
+  return running_.empty() && reservations_.empty() && remote_runs_.empty() && doubts_.empty();
+}
+
+void SuspectRuns::begin_doubt(const core::RequestFingerprint& content,
+                              const core::ReplicaId& replica) {
+  Doubt& doubt = doubts_[content];
+  doubt.replicas.insert(replica);
+  doubt.since = time_.now();
+  doubt.checks = 0;
+  if (!running_.contains(content)) {
+    listener_(run_in_doubt(content, replica), false);
+  }
+}
+
+void SuspectRuns::end_doubt(const core::RequestFingerprint& content,
+                            const core::ReplicaId& replica) {
+  const auto doubt = doubts_.find(content);
+  if (doubt == doubts_.end() || doubt->second.replicas.erase(replica) == 0 ||
+      !doubt->second.replicas.empty()) {
+    return;
+  }
+  doubts_.erase(doubt);
+  if (!running_.contains(content) && !reservations_.contains(content)) {
+    listener_(run_in_doubt(content, replica), true);
+  }
+}
+
+void SuspectRuns::withdraw_doubts(const core::RequestFingerprint& content) {
+  for (const core::ReplicaId& replica : in_doubt(content)) {
+    end_doubt(content, replica);
+  }
+}
+
+std::set<core::ReplicaId> SuspectRuns::in_doubt(const core::RequestFingerprint& content) const {
+  const auto doubt = doubts_.find(content);
+  return doubt == doubts_.end() ? std::set<core::ReplicaId>() : doubt->second.replicas;
+}
+
+bool SuspectRuns::may_run_despite_doubt(const core::RequestFingerprint& content) {
+  const auto doubt = doubts_.find(content);
+  if (doubt == doubts_.end()) {
+    return true;
+  }
+  ++doubt->second.checks;
+  return time_.now() >= doubt->second.since + settings_.apart_reservation_delay &&
+         doubt->second.checks >= settings_.min_checks;
+}
+
+std::vector<ReplicaPointer> SuspectRuns::least_shared(
+    const core::RequestFingerprint& content, std::vector<ReplicaPointer> candidates) const {
+  std::erase_if(candidates, [&](const ReplicaPointer& replica) {
+    return directory_.gate().reservations().holds(replica->record.id, time_.now());
+  });
+  std::vector<ReplicaPointer> unshared = candidates;
+  std::erase_if(unshared,
+                [&](const ReplicaPointer& replica) { return is_occupied(content, *replica); });
+  return unshared.empty() ? candidates : unshared;
 }
 
 ReplicaPointer SuspectRuns::try_reserve(const core::RequestFingerprint& content,
@@ -128,7 +199,16 @@
   if (run.is_alone) {
     directory_.gate().reservations().release(run.replica);
   }
-  listener_(run, true);
+  announce_end(run);
+}
+
+void SuspectRuns::announce_end(const SuspectRun& run) {
+  const auto doubt = doubts_.find(run.content);
+  if (doubt == doubts_.end()) {
+    listener_(run, true);
+  } else {
+    listener_(run_in_doubt(run.content, *doubt->second.replicas.begin()), false);
+  }
 }
 
 void SuspectRuns::begin(const SuspectRun& run) {
@@ -145,7 +225,7 @@
   if (run.is_alone) {
     directory_.gate().reservations().release(run.replica);
   }
-  listener_(run, true);
+  announce_end(run);
 }
 
 void SuspectRuns::apply_remote_run(const core::NodeId& holder, const SuspectRun& run,
@@ -176,6 +256,11 @@
   for (const auto& [content, reservation] : reservations_) {
     runs.push_back(reservation.run);
   }
+  for (const auto& [content, doubt] : doubts_) {
+    if (!running_.contains(content) && !reservations_.contains(content)) {
+      runs.push_back(run_in_doubt(content, *doubt.replicas.begin()));
+    }
+  }
   return runs;
 }
 
--- a/src/ingress/suspect_runs.hpp
+++ b/src/ingress/suspect_runs.hpp
@@ -1,12 +1,15 @@
 /// \file
 /// Tracks where crash suspects currently run, in this and in other processes, and which replicas
-/// are reserved for them, so that no two suspects share a replica. A reserved replica may be used
-/// once other processes have had time to announce a conflicting reservation; of two the one with
-/// the smaller name takes precedence. Does no I/O; reads the replica directory. Not thread-safe.
+/// are reserved for them, so that no two suspects share a replica. A run whose connection broke is
+/// not over for other processes until it is known whether its replica crashed. A reserved replica
+/// may be used once other processes have had time to announce a conflicting reservation; of two the
+/// one with the smaller name takes precedence. Does no I/O; reads the replica directory. Not
+/// thread-safe.
 #pragma once
 
 #include <functional>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "ingress/replica_directory.hpp"
@@ -50,6 +53,26 @@
   void set_self(core::NodeId self) { self_ = std::move(self); }
   /// \return whether \p content is running in any process.
   bool runs_somewhere(const core::RequestFingerprint& content) const;
+  /// \return whether \p content is running in another process, or a replica is reserved for it.
+  bool runs_elsewhere(const core::RequestFingerprint& content) const;
+  /// \return whether there are no runs, reservations or doubts in any process.
+  bool empty() const;
+  /// Records that \p replica broke a call of this process with \p content, and may have crashed.
+  void begin_doubt(const core::RequestFingerprint& content, const core::ReplicaId& replica);
+  /// Ends the doubt about \p replica, if it was not withdrawn meanwhile.
+  void end_doubt(const core::RequestFingerprint& content, const core::ReplicaId& replica);
+  /// Withdraws all doubts about \p content.
+  void withdraw_doubts(const core::RequestFingerprint& content);
+  /// \return the replicas that may have crashed under \p content in this process.
+  std::set<core::ReplicaId> in_doubt(const core::RequestFingerprint& content) const;
+  /// Call repeatedly until it returns true.
+  /// \return whether other processes had time to report that \p content, with a doubt here, broke
+  /// a call there at the same moment.
+  bool may_run_despite_doubt(const core::RequestFingerprint& content);
+  /// \return the replicas of \p candidates that run no other suspect, or all if there are none;
+  /// never reserved ones.
+  std::vector<ReplicaPointer> least_shared(const core::RequestFingerprint& content,
+                                           std::vector<ReplicaPointer> candidates) const;
   /// Reserves one of \p candidates for \p content. Call repeatedly until the reservation is usable;
   /// each call renews it.
   /// \return the replica once \p content may run there; null while it must wait.
@@ -76,6 +99,11 @@
     core::NodeId holder;
     core::MonotonicTime until;
   };
+  struct Doubt {
+    std::set<core::ReplicaId> replicas;
+    core::MonotonicTime since;
+    std::uint32_t checks = 0;  ///< since the latest replica was added
+  };
 
   /// \return whether the request of \p reservation may run on \p replica now.
   bool is_settled(const Reservation& reservation, const ReplicaState& replica) const;
@@ -93,6 +121,8 @@
   void reserve(const SuspectRun& run, const core::ServiceName& service);
   void renew(Reservation& reservation);
   void drop(const core::RequestFingerprint& content);
+  /// Announces that \p run is over, or what remains of its content: a doubt.
+  void announce_end(const SuspectRun& run);
 
   ReplicaDirectory& directory_;
   const core::TimeSource& time_;
@@ -103,6 +133,7 @@
   /// Reservations of this process that do not run yet.
   std::map<core::RequestFingerprint, Reservation> reservations_;
   std::map<core::RequestFingerprint, RemoteRun> remote_runs_;
+  std::map<core::RequestFingerprint, Doubt> doubts_;  ///< never without replicas
 };
 
 }  // namespace stoneport::ingress
--- a/src/jobs/item_dispatcher_placement.cpp
+++ b/src/jobs/item_dispatcher_placement.cpp
@@ -92,7 +92,7 @@
   if (known_home != view.job->homes.end()) {
     text.preferred = known_home->second;
   }
-  if (inputs_.guard.has_suspects() && inputs_.guard.is_suspect(content_of(*view.job, index))) {
+  if (inputs_.guard.may_restrict() && inputs_.guard.is_suspect(content_of(*view.job, index))) {
     place_suspect(view, views, text, now);
     return true;
   }
--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -13,6 +13,8 @@
       return "spare_last";
     case RunRestriction::kAlone:
       return "alone";
+    case RunRestriction::kUndecided:
+      return "undecided";
     case RunRestriction::kHeld:
       return "held";
   }
@@ -111,19 +113,23 @@
 }
 
 RunRestriction CrashSuspects::restriction_of(const core::RequestFingerprint& content,
-                                             bool was_served) const {
+                                             bool was_served, std::size_t in_doubt) const {
   const Suspect* suspect = find(content);
   const std::size_t charged = suspect == nullptr ? 0 : charged_ends(*suspect, was_served);
-  if (charged == 0) {
+  const std::size_t possible = charged + in_doubt;
+  if (possible == 0) {
     return RunRestriction::kFree;
   }
-  if (charged < settings_.crashes_before_alone) {
+  if (possible < settings_.crashes_before_alone) {
     return RunRestriction::kNotOnLastReplica;
   }
   // Two requests that were present at every crash: running them on separate replicas clears the
   // innocent one.
-  const bool is_sure = charged >= settings_.crashes_before_held && !has_equal(*suspect);
-  return is_sure ? RunRestriction::kHeld : RunRestriction::kAlone;
+  if (charged >= settings_.crashes_before_held && !has_equal(*suspect)) {
+    return RunRestriction::kHeld;
+  }
+  const bool may_be_held = in_doubt > 0 && possible >= settings_.crashes_before_held;
+  return may_be_held ? RunRestriction::kUndecided : RunRestriction::kAlone;
 }
 
 }  // namespace stoneport::quarantine
--- a/src/quarantine/crash_suspects.hpp
+++ b/src/quarantine/crash_suspects.hpp
@@ -47,6 +47,7 @@
   kFree,              ///< no restriction
   kNotOnLastReplica,  ///< one run at a time, and never on the last healthy replica of its service
   kAlone,             ///< in addition, only on a replica that runs nothing else
+  kUndecided,         ///< must wait: it is held if the replicas in doubt have crashed
   kHeld,              ///< must not run
 };
 std::string_view to_string(RunRestriction restriction);
@@ -69,8 +70,9 @@
 
   /// \param was_served whether a replica has served \p content before: of two requests that were
   /// present at the same crashes, the other one is the suspect
-  RunRestriction restriction_of(const core::RequestFingerprint& content,
-                                bool was_served = false) const;
+  /// \param in_doubt number of replicas that may have crashed under it, besides the recorded ones
+  RunRestriction restriction_of(const core::RequestFingerprint& content, bool was_served = false,
+                                std::size_t in_doubt = 0) const;
   /// \return whether no request is under suspicion.
   bool empty() const { return suspects_.empty(); }
   /// \return the record of \p content, or null.
--- a/tests/platform_support/stand_in_replica.cpp
+++ b/tests/platform_support/stand_in_replica.cpp
@@ -1,5 +1,6 @@
 #include "platform_support/stand_in_replica.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/hash.hpp"
@@ -76,9 +77,25 @@
     ended_lives_.push_back({life_id(), now});
   }
   server_->abort();
+  if (faults.listener_lag > std::chrono::milliseconds(0)) {
+    linger();
+  }
   runtime::start(executor_, "stand-in restart", restart(this));
 }
 
+void StandInReplica::linger() {
+  // Opened here and not by the coroutine, which starts later: nobody is refused in between.
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address_.ip), address_.port);
+  auto listener = std::make_shared<asio::ip::tcp::acceptor>(executor_, endpoint);
+  const auto close_after = [](std::shared_ptr<asio::ip::tcp::acceptor> open,
+                              core::Duration lag) -> asio::awaitable<void> {
+    co_await runtime::sleep_for(lag);
+    open->close();
+  };
+  runtime::start(executor_, "stand-in listener",
+                 close_after(std::move(listener), faults.listener_lag));
+}
+
 asio::awaitable<void> StandInReplica::restart(StandInReplica* self) {
   co_await runtime::sleep_for(kRestart);
   ++self->life_;
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -56,6 +56,9 @@
   int lost_orders = 0;           ///< orders carried out, whose answer is lost
   std::size_t answer_bytes = 0;  ///< whole answers are at least so long
   bool chunked = false;          ///< whole answers do not tell their length beforehand
+  /// How long its address accepts connections, which nobody serves, after a crash has reset the
+  /// others.
+  std::chrono::milliseconds listener_lag{0};
 };
 
 class StandInReplica : public http::RequestHandler {
@@ -112,6 +115,8 @@
   };
   void crash(const std::string& body);
   static boost::asio::awaitable<void> restart(StandInReplica* self);
+  /// Listens at the replica's address for the lag of its listener and accepts nothing.
+  void linger();
   boost::asio::awaitable<void> answer_whole(const std::string& request_id,
                                             http::ResponseWriter& response);
   boost::asio::awaitable<void> answer_stream(const std::string& request_id,
--- a/tests/unit/ingress/crash_guard_test.cpp
+++ b/tests/unit/ingress/crash_guard_test.cpp
@@ -19,6 +19,12 @@
   CPPUNIT_TEST_SUITE(CrashGuardTest);
   CPPUNIT_TEST(only_an_unannounced_crash_counts);
   CPPUNIT_TEST(a_crash_is_detected_when_the_listener_closes_late);
+  CPPUNIT_TEST(replicas_in_doubt_count_until_a_check_decides);
+  CPPUNIT_TEST(a_replica_that_neither_answers_nor_refuses_is_given_up);
+  CPPUNIT_TEST(a_request_in_doubt_elsewhere_waits_unless_it_was_served_here);
+  CPPUNIT_TEST(doubts_are_announced_until_they_end);
+  CPPUNIT_TEST(a_served_request_is_no_longer_in_doubt);
+  CPPUNIT_TEST(connections_that_break_everywhere_keep_no_popular_request_waiting);
   CPPUNIT_TEST(the_last_healthy_replica_gets_no_suspects);
   CPPUNIT_TEST(a_sole_replica_is_used_after_a_delay);
   CPPUNIT_TEST(a_suspect_has_one_run_at_a_time);
@@ -70,6 +76,11 @@
       time.advance(milliseconds(5));
       return admit(content);
     }
+    /// Lets checks of replicas happen that are due within \p length.
+    void run_for(milliseconds length) {
+      context.restart();
+      context.run_for(length);
+    }
     quarantine::RunRestriction terms(const core::RequestFingerprint& content) const {
       return guard.suspects().restriction_of(content);
     }
@@ -117,6 +128,115 @@
     CPPUNIT_ASSERT(!world.guard.is_suspect(other_));
   }
 
+  /// Guards against a fourth crash while the first three are not recorded yet.
+  void replicas_in_doubt_count_until_a_check_decides() {
+    World world(8);
+    CPPUNIT_ASSERT(!world.settle(culprit_, "r0"));
+    // Others may report at this moment that it broke a call there.
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kWait);
+    world.time.advance(milliseconds(10));
+    Admission admission = world.admit(culprit_);
+    CPPUNIT_ASSERT(admission.kind == AdmissionKind::kRun && !admission.is_alone);
+    CPPUNIT_ASSERT(!world.settle(culprit_, "r1"));
+    world.admit(culprit_);
+    world.time.advance(milliseconds(120));
+    world.admit(culprit_);
+    admission = world.admit(culprit_);
+    CPPUNIT_ASSERT(admission.kind == AdmissionKind::kRun && admission.is_alone);
+    CPPUNIT_ASSERT(!world.settle(culprit_, "r2"));
+    world.time.advance(seconds(2));
+    CPPUNIT_ASSERT(world.admit_settled(culprit_).kind == AdmissionKind::kWait);
+    CPPUNIT_ASSERT(!world.guard.has_suspects());
+    for (const char* id : {"r0", "r1", "r2"}) {
+      world.client.replicas[id].ended = true;
+    }
+    world.run_for(milliseconds(200));
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kHeld);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, world.guard.suspects().find(culprit_)->ended.size());
+  }
+
+  /// Guards against a request that waits for ever for a verdict.
+  void a_replica_that_neither_answers_nor_refuses_is_given_up() {
+    World world(8);
+    for (const char* id : {"r0", "r1", "r2"}) {
+      CPPUNIT_ASSERT(!world.settle(culprit_, id));
+    }
+    CPPUNIT_ASSERT(world.admit_settled(culprit_).kind == AdmissionKind::kWait);
+    world.run_for(milliseconds(1100));
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kFree);
+    CPPUNIT_ASSERT(!world.guard.may_restrict());
+  }
+
+  /// Guards against processes that each send the request on before they know of each other's
+  /// broken calls.
+  void a_request_in_doubt_elsewhere_waits_unless_it_was_served_here() {
+    World world(8);
+    const core::NodeId elsewhere("node-c");
+    const SuspectRun remote{culprit_, core::ReplicaId("r1"), false, true};
+    world.guard.apply_remote_run(elsewhere, remote, false);
+    CPPUNIT_ASSERT(world.guard.may_restrict());
+    CPPUNIT_ASSERT(world.guard.is_suspect(culprit_) && !world.guard.is_suspect(other_));
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kWait);
+    world.guard.apply_remote_run(elsewhere, remote, true);
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kFree);
+    world.guard.note_served(culprit_);
+    world.guard.apply_remote_run(elsewhere, remote, false);
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kFree);
+    CPPUNIT_ASSERT(!world.guard.is_suspect(culprit_));
+  }
+
+  /// Guards against processes that take a run for over because its connection broke.
+  void doubts_are_announced_until_they_end() {
+    World world(8);
+    std::vector<std::pair<std::string, bool>> announced;
+    CrashGuard::Listener listener;
+    listener.on_run = [&](const SuspectRun& run, bool is_over) {
+      CPPUNIT_ASSERT(run.content == culprit_);
+      announced.emplace_back(run.replica.value(), is_over);
+    };
+    world.guard.add_listener(std::move(listener));
+    world.settle(culprit_, "r0");
+    CPPUNIT_ASSERT((announced.back() == std::pair<std::string, bool>("r0", false)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.guard.own_runs().size());
+    {
+      const Admission admission = world.admit_settled(culprit_);
+      const auto run = world.guard.begin(culprit_, *world.replica("r3"), admission);
+      CPPUNIT_ASSERT((announced.back() == std::pair<std::string, bool>("r3", false)));
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.guard.own_runs().size());
+    }
+    CPPUNIT_ASSERT((announced.back() == std::pair<std::string, bool>("r0", false)));
+    world.client.replicas["r0"].ended = true;
+    world.run_for(milliseconds(100));
+    CPPUNIT_ASSERT((announced.back() == std::pair<std::string, bool>("r0", true)));
+    CPPUNIT_ASSERT(world.guard.own_runs().empty());
+  }
+
+  void a_served_request_is_no_longer_in_doubt() {
+    World world(8);
+    world.settle(culprit_, "r0");
+    world.settle(other_, "r0");
+    world.guard.note_served(culprit_);
+    CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kFree);
+    CPPUNIT_ASSERT(world.admit(other_).kind == AdmissionKind::kWait);
+    const std::vector<SuspectRun> doubts = world.guard.own_runs();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, doubts.size());
+    CPPUNIT_ASSERT(doubts[0].content == other_);
+    // An answer to any request shows that the replica lives.
+    world.time.advance(milliseconds(1));
+    world.replica("r0")->last_answer = world.time.now();
+    world.run_for(milliseconds(100));
+    CPPUNIT_ASSERT(world.admit(other_).kind == AdmissionKind::kFree);
+  }
+
+  void connections_that_break_everywhere_keep_no_popular_request_waiting() {
+    World world(8);
+    world.guard.note_served(other_);
+    for (int index = 0; index < 8; ++index) {
+      world.settle(other_, "r" + std::to_string(index));
+    }
+    CPPUNIT_ASSERT(world.admit(other_).kind == AdmissionKind::kFree);
+  }
+
   void the_last_healthy_replica_gets_no_suspects() {
     struct Case {
       std::string name;
--- a/tests/unit/quarantine/crash_suspects_test.cpp
+++ b/tests/unit/quarantine/crash_suspects_test.cpp
@@ -12,6 +12,7 @@
 class CrashSuspectsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CrashSuspectsTest);
   CPPUNIT_TEST(restrictions_follow_the_crashes);
+  CPPUNIT_TEST(crashes_in_doubt_restrict_and_never_hold);
   CPPUNIT_TEST(a_crash_is_charged_to_the_worst_suspect);
   CPPUNIT_TEST(two_that_were_always_together_are_not_held);
   CPPUNIT_TEST(of_two_at_the_same_crashes_the_one_served_before_is_free);
@@ -50,6 +51,29 @@
     check(suspects, "other", RunRestriction::kFree);
   }
 
+  /// Guards against an innocent request that is refused for crashes that nobody has verified.
+  void crashes_in_doubt_restrict_and_never_hold() {
+    const RunRestriction expected[4][4] = {
+        {RunRestriction::kFree, RunRestriction::kNotOnLastReplica, RunRestriction::kAlone,
+         RunRestriction::kUndecided},
+        {RunRestriction::kNotOnLastReplica, RunRestriction::kAlone, RunRestriction::kUndecided,
+         RunRestriction::kUndecided},
+        {RunRestriction::kAlone, RunRestriction::kUndecided, RunRestriction::kUndecided,
+         RunRestriction::kUndecided},
+        {RunRestriction::kHeld, RunRestriction::kHeld, RunRestriction::kHeld,
+         RunRestriction::kHeld},
+    };
+    CrashSuspects suspects;
+    for (int ended = 0; ended < 4; ++ended) {
+      for (std::size_t in_doubt = 0; in_doubt < 4; ++in_doubt) {
+        CPPUNIT_ASSERT_EQUAL(
+            std::string(to_string(expected[ended][in_doubt])),
+            std::string(to_string(suspects.restriction_of(content("culprit"), false, in_doubt))));
+      }
+      suspects.note_end(content("culprit"), replica(ended), at(1));
+    }
+  }
+
   void a_crash_is_charged_to_the_worst_suspect() {
     CrashSuspects suspects;
     suspects.note_end(content("culprit"), replica(1), at(1));
