Broken connections do not use up the limit of crash reports

Connections break by the dozen where machines or replicas reset them; a crash at that moment would have reached the others by the refresh only, 500 ms later on average.

Change: packets that hold runs alone have a limit of their own.

--- a/src/node/suspect_exchange.cpp
+++ b/src/node/suspect_exchange.cpp
@@ -39,6 +39,7 @@
       time_(time),
       settings_(settings),
       broadcasts_(settings.broadcasts, time.now()),
+      run_broadcasts_(settings.run_broadcasts, time.now()),
       introductions_(settings.introductions, time.now()),
       sent_(metrics.counter("stoneport_suspect_reports_sent_total",
                             "Packets sent that report requests suspected of crashing replicas")),
@@ -145,7 +146,8 @@
 void SuspectExchange::broadcast(const Reports& reports) {
   const std::vector<core::Address> members = addresses_of_others(gossip_.members_by_node(), self_);
   for (const wire::SuspectReport& report : reports) {
-    if (!broadcasts_.try_take(time_.now(), 0)) {
+    core::TokenBucket& limit = report.suspects.empty() ? run_broadcasts_ : broadcasts_;
+    if (!limit.try_take(time_.now(), 0)) {
       deferred_.Increment();
       continue;
     }
--- a/src/node/suspect_exchange.hpp
+++ b/src/node/suspect_exchange.hpp
@@ -30,6 +30,9 @@
   /// Rate limit for broadcasts, in packets per member. Updates above it reach the members by the
   /// periodic refresh.
   core::TokenBucketSettings broadcasts{.tokens_per_second = 5, .burst = 20};
+  /// The same for packets that report runs alone. Connections break much more often than replicas
+  /// crash, and must not use up the limit of reports of crashes.
+  core::TokenBucketSettings run_broadcasts{.tokens_per_second = 5, .burst = 20};
   /// Number of processes that send their full state to a member that joins. Any other process sends
   /// what it has observed itself, which those few may not have received yet.
   std::size_t introducers = 3;
@@ -77,6 +80,7 @@
   const core::TimeSource& time_;
   SuspectExchangeSettings settings_;
   core::TokenBucket broadcasts_;
+  core::TokenBucket run_broadcasts_;
   core::TokenBucket introductions_;
   prometheus::Counter& sent_;
   prometheus::Counter& deferred_;
--- a/tests/unit/node/suspect_exchange_test.cpp
+++ b/tests/unit/node/suspect_exchange_test.cpp
@@ -21,6 +21,7 @@
   CPPUNIT_TEST_SUITE(SuspectExchangeTest);
   CPPUNIT_TEST(nothing_is_sent_without_a_suspect);
   CPPUNIT_TEST(a_burst_of_crashes_is_rate_limited_and_refreshed_later);
+  CPPUNIT_TEST(broken_connections_delay_no_report_of_a_crash);
   CPPUNIT_TEST(a_member_that_joins_or_restarts_is_sent_suspects_and_runs_once);
   CPPUNIT_TEST(an_unknown_reporter_is_sent_what_it_lacks);
   CPPUNIT_TEST(a_few_processes_introduce_a_member_to_what_they_were_told);
@@ -87,13 +88,18 @@
     }
     /// Records a crash of \p replica under \p content.
     void crash(const std::string& replica, const core::RequestFingerprint& content) {
+      client.replicas[replica].ended = true;
+      break_call(replica, content);
+    }
+    /// Breaks a call with \p content at \p replica, which still accepts connections unless it has
+    /// ended.
+    void break_call(const std::string& replica, const core::RequestFingerprint& content) {
       ingress::ReplicaRecord record;
       record.id = core::ReplicaId(replica);
       record.service = core::ServiceName("desk");
       ingress::ReplicaChanges changes;
       changes.written.push_back(std::move(record));
       directory.apply(std::move(changes));
-      client.replicas[replica].ended = true;
       boost::asio::co_spawn(
           context,
           guard.resolve_broken_call(content, "request", directory.find(core::ReplicaId(replica))),
@@ -150,6 +156,24 @@
               << (world.network.packets - before) / 2 << " a refresh" << std::endl;
   }
 
+  /// Guards against a crash that others learn of late, since connections break all the time.
+  void broken_connections_delay_no_report_of_a_crash() {
+    World world;
+    constexpr int kBroken = 60;
+    for (int index = 0; index < kBroken; ++index) {
+      world.break_call("r" + std::to_string(index),
+                       core::RequestFingerprint(std::string(30, 'b') + std::to_string(index)));
+      world.run_for(milliseconds(4));
+    }
+    CPPUNIT_ASSERT(world.network.runs > 0);
+    CPPUNIT_ASSERT(world.network.packets <= 23 * kOthers);
+    const std::size_t before = world.network.packets;
+    world.crash("last", culprit());
+    world.run_for(milliseconds(20));
+    CPPUNIT_ASSERT(world.network.reported.contains(culprit()));
+    CPPUNIT_ASSERT(world.network.packets - before >= kOthers);
+  }
+
   static core::RequestFingerprint culprit() {
     return core::RequestFingerprint(std::string(32, 'c'));
   }
