--- a/review/stand_in/platform.hpp
+++ b/review/stand_in/platform.hpp
@@ -142,6 +142,9 @@
   Address ready(std::size_t machine) const { return {machine_ip(machine), 8167}; }
   Address directory(std::size_t machine) const { return {machine_ip(machine), 8164}; }
 
+  Address replica_address(std::size_t index) const {
+    return {prefix_ + "1", static_cast<std::uint16_t>(21000 + index)};
+  }
   /// \param work how long one request takes
   Replica& add_replica(const std::string& service, std::function<Milliseconds()> work,
                        std::size_t slots = 6) {
@@ -149,7 +152,7 @@
     ReplicaOptions options;
     options.id = "i-" + service + "-" + std::to_string(index);
     options.service = service;
-    options.address = {prefix_ + "1", static_cast<std::uint16_t>(21000 + index)};
+    options.address = replica_address(index);
     options.zone = "bole-hall";
     options.slots = slots;
     replicas_.push_back(std::make_unique<Replica>(std::move(options), record_, std::move(work)));
@@ -158,8 +161,8 @@
     return replica;
   }
   /// Writes the configuration as the operator does.
-  void configure(std::uint64_t version, const nlohmann::json& routes,
-                 const nlohmann::json& services) {
+  void configure(std::uint64_t version, const std::vector<nlohmann::json>& routes,
+                 const std::vector<nlohmann::json>& services) {
     const nlohmann::json configuration = {{"version", version},
                                           {"routes", routes},
                                           {"services", services},
