--- a/review/1/early_answer.cpp
+++ b/review/1/early_answer.cpp
@@ -38,7 +38,8 @@
 /// own at the start of each block, so that another request's bytes show.
 char body_byte(std::size_t number, std::size_t position) {
   constexpr std::size_t kBlock = 16;
-  const std::size_t mixed = number * 7 + position / kBlock + (position % kBlock) * (number % 11 + 1);
+  const std::size_t mixed =
+      number * 7 + position / kBlock + (position % kBlock) * (number % 11 + 1);
   return static_cast<char>('a' + mixed % 26);
 }
 std::string long_body(std::size_t number) {
@@ -133,7 +134,8 @@
   const std::string body(kLookupBody, 'q');
   std::size_t number = 0;
   while (!stopped) {
-    const auto connection = Connection::open(platform.front(client % kMachines), Milliseconds(1000));
+    const auto connection =
+        Connection::open(platform.front(client % kMachines), Milliseconds(1000));
     if (!connection) {
       std::this_thread::sleep_for(Milliseconds(100));
       continue;
@@ -141,10 +143,10 @@
     bool keep = true;
     for (std::size_t on_connection = 0; keep && !stopped; ++on_connection) {
       const std::string id = "lookup-" + std::to_string(client) + "-" + std::to_string(++number);
-      const std::string request = "POST /lookup/item HTTP/1.1\r\nHost: " + std::string(kHost) +
-                                  "\r\nRequest-Id: " + id +
-                                  "\r\nDeadline-Milliseconds: 1500\r\nContent-Length: " +
-                                  std::to_string(body.size()) + "\r\n\r\n" + body;
+      const std::string request =
+          "POST /lookup/item HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\nRequest-Id: " + id +
+          "\r\nDeadline-Milliseconds: 1500\r\nContent-Length: " + std::to_string(body.size()) +
+          "\r\n\r\n" + body;
       if (!connection->write(request)) {
         break;
       }
@@ -159,8 +161,8 @@
       }
       keep = false;
       const bool was_passed_on = findings.run.contains(id);
-      record.line(id + " on a " + (on_connection > 0 ? "kept" : "new") + " connection: " +
-                  to_string(end) + " without an answer" +
+      record.line(id + " on a " + (on_connection > 0 ? "kept" : "new") +
+                  " connection: " + to_string(end) + " without an answer" +
                   (was_passed_on ? ", it was passed on" : ""));
       findings.unanswered += on_connection > 0 && was_passed_on ? 1 : 0;
     }
@@ -176,10 +178,10 @@
     return;
   }
   record.line("a client sends " + id + " with " + std::to_string(body.size()) + " bytes");
-  connection->write("POST /upload/item HTTP/1.1\r\nHost: " + std::string(kHost) +
-                    "\r\nRequest-Id: " + id +
-                    "\r\nDeadline-Milliseconds: 6000\r\nContent-Length: " +
-                    std::to_string(body.size()) + "\r\n\r\n");
+  connection->write(
+      "POST /upload/item HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\nRequest-Id: " + id +
+      "\r\nDeadline-Milliseconds: 6000\r\nContent-Length: " + std::to_string(body.size()) +
+      "\r\n\r\n");
   connection->write(body);
   Message answer;
   const End end = connection->read_message(answer, Clock::now() + std::chrono::seconds(8));
@@ -229,7 +231,8 @@
   std::thread restarting([&] { ends = restart_until(clients_ended, platform); });
   std::vector<std::thread> lookups;
   for (std::size_t client = 0; client < kLookupClients; ++client) {
-    lookups.emplace_back([&, client] { send_lookups(platform, client, stopped, record, findings); });
+    lookups.emplace_back(
+        [&, client] { send_lookups(platform, client, stopped, record, findings); });
   }
   std::vector<std::thread> uploading;
   for (std::size_t client = 0; client < kLongClients; ++client) {
--- a/review/2/crashes_in_a_row.cpp
+++ b/review/2/crashes_in_a_row.cpp
@@ -63,9 +63,9 @@
 std::optional<Message> call(const Platform& platform, std::size_t machine, const std::string& line,
                             const std::string& body, const std::string& headers) {
   const auto connection = Connection::open(platform.front(machine), Milliseconds(1000));
-  if (!connection || !connection->write(line + " HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\n" +
-                                        headers + "Content-Length: " + std::to_string(body.size()) +
-                                        "\r\n\r\n" + body)) {
+  if (!connection ||
+      !connection->write(line + " HTTP/1.1\r\nHost: " + std::string(kHost) + "\r\n" + headers +
+                         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body)) {
     return std::nullopt;
   }
   Message answer;
--- a/review/3/last_machine_stops.cpp
+++ b/review/3/last_machine_stops.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Case 3. The platform stops the last machine with SIGTERM while its store is silent. Clients go on
-/// sending lookups over the connections that they have, since the directory names nobody else.
+/// Case 3. The platform stops the last machine with SIGTERM while its store is silent. Clients go
+/// on sending lookups over the connections that they have, since the directory names nobody else.
 ///
 /// Broken if a lookup that the process has read and passed on to a replica loses its connection
 /// without a complete answer (LOST).
@@ -108,7 +108,8 @@
   std::atomic<bool> stopped = false;
   std::vector<std::thread> clients;
   for (std::size_t client = 0; client < kLookupClients; ++client) {
-    clients.emplace_back([&, client] { send_lookups(platform, client, stopped, record, findings); });
+    clients.emplace_back(
+        [&, client] { send_lookups(platform, client, stopped, record, findings); });
   }
   std::this_thread::sleep_for(std::chrono::seconds(2));
   if (has_trouble) {
--- a/review/stand_in/http.hpp
+++ b/review/stand_in/http.hpp
@@ -124,8 +124,7 @@
     sockaddr_in peer{};
     socklen_t peer_size = sizeof(peer);
     const bool is_up =
-        error == 0 &&
-        getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &peer_size) == 0;
+        error == 0 && getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &peer_size) == 0;
     if (!is_up) {
       ::close(descriptor);
       return nullptr;
--- a/review/stand_in/model_replica.hpp
+++ b/review/stand_in/model_replica.hpp
@@ -116,8 +116,9 @@
                 {"state", "ready"},
                 {"coldRemainingMs", 0},
                 {"stage", "both"},
-                {"models", nlohmann::json::array({{{"name", kModel}, {"version", 1},
-                                                   {"adapters", nlohmann::json::array()}}})},
+                {"models",
+                 nlohmann::json::array(
+                     {{{"name", kModel}, {"version", 1}, {"adapters", nlohmann::json::array()}}})},
                 {"sequence", 0}})
         .dump();
   }
--- a/review/stand_in/replica.hpp
+++ b/review/stand_in/replica.hpp
@@ -112,8 +112,7 @@
       if (running_ + waiting_ >= options_.slots + options_.queue) {
         lock.unlock();
         record_.line("replica " + options_.id + " is full: " + id + " not run");
-        return connection.write(
-            response_text(503, "", {{"Request-Id", id}, {"Not-Run", "1"}}));
+        return connection.write(response_text(503, "", {{"Request-Id", id}, {"Not-Run", "1"}}));
       }
       ++waiting_;
       changed_.wait(lock, [this] { return running_ < options_.slots || stopped_; });
--- a/review/stand_in/store.hpp
+++ b/review/stand_in/store.hpp
@@ -46,9 +46,8 @@
   std::size_t start = target.find('?');
   while (start != std::string::npos) {
     const std::size_t end = target.find('&', start + 1);
-    const std::string pair = target.substr(start + 1, end == std::string::npos
-                                                          ? std::string::npos
-                                                          : end - start - 1);
+    const std::string pair =
+        target.substr(start + 1, end == std::string::npos ? std::string::npos : end - start - 1);
     if (pair.starts_with(name + "=")) {
       return percent_decode(pair.substr(name.size() + 1));
     }
