Crashes that a text has outlived no longer hold it back

Cause: an item is charged with each crash at which it was present, and held after three; only being served whole, or another request at more crashes, spoke for it. Items run for seconds, so that none is served between crashes in quick succession.

Ruled out: that the items crash replicas (their texts had advanced from crash to crash: 10, 16, 20 events); that several crashes at one moment count twice (most were seen at one replica at a time). A higher threshold would let a request that does crash replicas end more of them. Not counting crashes of several replicas at one moment was left: two bad requests that begin together would never be held.

Change: each crash is recorded with the events that the text had. A run of the same text that came further shows that the text did not cause the other crash, which is withdrawn, unless the text was at more than half of its service's crashes: then it may crash replicas a while after it begins. A replica whose address another one has counts as ended; suspects avoid ended and silent ones. Texts with two crashes left run alone only if they were at most crashes.

Requests that crash replicas still end three: nothing changes for requests without a text, nor for texts that do not advance or are at most crashes.

--- a/src/core/decision_log.cpp
+++ b/src/core/decision_log.cpp
@@ -56,6 +56,7 @@
     EventName{DecisionEvent::kSuspectRuns, "suspect_runs"},
     EventName{DecisionEvent::kSuspectHeld, "suspect_held"},
     EventName{DecisionEvent::kSuspectCleared, "suspect_cleared"},
+    EventName{DecisionEvent::kCrashesWithdrawn, "crashes_withdrawn"},
     EventName{DecisionEvent::kServiceOverloaded, "service_overloaded"},
     EventName{DecisionEvent::kReplicaAvoided, "replica_avoided"},
 };
--- a/src/core/decision_log.hpp
+++ b/src/core/decision_log.hpp
@@ -53,6 +53,7 @@
   kSuspectRuns,
   kSuspectHeld,
   kSuspectCleared,
+  kCrashesWithdrawn,
   kServiceOverloaded,
   kReplicaAvoided,
   kLast = kReplicaAvoided,
--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -40,6 +40,9 @@
         held(metrics.counter("stoneport_crash_suspect_held_back_total",
                              "Times that a request was held back because three or more replicas "
                              "had crashed while running it")),
+        withdrawn(metrics.counter("stoneport_crash_suspect_ends_withdrawn_total",
+                                  "Recorded crashes withdrawn from a request because other "
+                                  "replicas carried its text past the point of the crash")),
         suspects(metrics.gauge("stoneport_crash_suspects",
                                "Requests known to this process during which replicas crashed")),
         held_back(metrics.gauge("stoneport_crash_suspects_held",
@@ -47,6 +50,7 @@
   prometheus::Counter& ends;
   prometheus::Counter& cleared;
   prometheus::Counter& held;
+  prometheus::Counter& withdrawn;
   prometheus::Gauge& suspects;
   prometheus::Gauge& held_back;
 };
@@ -66,6 +70,7 @@
       settings_(settings),
       meters_(std::make_unique<Meters>(metrics)),
       suspects_(settings.suspects),
+      history_(settings.history),
       runs_(directory, time, settings.runs,
             [this](const SuspectRun& run, bool is_over) { announce_run(run, is_over); }),
       watch_(client, metrics, settings.watch,
@@ -112,7 +117,17 @@
       suspects_.restriction_of(content, was_served, in_doubt);
   const bool is_trusted =
       was_served && restriction == quarantine::RunRestriction::kNotOnLastReplica;
-  return is_trusted ? quarantine::RunRestriction::kFree : restriction;
+  if (is_trusted) {
+    return quarantine::RunRestriction::kFree;
+  }
+  const bool must_wait =
+      restriction == quarantine::RunRestriction::kHeld && reviews_.contains(content);
+  return must_wait ? quarantine::RunRestriction::kUndecided : restriction;
+}
+
+bool CrashGuard::is_held(const core::RequestFingerprint& content) const {
+  return suspects_.restriction_of(content) == quarantine::RunRestriction::kHeld &&
+         !reviews_.contains(content);
 }
 
 std::size_t CrashGuard::count_in_doubt(const core::RequestFingerprint& content) const {
@@ -144,13 +159,22 @@
   std::erase_if(allowed, [&](const ReplicaPointer& replica) {
     return replica->has_ended() || !services.contains(replica->record.service);
   });
-  return allowed;
+  const core::MonotonicTime now = time_.now();
+  std::vector<ReplicaPointer> sound = allowed;
+  std::erase_if(sound, [now](const ReplicaPointer& replica) { return replica->is_suspect(now); });
+  return sound.empty() ? allowed : sound;
+}
+
+bool CrashGuard::may_share_replica(const core::RequestFingerprint& content,
+                                   SuspectSeparation separation) const {
+  return separation == SuspectSeparation::kTogether && !history_.is_at_most_crashes(content);
 }
 
 Admission CrashGuard::admit(const core::RequestFingerprint& content, const Route& route,
                             const std::vector<ReplicaPointer>& usable,
                             SuspectSeparation separation) {
   Admission admission;
+  review(content);
   const quarantine::RunRestriction restriction = restriction_of(content);
   if (restriction == quarantine::RunRestriction::kFree && !waits_for_other_process(content)) {
     return admission;
@@ -175,7 +199,8 @@
     return admission;
   }
   std::vector<ReplicaPointer> allowed = replicas_for_suspects(route, usable);
-  admission.is_alone = restriction == quarantine::RunRestriction::kAlone;
+  admission.is_alone =
+      restriction == quarantine::RunRestriction::kAlone && !may_share_replica(content, separation);
   if (admission.is_alone || separation == SuspectSeparation::kApart) {
     const ReplicaPointer reserved = runs_.try_reserve(content, allowed, admission.is_alone);
     allowed = reserved ? std::vector<ReplicaPointer>{reserved} : std::vector<ReplicaPointer>();
@@ -207,54 +232,150 @@
 
 asio::awaitable<bool> CrashGuard::resolve_broken_call(core::RequestFingerprint content,
                                                       std::string request_id,
-                                                      ReplicaPointer replica) {
+                                                      ReplicaPointer replica,
+                                                      std::uint64_t position) {
   // A replica that is draining or no longer listed may terminate at any time.
   if (!replica->accepts_work()) {
     co_return false;
   }
+  BrokenCall call{std::move(content), std::move(request_id), replica, time_.now(), position};
   if (!replica->has_ended()) {
     ports::ReplicaTarget target = target_of(*replica);
     const bool has_ended = co_await client_.refuses_connections(std::move(target));
     if (!has_ended) {
-      runs_.begin_doubt(content, replica->record.id);
+      runs_.begin_doubt(call.content, replica->record.id);
       const asio::any_io_executor executor = co_await asio::this_coro::executor;
-      watch_.watch(executor, {content, std::move(request_id), replica, time_.now()});
+      watch_.watch(executor, std::move(call));
       co_return false;
     }
   }
-  note_end(content, request_id, replica);
+  note_end(call);
+  if (reviews_.contains(call.content) && history_.is_at_most_crashes(call.content)) {
+    check_others(co_await asio::this_coro::executor, *call.replica);
+  }
   co_return true;
 }
 
+void CrashGuard::check_others(const asio::any_io_executor& executor, const ReplicaState& crashed) {
+  const core::MonotonicTime now = time_.now();
+  core::MonotonicTime& checked_at =
+      others_checked_at_.try_emplace(crashed.record.service, core::MonotonicTime()).first->second;
+  if (now < checked_at + settings_.review_delay) {
+    return;  // for another request on the same replica
+  }
+  checked_at = now;
+  std::size_t checked = 0;
+  for (const ReplicaPointer& other : directory_.of_service(crashed.record.service)) {
+    const bool may_have_ended = other->accepts_work() && !other->has_ended();
+    if (may_have_ended && checked < settings_.max_checked_replicas) {
+      ++checked;
+      runtime::start(executor, "check of another replica", check_other(other));
+    }
+  }
+}
+
+asio::awaitable<void> CrashGuard::check_other(ReplicaPointer replica) {
+  ports::ReplicaTarget target = target_of(*replica);
+  const bool has_ended = co_await client_.refuses_connections(std::move(target));
+  if (has_ended) {
+    note_replica_end(*replica);
+  }
+}
+
+void CrashGuard::note_replica_end(ReplicaState& replica) {
+  // A replica that is draining or no longer listed may terminate at any time.
+  if (!replica.accepts_work() || replica.has_ended()) {
+    return;
+  }
+  const core::MonotonicTime now = time_.now();
+  replica.note_end(now);
+  replica.suspect(now, settings_.suspicion);
+  history_.note_replica(replica.record.service, replica.record.id, now);
+}
+
 void CrashGuard::on_verdict(const BrokenCall& call, CrashVerdict verdict) {
   if (verdict == CrashVerdict::kCrashed) {
-    note_end(call.content, call.request_id, call.replica);
+    note_end(call);
   }
   runs_.end_doubt(call.content, call.replica->record.id);
 }
 
-void CrashGuard::note_end(const core::RequestFingerprint& content, const std::string& request_id,
-                          const ReplicaPointer& replica) {
+void CrashGuard::note_end(const BrokenCall& call) {
   const core::MonotonicTime now = time_.now();
-  replica->note_end(now);
-  replica->suspect(now, settings_.suspicion);
-  if (!suspects_.note_end(content, replica->record.id, now)) {
+  const ReplicaRecord& record = call.replica->record;
+  call.replica->note_end(now);
+  call.replica->suspect(now, settings_.suspicion);
+  history_.note({call.content, record.service, record.id, call.broke_at, call.position});
+  if (!suspects_.note_end(call.content, record.id, now)) {
     return;
   }
   meters_->ends.Increment();
-  const quarantine::Suspect& suspect = *suspects_.find(content);
+  if (!recorded_outlived(call.content).empty()) {
+    reviews_[call.content] = now + settings_.review_delay;
+  }
+  log_end(call);
+  announce(call.content);
+}
+
+void CrashGuard::log_end(const BrokenCall& call) const {
+  const quarantine::Suspect& suspect = *suspects_.find(call.content);
   core::log_decision(core::DecisionEvent::kReplicaEndedUnder,
-                     {{"request", request_id},
-                      {"content", content.value()},
-                      {"replica", replica->record.id.value()},
-                      {"service", replica->record.service.value()},
+                     {{"request", call.request_id},
+                      {"content", call.content.value()},
+                      {"replica", call.replica->record.id.value()},
+                      {"service", call.replica->record.service.value()},
+                      {"position", call.position},
                       {"ended", suspect.ended.size()},
-                      {"terms", to_string(suspects_.restriction_of(content))}});
-  announce(content);
+                      {"terms", to_string(restriction_of(call.content))}});
+}
+
+std::set<core::ReplicaId> CrashGuard::recorded_outlived(
+    const core::RequestFingerprint& content) const {
+  std::set<core::ReplicaId> outlived = history_.outlived(content);
+  const quarantine::Suspect* suspect = suspects_.find(content);
+  std::erase_if(outlived, [suspect](const core::ReplicaId& replica) {
+    return suspect == nullptr || !suspect->ended.contains(replica);
+  });
+  return outlived;
+}
+
+void CrashGuard::review(const core::RequestFingerprint& content) {
+  const core::MonotonicTime now = time_.now();
+  const auto pending = reviews_.find(content);
+  if (pending != reviews_.end() && now < pending->second) {
+    return;
+  }
+  const bool is_first_judgement = pending != reviews_.end();
+  reviews_.erase(content);
+  const std::set<core::ReplicaId> outlived = recorded_outlived(content);
+  if (!outlived.empty() && !history_.is_at_most_crashes(content) &&
+      suspects_.withdraw_ends(content, outlived, now)) {
+    meters_->withdrawn.Increment(static_cast<double>(outlived.size()));
+    core::log_decision(core::DecisionEvent::kCrashesWithdrawn,
+                       {{"content", content.value()},
+                        {"replicas", names_of(outlived)},
+                        {"left", suspects_.find(content)->ended.size()},
+                        {"reason", "other replicas carried its text past the point of the crash"}});
+    announce(content);
+  } else if (is_first_judgement) {
+    refresh_held();
+  }
+}
+
+void CrashGuard::review_all() {
+  std::vector<core::RequestFingerprint> contents;
+  for (const auto& [content, suspect] : suspects_.all()) {
+    contents.push_back(content);
+  }
+  for (const core::RequestFingerprint& content : contents) {
+    review(content);
+  }
 }
 
 void CrashGuard::note_served(const core::RequestFingerprint& content) {
   served_.note(content);
+  history_.forget(content);
+  reviews_.erase(content);
   runs_.withdraw_doubts(content);
   if (!suspects_.clear(content, time_.now())) {
     return;
@@ -267,6 +388,8 @@
 }
 
 bool CrashGuard::release_suspect(const core::RequestFingerprint& content) {
+  history_.forget(content);
+  reviews_.erase(content);
   if (!suspects_.clear(content, time_.now())) {
     return false;
   }
@@ -292,7 +415,11 @@
   }
   for (const core::ReplicaId& id : suspect.ended) {
     const ReplicaPointer replica = directory_.find(id);
-    if (replica && !replica->has_ended()) {
+    if (!replica) {
+      continue;
+    }
+    history_.note({suspect.content, replica->record.service, id, now, std::nullopt});
+    if (!replica->has_ended()) {
       replica->note_end(now);
       replica->suspect(now, settings_.suspicion);
     }
@@ -326,7 +453,9 @@
 }
 
 void CrashGuard::forget_old() {
+  review_all();
   suspects_.forget_old(time_.now());
+  history_.forget_old(time_.now());
   runs_.forget_old();
   refresh_held();
 }
@@ -337,7 +466,7 @@
   for (const auto& [content, suspect] : suspects_.all()) {
     suspects += suspect.is_cleared() ? 0 : 1;
     const bool may_be_held = suspect.ended.size() >= settings_.suspects.crashes_before_held;
-    if (may_be_held && suspects_.restriction_of(content) == quarantine::RunRestriction::kHeld) {
+    if (may_be_held && is_held(content)) {
       held.insert(content);
     }
   }
--- a/src/ingress/crash_guard.hpp
+++ b/src/ingress/crash_guard.hpp
@@ -19,6 +19,7 @@
 #include "ingress/route_table.hpp"
 #include "ingress/suspect_runs.hpp"
 #include "ports/replica_client.hpp"
+#include "quarantine/crash_history.hpp"
 #include "quarantine/crash_suspects.hpp"
 #include "quarantine/served_contents.hpp"
 
@@ -32,6 +33,13 @@
   core::Duration sole_replica_delay = std::chrono::seconds(10);
   SuspectRunSettings runs;
   CrashWatchSettings watch;
+  quarantine::CrashHistorySettings history;
+  /// Time after a crash until the earlier ones that its text has outlived are judged: crashes of
+  /// other replicas at the same moment must have been found.
+  core::Duration review_delay = std::chrono::milliseconds(60);
+  /// Number of other replicas of the service that are then looked for at once; each costs a
+  /// connection.
+  std::size_t max_checked_replicas = 8;
   /// How long a crashed replica gets no work while other replicas can take it.
   core::Duration suspicion = std::chrono::seconds(2);
 };
@@ -99,6 +107,8 @@
   /// time
   void set_self(core::NodeId self) { runs_.set_self(std::move(self)); }
 
+  /// \return whether \p content must not run, and no crash under it is still to be reviewed.
+  bool is_held(const core::RequestFingerprint& content) const;
   /// \return whether any request is under suspicion.
   bool has_suspects() const { return !suspects_.empty(); }
   /// \return whether any request is restricted, or runs on a replica that may have crashed;
@@ -121,9 +131,14 @@
   /// whether the replica has crashed, and if so records the crash for the request. If the replica
   /// still accepts connections, it counts as a possible crash under the request until a later check
   /// decides. \p request_id is used in the log.
+  /// \param position number of events that the text has so far; zero for other requests
   /// \return whether the replica is known to have crashed.
   boost::asio::awaitable<bool> resolve_broken_call(core::RequestFingerprint content,
-                                                   std::string request_id, ReplicaPointer replica);
+                                                   std::string request_id, ReplicaPointer replica,
+                                                   std::uint64_t position = 0);
+  /// Records that \p replica has ended without announcing it, whatever it was running: another one
+  /// has its address, or none.
+  void note_replica_end(ReplicaState& replica);
   /// Records that a replica served \p content completely.
   void note_served(const core::RequestFingerprint& content);
 
@@ -145,6 +160,11 @@
 
  private:
   struct Meters;
+  /// \return whether \p content, under which two replicas crashed, need not run alone: a text,
+  /// which would wait for seconds until a replica runs nothing else, and most replicas of its
+  /// service that crashed did so without it.
+  bool may_share_replica(const core::RequestFingerprint& content,
+                         SuspectSeparation separation) const;
   /// \return the restriction as this process sees it, which includes whether it has seen \p content
   /// served.
   quarantine::RunRestriction restriction_of(const core::RequestFingerprint& content) const;
@@ -160,8 +180,17 @@
   /// \return the replicas of \p usable that suspects may use.
   std::vector<ReplicaPointer> replicas_for_suspects(const Route& route,
                                                     const std::vector<ReplicaPointer>& usable);
-  void note_end(const core::RequestFingerprint& content, const std::string& request_id,
-                const ReplicaPointer& replica);
+  void note_end(const BrokenCall& call);
+  void log_end(const BrokenCall& call) const;
+  /// \return the recorded crashes of \p content that it has outlived.
+  std::set<core::ReplicaId> recorded_outlived(const core::RequestFingerprint& content) const;
+  /// Withdraws the crashes that \p content has outlived, unless it may have caused them all.
+  void review(const core::RequestFingerprint& content);
+  void review_all();
+  /// Checks whether other replicas of the service of \p crashed, on which no request of this
+  /// process ran, have crashed as well.
+  void check_others(const boost::asio::any_io_executor& executor, const ReplicaState& crashed);
+  boost::asio::awaitable<void> check_other(ReplicaPointer replica);
   void on_verdict(const BrokenCall& call, CrashVerdict verdict);
   void announce(const core::RequestFingerprint& content);
   void announce_run(const SuspectRun& run, bool is_over);
@@ -179,6 +208,11 @@
   std::vector<Listener> listeners_;
   quarantine::CrashSuspects suspects_;
   std::set<core::RequestFingerprint> held_;  ///< as of the last change
+  quarantine::CrashHistory history_;
+  /// Requests with outlived crashes that are not judged yet, and when they are.
+  std::map<core::RequestFingerprint, core::MonotonicTime> reviews_;
+  /// When the other replicas of a service were last checked after a crash.
+  std::map<core::ServiceName, core::MonotonicTime> others_checked_at_;
   quarantine::ServedContents served_;
   SuspectRuns runs_;
   CrashWatch watch_;
--- a/src/ingress/crash_watch.hpp
+++ b/src/ingress/crash_watch.hpp
@@ -25,6 +25,7 @@
   std::string request_id;  ///< for the log
   ReplicaPointer replica;
   core::MonotonicTime broke_at{};
+  std::uint64_t position = 0;  ///< events of the text by then; zero for other requests
 };
 
 enum class CrashVerdict {
--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -137,6 +137,9 @@
   }
   progress.preference.excluded.insert(replica->record.id);
   progress.reason = failure.reason;
+  if (failure.kind == ports::CallFailureKind::kGone) {
+    guard_.note_replica_end(*replica);
+  }
   if (failure.unreachable) {
     replica->suspect(time_.now(), settings_.suspicion);
   }
@@ -236,8 +239,8 @@
 asio::awaitable<void> Forwarder::check_broken_run(const ForwardedRequest& request,
                                                   const ReplicaPointer& replica,
                                                   Progress& progress) {
-  const bool has_ended = co_await guard_.resolve_broken_call(progress.content_of(request),
-                                                             request.request_id, replica);
+  const bool has_ended = co_await guard_.resolve_broken_call(
+      progress.content_of(request), request.request_id, replica, progress.last_event.value_or(0));
   progress.crashed_runs += has_ended ? 1 : 0;
 }
 
--- a/src/jobs/item_dispatcher.cpp
+++ b/src/jobs/item_dispatcher.cpp
@@ -255,6 +255,9 @@
       meters_->ejected.Increment();
     }
   }
+  if (end.kind == AttemptEndKind::kGone) {
+    inputs_.guard.note_replica_end(*run.replica);
+  }
   if (end.unreachable || end.kind == AttemptEndKind::kGone) {
     run.replica->suspect(now, settings_.suspicion);
   }
--- a/src/jobs/item_dispatcher_suspects.cpp
+++ b/src/jobs/item_dispatcher_suspects.cpp
@@ -59,7 +59,8 @@
   const bool may_have_ended = end.kind == AttemptEndKind::kBroken && !end.unreachable;
   if (may_have_ended && !run->is_cancelled) {
     co_await self->inputs_.guard.resolve_broken_call(content_of(job, run->item),
-                                                     job.job.items[run->item].id, run->replica);
+                                                     job.job.items[run->item].id, run->replica,
+                                                     job.items[run->item].text.events.size());
   }
   run->suspect_run.reset();
 }
--- a/src/node/suspect_rows.cpp
+++ b/src/node/suspect_rows.cpp
@@ -124,7 +124,7 @@
 }
 
 bool SuspectRows::is_held(const core::RequestFingerprint& content) const {
-  return guard_.suspects().restriction_of(content) == quarantine::RunRestriction::kHeld;
+  return guard_.is_held(content);
 }
 
 void SuspectRows::on_suspect(const quarantine::Suspect& suspect) {
@@ -132,6 +132,8 @@
     on_cleared(suspect.content);
   } else if (is_held(suspect.content)) {
     write_held(suspect);
+  } else {
+    on_cleared(suspect.content);  // crashes were withdrawn
   }
 }
 
--- a/src/quarantine/crash_suspects.cpp
+++ b/src/quarantine/crash_suspects.cpp
@@ -64,6 +64,26 @@
   return true;
 }
 
+bool CrashSuspects::withdraw_ends(const core::RequestFingerprint& content,
+                                  const std::set<core::ReplicaId>& replicas,
+                                  core::MonotonicTime now) {
+  const auto known = suspects_.find(content);
+  if (known == suspects_.end()) {
+    return false;
+  }
+  Suspect& suspect = known->second;
+  const std::size_t withdrawn = std::erase_if(
+      suspect.ended, [&](const core::ReplicaId& replica) { return replicas.contains(replica); });
+  if (withdrawn == 0) {
+    return false;
+  }
+  ++suspect.generation;
+  if (suspect.is_cleared()) {
+    suspect.forget_at = now + settings_.cleared_retention;
+  }
+  return true;
+}
+
 bool CrashSuspects::merge(const Suspect& remote, core::MonotonicTime now) {
   const Suspect* known = find(remote.content);
   const bool is_old = known != nullptr && remote.generation < known->generation;
--- a/src/quarantine/crash_suspects.hpp
+++ b/src/quarantine/crash_suspects.hpp
@@ -34,7 +34,8 @@
 /// A request during which replicas crashed.
 struct Suspect {
   core::RequestFingerprint content;
-  /// Incremented each time the request is cleared; records of a lower generation are void.
+  /// Incremented each time the request is cleared or crashes are withdrawn; records of a lower
+  /// generation are void.
   std::uint64_t generation = 0;
   std::set<core::ReplicaId> ended;  ///< incarnations of replicas that crashed while running it
   core::MonotonicTime forget_at{};
@@ -62,6 +63,10 @@
   /// Clears \p content because a replica served it completely or an operator released it. \return
   /// whether this is new.
   bool clear(const core::RequestFingerprint& content, core::MonotonicTime now);
+  /// Withdraws the crashes of \p replicas from the record of \p content, which keeps the others: it
+  /// was present at them and has not caused them. \return whether this is new.
+  bool withdraw_ends(const core::RequestFingerprint& content,
+                     const std::set<core::ReplicaId>& replicas, core::MonotonicTime now);
   /// Merges the record of another process. \return whether it contained anything new.
   bool merge(const Suspect& remote, core::MonotonicTime now);
   /// Records that \p content was sent again.
--- a/tests/platform_support/stand_in_replica.hpp
+++ b/tests/platform_support/stand_in_replica.hpp
@@ -87,6 +87,9 @@
   static std::string whole_text(const std::string& request);
   static std::string signature(const std::string& request);
 
+  /// Ends it with all of its connections, as a crash does; \p body is that of the request which
+  /// caused it, if any.
+  void crash(const std::string& body = {});
   /// Tells from now on that it is cold for \p length.
   void turn_cold(std::chrono::milliseconds length);
   bool is_cold() const { return std::chrono::steady_clock::now() < cold_until_; }
@@ -113,7 +116,6 @@
     std::string id;
     std::chrono::steady_clock::time_point at;
   };
-  void crash(const std::string& body);
   static boost::asio::awaitable<void> restart(StandInReplica* self);
   /// Listens at the replica's address for the lag of its listener and accepts nothing.
   void linger();
--- a/tests/unit/ingress/crash_guard_test.cpp
+++ b/tests/unit/ingress/crash_guard_test.cpp
@@ -35,6 +35,11 @@
   CPPUNIT_TEST(two_processes_do_not_reserve_replicas_of_one_service);
   CPPUNIT_TEST(a_crash_reported_by_another_process_counts);
   CPPUNIT_TEST(an_operator_releases_a_suspect);
+  CPPUNIT_TEST(a_text_that_other_replicas_carried_on_is_not_held_for_their_crashes);
+  CPPUNIT_TEST(a_text_that_crashes_replicas_midway_is_held_after_three);
+  CPPUNIT_TEST(other_replicas_that_crashed_at_the_same_moment_are_found);
+  CPPUNIT_TEST(a_text_waits_for_no_free_replica_where_replicas_crash_without_it);
+  CPPUNIT_TEST(suspects_are_not_sent_to_replicas_that_are_gone);
   CPPUNIT_TEST_SUITE_END();
 
   struct World {
@@ -62,8 +67,20 @@
       client.replicas[id].ended = true;
       return settle(content, id);
     }
-    bool settle(const core::RequestFingerprint& content, const std::string& id) {
-      return support::run_task(context, guard.resolve_broken_call(content, "request", replica(id)));
+    bool settle(const core::RequestFingerprint& content, const std::string& id,
+                std::uint64_t position = 0) {
+      return support::run_task(
+          context, guard.resolve_broken_call(content, "request", replica(id), position));
+    }
+    /// Makes \p id crash while it carries the text \p content, which has \p position events then.
+    void end_text(const core::RequestFingerprint& content, const std::string& id,
+                  std::uint64_t position) {
+      client.replicas[id].ended = true;
+      CPPUNIT_ASSERT(settle(content, id, position));
+    }
+    Admission admit_text(const core::RequestFingerprint& content) {
+      return guard.admit(content, route, directory.of_service(service),
+                         SuspectSeparation::kTogether);
     }
     Admission admit(const core::RequestFingerprint& content) {
       return guard.admit(content, route, directory.of_service(service));
@@ -430,6 +447,90 @@
     CPPUNIT_ASSERT(!world.guard.release_suspect(culprit_));
     CPPUNIT_ASSERT(world.admit(culprit_).kind == AdmissionKind::kFree);
   }
+
+  /// Guards against items that are never run again because replicas crashed with them three times.
+  void a_text_that_other_replicas_carried_on_is_not_held_for_their_crashes() {
+    World world(9);
+    const core::RequestFingerprint beside("beside");
+    const std::uint64_t positions[] = {10, 10, 20};
+    for (int crash = 0; crash < 3; ++crash) {
+      CPPUNIT_ASSERT(world.admit_text(culprit_).kind != AdmissionKind::kHeld);
+      world.end_text(culprit_, "r" + std::to_string(2 * crash), positions[crash]);
+      world.end_text(beside, "r" + std::to_string(2 * crash + 1), positions[crash]);
+      world.time.advance(milliseconds(20));
+    }
+    // Crashes of other replicas at that moment may still be found.
+    CPPUNIT_ASSERT(world.terms(culprit_) == quarantine::RunRestriction::kHeld);
+    CPPUNIT_ASSERT(world.admit_text(culprit_).kind == AdmissionKind::kWait);
+    CPPUNIT_ASSERT(!world.guard.is_held(culprit_));
+    world.time.advance(milliseconds(60));
+    CPPUNIT_ASSERT(world.admit_text(culprit_).kind == AdmissionKind::kRun);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.guard.suspects().find(culprit_)->ended.size());
+  }
+
+  /// Guards against a text that crashes replica after replica because each carries it a bit
+  /// further.
+  void a_text_that_crashes_replicas_midway_is_held_after_three() {
+    World world(9);
+    world.end(other_, "r0");
+    for (int crash = 0; crash < 3; ++crash) {
+      CPPUNIT_ASSERT(world.admit_text(culprit_).kind != AdmissionKind::kHeld);
+      world.end_text(culprit_, "r" + std::to_string(crash),
+                     10 * (static_cast<std::uint64_t>(crash) + 1));
+      world.time.advance(milliseconds(1000));
+      world.run_for(milliseconds(10));
+    }
+    CPPUNIT_ASSERT(world.admit_text(culprit_).kind == AdmissionKind::kHeld);
+    CPPUNIT_ASSERT(world.guard.is_held(culprit_));
+  }
+
+  /// Guards against a single text of a service that is charged with crashes of all its replicas.
+  void other_replicas_that_crashed_at_the_same_moment_are_found() {
+    World world(9);
+    for (int crash = 0; crash < 3; ++crash) {
+      for (int replica = 0; replica < 3; ++replica) {
+        world.client.replicas["r" + std::to_string(3 * crash + replica)].ended = true;
+      }
+      world.end_text(culprit_, "r" + std::to_string(3 * crash),
+                     10 * (static_cast<std::uint64_t>(crash) + 1));
+      world.run_for(milliseconds(10));
+      world.time.advance(milliseconds(1000));
+    }
+    CPPUNIT_ASSERT(world.admit_text(culprit_).kind != AdmissionKind::kHeld);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, world.guard.suspects().find(culprit_)->ended.size());
+  }
+
+  /// Guards against texts that wait for seconds, one after the other, for a replica without work.
+  void a_text_waits_for_no_free_replica_where_replicas_crash_without_it() {
+    World world(9);
+    world.end_text(culprit_, "r0", 4);
+    world.end_text(culprit_, "r1", 4);
+    CPPUNIT_ASSERT(world.admit_text(culprit_).is_alone);
+    World noisy(9);
+    noisy.end_text(culprit_, "r0", 4);
+    noisy.end_text(culprit_, "r1", 4);
+    noisy.end(other_, "r2");
+    noisy.end(core::RequestFingerprint("third"), "r3");
+    const Admission admission = noisy.admit_text(culprit_);
+    CPPUNIT_ASSERT(admission.kind == AdmissionKind::kRun && !admission.is_alone);
+    noisy.end_text(culprit_, "r4", 4);
+    CPPUNIT_ASSERT(noisy.admit_text(culprit_).kind == AdmissionKind::kHeld);
+  }
+
+  /// Guards against a suspect that goes to the same ended replica over and over, since nothing else
+  /// runs there.
+  void suspects_are_not_sent_to_replicas_that_are_gone() {
+    World world(5);
+    world.end(culprit_, "r0");
+    world.guard.note_replica_end(*world.replica("r1"));
+    world.replica("r2")->suspect(world.time.now(), seconds(2));
+    const Admission admission = world.admit_text(culprit_);
+    const std::vector<ReplicaPointer> sound = {world.replica("r3"), world.replica("r4")};
+    CPPUNIT_ASSERT(admission.allowed == sound);
+    world.replica("r3")->record.draining = true;
+    world.guard.note_replica_end(*world.replica("r3"));
+    CPPUNIT_ASSERT(!world.replica("r3")->has_ended());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashGuardTest);
--- a/tests/unit/quarantine/crash_suspects_test.cpp
+++ b/tests/unit/quarantine/crash_suspects_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(two_that_were_always_together_are_not_held);
   CPPUNIT_TEST(of_two_at_the_same_crashes_the_one_served_before_is_free);
   CPPUNIT_TEST(a_served_request_stays_cleared_despite_older_records);
+  CPPUNIT_TEST(withdrawn_crashes_stay_withdrawn_despite_older_records);
   CPPUNIT_TEST(records_merge_in_any_order);
   CPPUNIT_TEST(memory_is_bounded_and_the_worst_stay);
   CPPUNIT_TEST(requests_that_nobody_sends_are_forgotten);
@@ -132,6 +133,27 @@
     check(suspects, "popular", RunRestriction::kNotOnLastReplica);
   }
 
+  /// Guards against a crash that comes back with the report of a process that had merged it.
+  void withdrawn_crashes_stay_withdrawn_despite_older_records() {
+    CrashSuspects suspects;
+    for (int end = 0; end < 3; ++end) {
+      suspects.note_end(content("text"), replica(end), at(1));
+    }
+    const Suspect old = *suspects.find(content("text"));
+    CPPUNIT_ASSERT(suspects.withdraw_ends(content("text"), {replica(0), replica(1)}, at(2)));
+    CPPUNIT_ASSERT(!suspects.withdraw_ends(content("text"), {replica(0)}, at(2)));
+    CPPUNIT_ASSERT(!suspects.withdraw_ends(content("other"), {replica(0)}, at(2)));
+    check(suspects, "text", RunRestriction::kNotOnLastReplica);
+    CPPUNIT_ASSERT(!suspects.merge(old, at(3)));
+    CrashSuspects elsewhere;
+    elsewhere.merge(old, at(3));
+    check(elsewhere, "text", RunRestriction::kHeld);
+    CPPUNIT_ASSERT(elsewhere.merge(*suspects.find(content("text")), at(3)));
+    check(elsewhere, "text", RunRestriction::kNotOnLastReplica);
+    CPPUNIT_ASSERT(suspects.withdraw_ends(content("text"), {replica(2)}, at(4)));
+    check(suspects, "text", RunRestriction::kFree);
+  }
+
   /// Random walk over three processes that receive each other's records late and out of order.
   void records_merge_in_any_order() {
     for (std::uint64_t seed = 1; seed <= 50; ++seed) {
@@ -146,6 +168,8 @@
           here.note_end(one, replica(static_cast<int>(random.uniform(0, 9))), at(step));
         } else if (kind < 5) {
           here.clear(one, at(step));
+        } else if (kind < 6) {
+          here.withdraw_ends(one, {replica(static_cast<int>(random.uniform(0, 9)))}, at(step));
         } else if (const Suspect* heard = processes[any()].find(one)) {
           here.merge(Suspect(*heard), at(step));
         }
