The HTTP client keeps the body of a request until its response is destroyed

Ruled out: the answer's buffer and the pool of connections (the sanitizer names neither, and a connection whose request is unfinished is closed).

Change: send() takes a body over and keeps it until the response is destroyed; the form that borrows one says that it must outlive the response. On the same grounds: HttpModelEngine hands its body over; relay() of stoneportd takes back its callback for a client that leaves, which named the answer after it was freed (ClientGoneCallback).

--- a/src/filters/back_end_exchange.cpp
+++ b/src/filters/back_end_exchange.cpp
@@ -96,8 +96,9 @@
   // After the caller left, the answer to a request that must not be repeated is
   // still read to its end, so that its outcome can be recorded.
   bool caller_gone = false;
+  std::optional<http::ClientGoneCallback> on_gone;
   if (request.repeatable) {
-    request.response->when_client_gone([&answer] { answer.cancel(); });
+    on_gone.emplace(*request.response, [&answer] { answer.cancel(); });
   }
   core::Result<void> sent = co_await request.response->start(std::move(head), length);
   while (true) {
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -27,6 +27,11 @@
          });
 }
 
+/// \return \p body, which stays its owner's.
+std::shared_ptr<BodySource> borrowed(BodySource& body) {
+  return std::shared_ptr<BodySource>(std::shared_ptr<void>(), &body);
+}
+
 bool announces_empty_body(beast::http::verb method) {
   return method == beast::http::verb::post || method == beast::http::verb::put ||
          method == beast::http::verb::patch;
@@ -90,8 +95,8 @@
   /// Static, so that its parameter holds the object from the call on.
   static asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
       std::shared_ptr<Implementation> self, core::Address address, RequestHead head,
-      BodySource& body, std::optional<std::uint64_t> content_length, SendOptions options,
-      bool body_in_memory) {
+      std::shared_ptr<BodySource> body, std::optional<std::uint64_t> content_length,
+      SendOptions options, bool body_in_memory) {
     self->counters_->requests.Increment();
     core::Result<WireRequest> wire = to_wire(address, head, content_length);
     if (!wire) {
@@ -105,8 +110,8 @@
     }
     (*connection)->timer().arm(options.deadline);
     const bool is_reused = (*connection)->reused();
-    const auto exchange = std::make_shared<ClientExchange>(self->pool_, std::move(*connection),
-                                                           std::move(*wire), body, options);
+    const auto exchange = std::make_shared<ClientExchange>(
+        self->pool_, std::move(*connection), std::move(*wire), std::move(body), options);
     std::optional<ClientError> error = co_await exchange->run();
     if (error) {
       error->on_kept_connection = is_reused;
@@ -119,11 +124,11 @@
                                                        core::Address address, Request request,
                                                        SendOptions options) {
     const std::uint64_t length = request.body.size();
-    StringBody body(std::move(request.body));
+    auto body = std::make_shared<StringBody>(std::move(request.body));
     const bool body_in_memory = length <= kPieceBytes;
     ClientResult<std::unique_ptr<ClientResponse>> response =
-        co_await send(std::move(self), std::move(address), std::move(request.head), body, length,
-                      options, body_in_memory);
+        co_await send(std::move(self), std::move(address), std::move(request.head), std::move(body),
+                      length, options, body_in_memory);
     if (!response) {
       co_return response.error();
     }
@@ -213,10 +218,17 @@
 
 Client::~Client() = default;
 
+asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> Client::send(
+    core::Address address, RequestHead head, std::unique_ptr<BodySource> body,
+    std::optional<std::uint64_t> content_length, SendOptions options) {
+  return Implementation::send(implementation_, std::move(address), std::move(head), std::move(body),
+                              content_length, options, false);
+}
+
 asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> Client::send(
     core::Address address, RequestHead head, BodySource& body,
     std::optional<std::uint64_t> content_length, SendOptions options) {
-  return Implementation::send(implementation_, std::move(address), std::move(head), body,
+  return Implementation::send(implementation_, std::move(address), std::move(head), borrowed(body),
                               content_length, options, false);
 }
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -78,6 +78,13 @@
   /// Sends a request and reads the response's head. The body is read by the
   /// caller. A request is sent once: a retry is the caller's decision.
   /// Without \p content_length the body goes out chunked; 0 means no body.
+  /// \param body kept until the response is destroyed: a response may come before
+  /// its request has been sent whole, and the rest is sent while it is read
+  boost::asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
+      core::Address address, RequestHead head, std::unique_ptr<BodySource> body,
+      std::optional<std::uint64_t> content_length, SendOptions options);
+  /// The same for a body that belongs to the caller.
+  /// \param body must outlive the response, not only this call
   boost::asio::awaitable<ClientResult<std::unique_ptr<ClientResponse>>> send(
       core::Address address, RequestHead head, BodySource& body,
       std::optional<std::uint64_t> content_length, SendOptions options);
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -12,14 +12,14 @@
 
 ClientExchange::ClientExchange(std::weak_ptr<ConnectionPool> pool,
                                std::unique_ptr<ClientConnection> connection, WireRequest request,
-                               BodySource& body, SendOptions options)
+                               std::shared_ptr<BodySource> body, SendOptions options)
     : pool_(std::move(pool)),
       connection_(std::move(connection)),
       executor_(connection_->socket().get_executor()),
       options_(options),
       is_head_method_(request.is_head_method),
       body_in_memory_(request.body_in_memory),
-      sender_(*connection_, std::move(request.head), body, request.content_length),
+      sender_(*connection_, std::move(request.head), std::move(body), request.content_length),
       sender_stopped_(executor_, asio::steady_timer::time_point::max()) {}
 
 asio::awaitable<std::optional<ClientError>> ClientExchange::run() {
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -26,7 +26,7 @@
 class ClientExchange : public BodySource, public std::enable_shared_from_this<ClientExchange> {
  public:
   ClientExchange(std::weak_ptr<ConnectionPool> pool, std::unique_ptr<ClientConnection> connection,
-                 WireRequest request, BodySource& body, SendOptions options);
+                 WireRequest request, std::shared_ptr<BodySource> body, SendOptions options);
 
   /// Sends the request until the response's head has been read. The rest of an
   /// unfinished request is sent while the response's body is read.
--- a/src/http/request_sender.cpp
+++ b/src/http/request_sender.cpp
@@ -7,11 +7,12 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 
-RequestSender::RequestSender(ClientConnection& connection, std::string head, BodySource& body,
+RequestSender::RequestSender(ClientConnection& connection, std::string head,
+                             std::shared_ptr<BodySource> body,
                              std::optional<std::uint64_t> content_length)
     : connection_(connection),
       head_(std::move(head)),
-      body_(body),
+      body_(std::move(body)),
       content_length_(content_length),
       pending_(Pending{}) {}
 
@@ -30,7 +31,7 @@
     frame_piece(std::nullopt);
     co_return;
   }
-  core::Result<std::optional<std::string>> piece = co_await body_.next();
+  core::Result<std::optional<std::string>> piece = co_await body_->next();
   if (piece) {
     frame_piece(std::move(*piece));
     co_return;
--- a/src/http/request_sender.hpp
+++ b/src/http/request_sender.hpp
@@ -14,7 +14,7 @@
  public:
   /// \param head start line and fields as they go over the wire
   /// \param content_length as for Client::send()
-  RequestSender(ClientConnection& connection, std::string head, BodySource& body,
+  RequestSender(ClientConnection& connection, std::string head, std::shared_ptr<BodySource> body,
                 std::optional<std::uint64_t> content_length);
 
   /// Writes until the request's end, a failure or stop(). Closes the connection
@@ -41,7 +41,7 @@
 
   ClientConnection& connection_;
   std::string head_;
-  BodySource& body_;
+  std::shared_ptr<BodySource> body_;
   std::optional<std::uint64_t> content_length_;
   std::uint64_t body_bytes_ = 0;
   std::string piece_;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -47,6 +47,22 @@
   virtual void when_client_gone(std::function<void()> callback) { (void)callback; }
 };
 
+/// Has a callback called when the client leaves, for as long as this lives: for callbacks that use
+/// what belongs to the coroutine that sets them.
+class ClientGoneCallback {
+ public:
+  ClientGoneCallback(ResponseWriter& response, std::function<void()> callback)
+      : response_(response) {
+    response_.when_client_gone(std::move(callback));
+  }
+  ~ClientGoneCallback() { response_.when_client_gone({}); }
+  ClientGoneCallback(const ClientGoneCallback&) = delete;
+  ClientGoneCallback& operator=(const ClientGoneCallback&) = delete;
+
+ private:
+  ResponseWriter& response_;
+};
+
 /// Answers the requests of one server, one call per request, on its thread.
 class RequestHandler {
  public:
--- a/src/ports/http_model_engine.cpp
+++ b/src/ports/http_model_engine.cpp
@@ -105,12 +105,12 @@
                                                                   std::uint64_t offset,
                                                                   core::MonotonicTime deadline) {
   const std::uint64_t length = request.body.size();
-  http::StringBody body(std::move(request.body));
+  auto body = std::make_unique<http::StringBody>(std::move(request.body));
   http::SendOptions options = endpoint_.options(deadline);
   options.max_body_bytes = kLongestStream;
   core::Address address = endpoint_.address();
   auto response = co_await endpoint_.client().send(std::move(address), std::move(request.head),
-                                                   body, length, options);
+                                                   std::move(body), length, options);
   if (!response) {
     co_return error_of(response.error(), kind);
   }
--- a/tests/contract/http_streaming_test.cpp
+++ b/tests/contract/http_streaming_test.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(cut_upload_is_cut_behind_a_relay);
   CPPUNIT_TEST(cut_answer_is_cut_before_a_relay);
   CPPUNIT_TEST(events_pass_as_they_come);
+  CPPUNIT_TEST(a_body_that_was_handed_over_lives_as_long_as_its_response);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -205,6 +206,33 @@
     CPPUNIT_ASSERT_EQUAL(1.0, fixture.counter("connections_opened_total"));
   }
 
+  /// Guards against a body that is freed while the rest of its request is still being sent.
+  void a_body_that_was_handed_over_lives_as_long_as_its_response() {
+    struct OwnedBody : CountingBody {
+      std::shared_ptr<int> token = std::make_shared<int>(0);
+    };
+    ServerFixture fixture(stream_back);
+    http::Client client(fixture.context.get_executor(), "test", fixture.metrics);
+    auto body = std::make_unique<OwnedBody>();
+    const std::weak_ptr<int> is_alive = body->token;
+    http::RequestHead head;
+    head.method = "POST";
+    head.target = "/sized";
+    auto response = run(fixture.context, client.send(fixture.server.local_address(), head,
+                                                     std::move(body), kBodyBytes, {soon()}));
+    CPPUNIT_ASSERT(response.has_value());
+    std::uint64_t received = 0;
+    while (received < kBodyBytes) {
+      const auto piece = run(fixture.context, (*response)->body().next());
+      CPPUNIT_ASSERT(piece && piece->has_value());
+      CPPUNIT_ASSERT(!is_alive.expired());
+      CPPUNIT_ASSERT(**piece == CountingBody::bytes_at(received, (*piece)->size()));
+      received += (*piece)->size();
+    }
+    response->reset();
+    CPPUNIT_ASSERT(is_alive.expired());
+  }
+
   void reader_that_pauses_holds_the_sender_back() {
     ServerFixture fixture(stream_back);
     http::Client client(fixture.context.get_executor(), "test", fixture.metrics);
