--- a/src/ingress/route_table.cpp
+++ b/src/ingress/route_table.cpp
@@ -70,6 +70,18 @@
   return known != nullptr ? known->priority.value_or(route.priority) : route.priority;
 }
 
+core::Duration RouteTable::longest_request() const {
+  core::Duration longest{};
+  for (const Route& route : routes_) {
+    const bool has_single_answer =
+        route.kind == RouteKind::kRepeatable || route.kind == RouteKind::kOnce;
+    if (has_single_answer) {
+      longest = std::max(longest, route.timeout);
+    }
+  }
+  return longest;
+}
+
 bool RouteTable::uses(const core::ServiceName& service) const {
   return std::any_of(routes_.begin(), routes_.end(), [&](const Route& route) {
     return std::any_of(route.targets.begin(), route.targets.end(),
--- a/src/ingress/route_table.hpp
+++ b/src/ingress/route_table.hpp
@@ -80,6 +80,8 @@
   /// \return the service rank of a request of \p tenant on \p route, 0 first: the tenant's priority
   /// takes precedence over the route's.
   std::uint32_t rank_of(const Route& route, const core::TenantName& tenant) const;
+  /// \return the longest time for which a request with a single answer may be held.
+  core::Duration longest_request() const;
   /// \return whether any route may send requests to \p service.
   bool uses(const core::ServiceName& service) const;
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -456,8 +456,7 @@
     gossip_.announce_leaving();
   }
   // Without a ready successor this process goes on with the jobs.
-  while (coordinator_.holds_term() && !has_other_ready_member() &&
-         inputs_.time.now() < wait_until) {
+  while (lacks_successor() && inputs_.time.now() < wait_until) {
     co_await runtime::sleep_for(kHandOverPollInterval);
   }
   co_await coordinator_.stop();
@@ -466,6 +465,11 @@
   }
 }
 
+core::Duration Node::longest_request() const {
+  const std::shared_ptr<const ingress::RouteTable>& table = routes_.current();
+  return table ? table->longest_request() : core::Duration(0);
+}
+
 asio::awaitable<void> Node::finish(core::Duration limit) {
   co_await usage_publisher_.flush(limit);
 }
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -131,8 +131,13 @@
   jobs::JobStore& jobs() { return job_store_; }
 
   /// Leaves the directory, hands over the jobs and stops coordinating; requests are still served.
+  /// Takes longer than \p max_wait where the store does not answer.
   /// \param max_wait longest time to go on coordinating while no other process could take over
   boost::asio::awaitable<void> drain(core::Duration max_wait);
+  /// \return whether this process coordinates the jobs and no other one could take over.
+  bool lacks_successor() const { return coordinator_.holds_term() && !has_other_ready_member(); }
+  /// \return the longest time for which a request with a single answer may be held.
+  core::Duration longest_request() const;
   /// Saves state that only this process has. Call it when no more requests are served.
   boost::asio::awaitable<void> finish(core::Duration limit);
 
