Requests that wait for a replica are not sent for clients that have left

Cause: only repeatable requests are cancelled when their client leaves; the others are not watched while they wait, and a stream's callback is set after the choice, where one that fires at once cancels nothing.

Change: whoever waits for a replica looks whether its client is still there. A request that a replica has begun is not touched.

--- a/src/ingress/forwarder.cpp
+++ b/src/ingress/forwarder.cpp
@@ -309,6 +309,7 @@
 }
 
 asio::awaitable<void> Forwarder::serve(ForwardedRequest request, http::ResponseWriter& response) {
+  request.has_client_left = [&response] { return response.client_gone(); };
   if (request.route->kind == RouteKind::kStream) {
     co_await serve_stream(std::move(request), response);
   } else {
@@ -350,6 +351,10 @@
   }
   const core::Duration held = time_.now() - request.received;
   meters_->seconds.Observe(core::to_seconds(held));
+  if (!*result && response.client_gone()) {
+    meters_->client_gone.Increment();
+    co_return;
+  }
   if (!*result) {
     co_await answer_failure(request, result->error(), response);
     co_return;
--- a/src/ingress/forwarder.hpp
+++ b/src/ingress/forwarder.hpp
@@ -46,6 +46,8 @@
   bool has_failed = false;
   /// Called with the replica each time the request is sent.
   std::function<void(const ReplicaPointer&)> on_sent = {};
+  /// Returns whether its client has left, so that no replica needs to begin it; never if empty.
+  std::function<bool()> has_client_left = {};
   /// Sender of the request; call() sets it to the coordinator.
   eligibility::Sender sender = eligibility::Sender::kFrontEnd;
 
--- a/src/ingress/forwarder_choice.cpp
+++ b/src/ingress/forwarder_choice.cpp
@@ -201,6 +201,10 @@
 asio::awaitable<ReplicaPointer> Forwarder::choose(const ForwardedRequest& request,
                                                   Progress& progress) {
   while (true) {
+    if (request.has_client_left && request.has_client_left()) {
+      progress.reason = "its client left before a replica began it";
+      co_return nullptr;
+    }
     const Choice choice = choose_now(request, progress);
     if (choice.replica) {
       co_return choice.replica;
--- a/src/ingress/forwarder_streams.cpp
+++ b/src/ingress/forwarder_streams.cpp
@@ -113,6 +113,10 @@
     }
     progress.preference.excluded.insert(replica->record.id);
   }
+  if (response.client_gone()) {
+    meters_->client_gone.Increment();
+    co_return;
+  }
   const ForwardFailure failure = make_failure(request, progress);
   if (!progress.started) {
     co_await answer_failure(request, failure, response);
