--- a/src/ingress/crash_guard.cpp
+++ b/src/ingress/crash_guard.cpp
@@ -167,7 +167,8 @@
 
 bool CrashGuard::may_share_replica(const core::RequestFingerprint& content,
                                    SuspectSeparation separation) const {
-  return separation == SuspectSeparation::kTogether && !history_.is_at_most_crashes(content);
+  return separation == SuspectSeparation::kTogether &&
+         !history_.was_at_majority_of_crashes(content);
 }
 
 Admission CrashGuard::admit(const core::RequestFingerprint& content, const Route& route,
@@ -250,7 +251,7 @@
     }
   }
   note_end(call);
-  if (reviews_.contains(call.content) && history_.is_at_most_crashes(call.content)) {
+  if (reviews_.contains(call.content) && history_.was_at_majority_of_crashes(call.content)) {
     check_others(co_await asio::this_coro::executor, *call.replica);
   }
   co_return true;
@@ -348,7 +349,7 @@
   const bool is_first_judgement = pending != reviews_.end();
   reviews_.erase(content);
   const std::set<core::ReplicaId> outlived = recorded_outlived(content);
-  if (!outlived.empty() && !history_.is_at_most_crashes(content) &&
+  if (!outlived.empty() && !history_.was_at_majority_of_crashes(content) &&
       suspects_.withdraw_ends(content, outlived, now)) {
     meters_->withdrawn.Increment(static_cast<double>(outlived.size()));
     core::log_decision(core::DecisionEvent::kCrashesWithdrawn,
--- a/src/quarantine/crash_history.cpp
+++ b/src/quarantine/crash_history.cpp
@@ -51,7 +51,7 @@
                     [since](const auto& crash) { return crash.second >= since; }));
 }
 
-bool CrashHistory::is_at_most_crashes(const core::RequestFingerprint& content) const {
+bool CrashHistory::was_at_majority_of_crashes(const core::RequestFingerprint& content) const {
   const auto found = runs_.find(content);
   if (found == runs_.end()) {
     return false;
--- a/src/quarantine/crash_history.hpp
+++ b/src/quarantine/crash_history.hpp
@@ -2,9 +2,9 @@
 /// Crashes of replicas in detail, to tell a request that crashes its replicas from replicas that
 /// crash for another reason. A request that crashes its replicas stops each of them at the same
 /// point, and is present at each crash. A text that one replica carried past the point at which
-/// another one crashed has not crashed the other one, unless it was present at most crashes of its
-/// service: then it may crash replicas some time after it begins, wherever it stands. Not
-/// thread-safe. docs/design/crashing-requests.md
+/// another one crashed has not crashed the other one, unless it was present at the majority of its
+/// service's crashes: then it may crash replicas some time after it begins, wherever it stands.
+/// Not thread-safe. docs/design/crashing-requests.md
 #pragma once
 
 #include <map>
@@ -48,7 +48,7 @@
   std::set<core::ReplicaId> outlived(const core::RequestFingerprint& content) const;
   /// \return whether \p content was present at more than half of the crashes of its service since
   /// the first crash under it, that moment included.
-  bool is_at_most_crashes(const core::RequestFingerprint& content) const;
+  bool was_at_majority_of_crashes(const core::RequestFingerprint& content) const;
   /// Forgets the runs of \p content, which a replica has served completely.
   void forget(const core::RequestFingerprint& content) { runs_.erase(content); }
   void forget_old(core::MonotonicTime now);
--- a/tests/unit/quarantine/crash_history_test.cpp
+++ b/tests/unit/quarantine/crash_history_test.cpp
@@ -62,27 +62,27 @@
 
   /// Guards against a request that is let go for crashes long before it came.
   void the_share_of_crashes_counts_from_the_first_one() {
-    CPPUNIT_ASSERT(!history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(!history_.was_at_majority_of_crashes(text_));
     for (int number = 10; number < 20; ++number) {
       note_other(number, 0);
     }
     note(1, 5000, 10);
     note(2, 6000, 20);
-    CPPUNIT_ASSERT(history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(history_.was_at_majority_of_crashes(text_));
     note_other(20, 6500);
-    CPPUNIT_ASSERT(history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(history_.was_at_majority_of_crashes(text_));
     note_other(21, 7000);
-    CPPUNIT_ASSERT(!history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(!history_.was_at_majority_of_crashes(text_));
     note_other(21, 7100);  // known already
     note(3, 8000, 30);
-    CPPUNIT_ASSERT(history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(history_.was_at_majority_of_crashes(text_));
   }
 
   void crashes_of_one_moment_count_whichever_was_noticed_first() {
     note_other(10, 0);
     note_other(11, 40);
     note(1, 50, 10);
-    CPPUNIT_ASSERT(!history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(!history_.was_at_majority_of_crashes(text_));
   }
 
   void old_crashes_are_forgotten() {
@@ -91,9 +91,9 @@
     const core::Duration retention = CrashHistorySettings().retention;
     history_.forget_old(at(500) + retention);
     CPPUNIT_ASSERT_EQUAL(std::string(), outlived());
-    CPPUNIT_ASSERT(history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(history_.was_at_majority_of_crashes(text_));
     history_.forget_old(at(2000) + retention);
-    CPPUNIT_ASSERT(!history_.is_at_most_crashes(text_));
+    CPPUNIT_ASSERT(!history_.was_at_majority_of_crashes(text_));
   }
 
   const core::RequestFingerprint text_{"text"};
