The server stops reading from a client that sends without end

What was seen: a client that never ends its first line, a chunk's size or a trailer is refused, and the machine reads on from it for as long as bytes come (measured by the users for 15 s, 6 to 11 GB).

Cause: a connection that closes drops what arrives for 1 s, so that a reset does not destroy the answer. The timer cancels the pending read; while bytes come without a pause none is pending, and the loop looked at nothing else. Ruled out: the limits of head and buffer, which hold (the refusal goes out at once).

Change: the loop ends when the time is over, and after 64 MB.

EndlessRequestsTest: each form, with the bytes that the client could send; a body that trickles.

--- a/src/http/beast_conversion.hpp
+++ b/src/http/beast_conversion.hpp
@@ -27,6 +27,11 @@
 /// Most bytes that one read of a body hands on.
 inline constexpr std::size_t kPieceBytes = 64 * 1024;
 
+/// Room in a connection's buffer beyond the longest head: for what follows it in one read. Whatever
+/// the parser waits for must fit into the buffer, so that its storage bounds each element of a
+/// message that has no limit of its own: sizes and extensions of chunks, and trailers.
+inline constexpr std::size_t kBufferSpareBytes = 64 * 1024;
+
 /// \return whether \p text can stand as a method or a field's name.
 bool is_token(std::string_view text);
 
--- a/src/http/deadline_timer.hpp
+++ b/src/http/deadline_timer.hpp
@@ -14,8 +14,16 @@
 
 class DeadlineTimer {
  public:
-  /// \param on_expiry called once for each armed deadline that is reached
-  DeadlineTimer(boost::asio::any_io_executor executor, std::function<void()> on_expiry);
+  /// How often the action is called for an armed deadline that is reached.
+  enum class Expiry {
+    kOnce,
+    /// Again every 20 ms until the timer is disarmed: an operation of several steps that is between
+    /// two of them is not ended by one cancellation.
+    kUntilDisarmed,
+  };
+
+  DeadlineTimer(boost::asio::any_io_executor executor, std::function<void()> on_expiry,
+                Expiry expiry = Expiry::kOnce);
   ~DeadlineTimer();
   DeadlineTimer(const DeadlineTimer&) = delete;
   DeadlineTimer& operator=(const DeadlineTimer&) = delete;
@@ -29,6 +37,8 @@
  private:
   struct State;
   static void wait(const std::shared_ptr<State>& state, core::MonotonicTime until);
+  static void on_wake(const std::shared_ptr<State>& state);
+  static void expire(const std::shared_ptr<State>& state, core::MonotonicTime now);
   std::shared_ptr<State> state_;
 };
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -89,6 +89,7 @@
   core::Duration head_timeout = std::chrono::seconds(10);      ///< from the first byte of a head
   core::Duration idle_timeout = std::chrono::seconds(60);      ///< between requests
   core::Duration transfer_timeout = std::chrono::seconds(60);  ///< without progress in a body
+  core::Duration body_timeout = std::chrono::minutes(30);      ///< for a whole request body
   /// How long a connection between requests stays after stop_accepting(), so
   /// that a request already on its way is answered and not cut.
   core::Duration drain_grace = std::chrono::milliseconds(200);
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -15,11 +15,11 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
-/// Room in the buffer beyond the longest head: for what follows it in one read.
-constexpr std::size_t kBufferSpareBytes = 64 * 1024;
 /// Longest time that a closing connection still reads and drops what arrives,
 /// so that a reset does not destroy the response on its way.
 constexpr core::Duration kLingerTime = std::chrono::seconds(1);
+/// Most bytes that it drops: of the largest bodies that clients send to be refused.
+constexpr std::uint64_t kMaxLingerBytes = std::uint64_t{64} << 20;
 
 /// \return the origin form of \p target, which may come in absolute form.
 std::string origin_form(std::string_view target) {
@@ -83,15 +83,15 @@
       caller(caller_of(accepted)),
       socket(std::move(accepted)),
       buffer(buffer_limit),
-      read_timer(socket.get_executor(),
-                 [this] {
-                   boost::system::error_code ignored;
-                   socket.cancel(ignored);
-                 }),
-      write_timer(socket.get_executor(), [this] {
-        boost::system::error_code ignored;
-        socket.cancel(ignored);
-      }) {}
+      read_timer(
+          socket.get_executor(), [this] { cancel(); }, DeadlineTimer::Expiry::kUntilDisarmed),
+      write_timer(
+          socket.get_executor(), [this] { cancel(); }, DeadlineTimer::Expiry::kUntilDisarmed) {}
+
+void ServerSocket::cancel() {
+  boost::system::error_code ignored;
+  socket.cancel(ignored);
+}
 
 void ServerSocket::reset() {
   boost::system::error_code ignored;
@@ -324,11 +324,14 @@
   boost::system::error_code error;
   io_->socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
   std::array<char, kReadBytes> dropped;
+  std::uint64_t dropped_bytes = 0;
   io_->read_timer.arm(kLingerTime);
-  while (!error) {
+  // The timer cancels only a read that waits, which those of a fast sender never do.
+  while (!error && !io_->read_timer.expired() && dropped_bytes <= kMaxLingerBytes) {
     std::size_t size = 0;
     std::tie(error, size) =
         co_await io_->socket.async_read_some(asio::buffer(dropped), kAwaitTuple);
+    dropped_bytes += size;
   }
   io_->read_timer.disarm();
 }
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -84,6 +84,8 @@
                UnsentBytes::ConnectionId connection);
   /// Closes it with a reset.
   void reset();
+  /// Cancels the read or write that waits.
+  void cancel();
   /// \return the bytes in the kernel's send queue that the other side has not acknowledged.
   std::uint64_t send_queue_bytes();
 
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -79,7 +79,7 @@
     auto& window = parser_.get().body();
     window.data = piece.data();
     window.size = piece.size();
-    io_.read_timer.arm(state_.limits.transfer_timeout);
+    io_.read_timer.arm(next_bytes_due());
     // Not undone by a destructor: a body that another exchange passes on is read by a coroutine
     // that the end of the execution context may destroy after the connection.
     state_.reading[&io_] = monotonic_now();
@@ -93,6 +93,9 @@
     const asio::cancellation_state cancellation = co_await asio::this_coro::cancellation_state;
     const bool cancelled = cancellation.cancelled() != asio::cancellation_type::none;
     const std::size_t filled = piece.size() - window.size;
+    if (framing_.note(size, filled) && !error) {
+      error = make_error_code(beast::http::error::body_limit);
+    }
     if (error && !(cancelled && error == asio::error::operation_aborted)) {
       co_return fail(error);
     }
@@ -116,6 +119,14 @@
   }
 }
 
+core::MonotonicTime ServerRequestBody::next_bytes_due() {
+  const core::MonotonicTime now = monotonic_now();
+  if (!give_up_at_) {
+    give_up_at_ = now + state_.limits.body_timeout;
+  }
+  return std::min(*give_up_at_, now + state_.limits.transfer_timeout);
+}
+
 asio::awaitable<core::Result<void>> ServerRequestBody::send_continue() {
   must_send_continue_ = false;
   io_.write_timer.arm(state_.limits.transfer_timeout);
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -3,6 +3,7 @@
 /// and the response. Private to src/http.
 #pragma once
 
+#include "http/framing_budget.hpp"
 #include "http/server_connection.hpp"
 
 namespace stoneport::http {
@@ -25,12 +26,17 @@
  private:
   boost::asio::awaitable<core::Result<void>> send_continue();
   core::Error fail(const boost::system::error_code& error);
+  /// \return the end of the time for the next bytes.
+  core::MonotonicTime next_bytes_due();
 
   ServerState& state_;
   ServerSocket& io_;
   ClientWatch& watch_;
   RequestParser& parser_;
   PieceSizer sizer_;
+  FramingBudget framing_;
+  /// End of the time for the whole body; unset until its first read.
+  std::optional<core::MonotonicTime> give_up_at_;
   bool must_send_continue_;
   std::optional<core::Error> failure_;
 };
