The HTTP client bounds what stands around a body's bytes

What was seen: one of four replicas sends digits of a chunk's size, a chunk's extension or a trailer field without end; 8 of 12 items are listed, and the process takes 1.6 to 9.1 GB where the machine has 270 MB (measured by the users).

Cause: the head and the body's own bytes had limits; what the parser needs before it knows the next bytes collects in the connection's buffer, which had none. Moving a text away cancels its read, but a cancellation ends only a read that waits, and those of a fast sender never do. Ruled out: events without end and large answers, whose limits hold.

--- a/src/controllers/operator_routes.cpp
+++ b/src/controllers/operator_routes.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned kAccepted = 202;
 /// Timeout for another daemon to confirm that it is draining.
 constexpr core::Duration kPeerTimeout = std::chrono::seconds(1);
+constexpr std::uint64_t kMaxPeerAnswerBytes = 64 * 1024;
 constexpr const char* kPeerDrainPath = "/peer/drain";
 
 http::Response error_answer(core::ErrorCode code, std::string message) {
@@ -71,6 +72,7 @@
   http::SendOptions options;
   options.deadline = context->time.now() + kPeerTimeout;
   options.connect_timeout = kPeerTimeout;
+  options.max_body_bytes = kMaxPeerAnswerBytes;
   const auto response =
       co_await context->client.fetch(member.peer_address, std::move(request), options);
   co_return response.has_value() && response->head.status == kAccepted;
--- a/src/controllers/replica_watcher.cpp
+++ b/src/controllers/replica_watcher.cpp
@@ -18,6 +18,8 @@
 /// Maximum size of a push message within a packet, in bytes.
 constexpr std::size_t kPushBytes = 1200;
 constexpr core::Duration kHealthTimeout = std::chrono::seconds(1);
+/// Its text is not used.
+constexpr std::uint64_t kMaxHealthBytes = 64 * 1024;
 constexpr std::uint32_t kPermille = 1000;
 
 std::uint32_t permille(std::uint64_t part, std::uint64_t whole) {
@@ -206,6 +208,7 @@
   http::SendOptions options;
   options.deadline = time_.now() + kHealthTimeout;
   options.connect_timeout = kHealthTimeout;
+  options.max_body_bytes = kMaxHealthBytes;
   const core::Address address = watch->machine.address;
   const auto response = co_await client_.fetch(address, std::move(request), options);
   if (!response) {
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -63,6 +63,7 @@
   /// kept connection may turn out closed only after the request was written.
   bool fresh_connection = false;
   std::uint64_t max_body_bytes = std::uint64_t{1} << 30;
+  /// Of the response's head, and of all interim heads before it together.
   std::uint32_t max_header_bytes = 64 * 1024;
 };
 
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -48,6 +48,7 @@
     : address_(std::move(address)),
       counters_(std::move(counters)),
       socket_(executor),
+      buffer_(SendOptions().max_header_bytes + kBufferSpareBytes),
       timer_(executor, [this] { close(); }) {}
 
 ClientConnection::~ClientConnection() {
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -71,6 +71,7 @@
 }
 
 asio::awaitable<boost::system::error_code> ClientExchange::read_final_head() {
+  std::size_t interim_bytes = 0;
   while (true) {
     parser_.emplace();
     parser_->eager(false);
@@ -88,6 +89,10 @@
     if (error || !is_interim) {
       co_return error;
     }
+    interim_bytes += size;
+    if (interim_bytes > options_.max_header_bytes) {
+      co_return make_error_code(beast::http::error::header_limit);
+    }
   }
 }
 
@@ -137,11 +142,14 @@
     const asio::cancellation_state cancellation = co_await asio::this_coro::cancellation_state;
     const bool interrupted = cancellation.cancelled() != asio::cancellation_type::none &&
                              connection_->socket().is_open();
+    const std::size_t filled = piece.size() - window.size;
+    if (framing_.note(size, filled) && !error) {
+      error = make_error_code(beast::http::error::body_limit);
+    }
     if (error && !(interrupted && error == asio::error::operation_aborted)) {
       failure_ = failure(error);
       co_return *failure_;
     }
-    const std::size_t filled = piece.size() - window.size;
     if (filled > 0) {
       connection_->counters().response_body_bytes.Increment(static_cast<double>(filled));
       if (filled == piece.size()) {
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "http/framing_budget.hpp"
 #include "http/request_sender.hpp"
 
 namespace stoneport::http {
@@ -66,6 +67,7 @@
   boost::asio::steady_timer sender_stopped_;
   std::optional<ResponseParser> parser_;
   PieceSizer sizer_;
+  FramingBudget framing_;
   ResponseHead head_;
   std::optional<core::Error> failure_;
   bool cancelled_ = false;
--- a/src/http/server_sent_events.cpp
+++ b/src/http/server_sent_events.cpp
@@ -74,8 +74,10 @@
     std::optional<ServerSentEvent> event = parse_event(std::string_view(buffer_).substr(0, end));
     buffer_.erase(0, end);
     if (event) {
+      skipped_bytes_ = 0;
       return event;
     }
+    skipped_bytes_ += end;
   }
 }
 
@@ -96,7 +98,7 @@
     if (event && event->data.size() <= limit_bytes_) {
       co_return event;
     }
-    if (event || buffer_.size() > limit_bytes_) {
+    if (event || buffer_.size() + skipped_bytes_ > limit_bytes_) {
       co_return core::make_error(core::ErrorCode::kTooLarge,
                                  "event exceeds " + std::to_string(limit_bytes_) + " bytes");
     }
--- a/src/http/server_sent_events.hpp
+++ b/src/http/server_sent_events.hpp
@@ -21,7 +21,7 @@
 /// Reads events from a body.
 class ServerSentEventReader {
  public:
-  /// \param limit_bytes longest event; a longer one ends in kTooLarge
+  /// \param limit_bytes longest event, with the comments before it; a longer one ends in kTooLarge
   explicit ServerSentEventReader(BodySource& body, std::size_t limit_bytes = 1 << 20);
   /// \return the data of the next event, or nothing at the body's end;
   /// kTruncated when the body ends within an event.
@@ -34,6 +34,7 @@
   BodySource& body_;
   std::size_t limit_bytes_;
   std::string buffer_;
+  std::size_t skipped_bytes_ = 0;  ///< without data, such as comments, since the last event
 };
 
 /// \return one event in wire form: "data: ...\n\n".
--- a/src/jobs/item_text.cpp
+++ b/src/jobs/item_text.cpp
@@ -32,6 +32,14 @@
   checkpointed = events.size();
 }
 
+std::size_t ItemText::memory_bytes() const {
+  std::size_t bytes = events.size() * (sizeof(std::string) + sizeof(std::uint64_t));
+  for (const std::string& event : events) {
+    bytes += event.size();
+  }
+  return bytes;
+}
+
 std::string ItemText::joined() const {
   std::string text;
   for (std::size_t index = 0; index < events.size(); ++index) {
--- a/src/jobs/item_text.hpp
+++ b/src/jobs/item_text.hpp
@@ -23,6 +23,8 @@
   /// prefix of the newest lineage.
   void restore(const std::vector<Checkpoint>& checkpoints);
   std::string joined() const;
+  /// \return the memory that the events take, in bytes.
+  std::size_t memory_bytes() const;
   /// \return each version once, in ascending order.
   std::vector<std::uint64_t> distinct_versions() const;
 };
--- a/src/jobs/text_attempt.cpp
+++ b/src/jobs/text_attempt.cpp
@@ -8,6 +8,9 @@
 
 constexpr unsigned kUnprocessable = 422;
 constexpr unsigned kServerError = 500;
+/// A text of several hundred thousand tokens takes less. All slots of a replica that never ends its
+/// texts stay within the memory of a small machine.
+constexpr std::size_t kMaxTextBytes = std::size_t{4} << 20;
 
 AttemptEnd end_of_failure(const ports::CallFailure& failure) {
   AttemptEnd end;
@@ -110,6 +113,7 @@
   ports::TokenStream& stream = *opened->stream;
   std::optional<core::WeightVersion> version = stream.version();
   on_event();
+  std::size_t text_bytes = text.memory_bytes();
   while (true) {
     core::Result<std::optional<ports::TokenEvent>> event = co_await stream.next();
     if (!event) {
@@ -130,6 +134,11 @@
     if (reason) {
       co_return ended(AttemptEndKind::kUnfit, *reason, version);
     }
+    text_bytes += made.data.size() + sizeof(made.data) + sizeof(std::uint64_t);
+    if (text_bytes > kMaxTextBytes) {
+      co_return ended(AttemptEndKind::kUnfit,
+                      fmt::format("the text exceeds {} bytes", kMaxTextBytes), version);
+    }
     text.events.push_back(std::move(made.data));
     text.versions.push_back(version->value());
     on_event();
