--- a/src/jobs/text_attempt.cpp
+++ b/src/jobs/text_attempt.cpp
@@ -8,7 +8,7 @@
 
 constexpr unsigned kUnprocessable = 422;
 constexpr unsigned kServerError = 500;
-/// A text of several hundred thousand tokens takes less. All slots of a replica that never ends its
+/// A text of fifty thousand events takes less. All slots of a replica that never ends its
 /// texts stay within the memory of a small machine.
 constexpr std::size_t kMaxTextBytes = std::size_t{4} << 20;
 
--- a/tests/platform/replica_crashes_test.cpp
+++ b/tests/platform/replica_crashes_test.cpp
@@ -31,6 +31,8 @@
   milliseconds up{900};
   milliseconds down{1300};
   bool one_at_a_time = false;
+  std::size_t burst = 0;          ///< crashes after which there is a pause; 0 for none
+  milliseconds pause{0};          ///< after each burst
   bool kills_processes = false;   ///< one after each crash, which is started again
   bool stalls_processes = false;  ///< one is stopped from each crash until the replicas are back
   milliseconds gap = kSlowGap;    ///< between the events of a text, until the last crash
@@ -40,6 +42,7 @@
   CPPUNIT_TEST_SUITE(ReplicaCrashesTest);
   CPPUNIT_TEST(items_that_saw_all_replicas_crash_three_times_are_run_again);
   CPPUNIT_TEST(items_that_saw_single_replicas_crash_are_run_again);
+  CPPUNIT_TEST(items_that_saw_bursts_of_crashes_are_run_again);
   CPPUNIT_TEST(items_that_saw_ten_crashes_in_quick_succession_are_run_again);
   CPPUNIT_TEST(items_are_run_again_when_processes_are_killed_between_the_crashes);
   CPPUNIT_TEST(items_are_run_again_when_processes_stall_between_the_crashes);
@@ -135,6 +138,9 @@
       if (series.stalls_processes) {
         world.platform.send_signal(process, SIGCONT);
       }
+      if (series.burst > 0 && (crash + 1) % series.burst == 0) {
+        std::this_thread::sleep_for(series.pause);
+      }
     }
     world.set_gap(kQuickGap);
     for (std::size_t process = 0; process < kProcesses; ++process) {
@@ -149,6 +155,17 @@
     check({.crashes = 12, .up = milliseconds(600), .one_at_a_time = true});
   }
 
+  /// Three bursts of five crashes, each of one replica of four, which is back when the next one
+  /// crashes.
+  void items_that_saw_bursts_of_crashes_are_run_again() {
+    check({.crashes = 15,
+           .up = milliseconds(400),
+           .down = milliseconds(400),
+           .one_at_a_time = true,
+           .burst = 5,
+           .pause = milliseconds(3600)});
+  }
+
   /// The texts advance by an event or none between the crashes.
   void items_that_saw_ten_crashes_in_quick_succession_are_run_again() {
     check({.crashes = 10,
