--- a/tests/platform/replica_crashes_test.cpp
+++ b/tests/platform/replica_crashes_test.cpp
@@ -5,6 +5,9 @@
 /// out of time. Accepted work is owed however many replicas crash under it.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <csignal>
+#include <set>
+
 #include "http/base64.hpp"
 #include "platform/names.hpp"
 #include "platform_support/platform_stand_in.hpp"
