A response whose status is outside 100 to 599 is a failed exchange

What callers saw: a replica answered `HTTP/1.1 000 OK`, otherwise whole. The caller's connection was closed without a byte, for safe requests also with a sound replica beside it; the log said request_done with status 0. 001 and 099 the same. 600 and 999 were passed on as `<unknown-status>`.

Cause: Beast's parser takes any three digits for a status, and the one reader of responses, ClientExchange::read_head(), took what the parser gave. A status below 400 counts as a success, so that the request was not tried again and the replica was judged well; the server then refused to send such a status, and its handler had nothing else to send.

Ruled out: the field names, values, framings and cut heads of the reports. The parser refuses them; their forms are in the same tests and passed before.

Change: read_head() ends the exchange with kProtocol, as for a switch of protocols (RFC 9110, section 15: a recipient treats such a status as a failure of the server). Everything that reads responses goes through it: calls, streams, reports and orders of replicas, the store, duties, health checks, the ports of stoneportd, operators' commands.

EndlessReplicasTest uses the same raw replica as the new tests; its cases and bounds are unchanged. PeerControlPlaneTest keeps the metrics of its nodes until its execution context is destroyed: what is left on it counted its end in freed metrics, a segmentation fault once the new case failed.

--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -59,13 +59,18 @@
   if (!sender_.any_byte_sent()) {
     co_return protocol_failure("a response came before its request");
   }
-  if (message.result_int() == 101) {
+  const unsigned status = message.result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    co_return protocol_failure("the response's status " + std::to_string(status) + " is outside " +
+                               std::to_string(kMinStatus) + " to " + std::to_string(kMaxStatus));
+  }
+  if (status == 101) {
     co_return protocol_failure("the server switched protocols unasked");
   }
   if (parser_->need_eof()) {
     co_return protocol_failure("the response does not tell the length of its body");
   }
-  head_.status = message.result_int();
+  head_.status = status;
   head_.headers = to_header_map(message);
   co_return std::nullopt;
 }
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -43,6 +43,11 @@
   HeaderMap headers;
 };
 
+/// Range of the statuses of responses. A recipient treats a response with another one as a failure
+/// of the server (RFC 9110, section 15).
+inline constexpr unsigned kMinStatus = 100;
+inline constexpr unsigned kMaxStatus = 599;
+
 struct ResponseHead {
   unsigned status = 200;
   HeaderMap headers;
--- a/tests/contract/caller_faults_test.cpp
+++ b/tests/contract/caller_faults_test.cpp
@@ -29,6 +29,10 @@
     {"not run by its own word", Fault::kNotRun, "completed", "not-run", 0},
     {"plain 503", Fault::kUnavailable, "completed", "completed", 1},
     {"plain 429", Fault::kTooManyRequests, "completed", "completed", 1},
+    {"status 000", Fault::kZeroStatus, "completed", "unknown", 1},
+    {"status 600", Fault::kLargeStatus, "completed", "unknown", 1},
+    {"a blank in a name", Fault::kBlankInName, "completed", "unknown", 1},
+    {"a control byte in a name", Fault::kControlInName, "completed", "unknown", 1},
 };
 
 std::string outcome_of(const CallerView& view) {
--- a/tests/contract/faulty_back_end.hpp
+++ b/tests/contract/faulty_back_end.hpp
@@ -27,6 +27,10 @@
   kNotRun,             ///< 503 that says the request was not run
   kUnavailable,        ///< plain 503
   kTooManyRequests,    ///< plain 429
+  kZeroStatus,         ///< runs it, answers with status 000
+  kLargeStatus,        ///< runs it, answers with status 600
+  kBlankInName,        ///< runs it, answers with a blank at the end of a field's name
+  kControlInName,      ///< runs it, answers with a control byte in a field's name
 };
 
 class FaultyBackEnd {
@@ -176,6 +180,14 @@
         return response("503 Service Unavailable", "Retry-After: 7\r\n", "busy");
       case Fault::kTooManyRequests:
         return response("429 Too Many Requests", "", "busy");
+      case Fault::kZeroStatus:
+        return response("000 OK", "", "broken");
+      case Fault::kLargeStatus:
+        return response("600 OK", "", "broken");
+      case Fault::kBlankInName:
+        return response("200 OK", "X-Name : x\r\n", "broken");
+      case Fault::kControlInName:
+        return response("200 OK", "X\x01Name: x\r\n", "broken");
       default:
         return response("200 OK", extra_headers,
                         start + " [" + (body.size() > 100 ? "long" : body) + "]" + extra_body);
--- a/tests/contract/http_client_faults_test.cpp
+++ b/tests/contract/http_client_faults_test.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// What the HTTP client makes of servers that refuse, cut, stall or babble.
 #include "contract/scripted_server.hpp"
+#include "support/broken_answers.hpp"
 
 namespace stoneport::http_test {
 namespace {
@@ -121,6 +122,7 @@
 class HttpClientFaultsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(HttpClientFaultsTest);
   CPPUNIT_TEST(faults_after_sending_are_told_apart);
+  CPPUNIT_TEST(broken_heads_are_no_responses);
   CPPUNIT_TEST(nothing_sent_is_said_only_before_the_first_byte);
   CPPUNIT_TEST(connection_is_reused_only_when_clean);
   CPPUNIT_TEST(kept_connection_closed_by_the_server_is_not_used);
@@ -154,6 +156,21 @@
     }
   }
 
+  /// A status outside 100 to 599 was a response; whoever passed it on could not send it.
+  void broken_heads_are_no_responses() {
+    for (const tests::BrokenAnswer& answer : tests::answers_with_broken_head("")) {
+      ScriptedServer server(answer_with(answer.bytes, Ending::kClose));
+      const auto response = server.fetch();
+      CPPUNIT_ASSERT_MESSAGE(answer.name, !response);
+      const ErrorCode code = response.error().error.code;
+      CPPUNIT_ASSERT_MESSAGE(answer.name + ": " + response.error().error.message,
+                             code == ErrorCode::kProtocol || code == ErrorCode::kTruncated ||
+                                 (answer.bytes.empty() && code == ErrorCode::kOutcomeUnknown));
+      CPPUNIT_ASSERT_MESSAGE(answer.name, response.error().progress == RequestProgress::kMaybeSent);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.name, 1.0, server.counter("connections_closed_total"));
+    }
+  }
+
   void nothing_sent_is_said_only_before_the_first_byte() {
     core::Metrics metrics;  // what is left on the context counts its end
     asio::io_context context;
--- a/tests/contract/malformed_answers_test.cpp
+++ b/tests/contract/malformed_answers_test.cpp
@@ -4,17 +4,20 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "contract/platform_fixture.hpp"
+#include "contract/scripted_server.hpp"
 #include "ports/engine_codec.hpp"
 #include "ports/http_machine_list.hpp"
 #include "ports/http_model_engine.hpp"
 #include "ports/http_scoring_service.hpp"
 #include "ports/http_table_service.hpp"
 #include "ports/http_weight_store.hpp"
+#include "support/broken_answers.hpp"
 #include "support/malformed_input.hpp"
 
 namespace stoneport::platform_test {
 namespace {
 
+using http_test::tcp;
 using ports::HttpEndpoint;
 using ports::TablePriority;
 
@@ -80,6 +83,7 @@
   CPPUNIT_TEST_SUITE(MalformedAnswersTest);
   CPPUNIT_TEST(answers_get_typed_errors);
   CPPUNIT_TEST(refusals_keep_their_code);
+  CPPUNIT_TEST(broken_heads_get_typed_errors);
   CPPUNIT_TEST(stream_events_get_typed_errors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +113,31 @@
     }
   }
 
+  /// A status outside 100 to 599 was taken for a success or for the server's refusal.
+  void broken_heads_get_typed_errors() {
+    for (const PortCall& call : calls_that_read_an_answer()) {
+      for (const tests::BrokenAnswer& answer : tests::answers_with_broken_head("")) {
+        http_test::ScriptedServer server([&](tcp::socket socket) -> asio::awaitable<void> {
+          std::string request;
+          co_await http_test::read_until(socket, request, "\r\n\r\n");
+          co_await http_test::write_raw(socket, answer.bytes);
+          socket.shutdown(tcp::socket::shutdown_send);
+          co_await http_test::read_to_end(socket);
+        });
+        ClientFixture client(server.context);
+        const CallEnd end =
+            http_test::run(server.context, call.call(client.endpoint(server.address())));
+        const std::string name = std::string(call.name) + ", " + answer.name;
+        // A read whose answer is cut may be tried again.
+        const bool is_typed =
+            end && (call.kind == CallKind::kEffect ? end->code == ErrorCode::kOutcomeUnknown
+                                                   : end->code == ErrorCode::kProtocol ||
+                                                         end->code == ErrorCode::kUnavailable);
+        CPPUNIT_ASSERT_MESSAGE(name + ": " + describe(end), is_typed);
+      }
+    }
+  }
+
   void stream_events_get_typed_errors() {
     for (const tests::MalformedDocument& document : tests::malformed_documents()) {
       ports::StreamEventParser parser(core::StreamId("stream"), 0);
--- a/tests/contract/peer_control_plane_test.cpp
+++ b/tests/contract/peer_control_plane_test.cpp
@@ -7,11 +7,13 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "contract/http_fixture.hpp"
 #include "contract/peer_fixture.hpp"
 #include "controllers/gossip_endpoint.hpp"
 #include "controllers/operator_routes.hpp"
 #include "controllers/policy_versions_controller.hpp"
 #include "http/server.hpp"
+#include "support/broken_answers.hpp"
 #include "support/fake_table_service.hpp"
 #include "support/reporting_engine.hpp"
 #include "support/run_task.hpp"
@@ -56,6 +58,43 @@
   }
 };
 
+/// A service on a raw socket, which answers each health check with given bytes and closes.
+class RawService {
+ public:
+  explicit RawService(asio::io_context& context)
+      : acceptor_(context, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
+    asio::co_spawn(context, accept(), asio::detached);
+  }
+
+  ports::Machine machine() const {
+    ports::Machine machine;
+    machine.id = "service-1";
+    machine.role = ports::MachineRole::kService;
+    machine.serves = "ledger";
+    machine.address = {"127.0.0.1", acceptor_.local_endpoint().port()};
+    machine.incarnation = core::Incarnation(1);
+    return machine;
+  }
+
+  std::string answer;
+  int checks = 0;
+
+ private:
+  asio::awaitable<void> accept() {
+    while (true) {
+      auto [error, socket] = co_await acceptor_.async_accept(http_test::kTuple);
+      if (error) {
+        co_return;
+      }
+      std::string request;
+      co_await http_test::read_until(socket, request, "\r\n\r\n");
+      ++checks;
+      co_await http_test::write_raw(socket, answer);
+    }
+  }
+  asio::ip::tcp::acceptor acceptor_;
+};
+
 GossipSettings quick_gossip() {
   GossipSettings settings;
   settings.probe_interval = 100ms;
@@ -69,8 +108,11 @@
 /// Control plane of one daemon.
 class Node {
  public:
-  Node(asio::io_context& context, Platform& platform, int number, const core::TimeSource& time)
+  /// \param node_metrics outlive the context: what is left on it counts its end
+  Node(asio::io_context& context, Platform& platform, int number, const core::TimeSource& time,
+       core::Metrics& node_metrics)
       : executor_(context.get_executor()),
+        metrics(node_metrics),
         endpoint_(executor_, metrics),
         client_(executor_, "control", metrics),
         admin_(executor_, "admin", {}, admin_router_, metrics),
@@ -113,6 +155,11 @@
     }
     return std::nullopt;
   }
+  bool sees_service(const std::string& name, routing::ReplicaState state) const {
+    const auto table = routing.current();
+    const auto found = table->services.find(core::ServiceName(name));
+    return found != table->services.end() && found->second.front().state == state;
+  }
   bool sees(const std::string& id, routing::ReplicaState state) const {
     const auto found = replica(id);
     return found && found->state == state && found->digest.has_value();
@@ -150,7 +197,7 @@
   asio::any_io_executor executor_;
 
  public:
-  core::Metrics metrics;
+  core::Metrics& metrics;
   int stops = 0;
 
  private:
@@ -175,6 +222,7 @@
   CPPUNIT_TEST(every_daemon_sees_what_two_of_them_watch);
   CPPUNIT_TEST(a_first_report_of_leaving_reaches_all_and_is_permanent);
   CPPUNIT_TEST(a_dead_engine_is_down_for_all);
+  CPPUNIT_TEST(a_service_with_broken_health_answers_is_down_for_all);
   CPPUNIT_TEST(operators_read_members_replicas_weights_and_status);
   CPPUNIT_TEST(operators_drain_a_replica);
   CPPUNIT_TEST(operators_drain_another_daemon_and_their_own);
@@ -188,7 +236,9 @@
     first_engine_ = &platform_->add_engine("engine-1", 9001);
     platform_->add_engine("engine-2", 9002);
     for (int number = 0; number < 3; ++number) {
-      nodes_.push_back(std::make_unique<Node>(context_, *platform_, number, time_));
+      metrics_.push_back(std::make_unique<core::Metrics>());
+      nodes_.push_back(
+          std::make_unique<Node>(context_, *platform_, number, time_, *metrics_.back()));
       ports::Machine machine;
       machine.id = "node-" + std::to_string(number);
       machine.address = nodes_.back()->gossip.self().gossip_address;
@@ -257,6 +307,28 @@
     });
   }
 
+  /// Any answer to a health check shows that the service lives; bytes that are none do not.
+  void a_service_with_broken_health_answers_is_down_for_all() {
+    const std::string sound = "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+    RawService service(context_);
+    service.answer = sound;
+    platform_->list.machines.push_back(service.machine());
+    for (const tests::BrokenAnswer& broken : tests::answers_with_invalid_status("")) {
+      service.answer = sound;
+      wait_for(context_, [&] {
+        return all(
+            [](Node& node) { return node.sees_service("ledger", routing::ReplicaState::kUsable); });
+      });
+      service.answer = broken.bytes;
+      const int checks = service.checks;
+      wait_for(context_, [&] {
+        CPPUNIT_ASSERT_MESSAGE(broken.name, service.checks < checks + 100);
+        return all(
+            [](Node& node) { return node.sees_service("ledger", routing::ReplicaState::kDown); });
+      });
+    }
+  }
+
   void operators_read_members_replicas_weights_and_status() {
     nodes_[1]->gossip.announce_policy_version({core::PolicyName("policy"), core::WeightVersion(4)});
     wait_for(context_, [&] {
@@ -358,6 +430,7 @@
   }
 
   core::SystemTimeSource time_;
+  std::vector<std::unique_ptr<core::Metrics>> metrics_;  ///< one a node
   asio::io_context context_;
   std::unique_ptr<Platform> platform_;
   ReportingEngine* first_engine_ = nullptr;
--- a/tests/platform/endless_replicas_test.cpp
+++ b/tests/platform/endless_replicas_test.cpp
@@ -5,110 +5,35 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <thread>
 
-#include "platform/names.hpp"
 #include "platform_support/platform_stand_in.hpp"
+#include "platform_support/raw_replica.hpp"
 #include "support/endless_bytes.hpp"
 
 namespace stoneport::tests {
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
+using boost::asio::ip::tcp;
 
 constexpr std::uint64_t kMachineMb = 270;
 constexpr std::size_t kItems = 12;
 
-/// A replica that answers whatever it is asked with a message without end. Its calls run on threads
-/// of their own, which end with their connections.
+/// A replica that answers whatever it is asked with a message without end.
 class EndlessReplica {
  public:
-  EndlessReplica() : acceptor_(context_, tcp::endpoint(asio::ip::address_v4::loopback(), 0)) {
-    accepting_ = std::thread([this] { accept(); });
-  }
-  ~EndlessReplica() {
-    stopped_ = true;
-    boost::system::error_code ignored;
-    tcp::socket waker(context_);
-    waker.connect(acceptor_.local_endpoint(), ignored);
-    accepting_.join();
-    for (std::thread& call : calls_) {
-      call.join();
-    }
-  }
-  core::Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
   /// The form of the answers from now on.
   void use(std::size_t form) { form_ = form; }
   static std::size_t forms() { return endless_answers("").size(); }
   static std::string name_of(std::size_t form) { return endless_answers("")[form].name; }
-  std::uint32_t answers() const { return answers_; }
-
-  /// The entry of such a replica in the store.
-  std::string entry(const std::string& service) const {
-    const bool is_model = service == "models";
-    nlohmann::json models = nlohmann::json::array();
-    if (is_model) {
-      models.push_back({{"name", "model"}, {"version", 1}, {"adapters", nlohmann::json::array()}});
-    }
-    return nlohmann::json({{"service", service},
-                           {"address", core::to_string(address())},
-                           {"zone", "zone-a"},
-                           {"version", "v1"},
-                           {"slots", 8},
-                           {"coldRemainingMs", 0},
-                           {"state", "ready"},
-                           {"models", models}})
-        .dump();
-  }
+  std::uint32_t answers() const { return replica_.requests(); }
+  std::string entry(const std::string& service) const { return replica_.entry(service); }
 
  private:
-  void accept() {
-    while (true) {
-      tcp::socket socket(context_);
-      acceptor_.accept(socket);
-      if (stopped_) {
-        return;
-      }
-      calls_.emplace_back(
-          [this, call = std::make_shared<tcp::socket>(std::move(socket))] { answer(*call); });
-    }
-  }
-  void answer(tcp::socket& socket) {
-    std::string request;
-    boost::system::error_code error;
-    asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
-    if (error) {
-      return;
-    }
-    ++answers_;
-    const std::string fields = "Content-Type: text/event-stream\r\n" +
-                               std::string(platform::kRequestIdHeader) + ": " + id_in(request) +
-                               "\r\n" + std::string(platform::kStampHeader) + ": stamp\r\n" +
-                               std::string(platform::kVersionsHeader) + ": 1\r\n";
-    send_endlessly(socket, endless_answers(fields)[form_]);
-  }
-  static std::string id_in(const std::string& request) {
-    const std::string field = std::string(platform::kRequestIdHeader) + ": ";
-    const std::size_t at = request.find(field);
-    if (at == std::string::npos) {
-      return "";
-    }
-    const std::size_t start = at + field.size();
-    return request.substr(start, request.find('\r', start) - start);
-  }
-
-  asio::io_context context_;
-  tcp::acceptor acceptor_;
-  std::atomic<bool> stopped_ = false;
   std::atomic<std::size_t> form_ = 0;
-  std::atomic<std::uint32_t> answers_ = 0;
-  std::vector<std::thread> calls_;  ///< used by the accepting thread, and after its end
-  std::thread accepting_;
+  RawReplica replica_{[this](tcp::socket& socket, const RawReplica::Request& request) {
+    send_endlessly(socket, endless_answers(request.answer_fields)[form_]);
+  }};
 };
 
 class EndlessReplicasTest : public CppUnit::TestFixture {
