A broken answer on a kept connection counts against its replica

What callers saw: nothing by itself. A replica that begins to send broken answers was not judged by those that came on connections kept from before, one free failure a connection, and not at all where it answers well in between.

Cause: any failure on a kept connection was taken for the close of an idle connection that crosses a request, which says nothing about a replica. Bytes that are no answer cannot come from such a close.

Change: an exchange counts as one on a stale connection only if it ended before a response began.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -114,7 +114,7 @@
         self->pool_, std::move(*connection), std::move(*wire), std::move(body), options);
     std::optional<ClientError> error = co_await exchange->run();
     if (error) {
-      error->on_kept_connection = is_reused;
+      error->stale_connection = is_reused && !exchange->response_began();
       co_return std::move(*error);
     }
     co_return std::unique_ptr<ClientResponse>(std::make_unique<PooledResponse>(exchange));
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -26,9 +26,9 @@
 struct ClientError {
   core::Error error;
   RequestProgress progress = RequestProgress::kNothingSent;
-  /// The request went out on a kept connection, which the other side may have closed
-  /// before it arrived.
-  bool on_kept_connection = false;
+  /// The request went out on a kept connection that ended before a response began: the other side
+  /// may have closed it before the request arrived.
+  bool stale_connection = false;
 };
 
 [[noreturn]] inline void throw_exception_from_error(const ClientError& error,
--- a/src/http/client_exchange.cpp
+++ b/src/http/client_exchange.cpp
@@ -224,6 +224,10 @@
   }
 }
 
+bool ClientExchange::response_began() const {
+  return parser_->got_some() || connection_->buffer().size() > 0;
+}
+
 RequestProgress ClientExchange::progress() const {
   return sender_.any_byte_sent() ? RequestProgress::kMaybeSent : RequestProgress::kNothingSent;
 }
@@ -241,8 +245,7 @@
   if (cancelled) {
     return core::make_error(core::ErrorCode::kCancelled, "the exchange was cancelled");
   }
-  const bool response_began = parser_->got_some() || connection_->buffer().size() > 0;
-  if (!response_began) {
+  if (!response_began()) {
     counters.failures_before_response.Increment();
     const bool unsent = progress() == RequestProgress::kNothingSent;
     return core::make_error(
--- a/src/http/client_exchange.hpp
+++ b/src/http/client_exchange.hpp
@@ -33,6 +33,8 @@
   /// unfinished request is sent while the response's body is read.
   boost::asio::awaitable<std::optional<ClientError>> run();
   const ResponseHead& head() const { return head_; }
+  /// \return whether any byte came where a response is due.
+  bool response_began() const;
   /// \return the bytes of the body that were not read yet; nullopt if its length is not known.
   std::optional<std::uint64_t> body_bytes_left() const;
   void set_deadline(core::MonotonicTime deadline);
--- a/tests/platform/broken_answer_readers_test.cpp
+++ b/tests/platform/broken_answer_readers_test.cpp
@@ -102,6 +102,7 @@
   CPPUNIT_TEST(orders_to_replicas);
   CPPUNIT_TEST(calls_to_the_store);
   CPPUNIT_TEST(calls_for_duties);
+  CPPUNIT_TEST(a_replica_is_judged_by_a_broken_answer_on_a_kept_connection);
   CPPUNIT_TEST_SUITE_END();
 
   /// Every form of a broken answer: \p check gets a world for each, and the form's name.
@@ -175,6 +176,22 @@
       CPPUNIT_ASSERT_MESSAGE(form, !order && order.error().code == ErrorCode::kOutcomeUnknown);
     });
   }
+
+  /// A kept connection that its replica has closed meanwhile says nothing about the replica; bytes
+  /// that are no answer do.
+  void a_replica_is_judged_by_a_broken_answer_on_a_kept_connection() {
+    const std::string sound =
+        "HTTP/1.1 200 OK\r\n" + answer_fields() + "Content-Length: 4\r\n\r\nbody";
+    for (const tests::BrokenAnswer& broken : tests::answers_with_broken_head(answer_fields())) {
+      World world({sound, broken.bytes});
+      CPPUNIT_ASSERT_MESSAGE(broken.name, world.call_replica().has_value());
+      const auto answer = world.call_replica();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, 1, world.server.connections);
+      CPPUNIT_ASSERT_MESSAGE(broken.name, !answer);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(broken.name, broken.bytes.empty(),
+                                   answer.error().stale_connection);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerReadersTest);
