stoneportd: a broken answer makes its replica suspect, and is 502 in the end

What callers saw: with a replica that sends broken answers beside a sound one, requests went to the broken one again and again until the budget for retries was used up: of ten repeatable requests the later ones ended as unknown. Where no other replica was left the status was 503, which says that the request has not run, though Stoneport-Outcome said `unknown`.

Cause: AttemptFilter judged replicas by connections that cannot be opened alone. The refusal after attempts took its status from whatever ended the last look for a replica ("none is usable": 503) or, over the budget, from the exchange itself (a malformed answer: 400, as if the caller were at fault). CompletionFilter chose its status in the same way.

Change: an answer whose head cannot be read makes its replica suspect for the usual 5 s, and the first one is logged with its reason; a request whose own body was broken does not count. A request that may have run ends with 502 or 504, completions too unless an engine found fault with the request.

Not changed: an engine is not suspect for a stream that breaks. Its error does not tell a broken answer from a kept connection that was closed.

Evidence: on CallerFaultsTest:: replicas_that_send_broken_answers_are_suspect_at_once (expected completed, unknown) and a_broken_answer_without_another_replica_is_502 (503) fail, and with the rule of CompletionFilter as before CallerCompletionsTest:: streams_that_break_at_all_engines_are_502 (503). They pass now. a_broken_request_is_no_fault_of_the_replica passed before too: it guards the exception.

--- a/src/filters/attempt_filter.cpp
+++ b/src/filters/attempt_filter.cpp
@@ -1,5 +1,7 @@
 #include "filters/attempt_filter.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include "filters/back_end_exchange.hpp"
 
 namespace stoneport::filters {
@@ -9,6 +11,12 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
 
+/// \return whether an exchange with \p code ended by what the replica sent for an answer.
+bool is_broken_answer(core::ErrorCode code) {
+  return code == core::ErrorCode::kProtocol || code == core::ErrorCode::kTruncated ||
+         code == core::ErrorCode::kTooLarge;
+}
+
 routing::LoadSignal load_signal_of(const http::ResponseHead& head) {
   const bool is_shed = head.status == kTooManyRequests || head.status == kServiceUnavailable;
   return is_shed ? routing::LoadSignal::kOverloaded : routing::LoadSignal::kHealthy;
@@ -22,8 +30,16 @@
   bool may_have_run = false;
   bool any_byte_sent = false;
 
+  /// A request that may have run gets 502 or 504: another status would say that it has not run, or
+  /// that its caller is at fault.
   Refused refuse(core::Error error) const {
-    return may_have_run ? unknown(std::move(error)) : not_run(std::move(error));
+    if (!may_have_run) {
+      return not_run(std::move(error));
+    }
+    if (error.code != core::ErrorCode::kDeadlineExceeded) {
+      error.code = core::ErrorCode::kOutcomeUnknown;
+    }
+    return unknown(std::move(error));
   }
 };
 
@@ -76,7 +92,7 @@
   auto sent =
       co_await send_to_back_end(client_, request, std::move(address), std::move(head), body);
   if (!sent) {
-    co_return failure_of_exchange(sent.error(), replica);
+    co_return failure_of_exchange(sent.error(), body, replica);
   }
   http::ClientResponse& answer = **sent;
   const routing::LoadSignal signal = load_signal_of(answer.head());
@@ -94,6 +110,7 @@
 }
 
 AttemptFilter::Failure AttemptFilter::failure_of_exchange(const http::ClientError& error,
+                                                          const ReplayBody& body,
                                                           routing::ChosenReplica& replica) {
   const core::MonotonicTime now = time_.now();
   const bool not_sent = error.progress == http::RequestProgress::kNothingSent;
@@ -102,6 +119,13 @@
     replica.suspect(now);
     observer_.replica_unreachable(replica.id(), replica.incarnation());
   }
+  if (is_broken_answer(error.error.code) && !body.source_failure()) {
+    metrics_.broken_answers.Increment();
+    if (replica.suspect(now)) {
+      spdlog::warn("replica {} is suspect: it sent a broken answer: {}", replica.id().value(),
+                   error.error.message);
+    }
+  }
   const bool is_late = error.error.code == core::ErrorCode::kDeadlineExceeded;
   replica.finish(is_late ? routing::LoadSignal::kOverloaded : routing::LoadSignal::kNeutral, now);
   return {error.error, not_sent, !not_sent};
@@ -114,20 +138,15 @@
   if (std::optional<Outcome> ended = caller_side_failure(request, body, attempts)) {
     return ended;
   }
-  core::Error error = failure.error;
   const bool may_send_again = request.repeatable || !attempts.any_byte_sent;
   const core::MonotonicTime now = time_.now();
   const bool has_attempts = attempts.replicas.size() < request.service_template->max_attempts;
   if (!may_send_again || !has_attempts || !body.can_rewind() || now >= request.deadline) {
-    const bool is_late = error.code == core::ErrorCode::kDeadlineExceeded;
-    if (attempts.may_have_run && !is_late) {
-      error.code = core::ErrorCode::kOutcomeUnknown;
-    }
-    return attempts.refuse(std::move(error));
+    return attempts.refuse(failure.error);
   }
   if (!pools_.of_service(*request.service_template).retry_budget().try_retry(now)) {
     metrics_.retries_over_budget.Increment();
-    return attempts.refuse(std::move(error));
+    return attempts.refuse(failure.error);
   }
   return std::nullopt;
 }
--- a/src/filters/attempt_filter.hpp
+++ b/src/filters/attempt_filter.hpp
@@ -33,7 +33,8 @@
 
   boost::asio::awaitable<AttemptEnd> attempt(RequestContext& request, ReplayBody& body,
                                              routing::ChosenReplica replica);
-  Failure failure_of_exchange(const http::ClientError& error, routing::ChosenReplica& replica);
+  Failure failure_of_exchange(const http::ClientError& error, const ReplayBody& body,
+                              routing::ChosenReplica& replica);
   /// \return the final outcome, or nothing when another attempt may be made now.
   std::optional<Outcome> give_up(RequestContext& request, const ReplayBody& body,
                                  Attempts& attempts, const Failure& failure);
--- a/src/filters/caller_metrics.cpp
+++ b/src/filters/caller_metrics.cpp
@@ -28,6 +28,8 @@
                                           "Retries that the budget did not allow")),
       replicas_unreachable(metrics.counter("stoneport_caller_replicas_unreachable_total",
                                            "Connections to replicas that could not be opened")),
+      broken_answers(metrics.counter("stoneport_caller_broken_answers_total",
+                                     "Answers of replicas whose head could not be read")),
       back_end_not_run(metrics.counter("stoneport_caller_back_end_not_run_total",
                                        "Requests that a back end said it did not run")),
       refused_overload(metrics.counter("stoneport_caller_refused_overload_total",
--- a/src/filters/caller_metrics.hpp
+++ b/src/filters/caller_metrics.hpp
@@ -19,6 +19,7 @@
   prometheus::Counter& retries;
   prometheus::Counter& retries_over_budget;
   prometheus::Counter& replicas_unreachable;
+  prometheus::Counter& broken_answers;
   prometheus::Counter& back_end_not_run;
   prometheus::Counter& refused_overload;
   prometheus::Counter& claims_replayed;
--- a/src/filters/completion_filter.cpp
+++ b/src/filters/completion_filter.cpp
@@ -99,7 +99,7 @@
     core::Result<routing::ChosenReplica> replica =
         pools_.of_model(completion.model).choose(choice, time_.now());
     if (!replica) {
-      co_return Refused{run.kind(), replica.error()};
+      co_return refuse(run, replica.error());
     }
     run.tried.push_back(replica->id());
     metrics_.attempts.Increment();
@@ -253,6 +253,15 @@
       is_overload ? routing::LoadSignal::kOverloaded : routing::LoadSignal::kNeutral, now);
 }
 
+/// A completion that may have run gets 502 where engines failed: another status would say that it
+/// has not run, or that its caller is at fault.
+Refused CompletionFilter::refuse(const Run& run, core::Error error) {
+  if (run.may_have_run && may_help_elsewhere(error.code)) {
+    error.code = ErrorCode::kOutcomeUnknown;
+  }
+  return Refused{run.kind(), std::move(error)};
+}
+
 std::optional<Outcome> CompletionFilter::give_up(Run& run, const core::Error& error) {
   if (run.request.response->client_gone()) {
     return caller_left(run.kind());
@@ -263,11 +272,11 @@
   const core::MonotonicTime now = time_.now();
   const bool has_attempts = run.tried.size() < kMostAttempts;
   if (!has_attempts || !may_help_elsewhere(error.code) || now >= run.request.deadline) {
-    return Refused{run.kind(), error};
+    return refuse(run, error);
   }
   if (!pools_.of_model(run.completion.model).retry_budget().try_retry(now)) {
     metrics_.retries_over_budget.Increment();
-    return Refused{run.kind(), error};
+    return refuse(run, error);
   }
   metrics_.retries.Increment();
   return std::nullopt;
--- a/src/filters/completion_filter.hpp
+++ b/src/filters/completion_filter.hpp
@@ -48,6 +48,7 @@
                                                  ports::TokenStream& stream);
   boost::asio::awaitable<AttemptEnd> pass_on(Run& run, const ports::TokenChunk& chunk);
   boost::asio::awaitable<Outcome> finish(Run& run);
+  Refused refuse(const Run& run, core::Error error);
   std::optional<Outcome> give_up(Run& run, const core::Error& error);
   void note_failure(Run& run, Attempt& attempt, const core::Error& error);
   ports::GenerationRequest generation(const Run& run, const Attempt& attempt) const;
--- a/src/routing/replica_load.hpp
+++ b/src/routing/replica_load.hpp
@@ -16,7 +16,7 @@
 
 namespace stoneport::routing {
 
-/// How long a replica remains suspect after this process failed to reach it.
+/// How long a replica remains suspect after this process failed to reach it or got a broken answer.
 inline constexpr core::Duration kLocalSuspicion = std::chrono::seconds(5);
 
 class ReplicaLoad : public std::enable_shared_from_this<ReplicaLoad> {
@@ -33,7 +33,7 @@
   AdaptiveLimit& limit() { return limit_; }
   const AdaptiveLimit& limit() const { return limit_; }
 
-  /// Marks this incarnation of the replica as temporarily unreachable.
+  /// Marks this incarnation of the replica as suspect for kLocalSuspicion.
   void suspect(core::Incarnation incarnation, core::MonotonicTime now);
   /// Ends a suspicion immediately, after an answer.
   void trust() { suspect_until_ = {}; }
--- a/src/routing/replica_pool.cpp
+++ b/src/routing/replica_pool.cpp
@@ -31,10 +31,13 @@
   }
 }
 
-void ChosenReplica::suspect(core::MonotonicTime now) {
-  if (load_ != nullptr) {
-    load_->suspect(incarnation_, now);
+bool ChosenReplica::suspect(core::MonotonicTime now) {
+  if (load_ == nullptr) {
+    return false;
   }
+  const bool was_suspect = load_->is_suspect(incarnation_, now);
+  load_->suspect(incarnation_, now);
+  return !was_suspect;
 }
 
 void ChosenReplica::remember_prefixes(std::span<const std::uint64_t> prefixes,
--- a/src/routing/replica_pool.hpp
+++ b/src/routing/replica_pool.hpp
@@ -27,8 +27,9 @@
   const core::Address& address() const { return address_; }
   core::Incarnation incarnation() const { return incarnation_; }
   void finish(LoadSignal signal, core::MonotonicTime now);
-  /// Marks the replica as unreachable: it gets no work while other replicas are usable.
-  void suspect(core::MonotonicTime now);
+  /// Marks the replica as suspect: it gets no work while other replicas are usable.
+  /// \return whether it was not suspect before
+  bool suspect(core::MonotonicTime now);
   /// Records the prefixes that this attempt leaves in the replica's cache.
   void remember_prefixes(std::span<const std::uint64_t> prefixes, core::MonotonicTime now);
 
--- a/tests/contract/caller_completions_test.cpp
+++ b/tests/contract/caller_completions_test.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(whole_completions_carry_their_versions);
   CPPUNIT_TEST(broken_streams);
   CPPUNIT_TEST(engines_that_refuse);
+  CPPUNIT_TEST(streams_that_break_at_all_engines_are_502);
   CPPUNIT_TEST(malformed_requests);
   CPPUNIT_TEST(members_reach_the_engine);
   CPPUNIT_TEST(a_leaving_caller_cancels_the_stream);
@@ -243,6 +244,19 @@
     }
   }
 
+  /// A 503 said that the completion has not run, after every engine had begun it.
+  void streams_that_break_at_all_engines_are_502() {
+    for (const ErrorCode code :
+         {ErrorCode::kProtocol, ErrorCode::kTruncated, ErrorCode::kUnavailable}) {
+      CompletionFixture fixture;
+      fixture.first->script = {failure(code)};
+      fixture.second->script = {failure(code)};
+      const CallerView view = fixture.complete(false);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(std::string(core::to_string(code)), 502u, view.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"), view.outcome);
+    }
+  }
+
   void malformed_requests() {
     struct Case {
       const char* body;
--- a/tests/contract/caller_faults_test.cpp
+++ b/tests/contract/caller_faults_test.cpp
@@ -1,6 +1,8 @@
 /// \file
 /// What a caller is told, and how often a back end runs a request, for each
 /// place where an exchange may break.
+#include <array>
+
 #include "contract/caller_fixture.hpp"
 
 namespace stoneport::caller_test {
@@ -35,6 +37,10 @@
     {"a control byte in a name", Fault::kControlInName, "completed", "unknown", 1},
 };
 
+/// Faults by which the head of an answer cannot be read.
+constexpr std::array kBrokenHeads = {Fault::kCutHead, Fault::kZeroStatus, Fault::kLargeStatus,
+                                     Fault::kBlankInName, Fault::kControlInName};
+
 std::string outcome_of(const CallerView& view) {
   return view.cut ? "cut" : view.outcome;
 }
@@ -59,6 +65,9 @@
   CPPUNIT_TEST(callers_with_the_same_identifiers_get_their_own_answers);
   CPPUNIT_TEST(leaving_replicas_get_no_new_work);
   CPPUNIT_TEST(unreachable_replicas_are_suspect_at_once);
+  CPPUNIT_TEST(replicas_that_send_broken_answers_are_suspect_at_once);
+  CPPUNIT_TEST(a_broken_answer_without_another_replica_is_502);
+  CPPUNIT_TEST(a_broken_request_is_no_fault_of_the_replica);
   CPPUNIT_TEST(a_leaving_caller_ends_a_repeatable_exchange);
   CPPUNIT_TEST(a_leaving_caller_does_not_cut_a_non_repeatable_request);
   CPPUNIT_TEST_SUITE_END();
@@ -261,6 +270,55 @@
     CPPUNIT_ASSERT_EQUAL(10, healthy.runs);
   }
 
+  /// Requests would go to such a replica again and again, beyond what retries may make up for.
+  void replicas_that_send_broken_answers_are_suspect_at_once() {
+    for (const Fault fault : kBrokenHeads) {
+      CallerFixture fixture;
+      FaultyBackEnd broken(fixture.context);
+      FaultyBackEnd healthy(fixture.context);
+      broken.plan(std::vector<Fault>(100, fault));
+      fixture.use({broken.address(), healthy.address()});
+      for (int round = 0; round < 10; ++round) {
+        CPPUNIT_ASSERT_EQUAL(std::string("completed"), fixture.call(top_up(true)).outcome);
+      }
+      CPPUNIT_ASSERT_EQUAL(1, broken.runs);
+      CPPUNIT_ASSERT_EQUAL(10, healthy.runs);
+    }
+  }
+
+  /// The answer was a 503, which says that the request has not run.
+  void a_broken_answer_without_another_replica_is_502() {
+    for (const bool repeatable : {true, false}) {
+      for (const Fault fault : kBrokenHeads) {
+        CallerFixture fixture;
+        FaultyBackEnd broken(fixture.context);
+        broken.plan(std::vector<Fault>(100, fault));
+        fixture.use({broken.address()});
+        for (int round = 0; round < 10; ++round) {
+          const CallerView view = fixture.call(top_up(repeatable));
+          CPPUNIT_ASSERT_EQUAL(502u, view.status);
+          CPPUNIT_ASSERT_EQUAL(std::string("unknown"), view.outcome);
+        }
+      }
+    }
+  }
+
+  void a_broken_request_is_no_fault_of_the_replica() {
+    CallerFixture fixture;
+    FaultyBackEnd first(fixture.context);
+    FaultyBackEnd second(fixture.context);
+    fixture.use({first.address(), second.address()});
+    tcp::socket caller = connect_raw(fixture);
+    send_raw(fixture, caller,
+             "POST /services/ledger/entries HTTP/1.1\r\nHost: x\r\n"
+             "Transfer-Encoding: chunked\r\n\r\nbroken chunk\r\n");
+    fixture.run_until(
+        [&] { return fixture.handler.requests_in_flight() == 0 && first.connections == 1; });
+    CPPUNIT_ASSERT_EQUAL(std::string("completed"), fixture.call(top_up(true)).outcome);
+    CPPUNIT_ASSERT_EQUAL(1, first.runs);
+    CPPUNIT_ASSERT_EQUAL(0, second.runs);
+  }
+
   void a_leaving_caller_ends_a_repeatable_exchange() {
     CallerFixture fixture;
     FaultyBackEnd back_end(fixture.context);
