HTTP server: a response that cannot be sent becomes 500

What callers saw: a connection closed without a byte, where a handler passed on a status or a field that no message can carry. Nothing was logged.

Cause: ResponseWriter refuses such a head and leaves another answer to its handler. Most handlers do not look: they pass on what they got.

Change: where a handler ends with nothing started and a head refused, the server answers 500, logs the request and the reason, and counts it (stoneport_http_server_unsendable_responses_total). A handler that looks and sends another answer is left alone, and one that sends nothing at all resets the connection as before. The statuses that the server sends end at 599, as those that are read.

Evidence: HttpServerFaultsTest::a_response_that_cannot_be_sent_becomes_500 (statuses 0, 99, 100 and 600, and four broken fields, whole and in pieces) fails without the call in ServerConnection::handle() at its first case, with an empty answer; it passes now.

--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 4096;
+constexpr unsigned kInternalError = 500;
 /// Longest time that a closing connection still reads and drops what arrives,
 /// so that a reset does not destroy the response on its way.
 constexpr core::Duration kLingerTime = std::chrono::seconds(1);
@@ -283,6 +284,21 @@
   co_return After::kLingeringClose;
 }
 
+/// A handler whose response could not be sent, and that sent no other, leaves its client to 500.
+asio::awaitable<void> ServerConnection::answer_unsendable(const RequestHead& request,
+                                                          ServerResponseWriter& response) {
+  if (response.started() || !response.head_error()) {
+    co_return;
+  }
+  const core::Error reason = *response.head_error();
+  spdlog::error("http server: answered 500 to {} {}: its response cannot be sent: {}",
+                request.method, request.target, reason.message);
+  state_->counters.unsendable_responses.Increment();
+  const core::Error error =
+      core::make_error(core::ErrorCode::kInternal, "the response could not be sent");
+  co_await response.send(error_response(kInternalError, error));
+}
+
 asio::awaitable<ServerConnection::After> ServerConnection::handle(RequestParser& parser) {
   ServerRequestBody body(*state_, *io_, *watch_, parser);
   ServerResponseWriter response(*state_, *io_, *watch_, parser, body);
@@ -299,6 +315,7 @@
   } else {
     const RequestHead head = to_request_head(parser);
     co_await state_->handler.handle(head, body, response);
+    co_await answer_unsendable(head, response);
   }
   --state_->requests_in_flight;
   watch_->stop();
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -18,6 +18,7 @@
 namespace stoneport::http {
 
 class ServerConnection;
+class ServerResponseWriter;
 
 struct ServerCounters {
   ServerCounters(core::Metrics& metrics, const std::string& server);
@@ -29,6 +30,7 @@
   prometheus::Counter& response_body_bytes;
   prometheus::Counter& clients_gone;
   prometheus::Counter& responses_cut;
+  prometheus::Counter& unsendable_responses;
   prometheus::Counter& refused_malformed_head;
   prometheus::Counter& refused_large_head;
   prometheus::Counter& refused_slow_head;
@@ -140,6 +142,8 @@
   boost::asio::awaitable<After> serve_one();
   boost::asio::awaitable<After> refuse_head(boost::system::error_code error);
   boost::asio::awaitable<After> handle(RequestParser& parser);
+  boost::asio::awaitable<void> answer_unsendable(const RequestHead& request,
+                                                 ServerResponseWriter& response);
   boost::asio::awaitable<void> linger();
   boost::asio::awaitable<void> end(After after);
 
--- a/src/http/server_exchange.cpp
+++ b/src/http/server_exchange.cpp
@@ -15,6 +15,7 @@
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::uint64_t kMostSkippedBytes = 64 * 1024;
 constexpr unsigned kHttp11 = 11;
+constexpr unsigned kFirstFinalStatus = 200;
 
 bool expects_continue(const RequestParser& parser) {
   return parser.get().version() == kHttp11 && !parser.is_done() &&
@@ -183,10 +184,19 @@
 
 core::Result<std::string> ServerResponseWriter::begin(const ResponseHead& head,
                                                       std::optional<std::uint64_t> content_length) {
+  core::Result<std::string> text = make_head(head, content_length);
+  if (!text) {
+    head_error_ = text.error();
+  }
+  return text;
+}
+
+core::Result<std::string> ServerResponseWriter::make_head(
+    const ResponseHead& head, std::optional<std::uint64_t> content_length) {
   if (started_) {
     return misuse("the response was started before");
   }
-  if (head.status < 200 || head.status > 999) {
+  if (head.status < kFirstFinalStatus || head.status > kMaxStatus) {
     return misuse("not a final status: " + std::to_string(head.status));
   }
   const unsigned version = parser_.get().version();
--- a/src/http/server_exchange.hpp
+++ b/src/http/server_exchange.hpp
@@ -57,12 +57,16 @@
 
   bool finished() const { return finished_; }
   bool keep_alive() const { return keep_alive_; }
+  /// \return why the last head given to start() or send() could not be sent, if so.
+  const std::optional<core::Error>& head_error() const { return head_error_; }
 
  private:
   enum class Framing { kNoBody, kSized, kChunked, kUntilClose };
 
   core::Result<std::string> begin(const ResponseHead& head,
                                   std::optional<std::uint64_t> content_length);
+  core::Result<std::string> make_head(const ResponseHead& head,
+                                      std::optional<std::uint64_t> content_length);
   core::Result<void> count_bytes(std::size_t size);
   template <class Buffers>
   boost::asio::awaitable<core::Result<void>> transmit(const Buffers& buffers);
@@ -78,6 +82,7 @@
   bool finished_ = false;
   bool failed_ = false;
   bool keep_alive_ = false;
+  std::optional<core::Error> head_error_;
 };
 
 }  // namespace stoneport::http
--- a/tests/contract/http_server_faults_test.cpp
+++ b/tests/contract/http_server_faults_test.cpp
@@ -72,6 +72,7 @@
   CPPUNIT_TEST(idle_connection_is_closed);
   CPPUNIT_TEST(connections_beyond_the_limit_are_refused);
   CPPUNIT_TEST(header_injection_by_a_handler_is_refused);
+  CPPUNIT_TEST(a_response_that_cannot_be_sent_becomes_500);
   CPPUNIT_TEST(slow_readers_are_cut_and_the_others_served);
   CPPUNIT_TEST_SUITE_END();
 
@@ -212,6 +213,42 @@
     CPPUNIT_ASSERT(answer.text.starts_with("HTTP/1.1 500"));
     CPPUNIT_ASSERT(answer.text.find("Set-Cookie") == std::string::npos);
   }
+
+  /// A handler that passes on what others sent may not look whether it could be sent: its client's
+  /// connection was closed without an answer.
+  void a_response_that_cannot_be_sent_becomes_500() {
+    struct Case {
+      unsigned status;
+      std::string name;
+      std::string value;
+    };
+    const std::vector<Case> cases = {{0, "X", "a"},       {99, "X", "a"},    {100, "X", "a"},
+                                     {600, "X", "a"},     {200, "X ", "a"},  {200, "", "a"},
+                                     {200, "X\x01", "a"}, {200, "X", "a\nb"}};
+    for (const Case& fault : cases) {
+      for (const bool in_pieces : {false, true}) {
+        ServerFixture fixture([&](const http::RequestHead&, http::BodySource&,
+                                  http::ResponseWriter& response) -> asio::awaitable<void> {
+          http::Response message;
+          message.head.status = fault.status;
+          message.head.headers.add(fault.name, fault.value);
+          if (in_pieces) {
+            co_await response.start(message.head, std::nullopt);
+            co_await response.write("body");
+            co_await response.finish();
+          } else {
+            co_await response.send(message);
+          }
+        });
+        const RawText answer =
+            fixture.exchange("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const std::string name = std::to_string(fault.status) + " " + fault.name;
+        CPPUNIT_ASSERT_MESSAGE(name + answer.text, answer.text.starts_with("HTTP/1.1 500"));
+        CPPUNIT_ASSERT_MESSAGE(name, !answer.was_reset);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 1.0, fixture.counter("unsendable_responses_total"));
+      }
+    }
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpServerFaultsTest);
 
