One reader of Retry-After, bounded by an hour

Change: http::retry_after_of() takes their place: seconds with decimals, at most an hour, nothing for what is negative or no number.

RetryAfterTest has the table of values.

--- a/src/filters/attempt_filter.cpp
+++ b/src/filters/attempt_filter.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "filters/back_end_exchange.hpp"
+#include "http/retry_after.hpp"
 
 namespace stoneport::filters {
 namespace asio = boost::asio;
@@ -101,7 +102,7 @@
     replica.finish(signal, time_.now());
     core::Error error =
         core::make_error(core::ErrorCode::kUnavailable, "the back end did not run the request");
-    error.retry_after = retry_after_of(answer.head());
+    error.retry_after = http::retry_after_of(answer.head().headers);
     co_return Failure{std::move(error), true, true};
   }
   Outcome outcome = co_await relay(request, answer);
--- a/src/filters/back_end_exchange.cpp
+++ b/src/filters/back_end_exchange.cpp
@@ -46,16 +46,6 @@
   return head.status == kServiceUnavailable && head.headers.find(kNotRunHeader) == "true";
 }
 
-std::optional<core::Duration> retry_after_of(const http::ResponseHead& head) {
-  const auto value = head.headers.find("Retry-After");
-  const auto seconds = value ? core::parse_number<std::uint64_t>(*value) : std::nullopt;
-  constexpr std::uint64_t kLongestSeconds = 3600;
-  if (!seconds) {
-    return std::nullopt;
-  }
-  return std::chrono::seconds(std::min(*seconds, kLongestSeconds));
-}
-
 std::optional<std::uint64_t> body_length(const http::HeaderMap& headers,
                                          std::optional<std::uint64_t> without_length) {
   if (headers.find("Transfer-Encoding")) {
--- a/src/filters/back_end_exchange.hpp
+++ b/src/filters/back_end_exchange.hpp
@@ -13,8 +13,6 @@
 
 /// \return whether a back end's answer says that it did not run the request.
 bool says_not_run(const http::ResponseHead& head);
-/// \return the Retry-After of an answer in whole seconds, where it has one.
-std::optional<core::Duration> retry_after_of(const http::ResponseHead& head);
 /// \return the length of a body by its head: Content-Length, nothing for a
 /// chunked one. \a without_length is what a head with neither means.
 std::optional<std::uint64_t> body_length(const http::HeaderMap& headers,
--- a/src/ports/http_endpoint.cpp
+++ b/src/ports/http_endpoint.cpp
@@ -1,32 +1,16 @@
 #include "ports/http_endpoint.hpp"
 
-#include <charconv>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "core/json_text.hpp"
+#include "http/retry_after.hpp"
 
 namespace stoneport::ports {
 namespace {
 using core::ErrorCode;
 
-constexpr double kLongestRetryAfterSeconds = 3600;
 constexpr std::size_t kLongestErrorMessage = 512;
 
-std::optional<core::Duration> retry_after_of(const http::ResponseHead& head) {
-  const auto field = head.headers.find("Retry-After");
-  if (!field) {
-    return std::nullopt;
-  }
-  double seconds = 0;
-  const auto parsed = std::from_chars(field->data(), field->data() + field->size(), seconds);
-  const bool whole_field = parsed.ptr == field->data() + field->size();
-  if (parsed.ec != std::errc() || !whole_field || !std::isfinite(seconds) || seconds < 0) {
-    return std::nullopt;
-  }
-  return core::from_seconds(std::min(seconds, kLongestRetryAfterSeconds));
-}
-
 /// The {"code","message"} document of an error response; empty if the body is not one.
 struct ErrorDocument {
   std::string code;
@@ -101,7 +85,7 @@
   error.code = code_of(response.head.status, document.code, kind);
   error.message = "status " + std::to_string(response.head.status) + " " + document.code + " " +
                   document.message;
-  error.retry_after = retry_after_of(response.head);
+  error.retry_after = http::retry_after_of(response.head.headers);
   return error;
 }
 
