Numbers of others are bounded before they are cast

What callers saw: nothing in a release build, whose casts happen to end in some value; it may be another one on arm64. Built with the sanitizers a process that read an entry with `coldRemainingMs` of 1e308 ended, and ended again at each start while the entry stood.

Cause: core::from_seconds() cast a double to a duration without a bound, and some ten decoders cast number_of() to unsigned types. Beyond the type's range both are undefined. The result may be a time in the past (a replica that is cold for 1e30 ms was warm) or one that overflows when it is added to a clock. A time of the store beyond any clock moved the clock that all processes share for good, as the largest offset wins.

--- a/src/core/numbers.hpp
+++ b/src/core/numbers.hpp
@@ -1,9 +1,11 @@
 /// \file
-/// Strict parsing of integers.
+/// Strict parsing of integers, and conversion of floating-point numbers to them.
 #pragma once
 
 #include <charconv>
+#include <cmath>
 #include <concepts>
+#include <limits>
 #include <optional>
 #include <string_view>
 #include <system_error>
@@ -23,4 +25,13 @@
   return value;
 }
 
+/// \return \p value without its decimals; nullopt if it is negative, not a number or out of range
+/// for Number. A cast of such a value is undefined.
+template <std::unsigned_integral Number>
+std::optional<Number> whole_number(double value) {
+  const double end = std::ldexp(1.0, std::numeric_limits<Number>::digits);
+  const bool is_in_range = value >= 0 && value < end;
+  return is_in_range ? std::optional(static_cast<Number>(value)) : std::nullopt;
+}
+
 }  // namespace stoneport::core
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -5,7 +5,9 @@
 
 #include <time.h>
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace stoneport::core {
 
@@ -73,8 +75,19 @@
 inline double to_seconds(Duration value) {
   return std::chrono::duration<double>(value).count();
 }
+/// Bound of from_seconds(), 200 years: added to a time of either clock, it fits into the
+/// nanoseconds in which timers count.
+inline constexpr Duration kLongestDuration = std::chrono::hours(200 * 365 * 24);
+
+/// \return \p seconds as a duration, at most kLongestDuration long in either direction; zero for a
+/// value that is not a number.
 inline Duration from_seconds(double seconds) {
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+  if (std::isnan(seconds)) {
+    return Duration(0);
+  }
+  const double longest = to_seconds(kLongestDuration);
+  const std::chrono::duration<double> bounded(std::clamp(seconds, -longest, longest));
+  return std::chrono::duration_cast<Duration>(bounded);
 }
 
 }  // namespace stoneport::core
