Tests of answers without end to reports, orders, the store and duties

Nothing was found; these tests stay.

EndlessReplicasTest::reports_are_given_up has the coordinator ask one replica for reports, one of each of eleven forms, with 270 MB for the process: the jobs beside it are listed and the process stays below. The case on items did not ask for reports, as its jobs need no newer version. BrokenAnswerReadersTest::answers_without_end_are_given_up has each form for a report, an order, a read of the store and a report of usage: all end within 4 s, with their connections closed.

--- a/tests/platform/broken_answer_readers_test.cpp
+++ b/tests/platform/broken_answer_readers_test.cpp
@@ -4,6 +4,7 @@
 /// have been carried out, and as a sign of life of the store.
 #include <functional>
 
+#include "contract/endless_peer.hpp"
 #include "contract/scripted_server.hpp"
 #include "core/numbers.hpp"
 #include "platform/duty_http_client.hpp"
@@ -68,8 +69,19 @@
   };
 }
 
+/// Sends \p message until the other side closes.
+http_test::Script send_without_end(tests::EndlessMessage message) {
+  return [message](tcp::socket socket) -> asio::awaitable<void> {
+    const bool is_whole = co_await read_request(socket);
+    if (is_whole) {
+      co_await http_test::keep_sending(socket, message);
+    }
+  };
+}
+
 struct World {
-  explicit World(std::vector<std::string> answers) : server(send_each(std::move(answers))) {}
+  explicit World(std::vector<std::string> answers) : World(send_each(std::move(answers))) {}
+  explicit World(http_test::Script script) : server(std::move(script)) {}
 
   ports::ReplicaTarget replica() const { return {core::ReplicaId("a"), server.address()}; }
   static ports::ReplicaCall call() {
@@ -103,6 +115,7 @@
   CPPUNIT_TEST(calls_to_the_store);
   CPPUNIT_TEST(calls_for_duties);
   CPPUNIT_TEST(a_replica_is_judged_by_a_broken_answer_on_a_kept_connection);
+  CPPUNIT_TEST(answers_without_end_are_given_up);
   CPPUNIT_TEST_SUITE_END();
 
   /// Every form of a broken answer: \p check gets a world for each, and the form's name.
@@ -192,6 +205,32 @@
                                    answer.error().stale_connection);
     }
   }
+
+  /// Reports, the store and duties: the limits of the client that reads them hold there too.
+  void answers_without_end_are_given_up() {
+    for (const tests::EndlessMessage& message : tests::endless_answers(answer_fields())) {
+      World world(send_without_end(message));
+      const auto check = [&](const char* call, bool has_failed, core::MonotonicTime began) {
+        const std::string name = std::string(call) + ", " + message.name;
+        CPPUNIT_ASSERT_MESSAGE(name, has_failed);
+        CPPUNIT_ASSERT_MESSAGE(name, http_test::now() - began < http_test::kMaxEndlessTime);
+      };
+      core::MonotonicTime began = http_test::now();
+      check("report", !run(world.server.context, world.replicas.report(world.replica())), began);
+      began = http_test::now();
+      const auto order = run(world.server.context, world.replicas.order(world.replica(), {}));
+      check("order", order == ports::OrderOutcome::kNoAnswer, began);
+      began = http_test::now();
+      check("store", !run(world.server.context, world.store.read({"table", "p", "", ""}, kTimeout)),
+            began);
+      began = http_test::now();
+      const ports::DutyHolder holder{"node", core::Epoch(1)};
+      check("duty", !run(world.server.context, world.duties.report_usage(holder, {}, kTimeout)),
+            began);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message.name, static_cast<double>(world.server.connections),
+                                   world.server.counter("connections_closed_total"));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenAnswerReadersTest);
--- a/tests/platform/endless_replicas_test.cpp
+++ b/tests/platform/endless_replicas_test.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::uint64_t kMachineMb = 270;
 constexpr std::size_t kItems = 12;
+constexpr std::chrono::seconds kLongestReports{60};
 
 /// A replica that answers whatever it is asked with a message without end.
 class EndlessReplica {
@@ -27,6 +28,7 @@
   static std::size_t forms() { return endless_answers("").size(); }
   static std::string name_of(std::size_t form) { return endless_answers("")[form].name; }
   std::uint32_t answers() const { return replica_.requests(); }
+  std::uint32_t reports() const { return replica_.report_requests(); }
   std::string entry(const std::string& service) const { return replica_.entry(service); }
 
  private:
@@ -40,6 +42,7 @@
   CPPUNIT_TEST_SUITE(EndlessReplicasTest);
   CPPUNIT_TEST(items_go_to_other_replicas);
   CPPUNIT_TEST(requests_and_ratings_go_to_other_replicas);
+  CPPUNIT_TEST(reports_are_given_up);
   CPPUNIT_TEST_SUITE_END();
 
   static PlatformStandIn::Options one_machine() {
@@ -100,6 +103,27 @@
     }
     CPPUNIT_ASSERT(endless.answers() > 0);
   }
+
+  /// The reports by which the coordinator learns what a replica has loaded, one of each form. They
+  /// are asked for while a job needs a newer version.
+  void reports_are_given_up() {
+    PlatformStandIn platform(one_machine());
+    EndlessReplica endless;
+    list(platform, "model-endless", "models", endless);
+    const auto give_up_at = std::chrono::steady_clock::now() + kLongestReports;
+    std::uint64_t version = 1;
+    while (endless.reports() < EndlessReplica::forms()) {
+      const std::string name = EndlessReplica::name_of(endless.reports());
+      endless.use(endless.reports());
+      platform.name_version(++version);
+      const std::string job = "job" + std::to_string(version);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(name, 202u, platform.submit(0, job, kItems).status);
+      const bool is_whole = platform.wait_whole(0, job, kItems, std::chrono::seconds(8));
+      check_memory(platform, name);
+      CPPUNIT_ASSERT_MESSAGE(name, is_whole);
+      CPPUNIT_ASSERT_MESSAGE(name, std::chrono::steady_clock::now() < give_up_at);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessReplicasTest);
