stoneportd: a rate of an engine that a packet cannot hold is unknown

What callers saw: nothing. An engine that reports 1e308 tokens a second is an undefined cast in each daemon that polls it.

The age of a report was cut to its lower 32 bits.

Change: a rate out of range counts as unknown, as one that is not reported; an age is bounded.

--- a/src/controllers/replica_watcher.cpp
+++ b/src/controllers/replica_watcher.cpp
@@ -1,7 +1,9 @@
 #include "controllers/replica_watcher.hpp"
 
 #include <algorithm>
+#include <limits>
 
+#include "core/numbers.hpp"
 #include "runtime/tasks.hpp"
 
 namespace stoneport::controllers {
@@ -21,6 +23,8 @@
 /// Its text is not used.
 constexpr std::uint64_t kMaxHealthBytes = 64 * 1024;
 constexpr std::uint32_t kPermille = 1000;
+/// Of a report in a packet, which has 32 bits for it.
+constexpr std::int64_t kMaxAgeMs = std::numeric_limits<std::uint32_t>::max();
 
 std::uint32_t permille(std::uint64_t part, std::uint64_t whole) {
   if (whole == 0) {
@@ -34,14 +38,15 @@
   result.replica = replica;
   result.incarnation = report.incarnation;
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(report.report_age);
-  result.age_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, age.count()));
+  result.age_ms = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age.count(), 0, kMaxAgeMs));
   result.reachable = true;
   result.leaving = report.leaving;
   result.swapping = report.swapping;
   result.running = report.running;
   result.waiting = report.waiting;
   result.max_running = report.max_running;
-  result.tokens_per_second = static_cast<std::uint32_t>(std::max(0.0, report.tokens_per_second));
+  result.tokens_per_second =
+      core::whole_number<std::uint32_t>(report.tokens_per_second).value_or(0);
   result.kv_used_permille = permille(report.kv_used_tokens, report.kv_capacity_tokens);
   result.version = report.version;
   result.prefetched = report.prefetched.value_or(core::WeightVersion{});
--- a/tests/contract/peer_control_plane_test.cpp
+++ b/tests/contract/peer_control_plane_test.cpp
@@ -221,6 +221,7 @@
   CPPUNIT_TEST_SUITE(PeerControlPlaneTest);
   CPPUNIT_TEST(every_daemon_sees_what_two_of_them_watch);
   CPPUNIT_TEST(a_first_report_of_leaving_reaches_all_and_is_permanent);
+  CPPUNIT_TEST(a_rate_out_of_range_is_unknown);
   CPPUNIT_TEST(a_dead_engine_is_down_for_all);
   CPPUNIT_TEST(a_service_with_broken_health_answers_is_down_for_all);
   CPPUNIT_TEST(operators_read_members_replicas_weights_and_status);
@@ -296,6 +297,24 @@
     });
   }
 
+  /// A packet has 32 bits for the rate that an engine reports; a cast of one beyond is undefined.
+  void a_rate_out_of_range_is_unknown() {
+    const auto is_seen = [&](double rate) {
+      wait_for(context_, [&] {
+        return all([&](Node& node) {
+          return node.replica("engine-1")->digest->tokens_per_second == rate;
+        });
+      });
+    };
+    constexpr double kInRange = 1500;
+    for (const double rate : {1e308, 4294967296.0, -1.0}) {
+      first_engine_->next_report.tokens_per_second = kInRange;
+      is_seen(kInRange);
+      first_engine_->next_report.tokens_per_second = rate;
+      is_seen(0);
+    }
+  }
+
   void a_dead_engine_is_down_for_all() {
     first_engine_->down = true;
     wait_for(context_, [&] {
