Tests of broken heads for configurations of peers and the object store

Answers between processes of stoneportd and of the object store had no test with these forms. Each is read by the same client; a fetched or pushed configuration took only status 200 before, so that nothing failed on the code before, and the two calls of the object store are in the table that did.

--- a/tests/contract/malformed_answers_test.cpp
+++ b/tests/contract/malformed_answers_test.cpp
@@ -5,9 +5,11 @@
 
 #include "contract/platform_fixture.hpp"
 #include "contract/scripted_server.hpp"
+#include "controllers/configuration_peers.hpp"
 #include "ports/engine_codec.hpp"
 #include "ports/http_machine_list.hpp"
 #include "ports/http_model_engine.hpp"
+#include "ports/http_object_store.hpp"
 #include "ports/http_scoring_service.hpp"
 #include "ports/http_table_service.hpp"
 #include "ports/http_weight_store.hpp"
@@ -71,6 +73,29 @@
   };
 }
 
+/// \return those calls, and the ones that take any body for their answer.
+std::vector<PortCall> calls_that_read_a_head() {
+  using Objects = ports::HttpObjectStore;
+  std::vector<PortCall> calls = calls_that_read_an_answer();
+  calls.push_back(port_call<Objects>("object read", CallKind::kRead,
+                                     [](Objects& objects) { return objects.get("name"); }));
+  calls.push_back(port_call<Objects>("object write", CallKind::kEffect, [](Objects& objects) {
+    return objects.put("name", "content");
+  }));
+  return calls;
+}
+
+/// Reads a request's head, sends \p bytes and closes in order.
+http_test::Script answer_raw(std::string bytes) {
+  return [bytes](tcp::socket socket) -> asio::awaitable<void> {
+    std::string request;
+    co_await http_test::read_until(socket, request, "\r\n\r\n");
+    co_await http_test::write_raw(socket, bytes);
+    socket.shutdown(tcp::socket::shutdown_send);
+    co_await http_test::read_to_end(socket);
+  };
+}
+
 /// \return whether \p end is the error of an answer that could not be read: one beyond the size
 /// limit or, for an effect, any that leaves its outcome unknown.
 bool is_unreadable(const PortCall& call, const core::Error& end) {
@@ -84,6 +109,7 @@
   CPPUNIT_TEST(answers_get_typed_errors);
   CPPUNIT_TEST(refusals_keep_their_code);
   CPPUNIT_TEST(broken_heads_get_typed_errors);
+  CPPUNIT_TEST(broken_heads_of_peers_are_no_configurations);
   CPPUNIT_TEST(stream_events_get_typed_errors);
   CPPUNIT_TEST_SUITE_END();
 
@@ -115,15 +141,9 @@
 
   /// A status outside 100 to 599 was taken for a success or for the server's refusal.
   void broken_heads_get_typed_errors() {
-    for (const PortCall& call : calls_that_read_an_answer()) {
+    for (const PortCall& call : calls_that_read_a_head()) {
       for (const tests::BrokenAnswer& answer : tests::answers_with_broken_head("")) {
-        http_test::ScriptedServer server([&](tcp::socket socket) -> asio::awaitable<void> {
-          std::string request;
-          co_await http_test::read_until(socket, request, "\r\n\r\n");
-          co_await http_test::write_raw(socket, answer.bytes);
-          socket.shutdown(tcp::socket::shutdown_send);
-          co_await http_test::read_to_end(socket);
-        });
+        http_test::ScriptedServer server(answer_raw(answer.bytes));
         ClientFixture client(server.context);
         const CallEnd end =
             http_test::run(server.context, call.call(client.endpoint(server.address())));
@@ -138,6 +158,22 @@
     }
   }
 
+  void broken_heads_of_peers_are_no_configurations() {
+    for (const tests::BrokenAnswer& answer : tests::answers_with_broken_head("")) {
+      http_test::ScriptedServer server(answer_raw(answer.bytes));
+      core::SystemTimeSource time;
+      controllers::ConfigurationPeers peers(server.client, time);
+      wire::Member peer;
+      peer.peer_address = server.address();
+      const auto fetched =
+          http_test::run(server.context, peers.fetch(peer, core::Revision(), http_test::kPatience));
+      CPPUNIT_ASSERT_MESSAGE(answer.name, !fetched);
+      const auto pushed =
+          http_test::run(server.context, peers.push(peer, {}, http_test::kPatience));
+      CPPUNIT_ASSERT_MESSAGE(answer.name, !pushed);
+    }
+  }
+
   void stream_events_get_typed_errors() {
     for (const tests::MalformedDocument& document : tests::malformed_documents()) {
       ports::StreamEventParser parser(core::StreamId("stream"), 0);
