--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -102,16 +102,25 @@
     return form + ": " + std::to_string(answer.status) + " " + answer.failure + answer.body;
   }
 
-  /// Each form comes from a replica of its own, so that none is ejected for the forms before.
+  /// Calls \p check with each form's name and a prefix for ids, while a replica of \p service sends
+  /// that form. Each comes from a replica of its own, so that none is ejected for the forms before.
+  template <class Check>
+  static void for_each_form(PlatformStandIn& platform, BrokenReplica& replica,
+                            const std::string& service, Check check) {
+    for (std::size_t form = 0; form < replica.forms(); ++form) {
+      const std::string id = service + "-broken-" + std::to_string(form);
+      replica.use(form);
+      list(platform, id, service, replica);
+      check(replica.name_of(form), id);
+      put_entry(platform, id, std::nullopt);
+    }
+  }
+
   void a_client_gets_502_where_no_other_replica_is() {
     PlatformStandIn platform(two_machines());
     configure_broken_routes(platform);
     BrokenReplica replica(&answers_with_broken_head);
-    for (std::size_t form = 0; form < replica.forms(); ++form) {
-      const std::string name = replica.name_of(form);
-      const std::string id = "broken-" + std::to_string(form);
-      replica.use(form);
-      list(platform, id, "broken", replica);
+    for_each_form(platform, replica, "broken", [&](const std::string& name, const std::string& id) {
       for (const std::string kind : {"safe", "unsafe", "streaming"}) {
         for (std::size_t process = 0; process < 2; ++process) {
           const std::string request = id + "-" + kind + "-" + std::to_string(process);
@@ -120,8 +129,7 @@
           CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(name + ", " + kind, answer), 502u, answer.status);
         }
       }
-      put_entry(platform, id, std::nullopt);
-    }
+    });
     const std::string log = log_of(platform, 0);
     CPPUNIT_ASSERT(log.find("status 0 is outside 100 to 599") != std::string::npos);
     CPPUNIT_ASSERT(log.find("status 600 is outside 100 to 599") != std::string::npos);
@@ -131,8 +139,7 @@
   /// Sends many requests at once to both processes: with one at a time, replicas to which a
   /// connection is kept would get them all.
   static std::vector<HttpAnswer> request_at_once(PlatformStandIn& platform,
-                                                 const std::string& target,
-                                                 const std::string& name) {
+                                                 const std::string& target, const std::string& id) {
     std::vector<HttpCall> calls(kRequestsAtOnce);
     for (std::size_t index = 0; index < calls.size(); ++index) {
       http::RequestHead& head = calls[index].request.head;
@@ -140,24 +147,20 @@
       head.method = "POST";
       head.target = target;
       head.headers.set("Host", "users.example");
-      head.headers.set(platform::kRequestIdHeader, name + "-" + std::to_string(index));
+      head.headers.set(platform::kRequestIdHeader, id + "-" + std::to_string(index));
       head.headers.set(platform::kDeadlineHeader, "4000");
     }
     return platform.http().send_all(calls, nullptr);
   }
 
-  static std::string expected_body(const std::string& name, std::size_t index) {
-    return "answer to " + name + "-" + std::to_string(index);
+  static std::string expected_body(const std::string& id, std::size_t index) {
+    return "answer to " + id + "-" + std::to_string(index);
   }
 
   void requests_that_may_repeat_go_to_other_replicas() {
     PlatformStandIn platform(two_machines());
     BrokenReplica replica(&answers_with_broken_head);
-    for (std::size_t form = 0; form < replica.forms(); ++form) {
-      const std::string name = replica.name_of(form);
-      const std::string id = "plain-broken-" + std::to_string(form);
-      replica.use(form);
-      list(platform, id, "plain", replica);
+    for_each_form(platform, replica, "plain", [&](const std::string& name, const std::string& id) {
       const std::uint32_t before = replica.raw().requests();
       const auto answers = request_at_once(platform, "/safe/a", id);
       for (std::size_t index = 0; index < answers.size(); ++index) {
@@ -166,18 +169,13 @@
         CPPUNIT_ASSERT_EQUAL_MESSAGE(name, expected_body(id, index), answer.body);
       }
       CPPUNIT_ASSERT_MESSAGE(name, replica.raw().requests() > before);
-      put_entry(platform, id, std::nullopt);
-    }
+    });
   }
 
   void requests_that_may_not_repeat_get_502_or_an_answer() {
     PlatformStandIn platform(two_machines());
     BrokenReplica replica(&answers_with_invalid_status);
-    for (std::size_t form = 0; form < replica.forms(); ++form) {
-      const std::string name = replica.name_of(form);
-      const std::string id = "plain-broken-" + std::to_string(form);
-      replica.use(form);
-      list(platform, id, "plain", replica);
+    for_each_form(platform, replica, "plain", [&](const std::string& name, const std::string& id) {
       const std::uint32_t before = replica.raw().requests();
       const auto answers = request_at_once(platform, "/once/a", id);
       std::uint32_t failed = 0;
@@ -189,8 +187,7 @@
       }
       CPPUNIT_ASSERT_MESSAGE(name, failed > 0);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(name, replica.raw().requests() - before, failed);
-      put_entry(platform, id, std::nullopt);
-    }
+    });
   }
 
   /// Texts of a job, and the reports that an order of weights begins with.
@@ -218,19 +215,14 @@
     PlatformStandIn platform(two_machines());
     configure_broken_routes(platform);
     BrokenReplica replica(&answers_cut_in_body);
-    for (std::size_t form = 0; form < replica.forms(); ++form) {
-      const std::string name = replica.name_of(form);
-      const std::string id = "broken-" + std::to_string(form);
-      replica.use(form);
-      list(platform, id, "broken", replica);
+    for_each_form(platform, replica, "broken", [&](const std::string& name, const std::string& id) {
       for (const std::string kind : {"safe", "unsafe", "streaming"}) {
         const HttpAnswer answer =
             platform.request(0, "POST", "/broken-" + kind + "/a", id + "-" + kind, "body");
         const unsigned expected = kind == "streaming" ? 0 : 502;
         CPPUNIT_ASSERT_EQUAL_MESSAGE(describe(name + ", " + kind, answer), expected, answer.status);
       }
-      put_entry(platform, id, std::nullopt);
-    }
+    });
   }
 };
 
